--- a/contract/contract.go
+++ b/contract/contract.go
@@ -9,7 +9,7 @@
 // enforces for that customer is derived from it.
 type Contract struct {
 	// Customer is the unique name of the customer.
-	Customer string `yaml:"customer" json:"customer" validate:"required,name"`
+	Customer string `yaml:"customer" json:"customer" validate:"required,slug"`
 	// Keys are the credentials that callers of this customer present.
 	Keys []Key `yaml:"keys" json:"keys" validate:"required,min=1,dive"`
 	// Wait bounds the time from a request's arrival until its answer starts or
@@ -64,7 +64,7 @@
 // Service is one plain service of a contract.
 type Service struct {
 	// Name is the service's name and its path prefix: /services/NAME/.
-	Name string `yaml:"name" json:"name" validate:"required,name"`
+	Name string `yaml:"name" json:"name" validate:"required,slug"`
 	// NotRepeatable lists the routes whose calls run at most once.
 	NotRepeatable []Route `yaml:"notRepeatable,omitempty" json:"notRepeatable,omitempty" validate:"dive"`
 }
--- /dev/null
+++ b/contract/units.go
@@ -0,0 +1,69 @@
+package contract
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// String renders the span as Go does.
+func (d Duration) String() string { return time.Duration(d).String() }
+
+// MarshalText renders the span as in "1.5s".
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText reads a span with its unit, as in "1.5s".
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return errors.Newf("%q is not a duration with a unit, such as 1.5s", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+type byteUnit struct {
+	suffix string
+	size   int64
+}
+
+var byteUnits = []byteUnit{
+	{"TiB", 1 << 40},
+	{"GiB", 1 << 30},
+	{"MiB", 1 << 20},
+	{"KiB", 1 << 10},
+	{"B", 1},
+}
+
+// String renders the amount in the largest unit that divides it.
+func (b Bytes) String() string {
+	for _, u := range byteUnits {
+		if b != 0 && int64(b)%u.size == 0 {
+			return strconv.FormatInt(int64(b)/u.size, 10) + u.suffix
+		}
+	}
+	return "0B"
+}
+
+// MarshalText renders the amount as in "14GiB".
+func (b Bytes) MarshalText() ([]byte, error) { return []byte(b.String()), nil }
+
+// UnmarshalText reads an amount with its unit, as in "14GiB" or "1.5GiB".
+func (b *Bytes) UnmarshalText(text []byte) error {
+	s := strings.TrimSpace(string(text))
+	for _, u := range byteUnits {
+		number, ok := strings.CutSuffix(s, u.suffix)
+		if !ok {
+			continue
+		}
+		v, err := strconv.ParseFloat(strings.TrimSpace(number), 64)
+		if err != nil || v < 0 || v*float64(u.size) > 1<<60 {
+			break
+		}
+		*b = Bytes(v * float64(u.size))
+		return nil
+	}
+	return errors.Newf("%q is not an amount of memory with a unit, such as 14GiB", text)
+}
--- /dev/null
+++ b/internal/cli/inspect.go
@@ -0,0 +1,167 @@
+package cli
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/agateslip/agateslip/contract"
+	"github.com/agateslip/agateslip/internal/config"
+	"github.com/agateslip/agateslip/internal/operator"
+	"github.com/agateslip/agateslip/internal/yamlcheck"
+	"github.com/cockroachdb/errors"
+)
+
+type configCmd struct {
+	Check *checkCmd `arg:"subcommand:check" help:"check settings or contract files; nothing is changed"`
+}
+
+type checkCmd struct {
+	Files []string `arg:"positional,required" help:"YAML files; a file with the field customer is a contract, any other one node settings"`
+}
+
+func (c *checkCmd) run(_ context.Context, out, _ io.Writer) error {
+	var problems yamlcheck.Problems
+	for _, file := range c.Files {
+		err := checkFile(file)
+		var ps yamlcheck.Problems
+		switch {
+		case err == nil:
+			fmt.Fprintf(out, "%s: ok\n", file)
+		case errors.As(err, &ps):
+			problems = append(problems, ps...)
+		default:
+			return errors.Mark(err, errInput)
+		}
+	}
+	if len(problems) > 0 {
+		return problems
+	}
+	return nil
+}
+
+func checkFile(file string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Wrap(err, "read file")
+	}
+	if isContract(data) {
+		_, err = contract.Decode(file, data)
+		return err
+	}
+	_, err = config.Decode(file, data)
+	return err
+}
+
+func isContract(data []byte) bool {
+	for line := range strings.Lines(string(data)) {
+		if strings.HasPrefix(line, "customer:") {
+			return true
+		}
+	}
+	return false
+}
+
+type statusCmd struct{ target }
+
+func (c *statusCmd) run(ctx context.Context, out, _ io.Writer) error {
+	s, err := c.client().Status(ctx)
+	if err != nil {
+		return err
+	}
+	return c.print(out, s, func(w io.Writer) { statusTable(w, s) })
+}
+
+func statusTable(w io.Writer, s operator.Status) {
+	fmt.Fprintf(w, "node\t%s (%s)\n", s.Node, s.Domain)
+	fmt.Fprintf(w, "ready\t%t\n", s.Ready)
+	fmt.Fprintf(w, "stopping\t%t\n", s.Stopping)
+	fmt.Fprintf(w, "leader\t%s\n", s.Leader)
+	fmt.Fprintf(w, "revision\t%d, proved %s ago\n", s.Revision, s.ProofAge)
+	fmt.Fprintf(w, "running\t%d\n", s.Running)
+	fmt.Fprintf(w, "grants\t%d\n", len(s.Grants))
+	fmt.Fprintln(w, "\nUPSTREAM\tDOMAIN\tKIND\tSTATE\tREPLICAS\tRUNNING")
+	for _, u := range s.Upstreams {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\n", u.ID, u.Domain, u.Kind, u.State, u.Replicas, u.Running)
+	}
+}
+
+type drainCmd struct{ target }
+
+func (c *drainCmd) run(ctx context.Context, out, _ io.Writer) error {
+	s, err := c.client().Drain(ctx)
+	if err != nil {
+		return err
+	}
+	return c.print(out, s, func(w io.Writer) {
+		fmt.Fprintf(w, "%s stops once its %d running requests are finished\n", s.Node, s.Running)
+	})
+}
+
+type hashKeyCmd struct{}
+
+func (c *hashKeyCmd) run(_ context.Context, out, _ io.Writer) error {
+	line, err := bufio.NewReader(os.Stdin).ReadString('\n')
+	key := strings.TrimRight(line, "\r\n")
+	if key == "" {
+		return errors.Mark(errors.Newf("no key on standard input: %v", err), errInput)
+	}
+	sum := sha256.Sum256([]byte(key))
+	_, err = fmt.Fprintln(out, hex.EncodeToString(sum[:]))
+	return errors.Wrap(err, "print")
+}
+
+type memberCmd struct {
+	List    *memberListCmd    `arg:"subcommand:list" help:"list the members of the control group"`
+	Add     *memberAddCmd     `arg:"subcommand:add" help:"add a member: it learns first, then gets its vote"`
+	Remove  *memberRemoveCmd  `arg:"subcommand:remove" help:"remove a member"`
+	Replace *memberReplaceCmd `arg:"subcommand:replace" help:"put a new member in the place of a lost one"`
+}
+
+type memberListCmd struct{ target }
+
+func (c *memberListCmd) run(ctx context.Context, out, _ io.Writer) error {
+	m, err := c.client().Members(ctx)
+	if err != nil {
+		return err
+	}
+	return c.print(out, m, func(w io.Writer) {
+		fmt.Fprintln(w, "MEMBER\tNODE\tVOTER\tLEADER\tDURABLE")
+		for _, s := range m.Members {
+			fmt.Fprintf(w, "%d\t%s\t%t\t%t\t%d\n", s.ID, s.Node, s.Voter, s.Leader, s.Match)
+		}
+	})
+}
+
+type memberAddCmd struct {
+	target
+	ID uint64 `arg:"positional,required" help:"the new member's id, as agateslip init printed it"`
+}
+
+func (c *memberAddCmd) run(ctx context.Context, _, _ io.Writer) error {
+	return c.client().ChangeMembers(ctx, operator.MemberChange{Action: "add", ID: c.ID})
+}
+
+type memberRemoveCmd struct {
+	target
+	ID uint64 `arg:"positional,required" help:"the member's id"`
+}
+
+func (c *memberRemoveCmd) run(ctx context.Context, _, _ io.Writer) error {
+	return c.client().ChangeMembers(ctx, operator.MemberChange{Action: "remove", ID: c.ID})
+}
+
+type memberReplaceCmd struct {
+	target
+	Old uint64 `arg:"positional,required" help:"the lost member's id"`
+	New uint64 `arg:"positional,required" help:"the new member's id, as agateslip init --rejoin printed it"`
+}
+
+func (c *memberReplaceCmd) run(ctx context.Context, _, _ io.Writer) error {
+	return c.client().ChangeMembers(ctx, operator.MemberChange{Action: "replace", ID: c.Old, NewID: c.New})
+}
--- /dev/null
+++ b/internal/gateway/repeatable.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Bounds of a repeatable call.
+const (
+	// maxAttempts bounds the sendings of one call.
+	maxAttempts = 4
+	// maxBufferedAnswer bounds an answer that is read whole before its first
+	// byte goes out, so that a further attempt is still possible, in bytes.
+	maxBufferedAnswer = 1 << 20
+	// comeBack is when a caller may try again after a failed call.
+	comeBack = time.Second
+)
+
+// run has a call admitted and runs it.
+func (g *Gateway) run(w http.ResponseWriter, r *http.Request, c *Call) error {
+	if c.Key != "" && !validKey(c.Key) {
+		return refuse(ReasonKeyMalformed, "the idempotency key must be printable ASCII of at most %d bytes", maxKeyBytes)
+	}
+	if c.RunsOnce {
+		return g.runOnce(w, r, c)
+	}
+	ticket, err := g.admit(r.Context(), c)
+	if err != nil {
+		return err
+	}
+	defer ticket.Release()
+	return g.sender.runRepeatable(r.Context(), w, c)
+}
+
+// admit waits for the call's turn until its deadline at the latest.
+func (g *Gateway) admit(ctx context.Context, c *Call) (Ticket, error) {
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	return g.admitter.Admit(ctx, c)
+}
+
+// runRepeatable sends the call until an upstream answers, within the deadline
+// and the retry budget.
+func (s *sender) runRepeatable(ctx context.Context, w http.ResponseWriter, c *Call) error {
+	out := newRelay(w)
+	var tried []string
+	var last error
+	for n := range maxAttempts {
+		if n > 0 && !s.waitRetry(ctx, c, n, out) {
+			break
+		}
+		route, err := s.router.Pick(c, tried)
+		if err != nil {
+			last = preferFailure(last, err)
+			break
+		}
+		a := newAttempt(route)
+		a.resumeFrom = out.tokens
+		err = s.runAttempt(ctx, c, a, out)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		if n > 0 || out.started {
+			s.metrics.Resumed.Add(boolCount(out.started))
+		}
+		if out.started && !route.Resumes {
+			break
+		}
+		last = err
+		tried = append(tried, route.Upstream)
+	}
+	return s.giveUp(c, out, last)
+}
+
+func boolCount(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// preferFailure keeps what an attempt reported over a later lack of upstreams.
+func preferFailure(last, err error) error {
+	if last != nil {
+		return last
+	}
+	return err
+}
+
+// waitRetry waits before a further attempt. It is false where the budget or the
+// deadline allows none.
+func (s *sender) waitRetry(ctx context.Context, c *Call, n int, out *relay) bool {
+	wait, ok := s.router.MayRetry(c, n)
+	if !ok {
+		return false
+	}
+	if !out.started && time.Until(c.Deadline) <= wait {
+		return false
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		s.metrics.Retries.Add(1)
+		return true
+	}
+}
+
+// runAttempt sends the call once and relays its answer.
+func (s *sender) runAttempt(ctx context.Context, c *Call, a attempt, out *relay) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stopTimer := s.limitStart(cancel, c, out)
+	resp, err := s.roundTrip(ctx, c, a)
+	if err != nil {
+		stopTimer()
+		a.route.Done(resultOf(err))
+		return err
+	}
+	defer closeBody(resp)
+	err = s.relayAnswer(resp, out, stopTimer)
+	if err != nil {
+		a.route.Done(AttemptFailed)
+		return err
+	}
+	a.route.Done(AttemptOK)
+	return nil
+}
+
+// limitStart cancels the attempt at the deadline unless the answer has started.
+func (s *sender) limitStart(cancel context.CancelFunc, c *Call, out *relay) func() {
+	if out.started {
+		return func() {}
+	}
+	timer := time.AfterFunc(time.Until(c.Deadline), cancel)
+	return func() { timer.Stop() }
+}
+
+func resultOf(err error) AttemptResult {
+	var ae *attemptError
+	switch {
+	case errors.Is(err, context.Canceled):
+		return AttemptCancelled
+	case errors.As(err, &ae) && ae.refused:
+		return AttemptRefused
+	default:
+		return AttemptFailed
+	}
+}
+
+// relayAnswer sends a stream of events on as it comes, and any other answer
+// once it is here whole.
+func (s *sender) relayAnswer(resp *http.Response, out *relay, stopTimer func()) error {
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		stopTimer()
+		return out.events(resp)
+	}
+	if out.started {
+		return &attemptError{ran: DidRun, err: errors.Newf("resumed stream answered with status %d", resp.StatusCode)}
+	}
+	head, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer+1))
+	stopTimer()
+	if err != nil {
+		return &attemptError{ran: DidRun, err: errors.Wrap(err, "read answer")}
+	}
+	if len(head) <= maxBufferedAnswer {
+		return out.whole(resp, head)
+	}
+	return out.rest(resp, head)
+}
+
+// giveUp is the final answer to a call whose attempts all failed.
+func (s *sender) giveUp(c *Call, out *relay, last error) error {
+	if out.started {
+		return errors.Mark(errors.Wrap(last, "stream"), errBroken)
+	}
+	var refusal *Refusal
+	if errors.As(last, &refusal) {
+		return refusal
+	}
+	ran := RanUnknown
+	var ae *attemptError
+	if errors.As(last, &ae) {
+		ran = ae.ran
+	}
+	reason := ReasonUpstreamFailed
+	if time.Until(c.Deadline) <= 0 {
+		reason = ReasonDeadline
+	}
+	message := "no upstream answered"
+	if last != nil {
+		message = last.Error()
+	}
+	return refuse(reason, "%s", message).withRan(ran).after(comeBack)
+}
+
+func contentLength(body []byte) string { return strconv.Itoa(len(body)) }
--- /dev/null
+++ b/internal/yamlcheck/yamlcheck.go
@@ -0,0 +1,214 @@
+// Package yamlcheck decodes YAML strictly into a struct and checks the struct's
+// validation tags. Each problem names file, line, field and rule.
+package yamlcheck
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/netip"
+	"reflect"
+	"regexp"
+	"sort"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+)
+
+// Problem is one fault in a document.
+type Problem struct {
+	// File is the name of the document.
+	File string `json:"file"`
+	// Line is where the fault is, counted from 1; 0 if unknown.
+	Line int `json:"line"`
+	// Field is the path of the faulty field, such as capacity.rate.
+	Field string `json:"field"`
+	// Rule says what is asked of the field.
+	Rule string `json:"rule"`
+}
+
+// String renders the problem as file:line: field: rule.
+func (p Problem) String() string {
+	return fmt.Sprintf("%s:%d: %s: %s", p.File, p.Line, p.Field, p.Rule)
+}
+
+// Problems is a non-empty list of faults.
+type Problems []Problem
+
+// Error lists the problems, one a line.
+func (ps Problems) Error() string {
+	lines := make([]string, len(ps))
+	for i, p := range ps {
+		lines[i] = p.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Fault is a fault that a cross-field check found: the field's path in dots and
+// indices, as in models[2].name, and the rule it breaks.
+type Fault struct {
+	Field string
+	Rule  string
+}
+
+var (
+	namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:/-]{0,127}$`)
+	slugPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
+	validate    = newValidator()
+)
+
+func newValidator() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+		if name == "" {
+			return f.Name
+		}
+		return name
+	})
+	matches := func(p *regexp.Regexp) validator.Func {
+		return func(f validator.FieldLevel) bool { return p.MatchString(f.Field().String()) }
+	}
+	mustRegister(v, "name", matches(namePattern))
+	mustRegister(v, "slug", matches(slugPattern))
+	mustRegister(v, "hostport", func(f validator.FieldLevel) bool {
+		_, err := netip.ParseAddrPort(f.Field().String())
+		return err == nil
+	})
+	return v
+}
+
+func mustRegister(v *validator.Validate, tag string, fn validator.Func) {
+	if err := v.RegisterValidation(tag, fn); err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "validation tag %q", tag))
+	}
+}
+
+// Decode fills out from one YAML document and checks its tags, then runs cross
+// for faults between fields. The error is a Problems.
+func Decode[T any](file string, data []byte, out *T, cross func(*T) []Fault) error {
+	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
+	if err := dec.Decode(out); err != nil {
+		return Problems{syntaxProblem(file, err)}
+	}
+	var extra any
+	if err := dec.Decode(&extra); !errors.Is(err, io.EOF) {
+		return Problems{{File: file, Line: 1, Field: "(document)", Rule: "must be the only document of the file"}}
+	}
+	return Check(file, data, out, cross)
+}
+
+// Check runs the tag checks and cross on a filled struct. data locates lines
+// and may be nil. The error is a Problems.
+func Check[T any](file string, data []byte, v *T, cross func(*T) []Fault) error {
+	faults := tagFaults(validate.Struct(v))
+	if len(faults) == 0 && cross != nil {
+		faults = cross(v)
+	}
+	if len(faults) == 0 {
+		return nil
+	}
+	problems := make(Problems, len(faults))
+	for i, f := range faults {
+		problems[i] = Problem{File: file, Line: lineOf(data, f.Field), Field: f.Field, Rule: f.Rule}
+	}
+	sort.SliceStable(problems, func(i, j int) bool { return problems[i].Line < problems[j].Line })
+	return problems
+}
+
+func tagFaults(err error) []Fault {
+	var verrs validator.ValidationErrors
+	if !errors.As(err, &verrs) {
+		return nil
+	}
+	faults := make([]Fault, len(verrs))
+	for i, fe := range verrs {
+		_, field, _ := strings.Cut(fe.Namespace(), ".")
+		faults[i] = Fault{Field: field, Rule: ruleText(fe)}
+	}
+	return faults
+}
+
+func ruleText(fe validator.FieldError) string {
+	switch fe.Tag() {
+	case "required":
+		return "is required"
+	case "name":
+		return "must be 1 to 128 letters, digits or . _ : / -, starting with a letter or digit"
+	case "slug":
+		return "must be 1 to 63 lower-case letters, digits or -, starting with a letter or digit"
+	case "gt":
+		return "must be greater than " + fe.Param()
+	case "gte", "min":
+		return "must be at least " + fe.Param()
+	case "lt":
+		return "must be less than " + fe.Param()
+	case "lte", "max":
+		return "must be at most " + fe.Param()
+	case "len":
+		return "must have " + fe.Param() + " characters"
+	case "hexadecimal", "lowercase":
+		return "must be lower-case hexadecimal"
+	case "oneof":
+		return "must be one of " + fe.Param()
+	case "startswith":
+		return "must start with " + fe.Param()
+	case "hostport":
+		return "must be an IP address (by number) and port, such as 10.0.0.1:7000"
+	default:
+		return strings.TrimSpace("breaks rule " + fe.Tag() + " " + fe.Param())
+	}
+}
+
+var unknownField = regexp.MustCompile(`unknown field "([^"]+)"`)
+
+func syntaxProblem(file string, err error) Problem {
+	p := Problem{File: file, Field: "(document)", Rule: firstLine(err.Error())}
+	var yerr yaml.Error
+	if !errors.As(err, &yerr) {
+		return p
+	}
+	p.Rule = yerr.GetMessage()
+	if tok := yerr.GetToken(); tok != nil {
+		p.Line = tok.Position.Line
+		p.Field = tok.Value
+		if tok.Prev != nil && tok.Prev.Prev != nil && tok.Prev.Value == ":" {
+			p.Field = tok.Prev.Prev.Value
+		}
+	}
+	if m := unknownField.FindStringSubmatch(p.Rule); m != nil {
+		p.Field = m[1]
+		p.Rule = "is not a known field here"
+	}
+	return p
+}
+
+func firstLine(s string) string {
+	line, _, _ := strings.Cut(strings.TrimSpace(s), "\n")
+	return line
+}
+
+// lineOf finds the line of a field, or of its nearest parent that is present.
+func lineOf(data []byte, field string) int {
+	for path := "$." + field; path != "$" && path != ""; path = parentPath(path) {
+		p, err := yaml.PathString(path)
+		if err != nil {
+			continue
+		}
+		node, err := p.ReadNode(bytes.NewReader(data))
+		if err == nil && node != nil {
+			return node.GetToken().Position.Line
+		}
+	}
+	return 1
+}
+
+func parentPath(path string) string {
+	cut := strings.LastIndexAny(path, ".[")
+	if cut < 0 {
+		return ""
+	}
+	return path[:cut]
+}
