admission: throttler with leased shares, allocator on the leader

A contract is shared out by demand, as leases that the holder counts from when it sent the report and the allocator from when it granted, so the holder's ends first. The rate goes with whole units of the burst, and tokens move between buckets in grants and reports, so that moving a share never makes tokens. A new leader only renews what nodes hold until all older leases have ended. Weighed: a counter that all nodes ask (fails with the leader) and static parts per node (a contract of capacity 1 would be usable through one node only).

--- /dev/null
+++ b/admission/allocator.go
@@ -0,0 +1,148 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// DefaultLeaseDuration is the length of a lease.
+const DefaultLeaseDuration = 3 * time.Second
+
+// driftShift allows the clocks of two VMs to differ by 1/64 in speed.
+const driftShift = 6
+
+// AllocatorConfig configures an Allocator.
+type AllocatorConfig struct {
+	// Term is the leader's term.
+	Term uint64
+	// Since is when the leader's term began. Until leases of earlier terms
+	// have ended, nodes get at most what they hold already.
+	Since time.Duration
+	// LeaseDuration is the length of a lease; DefaultLeaseDuration if zero.
+	// All leaders must use the same.
+	LeaseDuration time.Duration
+}
+
+// Allocator hands out shares of contracts on the leader. The caller calls it
+// only while its leadership is confirmed, and discards it with the term. It is
+// not safe for concurrent use.
+type Allocator struct {
+	config AllocatorConfig
+	pools  map[string]*pool
+	serial uint64
+}
+
+// NewAllocator returns an allocator without contracts.
+func NewAllocator(config AllocatorConfig) *Allocator {
+	config.LeaseDuration = cmp.Or(config.LeaseDuration, DefaultLeaseDuration)
+	return &Allocator{config: config, pools: map[string]*pool{}}
+}
+
+// SetLimits adds or replaces the limits of a contract. Smaller limits hold
+// once the leases given out before have been renewed or have ended.
+func (a *Allocator) SetLimits(l Limits, now time.Duration) {
+	p := a.pools[l.Customer]
+	if p == nil {
+		p = &pool{bucket: bucket{at: max(now, a.settled())}}
+		a.pools[l.Customer] = p
+	}
+	p.advance(now)
+	p.limits = l
+	p.resize()
+}
+
+// RemoveLimits ends a contract. What is leased stays charged until it ends.
+func (a *Allocator) RemoveLimits(name string, now time.Duration) {
+	if p := a.pools[name]; p != nil {
+		a.SetLimits(Limits{Customer: name}, now)
+	}
+}
+
+// settled returns when all leases of earlier terms have ended.
+func (a *Allocator) settled() time.Duration {
+	return a.config.Since + a.charge()
+}
+
+// charge returns how long a lease is charged, which is a little longer than
+// its holder may use it.
+func (a *Allocator) charge() time.Duration {
+	d := a.config.LeaseDuration
+	return d + d>>driftShift
+}
+
+// Report takes a node's report and answers it with leases. The answer is empty
+// if the report is meant for another term.
+func (a *Allocator) Report(r Report, now time.Duration) Grant {
+	a.serial++
+	grant := Grant{Node: r.Node, Term: a.config.Term, Serial: a.serial, Report: r.Seq}
+	if r.Term != a.config.Term {
+		return grant
+	}
+	for _, u := range r.Customers {
+		p := a.pools[u.Customer]
+		if p == nil {
+			continue
+		}
+		p.advance(now)
+		h := p.holding(r.Node)
+		if r.Seq <= h.seq {
+			continue
+		}
+		h.seq = r.Seq
+		p.observe(h, u, now)
+		lease := p.share(h, now < a.settled())
+		lease.Duration = a.config.LeaseDuration
+		p.give(h, lease, a.serial, now+a.charge())
+		grant.Leases = append(grant.Leases, lease)
+	}
+	return grant
+}
+
+// Expire drops what has ended. It needs to be called only to bound memory.
+func (a *Allocator) Expire(now time.Duration) {
+	for name, p := range a.pools {
+		p.advance(now)
+		if len(p.holdings) == 0 && p.limits.Concurrency == 0 {
+			delete(a.pools, name)
+		}
+	}
+}
+
+// Charged is what is leased of one contract at present.
+type Charged struct {
+	// Concurrency, Burst and Queue are the sums over all nodes.
+	Concurrency, Burst, Queue int
+	// Nodes is the number of nodes that hold a share.
+	Nodes int
+}
+
+// Charged returns what is leased of a contract.
+func (a *Allocator) Charged(name string, now time.Duration) Charged {
+	p := a.pools[name]
+	if p == nil {
+		return Charged{}
+	}
+	p.advance(now)
+	all := p.charged(nil)
+	return Charged{
+		Concurrency: all.concurrency,
+		Burst:       all.burst,
+		Queue:       all.queue,
+		Nodes:       len(p.holdings),
+	}
+}
+
+// compareHolding orders holdings by node.
+func compareHolding(h *holding, node string) int {
+	return cmp.Compare(h.node, node)
+}
+
+// holding returns the node's holding, which is created if there is none.
+func (p *pool) holding(node string) *holding {
+	at, found := slices.BinarySearchFunc(p.holdings, node, compareHolding)
+	if !found {
+		p.holdings = slices.Insert(p.holdings, at, &holding{node: node})
+	}
+	return p.holdings[at]
+}
