placement: decide grants, loads and unloads at one point

Purpose: turn contracts, demand, announced upstreams and the ledger of grants into ledger changes, orders and a forecast for admission, as a pure package.

A grant is charged from its commit until the upstream's own incarnation reports the end, or the incarnation is known to be gone. Orders carry the ledger's counter as fencing number, so engines that compare numbers per upstream and engines that compare them per replica are both served without renewing a grant's number for each resend; a number per grant was weighed and would have needed that.

--- /dev/null
+++ b/placement/evict.go
@@ -0,0 +1,234 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/agateslip/agateslip/directory"
+)
+
+// withdrawExcess proposes to withdraw replicas that no contract requires. A
+// replica that became idle stays for as long as loading it again takes: until
+// then keeping it costs no more accelerator time than the load would (Karlin,
+// Manasse, Rudolph and Sleator, "Competitive snoopy caching", Algorithmica 3,
+// 1988).
+func (r *round) withdrawExcess() {
+	for i := range r.replicas {
+		v := &r.replicas[i]
+		if v.model == nil && v.State == Granted && v.status != statusProposed {
+			r.withdraw(v)
+		}
+	}
+	for _, m := range r.models {
+		for len(m.live) > m.want {
+			v := r.leastUseful(m)
+			if v == nil || !r.releasable(m, v) || !r.withdraw(v) {
+				break
+			}
+			m.enoughAt = r.now
+		}
+	}
+}
+
+// releasable reports whether an excess replica stayed long enough.
+func (r *round) releasable(m *model, v *replica) bool {
+	if len(m.live) > m.limit || v.upstream != nil && v.upstream.announcement.Leaving {
+		return true
+	}
+	until := m.enoughAt + r.holdTime(m)
+	if r.now < until {
+		r.wake(until)
+		return false
+	}
+	return true
+}
+
+// holdTime is the time that loading the model again would take.
+func (r *round) holdTime(m *model) time.Duration {
+	return r.estimator.Typical(r.nearestTier(m), m.memory)
+}
+
+// leastUseful returns the live replica that is given up first.
+func (r *round) leastUseful(m *model) *replica {
+	var worst *replica
+	for _, v := range m.live {
+		if v.status == statusProposed || v.State != Granted || v.upstream == nil {
+			continue
+		}
+		if worst == nil || v.lessUseful(worst) {
+			worst = v
+		}
+	}
+	return worst
+}
+
+func (v *replica) lessUseful(other *replica) bool {
+	if a, b := v.rank(), other.rank(); a != b {
+		return a < b
+	}
+	if v.upstream.busy != other.upstream.busy {
+		return v.upstream.busy > other.upstream.busy
+	}
+	return v.ID > other.ID
+}
+
+// rank orders replicas by their use: unreachable, leaving, loading, ready.
+func (v *replica) rank() int {
+	switch {
+	case v.lost():
+		return 0
+	case v.upstream.announcement.Leaving:
+		return 1
+	case v.status != statusReady:
+		return 2
+	default:
+		return 3
+	}
+}
+
+// withdraw proposes to unload a replica. On an upstream that ignores fencing
+// numbers it first waits until no load order for the grant can be on its way.
+func (r *round) withdraw(v *replica) bool {
+	if v.State != Granted || r.isEnded(v.ID) || v.upstream == nil {
+		return false
+	}
+	if until := r.withdrawableFrom(v); r.now < until {
+		r.wake(until)
+		return false
+	}
+	r.plan.Changes = append(r.plan.Changes, Change{Kind: Withdraw, ID: v.ID})
+	v.State = Withdrawn
+	v.upstream.coming += v.charged
+	if m := v.model; m != nil {
+		m.live = slices.DeleteFunc(m.live, func(other *replica) bool { return other == v })
+	}
+	return true
+}
+
+func (r *round) withdrawableFrom(v *replica) Instant {
+	if v.upstream.announcement.ChecksFencing {
+		return 0
+	}
+	until := r.holdEnds()
+	if v.progress.sends > 0 {
+		until = max(until, v.progress.sentAt+r.in.Leadership.OrderDeadline)
+	}
+	return until
+}
+
+// measureMemory finds what each upstream has free and could free.
+func (r *round) measureMemory() {
+	for i := range r.replicas {
+		v := &r.replicas[i]
+		if v.upstream != nil && v.live() && !v.lost() && r.surplus(v) {
+			v.upstream.evictable += v.charged
+		}
+	}
+	r.mostFree, r.mostEvictable = 0, 0
+	for _, u := range r.upstreams {
+		if u.usable() {
+			r.mostFree = max(r.mostFree, u.free)
+			r.mostEvictable = max(r.mostEvictable, u.free+u.coming+u.evictable)
+		}
+	}
+}
+
+// surplus reports whether a replica is idle and held by no reservation.
+func (r *round) surplus(v *replica) bool {
+	m := v.model
+	return v.status == statusReady && m != nil && m.idle() && len(m.live) > m.reserved &&
+		r.now >= r.withdrawableFrom(v)
+}
+
+// evictableFor returns the memory in bytes that may be freed for a need.
+func (r *round) evictableFor(n *need, u *upstream) int64 {
+	if u.evictable == 0 {
+		return 0
+	}
+	total := int64(0)
+	for _, v := range r.victims(n, u) {
+		total += v.charged
+	}
+	return total
+}
+
+// victims lists the replicas on an upstream that may make room for a need: the
+// ones that no contract requires first, then the least called.
+func (r *round) victims(n *need, u *upstream) []*replica {
+	var found []*replica
+	for _, v := range u.replicas {
+		if v.live() && v.model != n.model && r.surplus(v) && r.yields(v, n) {
+			found = append(found, v)
+		}
+	}
+	slices.SortStableFunc(found, r.compareVictims)
+	return found
+}
+
+// yields reports whether an idle replica gives way to a need: always where no
+// contract requires it, else to requests that wait, to reservations, and to a
+// model that is called at least twice as often.
+func (r *round) yields(v *replica, n *need) bool {
+	if v.model.want < len(v.model.live) || n.class != classAhead {
+		return true
+	}
+	return n.rate > 2*v.model.arrivals.rate(r.now)
+}
+
+func (r *round) compareVictims(a, b *replica) int {
+	aRequired, bRequired := a.model.want >= len(a.model.live), b.model.want >= len(b.model.live)
+	if aRequired != bRequired {
+		if bRequired {
+			return -1
+		}
+		return 1
+	}
+	if c := cmp.Compare(a.model.arrivals.rate(r.now), b.model.arrivals.rate(r.now)); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.ID, b.ID)
+}
+
+// makeRoom claims memory that is about to be freed on an upstream, and
+// withdraws idle replicas for what is missing.
+func (r *round) makeRoom(n *need, u *upstream) {
+	for _, v := range r.victims(n, u) {
+		if u.free+u.coming >= n.model.memory {
+			break
+		}
+		r.withdraw(v)
+	}
+	u.free -= n.model.memory
+}
+
+// evictCustomer withdraws an idle replica of the customer whose limit is
+// reached.
+func (r *round) evictCustomer(m *model) {
+	var found []*replica
+	n := need{model: m, class: classDemand}
+	if m.waiting == 0 {
+		n.class = classAhead
+	}
+	n.rate = m.arrivals.rate(r.now)
+	for i := range r.replicas {
+		v := &r.replicas[i]
+		if v.model == nil || v.model.customer != m.customer || v.upstream == nil {
+			continue
+		}
+		if !v.live() {
+			return
+		}
+		if v.model != m && r.surplus(v) && r.yields(v, &n) {
+			found = append(found, v)
+		}
+	}
+	if len(found) == 0 {
+		return
+	}
+	slices.SortStableFunc(found, r.compareVictims)
+	r.withdraw(found[0])
+}
+
+// holdsLocally reports whether a tier needs no load from the store.
+func holdsLocally(tier directory.Tier) bool { return tier != directory.TierRemote }
--- /dev/null
+++ b/placement/ledger.go
@@ -0,0 +1,203 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/agateslip/agateslip/directory"
+)
+
+// Reasons for which the ledger refuses a change.
+var (
+	ErrReplicaLimit     = errors.New("placement: the model's replica limit is reached")
+	ErrCustomerLimit    = errors.New("placement: the customer's replica limit is reached")
+	ErrMemory           = errors.New("placement: the upstream's memory is fully charged")
+	ErrUnknownGrant     = errors.New("placement: no such grant")
+	ErrWrongIncarnation = errors.New("placement: the report is of another incarnation")
+	ErrUnknownChange    = errors.New("placement: unknown kind of change")
+)
+
+// GrantState is the state of a grant in the ledger.
+type GrantState uint8
+
+// Grant states. A released grant leaves the ledger.
+const (
+	// Granted means that the upstream may load and hold the replica.
+	Granted GrantState = iota
+	// Withdrawn means that the replica is to be unloaded. It stays charged.
+	Withdrawn
+)
+
+// Grant is the right of one upstream incarnation to hold one replica.
+type Grant struct {
+	// ID identifies the grant. IDs are never used again.
+	ID uint64 `json:"id"`
+	Key
+	// Upstream and Incarnation name the holder.
+	Upstream    string `json:"upstream"`
+	Incarnation uint64 `json:"incarnation"`
+	// Memory is the charged accelerator memory in bytes.
+	Memory int64 `json:"memory"`
+	// Tier is where the load reads the checkpoint from.
+	Tier  directory.Tier `json:"tier"`
+	State GrantState     `json:"state"`
+}
+
+// ChangeKind says what a change does.
+type ChangeKind uint8
+
+// Kinds of change.
+const (
+	// Add charges a new grant.
+	Add ChangeKind = iota + 1
+	// Withdraw decides that a grant's replica is unloaded.
+	Withdraw
+	// Release ends a grant that its own incarnation reported as ended.
+	Release
+	// Gone ends every grant of an upstream's incarnations below Incarnation.
+	Gone
+)
+
+// Change is one entry of the replicated log that alters the ledger.
+type Change struct {
+	Kind ChangeKind `json:"kind"`
+	// Grant is the new grant of Add. Its ID and State are set by the ledger.
+	Grant Grant `json:"grant,omitzero"`
+	// UpstreamMemory is, for Add, the accelerator memory in bytes that the
+	// upstream announced.
+	UpstreamMemory int64 `json:"upstreamMemory,omitempty"`
+	// ID names the grant of Withdraw, Renew and Release.
+	ID uint64 `json:"id,omitempty"`
+	// Upstream is the upstream of Release and Gone.
+	Upstream string `json:"upstream,omitempty"`
+	// Incarnation is the reporting incarnation of Release, and for Gone the
+	// lowest incarnation that may still live.
+	Incarnation uint64 `json:"incarnation,omitempty"`
+}
+
+// Limits bound the replicas that a new grant counts against.
+type Limits struct {
+	// Model bounds the replicas of the model for its customer.
+	Model int
+	// Customer bounds the replicas of the customer over all its models.
+	Customer int
+}
+
+// Ledger holds every charged grant. It is part of the replicated state; its
+// zero value is an empty ledger. Apply is deterministic.
+type Ledger struct {
+	// Last counts the grants added and withdrawn. It gives new grants their IDs
+	// and is the fencing number of every order sent under this state: an
+	// unload order carries a higher number than any load order before the
+	// withdrawal, whichever leader sent that.
+	Last uint64 `json:"last"`
+	// Grants are in ascending order of ID.
+	Grants []Grant `json:"grants"`
+}
+
+// Clone returns a copy that shares nothing with the ledger.
+func (l *Ledger) Clone() Ledger {
+	return Ledger{Last: l.Last, Grants: slices.Clone(l.Grants)}
+}
+
+// Find returns the charged grant with the given ID.
+func (l *Ledger) Find(id uint64) (Grant, bool) {
+	at, found := l.search(id)
+	if !found {
+		return Grant{}, false
+	}
+	return l.Grants[at], true
+}
+
+// Apply performs one committed change. Limits are those of the contract in
+// force, and are used by Add only. A refused change leaves the ledger as it
+// was. The returned grant is the one added or altered.
+func (l *Ledger) Apply(c Change, limits Limits) (Grant, error) {
+	switch c.Kind {
+	case Add:
+		return l.add(c, limits)
+	case Withdraw:
+		return l.withdraw(c.ID)
+	case Release:
+		return l.release(c)
+	case Gone:
+		l.removeBefore(c.Upstream, c.Incarnation)
+		return Grant{}, nil
+	default:
+		return Grant{}, ErrUnknownChange
+	}
+}
+
+func (l *Ledger) add(c Change, limits Limits) (Grant, error) {
+	ofModel, ofCustomer := 0, 0
+	charged := c.Grant.Memory
+	for i := range l.Grants {
+		g := &l.Grants[i]
+		if g.Customer == c.Grant.Customer {
+			ofCustomer++
+		}
+		if g.Key == c.Grant.Key {
+			ofModel++
+		}
+		if g.Upstream == c.Grant.Upstream {
+			charged += g.Memory
+		}
+	}
+	if ofModel >= limits.Model {
+		return Grant{}, ErrReplicaLimit
+	}
+	if ofCustomer >= limits.Customer {
+		return Grant{}, ErrCustomerLimit
+	}
+	if charged > c.UpstreamMemory {
+		return Grant{}, ErrMemory
+	}
+	l.Last++
+	g := c.Grant
+	g.ID, g.State = l.Last, Granted
+	l.Grants = append(l.Grants, g)
+	return g, nil
+}
+
+func (l *Ledger) withdraw(id uint64) (Grant, error) {
+	at, found := l.search(id)
+	if !found {
+		return Grant{}, ErrUnknownGrant
+	}
+	l.Last++
+	l.Grants[at].State = Withdrawn
+	return l.Grants[at], nil
+}
+
+func (l *Ledger) release(c Change) (Grant, error) {
+	at, found := l.search(c.ID)
+	if !found {
+		return Grant{}, ErrUnknownGrant
+	}
+	g := l.Grants[at]
+	if g.Upstream != c.Upstream || g.Incarnation != c.Incarnation {
+		return Grant{}, ErrWrongIncarnation
+	}
+	l.Grants = slices.Delete(l.Grants, at, at+1)
+	return g, nil
+}
+
+func (l *Ledger) removeBefore(upstream string, incarnation uint64) {
+	l.Grants = slices.DeleteFunc(l.Grants, func(g Grant) bool {
+		return g.Upstream == upstream && g.Incarnation < incarnation
+	})
+}
+
+func (l *Ledger) search(id uint64) (int, bool) {
+	return slices.BinarySearchFunc(l.Grants, id, func(g Grant, id uint64) int {
+		switch {
+		case g.ID < id:
+			return -1
+		case g.ID > id:
+			return 1
+		default:
+			return 0
+		}
+	})
+}
--- /dev/null
+++ b/placement/require.go
@@ -0,0 +1,175 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/agateslip/agateslip/directory"
+)
+
+// foresight is how far ahead expected wake-ups are gathered.
+const foresight = 30 * time.Minute
+
+// require decides how many replicas of each model its contract requires now.
+//
+// Waiting and running requests require replicas, and so do reservations.
+// Beyond that a replica is required only where a cold start at the tail of the
+// load times now seen could take longer than the contract's wait: always,
+// where one load alone does, and around an expected wake-up, where the loads
+// expected together do.
+func (r *round) require() {
+	for _, m := range r.models {
+		m.want = max(m.demanded(), m.reserved)
+		if m.want == 0 && r.coldTail(m) > m.wait {
+			m.required = true
+			m.want = 1
+		}
+	}
+	r.requireExpected()
+	for _, m := range r.models {
+		if m.want >= len(m.live) {
+			m.enoughAt = r.now
+		}
+	}
+}
+
+// demanded returns the replicas that the present requests need.
+func (m *model) demanded() int {
+	requests := m.waiting + m.running
+	if requests == 0 {
+		return 0
+	}
+	return min((requests+m.slots-1)/m.slots, m.limit)
+}
+
+// coldTail returns the tail of the time for a cold start that begins now and
+// finds the store idle.
+func (r *round) coldTail(m *model) time.Duration {
+	return decisionDelay + r.estimator.Tail(r.nearestTier(m), m.memory)
+}
+
+// nearestTier returns the nearest tier that an upstream in service holds the
+// model's checkpoint in.
+func (r *round) nearestTier(m *model) directory.Tier {
+	best := directory.TierRemote
+	for _, h := range r.holders[m.Model] {
+		if h.upstream.usable() && tierIndex(h.tier) < tierIndex(best) {
+			best = h.tier
+		}
+	}
+	return best
+}
+
+// expectation is one expected wake-up.
+type expectation struct {
+	model *model
+	from  Instant
+	until Instant
+	// service is the time the load keeps one of the store's places.
+	service time.Duration
+	// latest is the longest time that the load may wait for a place.
+	latest time.Duration
+	early  bool
+}
+
+// requireExpected requires replicas ahead of expected wake-ups that come
+// together and could not all be loaded within their waits.
+func (r *round) requireExpected() {
+	var all []expectation
+	for _, m := range r.models {
+		m.arrivals.expire(r.now)
+		from, until, found := m.arrivals.expected(r.now)
+		if !found || from > r.now+foresight || m.required {
+			continue
+		}
+		if from > r.now {
+			r.wake(from)
+		}
+		all = append(all, r.expect(m, from, until))
+	}
+	slices.SortStableFunc(all, func(a, b expectation) int { return cmp.Compare(a.from, b.from) })
+	for len(all) > 0 {
+		n := together(all)
+		r.requireTogether(all[:n])
+		all = all[n:]
+	}
+}
+
+func (r *round) expect(m *model, from, until Instant) expectation {
+	e := expectation{model: m, from: from, until: until}
+	tier := r.nearestTier(m)
+	tail := r.estimator.Tail(tier, m.memory)
+	if tier == directory.TierRemote {
+		e.service = max(r.estimator.Mean(tier, m.memory)/time.Duration(r.config.Store.Width), r.spacing())
+	}
+	e.latest = m.wait - tail - decisionDelay
+	return e
+}
+
+// spacing is the least time between two starts of loads from the store.
+func (r *round) spacing() time.Duration {
+	return seconds(1 / r.config.Store.Rate)
+}
+
+// together returns the number of leading expectations whose windows overlap.
+func together(all []expectation) int {
+	until := all[0].until
+	n := 1
+	for n < len(all) && all[n].from <= until {
+		until = max(until, all[n].until)
+		n++
+	}
+	return n
+}
+
+// requireTogether picks the fewest loads to do ahead so that the others can
+// each be loaded on demand within its wait, even if all are called at once
+// (Moore, "An n job, one machine sequencing algorithm for minimizing the number
+// of late jobs", Management Science 15, 1968).
+func (r *round) requireTogether(group []expectation) {
+	byLatest := make([]*expectation, len(group))
+	for i := range group {
+		byLatest[i] = &group[i]
+	}
+	slices.SortStableFunc(byLatest, func(a, b *expectation) int { return cmp.Compare(a.latest, b.latest) })
+	queued := time.Duration(0)
+	for i, e := range byLatest {
+		queued += e.service
+		if queued-e.service <= e.latest {
+			continue
+		}
+		longest := longestOnDemand(byLatest[:i+1])
+		longest.early = true
+		queued -= longest.service
+	}
+	lead := decisionDelay
+	for _, e := range byLatest {
+		if e.early {
+			lead += e.service
+		}
+	}
+	for _, e := range byLatest {
+		if !e.early {
+			continue
+		}
+		tail := r.estimator.Tail(directory.TierRemote, e.model.memory)
+		start := e.from - lead - tail
+		if r.now < start {
+			r.wake(start)
+			continue
+		}
+		e.model.required = true
+		e.model.want = max(e.model.want, 1)
+	}
+}
+
+func longestOnDemand(group []*expectation) *expectation {
+	longest := group[len(group)-1]
+	for _, e := range group {
+		if !e.early && e.service > longest.service {
+			longest = e
+		}
+	}
+	return longest
+}
