raft: add the consensus state machine

Weighed: keeping the promise to a leader (heard) across changes of term. Tying it to the known leader, as is common, lets a member that learns of a newer term vote within the old leader's lease. A restarted member gives no vote within ElectionTimeout for the same reason.

--- /dev/null
+++ b/raft/core.go
@@ -0,0 +1,305 @@
+package raft
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Core is one member's state machine. It is not safe for concurrent use.
+//
+// Instants must not be read before the event that they come with: Step's is
+// read after the message arrived, Take's before its messages leave.
+type Core struct {
+	cfg Config
+	rng *rand.Rand
+	// now is the latest instant seen.
+	now Instant
+
+	role   Role
+	term   uint64
+	vote   MemberID
+	leader MemberID
+	// hardDirty says that term or vote changed since the last Take.
+	hardDirty bool
+
+	log     entryLog
+	members membership
+
+	// heard is when a leader was last heard, of whatever term. The member
+	// promised that leader its support for ElectionTimeout, so it outlives
+	// changes of term.
+	heard Instant
+	// electionDeadline is when a member that is not the leader campaigns.
+	electionDeadline Instant
+	// votes holds the answers to the present campaign.
+	votes map[MemberID]bool
+
+	// lead is set on the leader only.
+	lead *leadership
+
+	messages []Message
+	// received is a snapshot that replaced the log and was not taken yet.
+	received *Snapshot
+	reads    []ReadResult
+}
+
+// New makes a member from its durable state. It answers ErrConfig or ErrCorrupt.
+//
+// A member that has a HardState may have supported a leader just before it
+// stopped, so it gives no vote within ElectionTimeout from now. No member starts
+// an election within that time.
+func New(cfg Config, from Restored, now Instant) (*Core, error) {
+	if err := cfg.validate(); err != nil {
+		return nil, err
+	}
+	log, err := newEntryLog(from)
+	if err != nil {
+		return nil, err
+	}
+	c := &Core{
+		cfg:     cfg,
+		rng:     rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.ID))),
+		now:     now,
+		term:    max(from.Hard.Term, from.Snapshot.Term),
+		vote:    from.Hard.Vote,
+		log:     log,
+		members: newMembership(from.Snapshot),
+		heard:   now,
+	}
+	if c.term > from.Hard.Term {
+		c.vote = 0
+	}
+	if from.Hard == (HardState{}) {
+		c.heard = now - cfg.ElectionTimeout
+	}
+	c.members.extend(log.entries)
+	c.resetElection()
+	return c, nil
+}
+
+// validate answers ErrConfig for settings that are missing or out of order.
+func (cfg *Config) validate() error {
+	switch {
+	case cfg.ID == 0:
+		return errors.Wrap(ErrConfig, "no member ID")
+	case cfg.Heartbeat <= 0:
+		return errors.Wrap(ErrConfig, "heartbeat is not positive")
+	case cfg.Lease <= cfg.Heartbeat:
+		return errors.Wrap(ErrConfig, "lease is not longer than the heartbeat")
+	case cfg.ElectionTimeout <= cfg.Lease:
+		return errors.Wrap(ErrConfig, "election timeout is not longer than the lease")
+	case cfg.MaxBatchBytes <= 0 || cfg.MaxInflight <= 0:
+		return errors.Wrap(ErrConfig, "flow control limits are not positive")
+	}
+	return nil
+}
+
+// observe advances the machine's time, which never goes back.
+func (c *Core) observe(now Instant) {
+	c.now = max(c.now, now)
+}
+
+// Tick lets timers that are due at now take effect. Its cadence bounds how late
+// they are; a fraction of Heartbeat is usual.
+func (c *Core) Tick(now Instant) {
+	c.observe(now)
+	if c.role == Leader {
+		c.tickLeader()
+		return
+	}
+	if c.now < c.electionDeadline {
+		return
+	}
+	c.resetElection()
+	if c.promotable() {
+		c.preCampaign()
+	}
+}
+
+// Step handles a message. Lost, repeated, late and reordered messages are
+// harmless; forged ones are not.
+func (c *Core) Step(m Message, now Instant) {
+	c.observe(now)
+	if m.To != c.cfg.ID || m.From == c.cfg.ID || m.From == 0 {
+		return
+	}
+	if m.Term < c.term {
+		c.answerStale(m)
+		return
+	}
+	if m.Term > c.term && !c.adoptTerm(m) {
+		return
+	}
+	switch m.Kind {
+	case MsgPreVote:
+		c.onPreVote(m)
+	case MsgPreVoteReply:
+		c.onPreVoteReply(m)
+	case MsgVote:
+		c.onVote(m)
+	case MsgVoteReply:
+		c.onVoteReply(m)
+	case MsgAppend:
+		c.onAppend(m)
+	case MsgAppendReply:
+		c.onAppendReply(m)
+	case MsgSnapshot:
+		c.onSnapshot(m)
+	case MsgSnapshotReply:
+		c.onAppendReply(m)
+	case MsgTimeoutNow:
+		c.onTimeoutNow(m)
+	}
+}
+
+// adoptTerm moves to the newer term of a message where the message proves that
+// term, and reports whether the message is still to be handled.
+func (c *Core) adoptTerm(m Message) bool {
+	switch m.Kind {
+	case MsgPreVote:
+		return true
+	case MsgPreVoteReply:
+		if !m.Reject {
+			return true
+		}
+	case MsgVote:
+		if c.supportsLeader() && !m.Transfer {
+			return false
+		}
+	case MsgTimeoutNow:
+		return false
+	case MsgAppendReply, MsgSnapshotReply:
+		if c.role == Leader && c.lead.peer(m.From) == nil {
+			return false
+		}
+	case MsgVoteReply, MsgAppend, MsgSnapshot:
+	}
+	c.becomeFollower(m.Term, 0)
+	return true
+}
+
+// answerStale tells the sender of an older term about the newer one.
+func (c *Core) answerStale(m Message) {
+	switch m.Kind {
+	case MsgPreVote:
+		c.send(Message{Kind: MsgPreVoteReply, To: m.From, Reject: true})
+	case MsgVote:
+		c.send(Message{Kind: MsgVoteReply, To: m.From, Reject: true})
+	case MsgAppend, MsgSnapshot:
+		c.send(Message{Kind: MsgAppendReply, To: m.From, Reject: true})
+	case MsgPreVoteReply, MsgVoteReply, MsgAppendReply, MsgSnapshotReply, MsgTimeoutNow:
+	}
+}
+
+// send queues a message, by default of the present term.
+func (c *Core) send(m Message) {
+	m.From = c.cfg.ID
+	if m.Term == 0 {
+		m.Term = c.term
+	}
+	c.messages = append(c.messages, m)
+}
+
+// setHard changes term and vote.
+func (c *Core) setHard(term uint64, vote MemberID) {
+	if c.term == term && c.vote == vote {
+		return
+	}
+	c.term, c.vote = term, vote
+	c.hardDirty = true
+}
+
+// becomeFollower leaves any other role and moves to term, which is not older
+// than the present one.
+func (c *Core) becomeFollower(term uint64, leader MemberID) {
+	if c.lead != nil {
+		c.failReads()
+		c.lead = nil
+	}
+	if term > c.term {
+		c.setHard(term, 0)
+	}
+	c.role = Follower
+	c.leader = leader
+	c.votes = nil
+	c.resetElection()
+}
+
+// HasOutput reports whether Take has something to hand over.
+func (c *Core) HasOutput() bool {
+	return c.hardDirty || c.received != nil ||
+		len(c.messages) > 0 || len(c.reads) > 0 ||
+		c.log.taken < c.log.last() || c.log.handed < c.log.commit ||
+		c.lead != nil && c.lead.flushDue
+}
+
+// Take drains what the caller must do next. The next Output may be taken once
+// this one's state is durable and reported by Persisted.
+func (c *Core) Take(now Instant) Output {
+	c.observe(now)
+	if c.role == Leader {
+		c.flush()
+	}
+	out := Output{
+		Snapshot:  c.received,
+		Entries:   c.log.unwritten(),
+		Messages:  c.messages,
+		Committed: c.log.unapplied(),
+		Reads:     c.reads,
+	}
+	if c.hardDirty {
+		out.Hard = &HardState{Term: c.term, Vote: c.vote}
+	}
+	c.hardDirty = false
+	c.received = nil
+	c.messages = nil
+	c.reads = nil
+	c.log.taken = c.log.last()
+	c.log.handed = c.log.commit
+	return out
+}
+
+// Persisted reports that everything up to index in the last Output is durable. A
+// leader counts its own entries towards commitment only then.
+func (c *Core) Persisted(index uint64, now Instant) {
+	c.observe(now)
+	c.log.persisted(index)
+	if c.role == Leader {
+		c.maybeCommit()
+	}
+}
+
+// Applied reports that the caller has applied the entries up to index.
+func (c *Core) Applied(index uint64) {
+	c.log.applied = max(c.log.applied, min(index, c.log.handed))
+}
+
+// Status describes the member at this moment.
+func (c *Core) Status() Status {
+	s := Status{
+		ID:        c.cfg.ID,
+		Role:      c.role,
+		Term:      c.term,
+		Leader:    c.leader,
+		Commit:    c.log.commit,
+		Applied:   c.log.applied,
+		LastIndex: c.log.last(),
+		Members:   c.members.latest().clone(),
+	}
+	if c.lead == nil {
+		return s
+	}
+	s.Match = make(map[MemberID]uint64, len(c.lead.peers)+1)
+	s.Match[c.cfg.ID] = c.log.durable
+	for _, p := range c.lead.peers {
+		s.Match[p.id] = p.match
+	}
+	return s
+}
+
+// clone copies a membership.
+func (m Members) clone() Members {
+	return Members{Voters: slices.Clone(m.Voters), Learners: slices.Clone(m.Learners)}
+}
--- /dev/null
+++ b/raft/log.go
@@ -0,0 +1,187 @@
+package raft
+
+import (
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// entryOverheadBytes is charged for each entry beside its command.
+const entryOverheadBytes = 24
+
+// memberIDBytes is charged for each member that an entry names.
+const memberIDBytes = 8
+
+// entrySize is what an entry counts against byte limits.
+func entrySize(e *Entry) int {
+	size := entryOverheadBytes + len(e.Data)
+	if e.Members != nil {
+		size += memberIDBytes * (len(e.Members.Voters) + len(e.Members.Learners))
+	}
+	return size
+}
+
+// entryLog is a snapshot and the entries after it. Slices that it hands out stay
+// valid: entries are never overwritten in place.
+type entryLog struct {
+	snapshot Snapshot
+	entries  []Entry
+	// commit is the highest index known to be committed.
+	commit uint64
+	// handed is the highest index given out for applying.
+	handed uint64
+	// applied is the highest index that the caller has applied.
+	applied uint64
+	// taken is the highest index given out for writing.
+	taken uint64
+	// durable is the highest index that the caller has written.
+	durable uint64
+}
+
+// newEntryLog checks and adopts durable state.
+func newEntryLog(from Restored) (entryLog, error) {
+	index, term := from.Snapshot.Index, from.Snapshot.Term
+	for i := range from.Entries {
+		e := &from.Entries[i]
+		if e.Index != index+1 || e.Term < term {
+			return entryLog{}, errors.Wrapf(ErrCorrupt, "entry %d of term %d follows entry %d of term %d", e.Index, e.Term, index, term)
+		}
+		if e.Kind == EntryMembers && e.Members == nil {
+			return entryLog{}, errors.Wrapf(ErrCorrupt, "entry %d names no members", e.Index)
+		}
+		index, term = e.Index, e.Term
+	}
+	if from.Hard.Term < term && len(from.Entries) > 0 {
+		return entryLog{}, errors.Wrapf(ErrCorrupt, "term %d is older than the log's term %d", from.Hard.Term, term)
+	}
+	base := from.Snapshot.Index
+	return entryLog{
+		snapshot: from.Snapshot,
+		entries:  slices.Clip(slices.Clone(from.Entries)),
+		commit:   base,
+		handed:   base,
+		applied:  base,
+		taken:    index,
+		durable:  index,
+	}, nil
+}
+
+// last is the index of the last entry.
+func (l *entryLog) last() uint64 {
+	return l.snapshot.Index + uint64(len(l.entries))
+}
+
+// lastTerm is the term of the last entry.
+func (l *entryLog) lastTerm() uint64 {
+	term, _ := l.term(l.last())
+	return term
+}
+
+// term is the term of the entry at index, or false where the log does not hold it.
+func (l *entryLog) term(index uint64) (uint64, bool) {
+	base := l.snapshot.Index
+	switch {
+	case index < base || index > l.last():
+		return 0, false
+	case index == base:
+		return l.snapshot.Term, true
+	default:
+		return l.entries[index-base-1].Term, true
+	}
+}
+
+// matches reports whether the log holds an entry of this index and term.
+func (l *entryLog) matches(index, term uint64) bool {
+	held, ok := l.term(index)
+	return ok && held == term
+}
+
+// slice is the entries from lo to hi, both included.
+func (l *entryLog) slice(lo, hi uint64) []Entry {
+	if lo > hi {
+		return nil
+	}
+	from, to := lo-l.snapshot.Index-1, hi-l.snapshot.Index
+	return l.entries[from:to:to]
+}
+
+// batch is the longest run of entries from lo, not past hi, within maxBytes; it
+// holds at least one entry if there is one.
+func (l *entryLog) batch(lo, hi uint64, maxBytes int) []Entry {
+	run := l.slice(lo, hi)
+	size := 0
+	for i := range run {
+		size += entrySize(&run[i])
+		if size > maxBytes && i > 0 {
+			return run[:i:i]
+		}
+	}
+	return run
+}
+
+// add appends entries to the end.
+func (l *entryLog) add(entries ...Entry) {
+	l.entries = append(l.entries, entries...)
+}
+
+// truncate drops the entries from index on.
+func (l *entryLog) truncate(index uint64) {
+	if index <= l.commit {
+		panic(errors.AssertionFailedf("raft: truncating committed entry %d, commit index %d", index, l.commit))
+	}
+	keep := index - l.snapshot.Index - 1
+	l.entries = l.entries[:keep:keep]
+	l.taken = min(l.taken, index-1)
+	l.durable = min(l.durable, index-1)
+}
+
+// persisted records a finished write. Entries replaced since they were given
+// out do not count.
+func (l *entryLog) persisted(index uint64) {
+	l.durable = max(l.durable, min(index, l.taken))
+}
+
+// unwritten is the entries not yet given out for writing.
+func (l *entryLog) unwritten() []Entry {
+	return l.slice(l.taken+1, l.last())
+}
+
+// unapplied is the committed entries not yet given out for applying.
+func (l *entryLog) unapplied() []Entry {
+	return l.slice(l.handed+1, l.commit)
+}
+
+// newerThan reports whether the log is more up to date than one that ends with
+// this index and term.
+func (l *entryLog) newerThan(index, term uint64) bool {
+	own := l.lastTerm()
+	return own > term || own == term && l.last() > index
+}
+
+// compact drops the entries up to a snapshot of the applied state.
+func (l *entryLog) compact(s Snapshot) {
+	l.entries = slices.Clone(l.slice(s.Index+1, l.last()))
+	l.snapshot = s
+}
+
+// restore replaces the log by a snapshot from the leader.
+func (l *entryLog) restore(s Snapshot) {
+	*l = entryLog{
+		snapshot: s,
+		commit:   s.Index,
+		handed:   s.Index,
+		applied:  l.applied,
+		taken:    s.Index,
+		durable:  s.Index,
+	}
+}
+
+// bytes is the size of the entries from lo to hi, both included.
+func (l *entryLog) bytes(lo, hi uint64) int {
+	size := 0
+	run := l.slice(lo, hi)
+	for i := range run {
+		size += entrySize(&run[i])
+	}
+	return size
+}
--- /dev/null
+++ b/raft/members.go
@@ -0,0 +1,203 @@
+package raft
+
+import (
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// majority is how many of n voters decide.
+func majority(n int) int {
+	return n/2 + 1
+}
+
+func (m *Members) isVoter(id MemberID) bool {
+	return slices.Contains(m.Voters, id)
+}
+
+func (m *Members) isLearner(id MemberID) bool {
+	return slices.Contains(m.Learners, id)
+}
+
+func (m *Members) has(id MemberID) bool {
+	return m.isVoter(id) || m.isLearner(id)
+}
+
+// equal reports whether two memberships have the same members.
+func (m *Members) equal(o *Members) bool {
+	return sameSet(m.Voters, o.Voters) && sameSet(m.Learners, o.Learners)
+}
+
+func sameSet(a, b []MemberID) bool {
+	return len(a) == len(b) && len(without(a, b)) == 0 && len(without(b, a)) == 0
+}
+
+// without is the members of a that are not in b.
+func without(a, b []MemberID) []MemberID {
+	var out []MemberID
+	for _, id := range a {
+		if !slices.Contains(b, id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// wellFormed reports whether there is a voter, and no member is zero or named
+// twice.
+func (m *Members) wellFormed() bool {
+	all := slices.Concat(m.Voters, m.Learners)
+	slices.Sort(all)
+	distinct := len(slices.Compact(slices.Clone(all))) == len(all)
+	return len(m.Voters) > 0 && distinct && all[0] != 0
+}
+
+// membershipPoint is the membership from one index on.
+type membershipPoint struct {
+	index   uint64
+	members Members
+}
+
+// membership is the memberships of the log in order: the snapshot's, then that
+// of each EntryMembers. The last one is in force, committed or not.
+type membership struct {
+	points []membershipPoint
+}
+
+func newMembership(s Snapshot) membership {
+	return membership{points: []membershipPoint{{index: s.Index, members: s.Members.clone()}}}
+}
+
+// latest is the membership in force.
+func (h *membership) latest() *Members {
+	return &h.points[len(h.points)-1].members
+}
+
+// latestIndex is the index from which the latest membership is in force.
+func (h *membership) latestIndex() uint64 {
+	return h.points[len(h.points)-1].index
+}
+
+// at is the membership that was in force at index.
+func (h *membership) at(index uint64) *Members {
+	for i := len(h.points) - 1; i > 0; i-- {
+		if h.points[i].index <= index {
+			return &h.points[i].members
+		}
+	}
+	return &h.points[0].members
+}
+
+// extend records the memberships among appended entries.
+func (h *membership) extend(entries []Entry) {
+	for i := range entries {
+		if entries[i].Kind != EntryMembers {
+			continue
+		}
+		point := membershipPoint{index: entries[i].Index, members: entries[i].Members.clone()}
+		h.points = append(h.points, point)
+	}
+}
+
+// truncate forgets the memberships from index on.
+func (h *membership) truncate(index uint64) {
+	for len(h.points) > 1 && h.points[len(h.points)-1].index >= index {
+		h.points = h.points[:len(h.points)-1]
+	}
+}
+
+// compact forgets the memberships that were replaced before index.
+func (h *membership) compact(index uint64) {
+	for len(h.points) > 1 && h.points[1].index <= index {
+		h.points = slices.Delete(h.points, 0, 1)
+	}
+}
+
+// ProposeMembers appends a membership one step from the present one: a learner
+// added or removed, a learner made a voter, or a voter removed. It answers
+// ErrNotLeader, ErrChangePending, ErrNotCaughtUp or ErrUnsafeChange. The change
+// is decided once the entry at the returned index is committed in that term.
+func (c *Core) ProposeMembers(m Members, now Instant) (index, term uint64, err error) {
+	c.observe(now)
+	if c.role != Leader || c.lead.transfer.to != 0 {
+		return 0, 0, ErrNotLeader
+	}
+	if c.log.commit < c.lead.noop || c.members.latestIndex() > c.log.commit {
+		return 0, 0, ErrChangePending
+	}
+	if err := c.checkStep(&m); err != nil {
+		return 0, 0, err
+	}
+	next := m.clone()
+	index = c.appendOwn(Entry{Kind: EntryMembers, Members: &next})
+	c.syncPeers()
+	return index, c.term, nil
+}
+
+// checkStep refuses a membership that is not one safe step from the present one.
+func (c *Core) checkStep(next *Members) error {
+	if !next.wellFormed() {
+		return errors.Wrap(ErrUnsafeChange, "no voter, or a member is zero or named twice")
+	}
+	now := c.members.latest()
+	addedVoters, removedVoters := without(next.Voters, now.Voters), without(now.Voters, next.Voters)
+	addedLearners, removedLearners := without(next.Learners, now.Learners), without(now.Learners, next.Learners)
+	promotes := len(addedVoters) == 1 && slices.Equal(addedVoters, removedLearners)
+	changes := len(addedVoters) + len(removedVoters) + len(addedLearners) + len(removedLearners)
+	switch {
+	case promotes && changes == 2:
+		return c.checkPromotion(next, addedVoters[0])
+	case len(addedVoters) > 0:
+		return errors.Wrap(ErrUnsafeChange, "a voter is added as a learner first")
+	case changes != 1:
+		return errors.Wrapf(ErrUnsafeChange, "%d changes at once", changes)
+	case len(removedVoters) == 1:
+		return c.checkResponsive(next)
+	}
+	return nil
+}
+
+// checkPromotion requires that the learner answers and holds what is committed.
+func (c *Core) checkPromotion(next *Members, id MemberID) error {
+	p := c.lead.peer(id)
+	if p == nil || !c.responsive(id) || p.match+c.cfg.CatchUpMargin < c.log.commit {
+		return errors.Wrapf(ErrNotCaughtUp, "learner %d", id)
+	}
+	return c.checkResponsive(next)
+}
+
+// checkResponsive requires that a majority of the voters answer.
+func (c *Core) checkResponsive(next *Members) error {
+	answering := 0
+	for _, id := range next.Voters {
+		if c.responsive(id) {
+			answering++
+		}
+	}
+	if answering < majority(len(next.Voters)) {
+		return errors.Wrapf(ErrUnsafeChange, "%d of %d voters answer", answering, len(next.Voters))
+	}
+	return nil
+}
+
+// settleMembers finishes a committed change: removed members get the log a last
+// time, and a leader that was removed steps down.
+func (c *Core) settleMembers() {
+	if c.members.latestIndex() > c.log.commit {
+		return
+	}
+	latest := c.members.latest()
+	removed := !latest.isVoter(c.cfg.ID)
+	for _, p := range c.lead.peers {
+		p.limit = 0
+		if removed || !latest.has(p.id) {
+			p.heartbeat = true
+			c.sendTo(p)
+		}
+	}
+	c.lead.keepPeers(latest)
+	if removed {
+		c.sendTimeoutNow(c.lead.mostAdvanced(latest))
+		c.becomeFollower(c.term, 0)
+	}
+}
--- /dev/null
+++ b/raft/network_test.go
@@ -0,0 +1,326 @@
+package raft
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Settings of the groups under test.
+const (
+	testHeartbeat = 50 * time.Millisecond
+	testElection  = 500 * time.Millisecond
+	testLease     = 400 * time.Millisecond
+	testStep      = 10 * time.Millisecond
+	testInflight  = 4
+	testBatch     = 512
+)
+
+// host runs one Core as a replica would: it writes, sends and applies.
+type host struct {
+	id     MemberID
+	core   *Core
+	down   bool
+	frozen bool
+	// offset is the difference of the member's clock to the network's.
+	offset Instant
+	// disk is what survives a crash.
+	disk Restored
+	// writing is an Output whose write has not finished.
+	writing *Output
+	// state is a hash over the applied entries.
+	state []byte
+	reads []ReadResult
+}
+
+// packet is a message on its way.
+type packet struct {
+	due Instant
+	m   Message
+}
+
+// network is a group in virtual time.
+type network struct {
+	now     Instant
+	rng     *rand.Rand
+	hosts   []*host
+	packets []packet
+	// cut holds the directed links that drop everything.
+	cut map[[2]MemberID]bool
+	// loss and repeat are the shares of messages lost and sent twice.
+	loss, repeat float64
+	// delay is the longest time on the way.
+	delay Instant
+	// slowDisk is the share of writes still unfinished at each step.
+	slowDisk float64
+	// sent counts messages and their entries.
+	sent, sentEntries int
+	checker
+}
+
+// newNetwork makes a group of voters 1 to n.
+func newNetwork(voters int, seed uint64) *network {
+	n := &network{
+		rng:     rand.New(rand.NewPCG(seed, 0)),
+		cut:     map[[2]MemberID]bool{},
+		checker: newChecker(),
+	}
+	founding := Snapshot{Index: 1, Term: 1, Data: make([]byte, 8)}
+	for id := MemberID(1); id <= MemberID(voters); id++ {
+		founding.Members.Voters = append(founding.Members.Voters, id)
+	}
+	for _, id := range founding.Members.Voters {
+		n.add(id, Restored{Snapshot: founding})
+	}
+	return n
+}
+
+// add starts a new member.
+func (n *network) add(id MemberID, from Restored) {
+	h := &host{id: id, disk: from, offset: Instant(n.rng.Int64N(int64(time.Hour)))}
+	n.hosts = append(n.hosts, h)
+	n.start(h)
+}
+
+// start makes a member's Core from its disk.
+func (n *network) start(h *host) {
+	cfg := Config{
+		ID: h.id, Heartbeat: testHeartbeat, ElectionTimeout: testElection, Lease: testLease,
+		MaxBatchBytes: testBatch, MaxInflight: testInflight, Seed: n.rng.Uint64(),
+	}
+	core, err := New(cfg, h.disk, n.clock(h))
+	if err != nil {
+		panic(err)
+	}
+	h.core, h.down, h.frozen = core, false, false
+	h.state = h.disk.Snapshot.Data
+	n.checkStart(h)
+}
+
+// clock is a member's own monotonic time.
+func (n *network) clock(h *host) Instant { return n.now + h.offset }
+
+func (n *network) host(id MemberID) *host {
+	for _, h := range n.hosts {
+		if h.id == id {
+			return h
+		}
+	}
+	return nil
+}
+
+// crash stops a member. An unfinished write leaves a part of itself behind.
+func (n *network) crash(h *host) {
+	if w := h.writing; w != nil {
+		part := Output{Hard: w.Hard, Entries: w.Entries}
+		switch n.rng.IntN(3) {
+		case 0:
+			part = Output{}
+		case 1:
+			if w.Snapshot != nil {
+				part.Entries = nil
+				break
+			}
+			part.Entries = w.Entries[:n.rng.IntN(len(w.Entries)+1)]
+		case 2:
+			part.Snapshot = w.Snapshot
+		}
+		if part.Snapshot == nil && w.Snapshot != nil {
+			part.Entries = nil
+		}
+		h.write(&part)
+	}
+	h.writing, h.down, h.reads = nil, true, nil
+}
+
+// write makes the durable part of an Output durable.
+func (h *host) write(out *Output) {
+	if out.Hard != nil {
+		h.disk.Hard = *out.Hard
+	}
+	if out.Snapshot != nil {
+		h.disk.Snapshot, h.disk.Entries = *out.Snapshot, nil
+	}
+	if len(out.Entries) > 0 {
+		keep := out.Entries[0].Index - h.disk.Snapshot.Index - 1
+		h.disk.Entries = append(slices.Clone(h.disk.Entries[:keep]), out.Entries...)
+	}
+}
+
+// pump carries out what the member's Core asks for.
+func (n *network) pump(h *host) {
+	for !h.down && !h.frozen {
+		if h.writing == nil {
+			n.observe(h)
+			if !h.core.HasOutput() {
+				return
+			}
+			out := h.core.Take(n.clock(h))
+			h.writing = &out
+			if n.slowDisk > 0 && n.rng.Float64() < n.slowDisk {
+				return
+			}
+		}
+		n.finish(h)
+	}
+}
+
+// finish ends a write and does the rest of the Output.
+func (n *network) finish(h *host) {
+	out := h.writing
+	h.writing = nil
+	h.write(out)
+	last := h.disk.Snapshot.Index + uint64(len(h.disk.Entries))
+	h.core.Persisted(last, n.clock(h))
+	for _, m := range out.Messages {
+		n.send(m)
+	}
+	if out.Snapshot != nil {
+		h.state = out.Snapshot.Data
+		h.core.Applied(out.Snapshot.Index)
+	}
+	for _, e := range out.Committed {
+		h.apply(e)
+		n.checkApplied(h, e)
+		h.core.Applied(e.Index)
+	}
+	for _, r := range out.Reads {
+		n.checkRead(h, r)
+	}
+	h.reads = append(h.reads, out.Reads...)
+	n.observe(h)
+}
+
+// apply folds an entry into the member's state.
+func (h *host) apply(e Entry) {
+	sum := fnv.New64a()
+	_, _ = sum.Write(h.state)
+	_, _ = fmt.Fprintf(sum, "%d/%d/%d/%s", e.Index, e.Term, e.Kind, e.Data)
+	h.state = binary.BigEndian.AppendUint64(nil, sum.Sum64())
+}
+
+// compact takes a snapshot of the member's applied state.
+func (n *network) compact(h *host) {
+	if h.down || h.frozen || h.writing != nil {
+		return
+	}
+	index := h.core.Status().Applied
+	if index <= h.disk.Snapshot.Index {
+		return
+	}
+	s, err := h.core.SnapshotAt(index, h.state)
+	if err != nil {
+		panic(err)
+	}
+	if err := h.core.Compact(s); err != nil {
+		panic(err)
+	}
+	h.disk.Entries = slices.Clone(h.disk.Entries[index-h.disk.Snapshot.Index:])
+	h.disk.Snapshot = s
+}
+
+// send puts a message on its way.
+func (n *network) send(m Message) {
+	n.sent++
+	n.sentEntries += len(m.Entries)
+	copies := 1
+	if n.rng.Float64() < n.repeat {
+		copies = 2
+	}
+	for range copies {
+		if n.cut[[2]MemberID{m.From, m.To}] || n.rng.Float64() < n.loss {
+			continue
+		}
+		due := n.now + time.Millisecond
+		if n.delay > 0 {
+			due += Instant(n.rng.Int64N(int64(n.delay)))
+		}
+		n.packets = append(n.packets, packet{due: due, m: m})
+	}
+}
+
+// deliver hands over the packets that are due. Frozen members get theirs when
+// they go on; those of members that are down are lost.
+func (n *network) deliver() {
+	var due []packet
+	keep := n.packets[:0]
+	for _, p := range n.packets {
+		h := n.host(p.m.To)
+		switch {
+		case h == nil || h.down:
+		case p.due <= n.now && !h.frozen:
+			due = append(due, p)
+		default:
+			keep = append(keep, p)
+		}
+	}
+	n.packets = keep
+	for _, p := range due {
+		h := n.host(p.m.To)
+		h.core.Step(p.m, n.clock(h))
+		n.pump(h)
+	}
+}
+
+// step lets testStep pass.
+func (n *network) step() {
+	n.now += testStep
+	n.deliver()
+	for _, h := range n.hosts {
+		if h.down || h.frozen {
+			continue
+		}
+		if h.writing != nil && n.rng.Float64() >= n.slowDisk {
+			n.finish(h)
+		}
+		h.core.Tick(n.clock(h))
+		n.pump(h)
+	}
+	n.checkNow(n)
+}
+
+// run lets time pass.
+func (n *network) run(d Instant) {
+	for end := n.now + d; n.now < end; {
+		n.step()
+	}
+}
+
+// isolate cuts a member off in both directions.
+func (n *network) isolate(id MemberID) {
+	for _, h := range n.hosts {
+		if h.id != id {
+			n.cut[[2]MemberID{h.id, id}] = true
+			n.cut[[2]MemberID{id, h.id}] = true
+		}
+	}
+}
+
+// heal ends all faults and starts everybody.
+func (n *network) heal() {
+	n.cut = map[[2]MemberID]bool{}
+	n.loss, n.repeat, n.delay, n.slowDisk = 0, 0, 0, 0
+	for _, h := range n.hosts {
+		h.frozen = false
+		if h.down {
+			n.start(h)
+		}
+	}
+}
+
+// leader is the leader of the newest term that is up, or nil.
+func (n *network) leader() *host {
+	var best *host
+	for _, h := range n.hosts {
+		if h.down || h.core.role != Leader {
+			continue
+		}
+		if best == nil || h.core.term > best.core.term {
+			best = h
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/raft/property_test.go
@@ -0,0 +1,171 @@
+package raft
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the schedules, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1500", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// action is one event of a schedule.
+type action struct {
+	Kind int
+	Host int
+	Peer int
+	Wait int
+}
+
+// Kinds of actions.
+const (
+	actPropose = iota
+	actBurst
+	actRead
+	actCrash
+	actRestart
+	actFreeze
+	actThaw
+	actIsolate
+	actCutOneWay
+	actReconnect
+	actTransfer
+	actCompact
+	actAddLearner
+	actPromote
+	actRemove
+	actWait
+	actKinds
+)
+
+// waits are how long the network runs after an action, in steps.
+var waits = []int{0, 1, 3, 10, 30, 60, 150}
+
+func drawSchedule(t *rapid.T) []action {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) action {
+		return action{
+			Kind: rapid.IntRange(0, actKinds-1).Draw(t, "kind"),
+			Host: rapid.IntRange(0, 7).Draw(t, "host"),
+			Peer: rapid.IntRange(0, 7).Draw(t, "peer"),
+			Wait: rapid.SampledFrom(waits).Draw(t, "wait"),
+		}
+	}), 10, 50).Draw(t, "schedule")
+}
+
+// maxHosts bounds the members that a schedule starts.
+const maxHosts = 7
+
+// act carries out one action; it ignores what is not possible at present.
+func (n *network) act(a action, serial int) {
+	h := n.hosts[a.Host%len(n.hosts)]
+	peer := n.hosts[a.Peer%len(n.hosts)]
+	switch a.Kind {
+	case actCrash:
+		n.crash(h)
+	case actRestart:
+		if h.down {
+			n.start(h)
+		}
+	case actFreeze:
+		h.frozen = true
+	case actThaw:
+		h.frozen = false
+	case actIsolate:
+		n.isolate(h.id)
+	case actCutOneWay:
+		n.cut[[2]MemberID{h.id, peer.id}] = true
+	case actReconnect:
+		n.cut = map[[2]MemberID]bool{}
+	case actCompact:
+		n.compact(h)
+	default:
+		n.actOnLeader(a, peer, serial)
+	}
+	n.run(Instant(a.Wait) * testStep)
+}
+
+// actOnLeader carries out what only a leader can do, on any that there is.
+func (n *network) actOnLeader(a action, peer *host, serial int) {
+	for _, h := range n.hosts {
+		if h.down || h.frozen || h.core.role != Leader {
+			continue
+		}
+		now := n.clock(h)
+		switch a.Kind {
+		case actPropose:
+			_, _, _ = h.core.Propose(fmt.Appendf(nil, "%d", serial), now)
+		case actBurst:
+			for i := range 40 {
+				_, _, _ = h.core.Propose(fmt.Appendf(nil, "%d.%d", serial, i), now)
+			}
+		case actRead:
+			request := uint64(serial)<<8 | uint64(h.id)
+			n.barriers[request] = n.maxCommitted
+			_ = h.core.ReadBarrier(request, now)
+		case actTransfer:
+			_ = h.core.Transfer(peer.id, now)
+		case actAddLearner, actPromote, actRemove:
+			n.changeMembers(a, h, peer)
+		}
+		n.pump(h)
+	}
+}
+
+// changeMembers proposes a change on a leader.
+func (n *network) changeMembers(a action, h, peer *host) {
+	next := h.core.members.latest().clone()
+	one := []MemberID{peer.id}
+	switch a.Kind {
+	case actAddLearner:
+		if len(n.hosts) >= maxHosts {
+			return
+		}
+		id := MemberID(len(n.hosts) + 1)
+		n.add(id, Restored{})
+		next.Learners = append(next.Learners, id)
+	case actPromote:
+		if len(next.Learners) == 0 {
+			return
+		}
+		one = next.Learners[a.Peer%len(next.Learners):][:1]
+		next.Voters = append(next.Voters, one...)
+		next.Learners = without(next.Learners, one)
+	case actRemove:
+		next.Voters = without(next.Voters, one)
+		next.Learners = without(next.Learners, one)
+	}
+	_, _, _ = h.core.ProposeMembers(next, n.clock(h))
+}
+
+// settleTime is long enough for a healed group to elect and catch up.
+const settleTime = 12 * time.Second
+
+func TestInvariantsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNetwork(rapid.SampledFrom([]int{1, 2, 3, 3, 3, 5}).Draw(t, "voters"), rapid.Uint64().Draw(t, "seed"))
+		n.loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
+		n.repeat = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "repeat")
+		n.delay = rapid.SampledFrom([]Instant{0, 30 * time.Millisecond, 300 * time.Millisecond}).Draw(t, "delay")
+		n.slowDisk = rapid.SampledFrom([]float64{0, 0.3, 0.8}).Draw(t, "slow disk")
+		n.run(testElection * 3)
+		for i, a := range drawSchedule(t) {
+			n.act(a, i)
+		}
+		n.checkLogs(n)
+		n.heal()
+		n.run(settleTime)
+		n.checkLogs(n)
+		n.checkConverged(n)
+	})
+}
--- /dev/null
+++ b/raft/replicate.go
@@ -0,0 +1,191 @@
+package raft
+
+// Propose appends a command, which it keeps and must not change. It answers
+// ErrNotLeader or ErrOverloaded. The command is decided once the entry at the
+// returned index is committed: in that term if it was accepted, in another if
+// it was lost.
+func (c *Core) Propose(data []byte, now Instant) (index, term uint64, err error) {
+	c.observe(now)
+	if c.role != Leader || c.lead.transfer.to != 0 {
+		return 0, 0, ErrNotLeader
+	}
+	entry := Entry{Kind: EntryCommand, Data: data}
+	limit := c.cfg.MaxBatchBytes * c.cfg.MaxInflight
+	if c.lead.uncommitted > 0 && c.lead.uncommitted+entrySize(&entry) > limit {
+		return 0, 0, ErrOverloaded
+	}
+	return c.appendOwn(entry), c.term, nil
+}
+
+// appendOwn appends an entry of the leader's term and returns its index.
+func (c *Core) appendOwn(e Entry) uint64 {
+	e.Index = c.log.last() + 1
+	e.Term = c.term
+	c.log.add(e)
+	c.members.extend([]Entry{e})
+	c.lead.uncommitted += entrySize(&e)
+	c.lead.flushDue = true
+	return e.Index
+}
+
+// flush makes the messages that the leader owes.
+func (c *Core) flush() {
+	if c.lead.roundDue || len(c.lead.queued) > 0 {
+		c.startRound()
+	}
+	for _, p := range c.lead.peers {
+		c.sendTo(p)
+	}
+	c.lead.flushDue = false
+}
+
+// sendTo sends a member what its flow allows now.
+func (c *Core) sendTo(p *progress) {
+	switch {
+	case p.state == restoring:
+		c.sendPresence(p)
+	case p.next <= c.log.snapshot.Index:
+		c.sendSnapshot(p)
+	case p.state == probing:
+		c.sendProbe(p)
+	case p.state == replicating:
+		c.sendPipelined(p)
+	}
+	p.heartbeat = false
+}
+
+// sendPresence sends a heartbeat that any log matches, which is answered with
+// the member's commit index.
+func (c *Core) sendPresence(p *progress) {
+	if p.heartbeat {
+		c.sendAppend(p, 0, nil)
+	}
+}
+
+// sendProbe sends one batch, then only the position with each round until the
+// member answers.
+func (c *Core) sendProbe(p *progress) {
+	switch {
+	case !p.probed:
+		p.probed = true
+		c.sendAppend(p, p.next-1, c.batchFor(p))
+	case p.heartbeat:
+		c.sendAppend(p, p.next-1, nil)
+	}
+}
+
+// sendPipelined sends batches up to the inflight limit. Rounds and new commit
+// indexes go along, or on their own where there is no entry to send.
+func (c *Core) sendPipelined(p *progress) {
+	sent := false
+	for len(p.inflight) < c.cfg.MaxInflight {
+		batch := c.batchFor(p)
+		if len(batch) == 0 {
+			break
+		}
+		c.sendAppend(p, p.next-1, batch)
+		p.next = batch[len(batch)-1].Index + 1
+		p.inflight = append(p.inflight, p.next-1)
+		sent = true
+	}
+	full := len(p.inflight) >= c.cfg.MaxInflight
+	news := p.heartbeat || !full && p.commitSent < c.log.commit
+	if !sent && news {
+		c.sendAppend(p, p.next-1, nil)
+	}
+}
+
+// batchFor is the next entries for a member.
+func (c *Core) batchFor(p *progress) []Entry {
+	last := c.log.last()
+	if p.limit > 0 {
+		last = min(last, p.limit)
+	}
+	return c.log.batch(p.next, last, c.cfg.MaxBatchBytes)
+}
+
+// sendAppend sends entries that follow the entry prev. Zero stands for the start
+// of every log.
+func (c *Core) sendAppend(p *progress, prev uint64, entries []Entry) {
+	p.commitSent = c.log.commit
+	prevTerm, _ := c.log.term(prev)
+	c.send(Message{
+		Kind:     MsgAppend,
+		To:       p.id,
+		LogIndex: prev,
+		LogTerm:  prevTerm,
+		Entries:  entries,
+		Commit:   c.log.commit,
+		Round:    c.lead.round,
+	})
+}
+
+// onAppendReply takes a member's answer to an append or a snapshot.
+func (c *Core) onAppendReply(m Message) {
+	if c.role != Leader {
+		return
+	}
+	p := c.lead.peer(m.From)
+	if p == nil {
+		return
+	}
+	p.answered = c.now
+	p.round = max(p.round, min(m.Round, c.lead.round))
+	c.confirmRounds()
+	if m.Reject {
+		c.onRejected(p, m)
+		return
+	}
+	c.onAccepted(p, m)
+}
+
+// onRejected sends again from where the logs may match.
+func (c *Core) onRejected(p *progress, m Message) {
+	if p.rejectionIsStale(m.LogIndex) {
+		return
+	}
+	// The member holds nothing of a newer term than LogTerm before Hint, so
+	// entries here that are newer than it cannot match either.
+	prev := min(m.Hint, m.LogIndex) - min(1, m.Hint)
+	for prev > p.match {
+		term, ok := c.log.term(prev)
+		if !ok || term <= m.LogTerm {
+			break
+		}
+		prev--
+	}
+	p.probe(max(prev, p.match) + 1)
+	c.lead.flushDue = true
+}
+
+// onAccepted records what is durable at a member.
+func (c *Core) onAccepted(p *progress, m Message) {
+	if p.state == restoring {
+		c.onRestoring(p, m)
+	}
+	before := *p
+	p.accepted(min(m.Hint, c.log.last()))
+	if p.match == before.match && p.state == before.state && len(p.inflight) == len(before.inflight) {
+		return
+	}
+	c.lead.flushDue = true
+	c.maybeCommit()
+	c.continueTransfer()
+}
+
+// maybeCommit commits what a majority of the voters hold durably. Entries of
+// earlier terms are committed only by one of the leader's own term (Ongaro,
+// section 3.6.2).
+func (c *Core) maybeCommit() {
+	index := c.quorumValue(c.log.durable, func(p *progress) uint64 { return p.match })
+	if index <= c.log.commit {
+		return
+	}
+	if term, _ := c.log.term(index); term != c.term {
+		return
+	}
+	c.lead.uncommitted -= c.log.bytes(c.log.commit+1, index)
+	c.log.commit = index
+	c.lead.flushDue = true
+	c.settleMembers()
+}
--- /dev/null
+++ b/raft/transfer.go
@@ -0,0 +1,84 @@
+package raft
+
+// transfer is a handover of leadership in progress.
+type transfer struct {
+	// to is the target, or zero.
+	to MemberID
+	// deadline is when the handover is given up.
+	deadline Instant
+	// sent says that the target was told to campaign. Followers may then vote
+	// for it although they hear this leader, so the lease is over in this term.
+	sent bool
+}
+
+// Transfer hands leadership to another voter once it holds the whole log.
+// Proposals are refused meanwhile. If the target has not taken over within
+// ElectionTimeout, this member leads on, in a new term if the target was told
+// to campaign. It answers ErrNotLeader, ErrUnknownVoter, or ErrChangePending if
+// a transfer to another target is in progress.
+func (c *Core) Transfer(to MemberID, now Instant) error {
+	c.observe(now)
+	if c.role != Leader {
+		return ErrNotLeader
+	}
+	if to == c.cfg.ID || !c.members.latest().isVoter(to) {
+		return ErrUnknownVoter
+	}
+	if t := c.lead.transfer; t.to != 0 {
+		if t.to == to {
+			return nil
+		}
+		return ErrChangePending
+	}
+	c.lead.transfer = transfer{to: to, deadline: c.now + c.cfg.ElectionTimeout}
+	c.continueTransfer()
+	return nil
+}
+
+// continueTransfer tells the target to campaign once it holds the whole log.
+func (c *Core) continueTransfer() {
+	if c.lead == nil {
+		return
+	}
+	t := &c.lead.transfer
+	if t.to == 0 || t.sent {
+		return
+	}
+	if p := c.lead.peer(t.to); p != nil && p.match == c.log.last() {
+		c.sendTimeoutNow(p)
+	}
+}
+
+// sendTimeoutNow tells a voter to campaign, which ends the lease.
+func (c *Core) sendTimeoutNow(p *progress) {
+	if p == nil {
+		return
+	}
+	c.lead.transfer.sent = true
+	c.send(Message{Kind: MsgTimeoutNow, To: p.id})
+}
+
+// transferExpired reports whether a handover took too long.
+func (c *Core) transferExpired() bool {
+	t := c.lead.transfer
+	return t.to != 0 && c.now >= t.deadline
+}
+
+// endTransfer gives a handover up. Once the target was told to campaign it may
+// still do so at any later time, therefore the leader moves to a new term, in
+// which that order and its vote requests are void, to have a lease again.
+func (c *Core) endTransfer() {
+	if !c.lead.transfer.sent {
+		c.lead.transfer = transfer{}
+		return
+	}
+	c.campaign(true)
+}
+
+// onTimeoutNow campaigns at once on the order of the leader that it follows.
+func (c *Core) onTimeoutNow(m Message) {
+	if c.role != Follower || c.leader != m.From || !c.promotable() {
+		return
+	}
+	c.campaign(true)
+}
--- a/raft/types.go
+++ b/raft/types.go
@@ -134,6 +134,9 @@
 	MaxBatchBytes int
 	// MaxInflight bounds the unanswered append messages to one member.
 	MaxInflight int
+	// CatchUpMargin is how many entries a learner may be behind the commit index
+	// and still be made a voter.
+	CatchUpMargin uint64
 	// Seed seeds the election timeouts.
 	Seed uint64
 }
