Add the node's control loop and its way to the control group

Purpose: one goroutine owns directory, throttler, selector and, on the leader, the soft state of the term; traffic posts to it.

Weighed: a mutex over all of it (calls of the planner would hold it) against a queue of functions (chosen).

--- a/control/command.go
+++ b/control/command.go
@@ -7,6 +7,7 @@
 import (
 	"github.com/agateslip/agateslip/contract"
 	"github.com/agateslip/agateslip/ledger"
+	"github.com/agateslip/agateslip/placement"
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 )
@@ -51,7 +52,7 @@
 	Detail  string `cbor:"4,keyasint,omitempty"`
 }
 
-// Command is one entry of the log. Exactly one pointer is set.
+// Command is one entry of the log. Exactly one field beside Origin is set.
 type Command struct {
 	Origin         Origin          `cbor:"1,keyasint"`
 	ApplyContract  *ApplyContract  `cbor:"2,keyasint,omitempty"`
@@ -59,9 +60,9 @@
 	Claim          *ledger.Claim   `cbor:"4,keyasint,omitempty"`
 	Finish         *ledger.Finish  `cbor:"5,keyasint,omitempty"`
 	AbandonClaims  *AbandonClaims  `cbor:"6,keyasint,omitempty"`
-	AddGrants      *AddGrants      `cbor:"7,keyasint,omitempty"`
-	EndGrants      *EndGrants      `cbor:"8,keyasint,omitempty"`
-	Note           *Note           `cbor:"9,keyasint,omitempty"`
+	// Grants are changes of the ledger of grants, each checked by itself.
+	Grants []placement.Change `cbor:"7,keyasint,omitempty"`
+	Note   *Note              `cbor:"9,keyasint,omitempty"`
 }
 
 // maxElements bounds the lists of a decoded snapshot.
--- a/control/state.go
+++ b/control/state.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/agateslip/agateslip/ledger"
+	"github.com/agateslip/agateslip/placement"
 	"github.com/agateslip/agateslip/raft"
 	"github.com/cockroachdb/errors"
 )
@@ -30,7 +31,7 @@
 	versions    map[string]uint64
 	changes     map[string]change
 	changeOrder []string
-	grants      map[uint64]Grant
+	grants      placement.Ledger
 	claims      *ledger.Ledger
 	trail       []AuditEntry
 	auditSeq    uint64
@@ -43,7 +44,6 @@
 		contracts: map[string]Versioned{},
 		versions:  map[string]uint64{},
 		changes:   map[string]change{},
-		grants:    map[uint64]Grant{},
 		claims:    ledger.New(),
 	}
 }
@@ -89,10 +89,8 @@
 	case cmd.AbandonClaims != nil:
 		n := s.claims.Abandon(cmd.AbandonClaims.Owner)
 		return Result{Applied: n > 0}
-	case cmd.AddGrants != nil:
-		return Result{Grants: s.addGrants(index, *cmd.AddGrants), Applied: true}
-	case cmd.EndGrants != nil:
-		return Result{Applied: s.endGrants(*cmd.EndGrants) > 0}
+	case cmd.Grants != nil:
+		return Result{Grants: s.changeGrants(cmd.Grants), Applied: true}
 	case cmd.Note != nil:
 		n := cmd.Note
 		s.audit(cmd.Origin, AuditEntry{Action: n.Action, Subject: n.Subject, Outcome: n.Outcome, Detail: n.Detail})
@@ -143,7 +141,7 @@
 	Contracts []Versioned       `cbor:"3,keyasint"`
 	Versions  map[string]uint64 `cbor:"4,keyasint"`
 	Changes   []change          `cbor:"5,keyasint"`
-	Grants    []Grant           `cbor:"6,keyasint"`
+	Grants    placement.Ledger  `cbor:"6,keyasint"`
 	Claims    ledger.Image      `cbor:"7,keyasint"`
 	Trail     []AuditEntry      `cbor:"8,keyasint"`
 	AuditSeq  uint64            `cbor:"9,keyasint"`
@@ -157,7 +155,7 @@
 		Revision:  s.revision,
 		Contracts: s.Contracts(),
 		Versions:  s.versions,
-		Grants:    s.Grants(),
+		Grants:    s.grants,
 		Claims:    s.claims.Image(),
 		Trail:     s.trail,
 		AuditSeq:  s.auditSeq,
@@ -198,9 +196,7 @@
 		s.changes[c.ID] = c
 		s.changeOrder = append(s.changeOrder, c.ID)
 	}
-	for _, g := range img.Grants {
-		s.grants[g.ID] = g
-	}
+	s.grants = img.Grants
 	s.claims = ledger.FromImage(img.Claims)
 	s.trail = img.Trail
 	s.auditSeq = img.AuditSeq
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,6 +15,8 @@
 
 // Config is the settings of one node.
 type Config struct {
+	// Group is the name of the group of nodes that share one control state.
+	Group string `yaml:"group" validate:"required,slug"`
 	// Node is the unique name of this node.
 	Node string `yaml:"node" validate:"required,slug"`
 	// Domain is the failure domain of this node's VM.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -139,9 +139,6 @@
 	req.Header = c.Header.Clone()
 	req.Header.Set(headerAttempt, a.id)
 	req.Header.Set(HeaderRequestID, c.ID)
-	if c.Adapter != "" {
-		req.Header.Set(headerAdapter, c.Adapter)
-	}
 	if a.resumeFrom > 0 {
 		req.Header.Set(headerResume, strconv.Itoa(a.resumeFrom))
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -94,9 +94,20 @@
 type Router interface {
 	// Pick chooses an upstream other than those tried. A refusal is a *Refusal.
 	Pick(c *Call, tried []string) (Route, error)
-	// MayRetry says whether a further attempt is within the retry budget, and
+	// MayRetry says whether a failed attempt may be followed by another, and
 	// after what wait.
-	MayRetry(c *Call, attempt int) (time.Duration, bool)
+	MayRetry(c *Call, f FailedAttempt) (time.Duration, bool)
+}
+
+// FailedAttempt is an attempt that a further one may follow.
+type FailedAttempt struct {
+	Upstream string
+	Ran      Ran
+	// Resumable says that a part of the answer is with the caller and that the
+	// rest can be asked for.
+	Resumable bool
+	// Number counts the call's attempts, from 1.
+	Number int
 }
 
 // Claims records calls that may run at most once.
--- a/internal/gateway/header.go
+++ b/internal/gateway/header.go
@@ -21,7 +21,6 @@
 const (
 	headerAttempt  = "X-Attempt-Id"
 	headerResume   = "X-Resume-From"
-	headerAdapter  = "X-Adapter"
 	headerNotRun   = "X-Not-Run"
 	headerPriority = "X-Priority"
 )
@@ -39,7 +38,7 @@
 // because a route rule is matched on the method that was sent.
 var ownHeaders = []string{
 	"Authorization", "Expect", "Content-Length", "Accept-Encoding",
-	headerRunOnce, headerAttempt, headerResume, headerAdapter, headerPriority,
+	headerRunOnce, headerAttempt, headerResume, headerPriority,
 	"X-Http-Method-Override", "X-Http-Method", "X-Method-Override",
 }
 
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -51,6 +51,7 @@
 	ReasonDeadline       Reason = "deadline-exceeded"
 	ReasonNoUpstream     Reason = "no-upstream"
 	ReasonNotCurrent     Reason = "node-not-current"
+	ReasonNoShare        Reason = "node-without-share"
 	ReasonStopping       Reason = "node-stopping"
 	ReasonNoMemory       Reason = "node-memory"
 	ReasonUpstreamFailed Reason = "upstream-failed"
@@ -79,6 +80,7 @@
 	ReasonDeadline:       http.StatusGatewayTimeout,
 	ReasonNoUpstream:     http.StatusServiceUnavailable,
 	ReasonNotCurrent:     http.StatusServiceUnavailable,
+	ReasonNoShare:        http.StatusServiceUnavailable,
 	ReasonStopping:       http.StatusServiceUnavailable,
 	ReasonNoMemory:       http.StatusServiceUnavailable,
 	ReasonUpstreamFailed: http.StatusBadGateway,
@@ -103,6 +105,11 @@
 // Error returns reason and message.
 func (r *Refusal) Error() string { return string(r.Reason) + ": " + r.Message }
 
+// NewRefusal returns the refusal of a call that was not run.
+func NewRefusal(reason Reason, retryAfter time.Duration, message string) *Refusal {
+	return &Refusal{Reason: reason, Ran: NotRun, RetryAfter: retryAfter, Message: message}
+}
+
 func refuse(reason Reason, format string, args ...any) *Refusal {
 	return &Refusal{Reason: reason, Ran: NotRun, Message: fmt.Sprintf(format, args...)}
 }
--- a/internal/gateway/repeatable.go
+++ b/internal/gateway/repeatable.go
@@ -13,8 +13,6 @@
 
 // Bounds of a repeatable call.
 const (
-	// maxAttempts bounds the sendings of one call.
-	maxAttempts = 4
 	// maxBufferedAnswer bounds an answer that is read whole before its first
 	// byte goes out, so that a further attempt is still possible, in bytes.
 	maxBufferedAnswer = 1 << 20
@@ -50,32 +48,27 @@
 func (s *sender) runRepeatable(ctx context.Context, w http.ResponseWriter, c *Call) error {
 	out := newRelay(w)
 	var tried []string
-	var last error
-	for n := range maxAttempts {
-		if n > 0 && !s.waitRetry(ctx, c, n, out) {
-			break
-		}
+	for n := 1; ; n++ {
 		route, err := s.router.Pick(c, tried)
 		if err != nil {
-			last = preferFailure(last, err)
-			break
+			return s.giveUp(c, out, err)
 		}
 		a := newAttempt(route)
 		a.resumeFrom = out.tokens
 		err = s.runAttempt(ctx, c, a, out)
-		if err == nil || ctx.Err() != nil {
-			return err
+		if err == nil {
+			return nil
 		}
-		if n > 0 || out.started {
-			s.metrics.Resumed.Add(boolCount(out.started))
+		if ctx.Err() != nil || errors.Is(err, errBroken) || (out.started && !route.Resumes) {
+			return s.giveUp(c, out, err)
 		}
-		if out.started && !route.Resumes {
-			break
+		failed := FailedAttempt{Upstream: route.Upstream, Ran: ranOf(err), Resumable: out.started, Number: n}
+		if !s.waitRetry(ctx, c, failed) {
+			return s.giveUp(c, out, err)
 		}
-		last = err
+		s.metrics.Resumed.Add(boolCount(out.started))
 		tried = append(tried, route.Upstream)
 	}
-	return s.giveUp(c, out, last)
 }
 
 func boolCount(b bool) int64 {
@@ -85,33 +78,24 @@
 	return 0
 }
 
-// preferFailure keeps what an attempt reported over a later lack of upstreams.
-func preferFailure(last, err error) error {
-	if last != nil {
-		return last
+// ranOf says whether a failed attempt ran.
+func ranOf(err error) Ran {
+	var ae *attemptError
+	if errors.As(err, &ae) {
+		return ae.ran
 	}
-	return err
+	return RanUnknown
 }
 
 // waitRetry waits before a further attempt. It is false where the budget or the
 // deadline allows none.
-func (s *sender) waitRetry(ctx context.Context, c *Call, n int, out *relay) bool {
-	wait, ok := s.router.MayRetry(c, n)
-	if !ok {
+func (s *sender) waitRetry(ctx context.Context, c *Call, f FailedAttempt) bool {
+	wait, ok := s.router.MayRetry(c, f)
+	if !ok || !pause(ctx, wait) {
 		return false
 	}
-	if !out.started && time.Until(c.Deadline) <= wait {
-		return false
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		s.metrics.Retries.Add(1)
-		return true
-	}
+	s.metrics.Retries.Add(1)
+	return true
 }
 
 // runAttempt sends the call once and relays its answer.
@@ -186,20 +170,11 @@
 	if errors.As(last, &refusal) {
 		return refusal
 	}
-	ran := RanUnknown
-	var ae *attemptError
-	if errors.As(last, &ae) {
-		ran = ae.ran
-	}
 	reason := ReasonUpstreamFailed
 	if time.Until(c.Deadline) <= 0 {
 		reason = ReasonDeadline
 	}
-	message := "no upstream answered"
-	if last != nil {
-		message = last.Error()
-	}
-	return refuse(reason, "%s", message).withRan(ran).after(comeBack)
+	return refuse(reason, "%v", last).withRan(ranOf(last)).after(comeBack)
 }
 
 func contentLength(body []byte) string { return strconv.Itoa(len(body)) }
--- a/internal/gateway/runonce.go
+++ b/internal/gateway/runonce.go
@@ -240,22 +240,23 @@
 func (s *sender) runOnce(ctx context.Context, c *Call) onceOutcome {
 	var tried []string
 	out := onceOutcome{state: ledger.NotRun}
-	for n := range maxAttempts {
-		if n > 0 && !s.waitRetry(ctx, c, n, &relay{}) {
-			return out
-		}
+	for n := 1; ; n++ {
 		route, err := s.router.Pick(c, tried)
 		if err != nil {
-			out.err = preferFailure(out.err, err)
+			if out.err == nil {
+				out.err = err
+			}
 			return out
 		}
 		out = s.sendOnce(ctx, c, newAttempt(route))
 		if out.state != ledger.NotRun {
 			return out
 		}
+		if !s.waitRetry(ctx, c, FailedAttempt{Upstream: route.Upstream, Ran: NotRun, Number: n}) {
+			return out
+		}
 		tried = append(tried, route.Upstream)
 	}
-	return out
 }
 
 func (s *sender) sendOnce(ctx context.Context, c *Call, a attempt) onceOutcome {
--- /dev/null
+++ b/internal/node/lead.go
@@ -0,0 +1,172 @@
+package node
+
+import (
+	"time"
+
+	"github.com/agateslip/agateslip/admission"
+	"github.com/agateslip/agateslip/ledger"
+	"github.com/agateslip/agateslip/placement"
+)
+
+const (
+	// nodeSilence is how long a node may be silent before the calls that it
+	// claimed count as unknown.
+	nodeSilence = 10 * time.Second
+	// demandLife is how long a node's reported demand counts.
+	demandLife = 2 * time.Second
+)
+
+// presence is a node as the leader last heard it.
+type presence struct {
+	boot string
+	at   time.Duration
+}
+
+// nodeDemand is a node's reported demand.
+type nodeDemand struct {
+	rows []placement.Demand
+	at   time.Duration
+}
+
+// leadership is the soft state of the leader. It belongs to the control loop
+// and starts anew with each term.
+type leadership struct {
+	term      uint64
+	since     time.Duration
+	limits    map[string]admission.Limits
+	allocator *admission.Allocator
+	nodes     map[string]presence
+	demand    map[string]*nodeDemand
+	forecasts map[placement.Key]placement.Forecast
+	// kick asks for a plan now.
+	kick chan struct{}
+}
+
+func newLeadership() *leadership {
+	return &leadership{limits: map[string]admission.Limits{}, kick: make(chan struct{}, 1)}
+}
+
+// begin starts the soft state of a term.
+func (ld *leadership) begin(term uint64, now time.Duration) {
+	if ld.term == term && ld.allocator != nil {
+		return
+	}
+	ld.term = term
+	ld.since = now
+	ld.allocator = admission.NewAllocator(admission.AllocatorConfig{Term: term, Since: now})
+	for _, l := range ld.limits {
+		ld.allocator.SetLimits(l, now)
+	}
+	ld.nodes = map[string]presence{}
+	ld.demand = map[string]*nodeDemand{}
+	ld.forecasts = map[placement.Key]placement.Forecast{}
+}
+
+func (ld *leadership) setLimits(l admission.Limits, now time.Duration) {
+	ld.limits[l.Customer] = l
+	if ld.allocator != nil {
+		ld.allocator.SetLimits(l, now)
+	}
+}
+
+func (ld *leadership) removeLimits(customer string, now time.Duration) {
+	delete(ld.limits, customer)
+	if ld.allocator != nil {
+		ld.allocator.RemoveLimits(customer, now)
+	}
+}
+
+// kickPlan asks for a plan now.
+func (ld *leadership) kickPlan() {
+	select {
+	case ld.kick <- struct{}{}:
+	default:
+	}
+}
+
+// sync takes a node's report under a confirmed lease and answers it.
+func (ld *leadership) sync(req syncRequest, now time.Duration) syncReply {
+	ld.nodes[req.Node] = presence{boot: req.Boot, at: now}
+	ld.takeDemand(req, now)
+	reply := syncReply{Leads: true, Term: ld.term, Grant: ld.allocator.Report(req.Report, now)}
+	for _, d := range req.Demand {
+		if f, ok := ld.forecasts[d.Key]; ok {
+			reply.Forecasts = append(reply.Forecasts, f)
+		}
+	}
+	return reply
+}
+
+// takeDemand replaces a node's demand and keeps arrivals not yet planned for.
+func (ld *leadership) takeDemand(req syncRequest, now time.Duration) {
+	old := ld.demand[req.Node]
+	fresh := &nodeDemand{rows: req.Demand, at: now}
+	if old != nil {
+		fresh.rows = mergeArrivals(fresh.rows, old.rows)
+	}
+	ld.demand[req.Node] = fresh
+	for _, d := range req.Demand {
+		if d.Waiting > 0 {
+			ld.kickPlan()
+			return
+		}
+	}
+}
+
+// mergeArrivals adds the arrivals of old rows to the fresh ones.
+func mergeArrivals(fresh, old []placement.Demand) []placement.Demand {
+	for _, o := range old {
+		if o.Arrivals == 0 {
+			continue
+		}
+		found := false
+		for i := range fresh {
+			if fresh[i].Key == o.Key && fresh[i].Adapter == o.Adapter {
+				fresh[i].Arrivals += o.Arrivals
+				found = true
+				break
+			}
+		}
+		if !found {
+			fresh = append(fresh, placement.Demand{Key: o.Key, Adapter: o.Adapter, Node: o.Node, Arrivals: o.Arrivals})
+		}
+	}
+	return fresh
+}
+
+// planDemand returns all nodes' demand at this instant and counts its arrivals
+// as planned for.
+func (ld *leadership) planDemand(now time.Duration) []placement.Demand {
+	var rows []placement.Demand
+	for _, nd := range ld.demand {
+		age := now - nd.at
+		for i := range nd.rows {
+			row := nd.rows[i]
+			row.Remaining -= age
+			if age > demandLife {
+				row.Waiting, row.Running = 0, 0
+			}
+			rows = append(rows, row)
+			nd.rows[i].Arrivals = 0
+		}
+	}
+	return rows
+}
+
+// lost returns the claim owners that are known to have ended, or that were not
+// heard for nodeSilence.
+func (ld *leadership) lost(owners []ledger.Owner, now time.Duration) []ledger.Owner {
+	var lost []ledger.Owner
+	for _, o := range owners {
+		p, heard := ld.nodes[o.Node]
+		switch {
+		case heard && p.boot != o.Boot:
+			lost = append(lost, o)
+		case heard && now-p.at > nodeSilence:
+			lost = append(lost, o)
+		case !heard && now-ld.since > nodeSilence:
+			lost = append(lost, o)
+		}
+	}
+	return lost
+}
--- /dev/null
+++ b/internal/node/route.go
@@ -0,0 +1,161 @@
+package node
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/agateslip/agateslip/internal/engine"
+	"github.com/agateslip/agateslip/internal/gateway"
+	"github.com/agateslip/agateslip/placement"
+	"github.com/agateslip/agateslip/routing"
+)
+
+// router chooses upstreams by asking the control loop.
+type router struct{ loop *loop }
+
+// picked is the control loop's choice.
+type picked struct {
+	choice routing.Choice
+	result routing.Result
+}
+
+// Pick implements gateway.Router.
+func (r *router) Pick(c *gateway.Call, tried []string) (gateway.Route, error) {
+	q := routing.Query{Customer: c.Customer(), Service: c.Service, Domain: r.loop.node.cfg.Domain, Exclude: tried}
+	if c.Service == "" {
+		q.Model = targetKey(c.Customer(), c.Model.Name, "")
+		q.Adapter = c.Adapter
+		q.Prefix = blockHashes(c.Prefix)
+	}
+	p, ok := call(context.Background(), r.loop, func() picked { return r.loop.pick(q, len(tried) == 0) })
+	if !ok || p.result != routing.Chosen {
+		return gateway.Route{}, gateway.NewRefusal(gateway.ReasonNoUpstream, retryDefault, "no upstream can take the call: "+p.result.String())
+	}
+	return gateway.Route{
+		Upstream: p.choice.Upstream,
+		Addr:     p.choice.Addr,
+		Resumes:  c.Service == "",
+		Done:     func(res gateway.AttemptResult) { r.done(p.choice, res) },
+	}, nil
+}
+
+func blockHashes(hashes []uint64) []routing.BlockHash {
+	blocks := make([]routing.BlockHash, len(hashes))
+	for i, h := range hashes {
+		blocks[i] = routing.BlockHash(h)
+	}
+	return blocks
+}
+
+func (l *loop) pick(q routing.Query, first bool) picked {
+	choice, result := l.selector.Select(q, l.now())
+	if result == routing.Chosen {
+		l.selector.Sent(choice, q.Prefix, l.now())
+		if first {
+			l.retrier.Sent(choice.Upstream, q.Customer)
+		}
+	}
+	return picked{choice: choice, result: result}
+}
+
+func (r *router) done(c routing.Choice, res gateway.AttemptResult) {
+	ending := map[gateway.AttemptResult]routing.Ending{
+		gateway.AttemptOK:        routing.Answered,
+		gateway.AttemptFailed:    routing.Failed,
+		gateway.AttemptRefused:   routing.Rejected,
+		gateway.AttemptCancelled: routing.Canceled,
+	}[res]
+	r.loop.post(context.Background(), func() { r.loop.selector.Done(c, ending, r.loop.now()) })
+}
+
+// noDeadline is beyond every deadline: a started stream has none.
+const noDeadline = time.Duration(1<<63 - 1)
+
+// MayRetry implements gateway.Router.
+func (r *router) MayRetry(c *gateway.Call, f gateway.FailedAttempt) (time.Duration, bool) {
+	a := routing.Attempt{
+		Upstream:   f.Upstream,
+		Customer:   c.Customer(),
+		Execution:  execution(f.Ran),
+		Idempotent: !c.RunsOnce,
+		Number:     f.Number,
+		Deadline:   r.loop.now() + time.Until(c.Deadline),
+	}
+	if f.Resumable {
+		a.Deadline = noDeadline
+	}
+	type answer struct {
+		wait   time.Duration
+		denial routing.RetryDenial
+	}
+	got, ok := call(context.Background(), r.loop, func() answer {
+		wait, denial := r.loop.retrier.Retry(a, r.loop.now())
+		return answer{wait, denial}
+	})
+	return got.wait, ok && got.denial == routing.Allowed
+}
+
+func execution(ran gateway.Ran) routing.Execution {
+	switch ran {
+	case gateway.NotRun:
+		return routing.NotRun
+	case gateway.DidRun:
+		return routing.Ran
+	default:
+		return routing.Indeterminate
+	}
+}
+
+// cacheEvents turns the upstreams' cache events into those of routing.
+type cacheEvents struct {
+	selector *routing.Selector
+}
+
+func newCacheEvents(s *routing.Selector) *cacheEvents {
+	return &cacheEvents{selector: s}
+}
+
+// apply takes one batch. It is true where the upstream should send its whole
+// cache.
+func (ce *cacheEvents) apply(b engine.CacheEvents, now time.Duration) bool {
+	index := ce.selector.Prefixes()
+	kind := routing.Added
+	if b.Full {
+		kind = routing.Resynced
+	}
+	var added, removed []routing.BlockHash
+	for _, e := range b.Events {
+		h, ok := engine.ParsePrefix(e.Prefix)
+		switch {
+		case !ok:
+		case e.Op == engine.CacheRemove:
+			removed = append(removed, routing.BlockHash(h))
+		default:
+			added = append(added, routing.BlockHash(h))
+		}
+	}
+	index.Apply(routing.CacheEvent{Upstream: b.ID, Incarnation: b.Incarnation, Seq: b.Seq, Kind: kind, Blocks: added, Dropped: removed}, now)
+	for _, id := range index.TakeResyncs() {
+		if id == b.ID {
+			return true
+		}
+	}
+	return false
+}
+
+func sortedDemand(rows map[demandKey]*placement.Demand) []placement.Demand {
+	list := make([]placement.Demand, 0, len(rows))
+	for _, r := range rows {
+		if r.Model != "" {
+			list = append(list, *r)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].Key != list[j].Key {
+			return list[i].Key.Less(list[j].Key)
+		}
+		return list[i].Adapter < list[j].Adapter
+	})
+	return list
+}
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -5,11 +5,11 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/agateslip/agateslip/contract"
 	"github.com/agateslip/agateslip/control"
 	"github.com/agateslip/agateslip/internal/yamlcheck"
+	"github.com/agateslip/agateslip/placement"
 )
 
 // HeaderActor names the operator in the audit trail.
@@ -79,12 +79,17 @@
 	// ProofAge is the age of the proof that the revision is current.
 	ProofAge contract.Duration `json:"proofAge"`
 	// Leader is the node that leads the control group; empty if unknown.
-	Leader    string           `json:"leader"`
-	Applied   uint64           `json:"applied"`
-	Running   int              `json:"running"`
-	Grants    []control.Grant  `json:"grants"`
-	Upstreams []UpstreamStatus `json:"upstreams"`
-	Uptime    time.Duration    `json:"uptime"`
+	Leader string `json:"leader"`
+	// Member is this node's member id in the control group; 0 if it has none.
+	Member uint64 `json:"member,omitempty"`
+	// Applied is the last entry of the log applied here.
+	Applied uint64 `json:"applied"`
+	// Running is the number of callers' requests in progress here.
+	Running   int               `json:"running"`
+	Grants    []placement.Grant `json:"grants"`
+	Upstreams []UpstreamStatus  `json:"upstreams"`
+	// Uptime is the time since the process started.
+	Uptime contract.Duration `json:"uptime"`
 }
 
 // ErrorBody is the answer to a request that failed.
--- a/routing/prefix.go
+++ b/routing/prefix.go
@@ -64,6 +64,8 @@
 	Kind CacheEventKind
 	// Blocks are the blocks added, removed or held.
 	Blocks []BlockHash
+	// Dropped are the blocks that an Added event also tells the loss of.
+	Dropped []BlockHash
 }
 
 // gapDiscount is the weight of facts from before a gap in the events.
@@ -120,6 +122,7 @@
 		c.clear()
 	}
 	c.seq = e.Seq
+	c.remove(e.Dropped)
 	switch e.Kind {
 	case Added, Resynced:
 		x.add(c, e.Blocks, now)
