Add replica: drive the consensus core with storage and a transport

One goroutine owns the core and the state machine. Proposals that arrive while it waits for a sync share the next one. LeaseValid reads the core under a lock with its own clock reading, so that an owner that is stuck in a sync cannot leave a stale answer behind. Queued messages are taken before the timers, so that a slow sync does not make a leader step down while its followers' answers wait.

Weighed: a writer goroutine beside the owner. The core hands out one output at a time and nothing in it may leave before it is durable, so a second goroutine could only step messages meanwhile; the queue does that.

Tests run in virtual time (testing/synctest) over a network in memory: kills with partial loss of unsynced data, a wiped disk replaced under a new ID with a second voter lost right after, failing storage, transfer, feeds from any index.

--- a/internal/faultfs/faultfs.go
+++ b/internal/faultfs/faultfs.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -19,6 +20,9 @@
 
 // FS implements storage.FS. Methods may be called from any goroutine.
 type FS struct {
+	// SyncDelay is how long each sync takes.
+	SyncDelay time.Duration
+
 	mu sync.Mutex
 	// names are the files as the process sees them; durable is what a crash
 	// leaves, journal the changes of names since the last SyncDir.
@@ -61,6 +65,13 @@
 // process that is killed there.
 func (f *FS) DieAt(op int) { f.FailAt(op, errDied) }
 
+// Die makes every later operation fail.
+func (f *FS) Die() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dead = errDied
+}
+
 var errDied = errors.New("process died")
 
 // Ops returns how many changing operations were done.
@@ -302,6 +313,7 @@
 }
 
 func (f *file) Sync() error {
+	time.Sleep(f.fs.SyncDelay)
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
 	if err := f.begin(); err != nil {
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -22,7 +22,7 @@
 	unproven := make(chan struct{}, maxUnproven)
 	for {
 		conn, err := m.listener.Accept()
-		if ctx.Err() != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,212 @@
+package replica_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/internal/replica"
+	"github.com/agateslip/agateslip/internal/storage"
+	"github.com/agateslip/agateslip/raft"
+)
+
+// bubble runs a test with a cluster in virtual time.
+func bubble(t *testing.T, seed uint64, test func(*is.I, *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, seed, 1, 2, 3)
+		defer c.stopAll()
+		test(is.New(t), c)
+	})
+}
+
+func others(c *cluster, id raft.MemberID) []raft.MemberID {
+	var ids []raft.MemberID
+	for _, other := range c.founded {
+		if other != id {
+			ids = append(ids, other)
+		}
+	}
+	return ids
+}
+
+func TestKilledMembersKeepAcceptedEntries(t *testing.T) {
+	bubble(t, 1, func(is *is.I, c *cluster) {
+		for round := range 12 {
+			leader := c.leader()
+			for i := range 60 {
+				is.True(c.put(leader, fmt.Sprintf("k%d-%d", round, i), 0, i).OK)
+			}
+			switch round % 3 {
+			case 0:
+				c.kill(leader.id)
+				c.restart(leader.id)
+			case 1:
+				follower := others(c, leader.id)[round%2]
+				c.kill(follower)
+				c.restart(follower)
+			default:
+				for _, id := range c.founded {
+					c.kill(id)
+				}
+				for _, id := range c.founded {
+					c.restart(id)
+				}
+			}
+		}
+		leader := c.leader()
+		for round := range 12 {
+			for i := range 60 {
+				is.Equal(leader.machine.get(fmt.Sprintf("k%d-%d", round, i)).Version, 1)
+			}
+		}
+		c.converge(1, 2, 3)
+	})
+}
+
+func TestNotLeaderAndUnknownOutcomes(t *testing.T) {
+	bubble(t, 2, func(is *is.I, c *cluster) {
+		leader := c.leader()
+		is.True(c.put(leader, "a", 0, 1).OK)
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+
+		follower := c.member(others(c, leader.id)[0])
+		_, err := follower.Propose(ctx, encode(command{Key: "a"}))
+		var notLeader *replica.NotLeaderError
+		is.True(errors.As(err, &notLeader) && errors.Is(err, replica.ErrNotProposed))
+		is.Equal(notLeader.Leader, leader.id)
+		_, err = follower.ReadBarrier(ctx)
+		is.True(errors.As(err, &notLeader))
+
+		c.isolate(leader.id, true)
+		_, err = leader.Propose(ctx, encode(command{ID: "lost", Key: "lost", Value: 1}))
+		is.True(errors.Is(err, replica.ErrUnknown)) // stepped down after appending
+		is.True(!leader.LeaseValid())
+		next := c.leader(others(c, leader.id)...)
+		is.True(c.put(next, "b", 0, 1).OK)
+		c.isolate(leader.id, false)
+		c.converge(1, 2, 3)
+		is.Equal(leader.machine.get("lost").Version, 0)
+		is.Equal(leader.machine.get("b").Version, 1)
+
+		expired, stop := context.WithCancel(ctx)
+		stop()
+		_, err = next.Propose(expired, encode(command{ID: "x", Key: "x"}))
+		is.True(err != nil)
+	})
+}
+
+func TestTransferHandsLeadershipOver(t *testing.T) {
+	bubble(t, 3, func(is *is.I, c *cluster) {
+		leader := c.leader()
+		is.True(c.put(leader, "a", 0, 1).OK)
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		start := time.Now()
+		is.NoErr(leader.Transfer(ctx))
+		next := c.leader(others(c, leader.id)...)
+		is.True(time.Since(start) < electionTimeout) // nobody waited for a timeout
+		index, err := next.ReadBarrier(ctx)
+		is.NoErr(err)
+		is.NoErr(leader.WaitApplied(ctx, index))
+		is.Equal(leader.machine.get("a").Version, 1)
+	})
+}
+
+// TestWipedMemberIsReplaced loses a disk, replaces the member under a new ID,
+// and loses a second voter right after.
+func TestWipedMemberIsReplaced(t *testing.T) {
+	bubble(t, 4, func(is *is.I, c *cluster) {
+		leader := c.leader()
+		for i := range 2 * replica.SnapshotInterval {
+			is.True(c.put(leader, "k", i, i).OK)
+		}
+		lost := others(c, leader.id)[0]
+		c.kill(lost)
+		c.member(lost).fs.Wipe()
+		_, _, err := storage.Open(storeOptions(lost, c.member(lost).fs))
+		is.True(errors.Is(err, storage.ErrNotCreated))
+
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		c.create(4, raft.Restored{})
+		is.NoErr(leader.Replace(ctx, lost, 4))
+		is.NoErr(leader.Replace(ctx, lost, 4)) // a resend changes nothing
+		accepted := c.put(leader, "k", 2*replica.SnapshotInterval, 9999)
+		is.True(accepted.OK)
+		c.kill(leader.id)
+
+		last := others(c, leader.id)[1]
+		next := c.leader(last, 4)
+		is.Equal(next.machine.get("k"), accepted)
+		is.True(c.put(next, "after", 0, 1).OK)
+	})
+}
+
+// TestStorageFailureStopsTheReplica fails a sync: nothing is acknowledged, and
+// the others go on.
+func TestStorageFailureStopsTheReplica(t *testing.T) {
+	bubble(t, 5, func(is *is.I, c *cluster) {
+		leader := c.leader()
+		leader.fs.Die()
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		_, err := leader.Propose(ctx, encode(command{ID: "x", Key: "x", Value: 1}))
+		is.True(errors.Is(err, replica.ErrUnknown))
+		_, err = leader.Propose(ctx, encode(command{ID: "y", Key: "y", Value: 1}))
+		is.True(errors.Is(err, replica.ErrNotProposed) && errors.Is(err, replica.ErrStopped))
+		next := c.leader(others(c, leader.id)...)
+		is.True(c.put(next, "a", 0, 1).OK)
+	})
+}
+
+// TestFeedBringsFollowersForward follows without a disk from any index.
+func TestFeedBringsFollowersForward(t *testing.T) {
+	bubble(t, 6, func(is *is.I, c *cluster) {
+		leader := c.leader()
+		const changes = 5 * replica.SnapshotInterval
+		for i := range changes {
+			is.True(c.put(leader, "k", i, i).OK)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		for _, from := range []uint64{0, 1, changes / 2, changes - 10, changes} {
+			follower := newRegisters()
+			at := follow(is, leader, follower, from)
+			is.Equal(at, leader.Status().Applied)
+			if from == 0 {
+				is.Equal(follower.dump(), leader.machine.dump())
+			}
+		}
+		is.True(leader.Update(ctx, 0).Confirmed)
+		is.True(!c.member(others(c, leader.id)[0]).Update(ctx, 0).Confirmed)
+
+		at := leader.Status().Applied
+		go c.put(leader, "late", 0, 1)
+		is.Equal(leader.Feed().Wait(ctx, at).Commit, at+1)
+	})
+}
+
+// follow applies updates after index until the follower is up to date.
+func follow(is *is.I, m *member, follower *registers, index uint64) uint64 {
+	for {
+		u := m.Feed().Since(index)
+		if u.Snapshot != nil {
+			is.NoErr(follower.Restore(u.Snapshot.Data))
+			index = u.Snapshot.Index
+		}
+		for _, e := range u.Entries {
+			is.Equal(e.Index, index+1)
+			follower.Apply(e)
+			index = e.Index
+		}
+		if index >= u.Commit {
+			return index
+		}
+	}
+}
