Run a node: control group, followers, planner, callers and operators

Purpose: the whole path as separate processes.

Weighed: push of entries to followers against a long poll (chosen: no state a follower at the voters, wakes at once).

--- a/cmd/agateslip/main.go
+++ b/cmd/agateslip/main.go
@@ -2,4 +2,10 @@
 // and the demonstration.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/agateslip/agateslip/internal/cli"
+)
+
+func main() { os.Exit(cli.Main()) }
--- a/contract/units.go
+++ b/contract/units.go
@@ -5,7 +5,9 @@
 	"strings"
 	"time"
 
+	"github.com/agateslip/agateslip/internal/yamlcheck"
 	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml/ast"
 )
 
 // String renders the span as Go does.
@@ -14,6 +16,11 @@
 // MarshalText renders the span as in "1.5s".
 func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
 
+// UnmarshalYAML reads a span and names field and line of a wrong one.
+func (d *Duration) UnmarshalYAML(node ast.Node) error {
+	return yamlcheck.UnmarshalScalar(node, d)
+}
+
 // UnmarshalText reads a span with its unit, as in "1.5s".
 func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
@@ -50,6 +57,11 @@
 // MarshalText renders the amount as in "14GiB".
 func (b Bytes) MarshalText() ([]byte, error) { return []byte(b.String()), nil }
 
+// UnmarshalYAML reads an amount and names field and line of a wrong one.
+func (b *Bytes) UnmarshalYAML(node ast.Node) error {
+	return yamlcheck.UnmarshalScalar(node, b)
+}
+
 // UnmarshalText reads an amount with its unit, as in "14GiB" or "1.5GiB".
 func (b *Bytes) UnmarshalText(text []byte) error {
 	s := strings.TrimSpace(string(text))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -107,7 +108,7 @@
 
 // roundTrip sends the call once and returns the answer once its header is here.
 // The error is an *attemptError.
-func (s *sender) roundTrip(ctx context.Context, c *Call, a attempt) (*http.Response, error) {
+func (s *sender) roundTrip(ctx context.Context, c *Call, a attempt) (*answer, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	req, err := s.request(httptrace.WithClientTrace(ctx, trace), c, a)
@@ -127,7 +128,7 @@
 		}
 		return nil, &attemptError{ran: ran, err: errors.Wrapf(err, "upstream %s", a.route.Upstream)}
 	}
-	return s.checkAnswer(resp, a)
+	return s.checkAnswer(&answer{status: resp.StatusCode, header: resp.Header, body: resp.Body}, a)
 }
 
 func (s *sender) request(ctx context.Context, c *Call, a attempt) (*http.Request, error) {
@@ -147,19 +148,26 @@
 
 // checkAnswer drops an answer to another attempt and finds refusals that prove
 // that the call was not run.
-func (s *sender) checkAnswer(resp *http.Response, a attempt) (*http.Response, error) {
-	if id := resp.Header.Get(headerAttempt); id != "" && id != a.id {
+func (s *sender) checkAnswer(resp *answer, a attempt) (*answer, error) {
+	if id := resp.header.Get(headerAttempt); id != "" && id != a.id {
 		s.metrics.Foreign.Add(1)
-		closeBody(resp)
+		resp.close()
 		return nil, &attemptError{ran: RanUnknown, err: errors.Newf("upstream %s answered another attempt", a.route.Upstream)}
 	}
-	if resp.Header.Get(headerNotRun) == "true" {
-		closeBody(resp)
-		return nil, &attemptError{ran: NotRun, refused: true, err: errors.Newf("upstream %s refused with status %d", a.route.Upstream, resp.StatusCode)}
+	if resp.header.Get(headerNotRun) == "true" {
+		resp.close()
+		return nil, &attemptError{ran: NotRun, refused: true, err: errors.Newf("upstream %s refused with status %d", a.route.Upstream, resp.status)}
 	}
 	return resp, nil
 }
 
-// closeBody ends an answer that is not read to its end. The connection goes
+// answer is an upstream's answer whose header is here.
+type answer struct {
+	status int
+	header http.Header
+	body   io.ReadCloser
+}
+
+// close ends an answer. Where it was not read to its end the connection goes
 // with it, which cancels the call at the upstream.
-func closeBody(resp *http.Response) { _ = resp.Body.Close() }
+func (a *answer) close() { _ = a.body.Close() }
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -114,8 +114,11 @@
 	return &Refusal{Reason: reason, Ran: NotRun, Message: fmt.Sprintf(format, args...)}
 }
 
-func (r *Refusal) after(d time.Duration) *Refusal {
-	r.RetryAfter = d
+// comeBack is when a caller may try again where nothing better is known.
+const comeBack = time.Second
+
+func (r *Refusal) afterMoment() *Refusal {
+	r.RetryAfter = comeBack
 	return r
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -41,21 +41,21 @@
 }
 
 // whole sends an answer that is here whole.
-func (o *relay) whole(resp *http.Response, body []byte) error {
-	copyAnswerHeader(o.w.Header(), resp.Header)
+func (o *relay) whole(resp *answer, body []byte) error {
+	copyAnswerHeader(o.w.Header(), resp.header)
 	o.w.Header().Set("Content-Length", contentLength(body))
-	return o.send(resp.StatusCode, body)
+	return o.send(resp.status, body)
 }
 
 // rest sends the head of a large answer and streams what follows.
-func (o *relay) rest(resp *http.Response, head []byte) error {
-	copyAnswerHeader(o.w.Header(), resp.Header)
-	if err := o.send(resp.StatusCode, head); err != nil {
+func (o *relay) rest(resp *answer, head []byte) error {
+	copyAnswerHeader(o.w.Header(), resp.header)
+	if err := o.send(resp.status, head); err != nil {
 		return err
 	}
 	buf := make([]byte, 32<<10)
 	for {
-		n, err := resp.Body.Read(buf)
+		n, err := resp.body.Read(buf)
 		if n > 0 {
 			if werr := o.write(buf[:n]); werr != nil {
 				return werr
@@ -91,11 +91,11 @@
 // events relays a stream of server-sent events, whole events only, so that a
 // broken attempt can be resumed at the next token. It returns nil only after
 // the end marker.
-func (o *relay) events(resp *http.Response) error {
+func (o *relay) events(resp *answer) error {
 	if !o.started {
 		o.startStream(resp)
 	}
-	reader := bufio.NewReaderSize(resp.Body, connBufferBytes)
+	reader := bufio.NewReaderSize(resp.body, connBufferBytes)
 	o.event = make([]byte, 0, eventBufferBytes)
 	for {
 		done, err := o.nextEvent(reader)
@@ -108,11 +108,11 @@
 	}
 }
 
-func (o *relay) startStream(resp *http.Response) {
-	copyAnswerHeader(o.w.Header(), resp.Header)
+func (o *relay) startStream(resp *answer) {
+	copyAnswerHeader(o.w.Header(), resp.header)
 	o.w.Header().Del("Content-Length")
 	o.w.Header().Set(HeaderRan, string(DidRun))
-	o.w.WriteHeader(resp.StatusCode)
+	o.w.WriteHeader(resp.status)
 	o.started = true
 	// The caller may be gone; the next write tells.
 	_ = o.rc.Flush()
--- a/internal/gateway/repeatable.go
+++ b/internal/gateway/repeatable.go
@@ -16,8 +16,6 @@
 	// maxBufferedAnswer bounds an answer that is read whole before its first
 	// byte goes out, so that a further attempt is still possible, in bytes.
 	maxBufferedAnswer = 1 << 20
-	// comeBack is when a caller may try again after a failed call.
-	comeBack = time.Second
 )
 
 // run has a call admitted and runs it.
@@ -109,7 +107,7 @@
 		a.route.Done(resultOf(err))
 		return err
 	}
-	defer closeBody(resp)
+	defer resp.close()
 	err = s.relayAnswer(resp, out, stopTimer)
 	if err != nil {
 		a.route.Done(AttemptFailed)
@@ -142,15 +140,15 @@
 
 // relayAnswer sends a stream of events on as it comes, and any other answer
 // once it is here whole.
-func (s *sender) relayAnswer(resp *http.Response, out *relay, stopTimer func()) error {
-	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+func (s *sender) relayAnswer(resp *answer, out *relay, stopTimer func()) error {
+	if strings.HasPrefix(resp.header.Get("Content-Type"), "text/event-stream") {
 		stopTimer()
 		return out.events(resp)
 	}
 	if out.started {
-		return &attemptError{ran: DidRun, err: errors.Newf("resumed stream answered with status %d", resp.StatusCode)}
+		return &attemptError{ran: DidRun, err: errors.Newf("resumed stream answered with status %d", resp.status)}
 	}
-	head, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedAnswer+1))
+	head, err := io.ReadAll(io.LimitReader(resp.body, maxBufferedAnswer+1))
 	stopTimer()
 	if err != nil {
 		return &attemptError{ran: DidRun, err: errors.Wrap(err, "read answer")}
@@ -174,7 +172,7 @@
 	if time.Until(c.Deadline) <= 0 {
 		reason = ReasonDeadline
 	}
-	return refuse(reason, "%v", last).withRan(ranOf(last)).after(comeBack)
+	return refuse(reason, "%v", last).withRan(ranOf(last)).afterMoment()
 }
 
 func contentLength(body []byte) string { return strconv.Itoa(len(body)) }
--- a/internal/gateway/runonce.go
+++ b/internal/gateway/runonce.go
@@ -33,7 +33,7 @@
 	answer *ledger.Answer
 	// resp is set where the answer is too large to be recorded; head is what was
 	// read of it.
-	resp *http.Response
+	resp *answer
 	head []byte
 	err  error
 }
@@ -83,7 +83,7 @@
 		if err != nil {
 			if !pause(ctx, claimBackoff) {
 				go g.withdraw(claim)
-				return false, refuse(ReasonClaim, "the call could not be claimed; this submission was not run, an earlier one may have").withRan(RanUnknown).after(comeBack)
+				return false, refuse(ReasonClaim, "the call could not be claimed; this submission was not run, an earlier one may have").withRan(RanUnknown).afterMoment()
 			}
 			continue
 		}
@@ -92,7 +92,7 @@
 			return false, nil
 		case ledger.InProgress:
 			if !pause(ctx, claimPoll) {
-				return false, refuse(ReasonInProgress, "the call with this idempotency key is still in progress").withRan(RanUnknown).after(comeBack)
+				return false, refuse(ReasonInProgress, "the call with this idempotency key is still in progress").withRan(RanUnknown).afterMoment()
 			}
 		case ledger.Settled:
 			return g.replay(w, res.Record)
@@ -152,7 +152,7 @@
 	for _, f := range a.Header {
 		header.Add(f.Name, f.Value)
 	}
-	return newRelay(w).whole(&http.Response{StatusCode: a.Status, Header: header}, a.Body)
+	return newRelay(w).whole(&answer{status: a.Status, header: header}, a.Body)
 }
 
 // sendOnce sends a claimed call. The sending goes on when the caller is gone or
@@ -176,7 +176,7 @@
 		return g.answerOnce(w, out)
 	case <-timer.C:
 		go dropLate(result, cancel)
-		return refuse(ReasonDeadline, "the call was sent and has not been answered in time").withRan(RanUnknown).after(comeBack)
+		return refuse(ReasonDeadline, "the call was sent and has not been answered in time").withRan(RanUnknown).afterMoment()
 	}
 }
 
@@ -184,14 +184,14 @@
 func dropLate(result <-chan onceOutcome, cancel context.CancelFunc) {
 	defer cancel()
 	if out := <-result; out.resp != nil {
-		closeBody(out.resp)
+		out.resp.close()
 	}
 }
 
 func (g *Gateway) answerOnce(w http.ResponseWriter, out onceOutcome) error {
 	switch {
 	case out.resp != nil:
-		defer closeBody(out.resp)
+		defer out.resp.close()
 		return newRelay(w).rest(out.resp, out.head)
 	case out.state == ledger.Done:
 		return writeAnswer(w, out.answer)
@@ -209,7 +209,7 @@
 	}
 	r := refuse(ReasonUpstreamFailed, "%v", err).withRan(ran)
 	if ran == NotRun {
-		return r.after(comeBack)
+		return r.afterMoment()
 	}
 	return r
 }
@@ -285,28 +285,28 @@
 
 // readOnce reads an answer to record it. A larger one is recorded without its
 // body.
-func readOnce(resp *http.Response) onceOutcome {
-	head, err := io.ReadAll(io.LimitReader(resp.Body, maxRecordedAnswer+1))
+func readOnce(resp *answer) onceOutcome {
+	head, err := io.ReadAll(io.LimitReader(resp.body, maxRecordedAnswer+1))
 	if err != nil {
-		closeBody(resp)
+		resp.close()
 		return onceOutcome{state: ledger.Unknown, err: errors.Wrap(err, "read answer")}
 	}
-	answer := &ledger.Answer{Status: resp.StatusCode}
+	rec := &ledger.Answer{Status: resp.status}
 	header := http.Header{}
-	copyAnswerHeader(header, resp.Header)
+	copyAnswerHeader(header, resp.header)
 	for _, name := range sortedNames(header) {
 		for _, v := range header[name] {
-			answer.Header = append(answer.Header, ledger.HeaderField{Name: name, Value: v})
+			rec.Header = append(rec.Header, ledger.HeaderField{Name: name, Value: v})
 		}
 	}
-	out := onceOutcome{state: ledger.Done, answer: answer}
+	out := onceOutcome{state: ledger.Done, answer: rec}
 	if len(head) > maxRecordedAnswer {
-		answer.BodyDropped = true
+		rec.BodyDropped = true
 		out.resp = resp
 		out.head = head
 		return out
 	}
-	closeBody(resp)
-	answer.Body = head
+	resp.close()
+	rec.Body = head
 	return out
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -33,8 +33,6 @@
 	bodyTimeout = 30 * time.Second
 	// idleTimeout bounds how long an idle connection of a caller is kept.
 	idleTimeout = 60 * time.Second
-	// notCurrentRetry is when to come back to a node that is not current.
-	notCurrentRetry = time.Second
 )
 
 // Gateway serves callers.
@@ -71,6 +69,9 @@
 // Stop fails readiness. Requests are still served.
 func (g *Gateway) Stop() { g.stopping.Store(true) }
 
+// Stopping says whether Stop was called.
+func (g *Gateway) Stopping() bool { return g.stopping.Load() }
+
 // Running is the number of requests in progress.
 func (g *Gateway) Running() int { return int(g.running.Load()) }
 
@@ -186,7 +187,7 @@
 	}
 	if g.bodies.Add(size) > MaxBodiesBytes {
 		g.bodies.Add(-size)
-		return nil, nil, refuse(ReasonNoMemory, "too many request bodies are held").after(notCurrentRetry)
+		return nil, nil, refuse(ReasonNoMemory, "too many request bodies are held").afterMoment()
 	}
 	free := func() { g.bodies.Add(-size) }
 	rc := http.NewResponseController(w)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"github.com/agateslip/agateslip/admission"
@@ -94,8 +93,8 @@
 	kick chan struct{}
 	// ended is closed when the control goroutine has ended.
 	ended chan struct{}
-	cache    *cacheEvents
-	lead     *leadership
+	cache *cacheEvents
+	lead  *leadership
 }
 
 func newLoop(n *Node) *loop {
@@ -397,6 +396,3 @@
 		l.demandOf(demandKey{Key: r.Key, Adapter: r.Adapter}).arrivals += r.Arrivals
 	}
 }
-
-// isService says whether an admission target is a plain service.
-func isService(target string) bool { return strings.HasPrefix(target, gateway.ServiceTarget("")) }
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -12,8 +12,6 @@
 
 // Methods between nodes.
 const (
-	// methodRaft carries a raft.Message as a notification.
-	methodRaft = "raft.step"
 	// methodPropose carries a proposal to the leader.
 	methodPropose = "control.propose"
 	// methodEntries asks for entries after an index.
@@ -26,6 +24,8 @@
 	methodSync = "node.sync"
 	// methodPush carries announcements as a notification.
 	methodPush = "directory.push"
+	// methodCache carries cache events as a notification.
+	methodCache = "cache.push"
 	// methodPull asks for announcements newer than a digest.
 	methodPull = "directory.pull"
 )
@@ -77,19 +77,10 @@
 	Wait time.Duration `json:"wait"`
 }
 
-// entriesReply holds entries, or a snapshot where they are no longer held.
-type entriesReply struct {
-	Entries  []raft.Entry   `json:"entries,omitempty"`
-	Snapshot *raft.Snapshot `json:"snapshot,omitempty"`
-}
-
 // tailReply is the end of a voter's log.
 type tailReply struct {
 	Member raft.MemberID `json:"member"`
 	Last   uint64        `json:"last"`
-	// Members is the membership as the voter knows it.
-	Members raft.Members `json:"members"`
-	Leader  raft.MemberID `json:"leader"`
 }
 
 // pushNote carries announcements that the sender heard.
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,420 @@
+// Package node assembles one entry node: the callers' surface, the control
+// group's member or follower, the links to the other nodes, the planner and the
+// operators' surface, as a tree of supervised parts.
+package node
+
+import (
+	"context"
+	"crypto/sha256"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/agateslip/agateslip/contract"
+	"github.com/agateslip/agateslip/control"
+	"github.com/agateslip/agateslip/internal/config"
+	"github.com/agateslip/agateslip/internal/engine"
+	"github.com/agateslip/agateslip/internal/gateway"
+	"github.com/agateslip/agateslip/internal/operator"
+	"github.com/agateslip/agateslip/internal/peer"
+	"github.com/agateslip/agateslip/internal/replica"
+	"github.com/agateslip/agateslip/internal/storage"
+	"github.com/agateslip/agateslip/internal/supervisor"
+	"github.com/agateslip/agateslip/ledger"
+	"github.com/agateslip/agateslip/raft"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+)
+
+// Timers of the control group. A leader acts alone for at most raftLease after
+// it sent the round that a majority answered.
+const (
+	raftHeartbeat = 100 * time.Millisecond
+	raftElection  = 1000 * time.Millisecond
+	raftLease     = 700 * time.Millisecond
+	raftBatch     = 1 << 20
+	raftInflight  = 64
+)
+
+// Node is one entry node.
+type Node struct {
+	cfg      config.Config
+	log      logrus.FieldLogger
+	start    time.Time
+	boot     string
+	seed     uint64
+	memberID raft.MemberID
+
+	store    *store
+	disk     *storage.Store
+	mesh     *peer.Mesh
+	members  *memberNodes
+	group    *group
+	currency currency
+	loop     *loop
+	gateway  *gateway.Gateway
+	metrics  *expvar.Map
+
+	callers   net.Listener
+	upstreams net.Listener
+	operators net.Listener
+
+	// nextVoter is the voter to ask next. Only the sync and follow parts use it.
+	nextVoter int
+	drainOnce sync.Once
+	draining  chan struct{}
+}
+
+// New opens the node's data folder and addresses. Run must be called next.
+func New(cfg config.Config, log logrus.FieldLogger) (*Node, error) {
+	n := &Node{
+		cfg:      cfg,
+		log:      log.WithFields(logrus.Fields{"node": cfg.Node, "domain": cfg.Domain}),
+		start:    time.Now(),
+		boot:     uuid.NewString(),
+		seed:     rand.Uint64(),
+		store:    newStore(),
+		members:  newMemberNodes(),
+		metrics:  new(expvar.Map).Init(),
+		draining: make(chan struct{}),
+	}
+	for _, p := range cfg.Peers {
+		n.members.set(raft.MemberID(p.Voter), p.Node)
+	}
+	if err := n.open(); err != nil {
+		n.close()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) open() error {
+	mux := peer.NewMux()
+	if err := n.openMesh(mux); err != nil {
+		return err
+	}
+	n.group = &group{node: n.cfg.Node, mesh: n.mesh, members: n.members}
+	if n.cfg.Data != "" {
+		if err := n.openReplica(mux); err != nil {
+			return err
+		}
+	}
+	n.loop = newLoop(n)
+	n.handle(mux)
+	n.gateway = gateway.New(
+		&contracts{node: n},
+		&admitter{loop: n.loop},
+		&router{loop: n.loop},
+		&claims{group: n.group, owner: ledger.Owner{Node: n.cfg.Node, Boot: n.boot}},
+		n.log,
+		gateway.NewMetrics(n.metrics),
+	)
+	return n.listen()
+}
+
+func (n *Node) openMesh(mux *peer.Mux) error {
+	var peers []peer.Peer
+	for _, p := range n.cfg.Peers {
+		peers = append(peers, peer.Peer{Name: p.Node, Addr: p.Addr})
+	}
+	mesh, err := peer.New(peer.Options{
+		Self:   n.cfg.Node,
+		Addr:   n.cfg.Listen.Peers,
+		Peers:  peers,
+		Secret: n.cfg.Secret,
+		Mux:    mux,
+		Log:    n.log.WithField("part", "peers"),
+		Seed:   n.seed,
+	})
+	if err != nil {
+		return errors.Wrap(err, "listen.peers")
+	}
+	n.mesh = mesh
+	return nil
+}
+
+// openReplica opens the data folder and the member of the control group in it.
+func (n *Node) openReplica(mux *peer.Mux) error {
+	id, err := storage.ReadIdentity(nil, n.cfg.Data)
+	if errors.Is(err, storage.ErrNotCreated) {
+		return errors.Wrapf(err, "data folder %s: run agateslip init for a new group, or agateslip init --rejoin after a lost disk", n.cfg.Data)
+	}
+	if err != nil {
+		return err
+	}
+	disk, restored, err := storage.Open(storage.Options{Dir: n.cfg.Data, Identity: storage.Identity{Group: n.cfg.Group, Member: id.Member}})
+	if err != nil {
+		return err
+	}
+	n.disk = disk
+	n.memberID = id.Member
+	n.members.set(id.Member, n.cfg.Node)
+	rep, err := replica.New(replica.Config{
+		Raft:      raftConfig(id.Member, n.seed),
+		Restored:  restored,
+		Store:     disk,
+		Machine:   n.store,
+		Transport: replica.MeshTransport{Mesh: n.mesh, Directory: n.members},
+		Log:       n.log.WithField("part", "replica"),
+	})
+	if err != nil {
+		return err
+	}
+	replica.HandleMessages(mux, n.members, rep.Deliver)
+	n.group.replica = rep
+	return nil
+}
+
+func raftConfig(id raft.MemberID, seed uint64) raft.Config {
+	return raft.Config{
+		ID:              id,
+		Heartbeat:       raftHeartbeat,
+		ElectionTimeout: raftElection,
+		Lease:           raftLease,
+		MaxBatchBytes:   raftBatch,
+		MaxInflight:     raftInflight,
+		Seed:            seed,
+	}
+}
+
+func (n *Node) handle(mux *peer.Mux) {
+	mux.Handle(methodPropose, n.group.servePropose)
+	mux.Handle(methodEntries, n.serveEntries)
+	mux.Handle(methodTail, n.serveTail)
+	mux.Handle(methodMembers, n.serveMembers)
+	mux.Handle(methodSync, n.serveSync)
+	mux.Handle(methodPush, n.servePush)
+	mux.Handle(methodCache, n.serveCache)
+	mux.Handle(methodPull, n.servePull)
+}
+
+func (n *Node) listen() error {
+	listens := []struct {
+		field string
+		addr  string
+		to    *net.Listener
+	}{
+		{"listen.callers", n.cfg.Listen.Callers, &n.callers},
+		{"listen.upstreams", n.cfg.Listen.Upstreams, &n.upstreams},
+		{"listen.operators", n.cfg.Listen.Operators, &n.operators},
+	}
+	for _, l := range listens {
+		ln, err := net.Listen("tcp", l.addr)
+		if err != nil {
+			return errors.Wrap(err, l.field)
+		}
+		*l.to = ln
+	}
+	return nil
+}
+
+// close releases what New opened, for a node that is not run.
+func (n *Node) close() {
+	for _, ln := range []net.Listener{n.callers, n.upstreams, n.operators} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+	if n.mesh != nil {
+		_ = n.mesh.Close()
+	}
+	if n.disk != nil {
+		_ = n.disk.Close()
+	}
+}
+
+// CallersAddr is the address that takes requests of callers.
+func (n *Node) CallersAddr() string { return n.callers.Addr().String() }
+
+// UpstreamsAddr is the address that takes announcements of upstreams.
+func (n *Node) UpstreamsAddr() string { return n.upstreams.Addr().String() }
+
+// OperatorsAddr is the address that takes operators' commands.
+func (n *Node) OperatorsAddr() string { return n.operators.Addr().String() }
+
+// now is the monotonic time since the node started.
+func (n *Node) now() time.Duration { return time.Since(n.start) }
+
+func (n *Node) origin(actor string) control.Origin {
+	return control.Origin{Actor: actor, Node: n.cfg.Node, UnixMillis: time.Now().UnixMilli()}
+}
+
+// Run serves until ctx ends or Drain is called, then stops gracefully: see
+// stop. It returns nil after a clean stop.
+func (n *Node) Run(ctx context.Context) error {
+	servers := n.servers()
+	publishMetrics(n)
+	group, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- n.tree(servers).Run(group) }()
+	n.gateway.SetReady(true)
+	n.log.WithFields(logrus.Fields{"callers": n.CallersAddr(), "operators": n.OperatorsAddr()}).Info("node started")
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	case <-n.draining:
+	}
+	n.stop(servers.callers)
+	stop()
+	err := <-ended
+	if n.disk != nil {
+		err = errors.CombineErrors(err, n.disk.Close())
+	}
+	n.log.Info("node stopped")
+	return err
+}
+
+// servers are the node's HTTP servers.
+type servers struct {
+	callers   *http.Server
+	upstreams *http.Server
+	operators *http.Server
+}
+
+func (n *Node) servers() servers {
+	return servers{
+		callers:   n.gateway.Server(),
+		upstreams: n.upstreamServer(),
+		operators: operator.NewServer(&backend{node: n}, n.cfg.OperatorToken),
+	}
+}
+
+// upstreamTimeout bounds one announcement.
+const upstreamTimeout = 5 * time.Second
+
+func (n *Node) upstreamServer() *http.Server {
+	handler := engine.Handler(&announcements{loop: n.loop})
+	if n.cfg.UpstreamToken != "" {
+		handler = requireToken(n.cfg.UpstreamToken, handler)
+	}
+	return &http.Server{Handler: handler, ReadTimeout: upstreamTimeout, IdleTimeout: 2 * upstreamTimeout}
+}
+
+// tree lists the node's parts in starting order. They stop in reverse.
+func (n *Node) tree(s servers) supervisor.Tree {
+	parts := []supervisor.Part{
+		{Name: "control", Run: n.loop.run},
+		{Name: "peers", Run: n.mesh.Run},
+	}
+	if n.group.replica != nil {
+		plan := &planner{node: n, orders: &engine.Client{}}
+		parts = append(parts,
+			supervisor.Part{Name: "replica", Run: n.runReplica},
+			supervisor.Part{Name: "placement", Run: plan.run},
+		)
+	} else {
+		parts = append(parts, supervisor.Part{Name: "follow", Run: n.runFollow})
+	}
+	parts = append(parts,
+		supervisor.Part{Name: "sync", Run: n.runSync},
+		supervisor.Part{Name: "pull", Run: n.runPull},
+		supervisor.Part{Name: "upstreams", Run: serve(s.upstreams, n.upstreams)},
+		supervisor.Part{Name: "operators", Run: serve(s.operators, n.operators)},
+		supervisor.Part{Name: "callers", Run: serve(s.callers, n.callers)},
+	)
+	return supervisor.Tree{Parts: parts, Log: n.log}
+}
+
+// runReplica ends the process when storage fails: what is durable is then not
+// known.
+func (n *Node) runReplica(ctx context.Context) error {
+	if err := n.group.replica.Run(ctx); err != nil && ctx.Err() == nil {
+		return supervisor.Permanent(err)
+	}
+	return nil
+}
+
+// serve runs an HTTP server until ctx ends.
+func serve(s *http.Server, ln net.Listener) func(context.Context) error {
+	return func(ctx context.Context) error {
+		stopped := context.AfterFunc(ctx, func() { _ = s.Close() })
+		defer stopped()
+		err := s.Serve(ln)
+		if errors.Is(err, http.ErrServerClosed) {
+			<-ctx.Done()
+			return nil
+		}
+		return supervisor.Permanent(err)
+	}
+}
+
+// contracts implements gateway.Contracts.
+type contracts struct{ node *Node }
+
+// ByKey implements gateway.Contracts.
+func (c *contracts) ByKey(sha256 string) (*contract.Contract, bool) {
+	found, ok := c.node.store.view.Load().byKey[sha256]
+	return found, ok
+}
+
+// Current implements gateway.Contracts.
+func (c *contracts) Current() error {
+	age, ok := c.node.proofAge()
+	if ok && age <= freshFor {
+		return nil
+	}
+	return gateway.NewRefusal(gateway.ReasonNotCurrent, retryDefault, "this node cannot prove that its contracts are in force")
+}
+
+// proofAge is the age of the proof that the contracts here are in force.
+func (n *Node) proofAge() (time.Duration, bool) {
+	return n.currency.age(n.now(), n.store.applied.Load())
+}
+
+// InitVoter prepares the data folder of a founding member.
+func InitVoter(cfg config.Config) (raft.MemberID, error) {
+	var voters []raft.MemberID
+	for _, p := range cfg.Peers {
+		if p.Voter != 0 {
+			voters = append(voters, raft.MemberID(p.Voter))
+		}
+	}
+	restored, err := replica.Founding(voters, newStore())
+	if err != nil {
+		return 0, err
+	}
+	return create(cfg, raft.MemberID(cfg.Self().Voter), restored)
+}
+
+// InitRejoin prepares the data folder of a member that takes the place of a
+// lost one. It has a new identity and no vote until operators give it one.
+func InitRejoin(cfg config.Config) (raft.MemberID, error) {
+	raw := uuid.New()
+	id := raft.MemberID(0)
+	for _, b := range raw[:rejoinIDBytes] {
+		id = id<<8 | raft.MemberID(b)
+	}
+	return create(cfg, id, raft.Restored{})
+}
+
+// rejoinIDBytes keeps drawn member ids exact in JSON numbers.
+const rejoinIDBytes = 6
+
+func create(cfg config.Config, id raft.MemberID, restored raft.Restored) (raft.MemberID, error) {
+	if cfg.Data == "" {
+		return 0, errors.New("data: this node has no data folder")
+	}
+	disk, err := storage.Create(storage.Options{Dir: cfg.Data, Identity: storage.Identity{Group: cfg.Group, Member: id}}, restored)
+	if err != nil {
+		return 0, err
+	}
+	return id, disk.Close()
+}
+
+// requireToken refuses announcements without the upstreams' token.
+func requireToken(token string, next http.Handler) http.Handler {
+	want := sha256.Sum256([]byte("Bearer " + token))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if sha256.Sum256([]byte(r.Header.Get("Authorization"))) != want {
+			http.Error(w, "an upstream token is required", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sort"
+	"strconv"
 	"time"
 
 	"github.com/agateslip/agateslip/internal/engine"
@@ -126,7 +127,7 @@
 	}
 	var added, removed []routing.BlockHash
 	for _, e := range b.Events {
-		h, ok := engine.ParsePrefix(e.Prefix)
+		h, ok := parsePrefix(e.Prefix)
 		switch {
 		case !ok:
 		case e.Op == engine.CacheRemove:
@@ -153,9 +154,15 @@
 	}
 	sort.Slice(list, func(i, j int) bool {
 		if list[i].Key != list[j].Key {
-			return list[i].Key.Less(list[j].Key)
+			return list[i].Less(list[j].Key)
 		}
 		return list[i].Adapter < list[j].Adapter
 	})
 	return list
 }
+
+// parsePrefix reads the identity of a cached prefix.
+func parsePrefix(s string) (uint64, bool) {
+	h, err := strconv.ParseUint(s, 16, 64)
+	return h, err == nil
+}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -73,6 +73,16 @@
 	return nil
 }
 
+// restoreAt replaces the state by the one after the entry at index. The
+// founding state is one of no entry of its own.
+func (s *store) restoreAt(index uint64, data []byte) error {
+	if err := s.Restore(data); err != nil {
+		return err
+	}
+	s.applied.Store(max(index, s.applied.Load()))
+	return nil
+}
+
 // publish makes the applied state visible. A revision never goes back: the view
 // is replaced only by a later one.
 func (s *store) publish() {
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -78,7 +78,11 @@
 	for {
 		start := time.Now()
 		err := runGuarded(ctx, p)
-		if err == nil || ctx.Err() != nil {
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			t.Log.WithError(err).WithField("part", p.Name).Debug("part ended with an error when it was stopped")
 			return nil
 		}
 		if errors.Is(err, ErrPermanent) {
--- a/internal/yamlcheck/yamlcheck.go
+++ b/internal/yamlcheck/yamlcheck.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"encoding"
 	"fmt"
 	"io"
 	"net/netip"
@@ -15,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
 )
 
 // Problem is one fault in a document.
@@ -162,9 +164,31 @@
 	}
 }
 
+// scalarError is a scalar that its type refused.
+type scalarError struct{ problem Problem }
+
+func (e *scalarError) Error() string { return e.problem.Rule }
+
+// UnmarshalScalar reads a scalar by its type's text form. The error keeps field
+// and line.
+func UnmarshalScalar(node ast.Node, out encoding.TextUnmarshaler) error {
+	tok := node.GetToken()
+	err := out.UnmarshalText([]byte(tok.Value))
+	if err == nil {
+		return nil
+	}
+	field := strings.TrimPrefix(node.GetPath(), "$.")
+	return &scalarError{Problem{Line: tok.Position.Line, Field: field, Rule: err.Error()}}
+}
+
 var unknownField = regexp.MustCompile(`unknown field "([^"]+)"`)
 
 func syntaxProblem(file string, err error) Problem {
+	var scalar *scalarError
+	if errors.As(err, &scalar) {
+		scalar.problem.File = file
+		return scalar.problem
+	}
 	p := Problem{File: file, Field: "(document)", Rule: firstLine(err.Error())}
 	var yerr yaml.Error
 	if !errors.As(err, &yerr) {
