--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -7,4 +7,4 @@
 
 type demoCmd struct{}
 
-func (c *demoCmd) run(ctx context.Context, out, errOut io.Writer) error { return nil }
+func (c *demoCmd) run(_ context.Context, _, _ io.Writer) error { return nil }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -55,6 +55,9 @@
 	// fresh carries calls that may run at most once. net/http resends a request
 	// by itself only after a reused connection failed; here none is reused.
 	fresh *http.Transport
+	// reusedStall and streamStall bound the silence of connections.
+	reusedStall time.Duration
+	streamStall time.Duration
 }
 
 func newSender(router Router, claims Claims, log logrus.FieldLogger, metrics *Metrics) *sender {
@@ -65,6 +68,9 @@
 		metrics: metrics,
 		pooled:  newTransport(false),
 		fresh:   newTransport(true),
+
+		reusedStall: defaultReusedStall,
+		streamStall: defaultStreamStall,
 	}
 }
 
@@ -100,6 +106,9 @@
 	route Route
 	// resumeFrom is the number of tokens the caller already has.
 	resumeFrom int
+	// dog watches the attempt's connection; nil for calls that may run at most
+	// once, which are never given up for another connection.
+	dog *watchdog
 }
 
 func newAttempt(route Route) attempt {
@@ -110,7 +119,12 @@
 // The error is an *attemptError.
 func (s *sender) roundTrip(ctx context.Context, c *Call, a attempt) (*answer, error) {
 	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		connected.Store(true)
+		if a.dog != nil && info.Reused {
+			a.dog.expect(s.reusedStall)
+		}
+	}}
 	req, err := s.request(httptrace.WithClientTrace(ctx, trace), c, a)
 	if err != nil {
 		return nil, &attemptError{ran: NotRun, err: err}
@@ -120,7 +134,14 @@
 		transport = s.fresh
 	}
 	resp, err := transport.RoundTrip(req)
+	if a.dog != nil {
+		a.dog.rest()
+	}
 	if err != nil {
+		if errors.Is(context.Cause(ctx), errStalled) {
+			err = errStalled
+			s.pooled.CloseIdleConnections()
+		}
 		// Without a connection nothing was written.
 		ran := RanUnknown
 		if !connected.Load() {
@@ -128,7 +149,7 @@
 		}
 		return nil, &attemptError{ran: ran, err: errors.Wrapf(err, "upstream %s", a.route.Upstream)}
 	}
-	return s.checkAnswer(&answer{status: resp.StatusCode, header: resp.Header, body: resp.Body}, a)
+	return s.checkAnswer(newAnswer(resp), a)
 }
 
 func (s *sender) request(ctx context.Context, c *Call, a attempt) (*http.Request, error) {
@@ -168,6 +189,10 @@
 	body   io.ReadCloser
 }
 
+func newAnswer(resp *http.Response) *answer {
+	return &answer{status: resp.StatusCode, header: resp.Header, body: resp.Body}
+}
+
 // close ends an answer. Where it was not read to its end the connection goes
 // with it, which cancels the call at the upstream.
 func (a *answer) close() { _ = a.body.Close() }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -34,6 +34,8 @@
 	// tokens is the number of whole events with content that went out.
 	tokens int
 	event  []byte
+	// dog watches the present attempt's connection.
+	dog *watchdog
 }
 
 func newRelay(w http.ResponseWriter) *relay {
@@ -152,12 +154,15 @@
 }
 
 func (o *relay) sendEvent() (bool, error) {
+	// A slow caller is no silence of the upstream.
+	o.dog.rest()
 	if err := o.write(o.event); err != nil {
 		return false, err
 	}
 	if err := o.rc.Flush(); err != nil {
 		return false, errors.Mark(errors.Wrap(err, "flush to caller"), errBroken)
 	}
+	o.dog.alive()
 	value, ok := bytes.CutPrefix(o.event, dataField)
 	if !ok {
 		return false, nil
--- a/internal/gateway/repeatable.go
+++ b/internal/gateway/repeatable.go
@@ -46,6 +46,7 @@
 func (s *sender) runRepeatable(ctx context.Context, w http.ResponseWriter, c *Call) error {
 	out := newRelay(w)
 	var tried []string
+	stall := s.streamStall
 	for n := 1; ; n++ {
 		route, err := s.router.Pick(c, tried)
 		if err != nil {
@@ -53,7 +54,7 @@
 		}
 		a := newAttempt(route)
 		a.resumeFrom = out.tokens
-		err = s.runAttempt(ctx, c, a, out)
+		err = s.runAttempt(ctx, c, a, out, stall)
 		if err == nil {
 			return nil
 		}
@@ -65,10 +66,22 @@
 			return s.giveUp(c, out, err)
 		}
 		s.metrics.Resumed.Add(boolCount(out.started))
+		if errors.Is(err, errStalled) {
+			stall = s.nextStall(stall, out.tokens > a.resumeFrom)
+			continue
+		}
 		tried = append(tried, route.Upstream)
 	}
 }
 
+// nextStall doubles the patience after a silence without any event.
+func (s *sender) nextStall(stall time.Duration, progressed bool) time.Duration {
+	if progressed {
+		return s.streamStall
+	}
+	return min(2*stall, maxStreamStall)
+}
+
 func boolCount(b bool) int64 {
 	if b {
 		return 1
@@ -97,9 +110,11 @@
 }
 
 // runAttempt sends the call once and relays its answer.
-func (s *sender) runAttempt(ctx context.Context, c *Call, a attempt, out *relay) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+func (s *sender) runAttempt(ctx context.Context, c *Call, a attempt, out *relay, stall time.Duration) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	a.dog = watch(cancel)
+	defer a.dog.rest()
 	stopTimer := s.limitStart(cancel, c, out)
 	resp, err := s.roundTrip(ctx, c, a)
 	if err != nil {
@@ -108,7 +123,11 @@
 		return err
 	}
 	defer resp.close()
-	err = s.relayAnswer(resp, out, stopTimer)
+	out.dog = a.dog
+	err = s.relayAnswer(resp, out, stopTimer, stall)
+	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
+		err = &attemptError{ran: DidRun, err: errStalled}
+	}
 	if err != nil {
 		a.route.Done(AttemptFailed)
 		return err
@@ -118,11 +137,11 @@
 }
 
 // limitStart cancels the attempt at the deadline unless the answer has started.
-func (s *sender) limitStart(cancel context.CancelFunc, c *Call, out *relay) func() {
+func (s *sender) limitStart(cancel context.CancelCauseFunc, c *Call, out *relay) func() {
 	if out.started {
 		return func() {}
 	}
-	timer := time.AfterFunc(time.Until(c.Deadline), cancel)
+	timer := time.AfterFunc(time.Until(c.Deadline), func() { cancel(context.DeadlineExceeded) })
 	return func() { timer.Stop() }
 }
 
@@ -140,9 +159,10 @@
 
 // relayAnswer sends a stream of events on as it comes, and any other answer
 // once it is here whole.
-func (s *sender) relayAnswer(resp *answer, out *relay, stopTimer func()) error {
+func (s *sender) relayAnswer(resp *answer, out *relay, stopTimer func(), stall time.Duration) error {
 	if strings.HasPrefix(resp.header.Get("Content-Type"), "text/event-stream") {
 		stopTimer()
+		out.dog.expect(stall)
 		return out.events(resp)
 	}
 	if out.started {
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -81,17 +81,13 @@
 		if err == nil {
 			return nil
 		}
-		if ctx.Err() != nil {
-			t.Log.WithError(err).WithField("part", p.Name).Debug("part ended with an error when it was stopped")
-			return nil
-		}
 		if errors.Is(err, ErrPermanent) {
 			return errors.Wrapf(err, "part %s", p.Name)
 		}
 		if time.Since(start) > stableAfter {
 			backoff = minBackoff
 		}
-		t.Log.WithError(err).WithFields(logrus.Fields{"part": p.Name, "backoff": backoff.String()}).Error("part failed and is restarted")
+		t.logFailure(ctx, p, err)
 		if !sleep(ctx, backoff+rand.N(backoff)) {
 			return nil
 		}
@@ -99,6 +95,16 @@
 	}
 }
 
+// logFailure logs an error loudly unless the part was told to stop.
+func (t Tree) logFailure(ctx context.Context, p Part, err error) {
+	log := t.Log.WithError(err).WithField("part", p.Name)
+	if ctx.Err() != nil {
+		log.Debug("part ended with an error when it was stopped")
+		return
+	}
+	log.Error("part failed and is restarted")
+}
+
 // runGuarded turns a panic into a permanent failure: a panic means a broken
 // invariant.
 func runGuarded(ctx context.Context, p Part) (err error) {
