--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -163,15 +164,15 @@
 	for name, h := range handlers {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			var served int
+			var served atomic.Int64
 			addr := orderServer(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				served++
+				served.Add(1)
 				h(w, r)
 			}))
 			o := testOrder()
 			o.Deadline = Millis(200 * time.Millisecond)
 			is.Equal(client.Send(t.Context(), addr, o).Outcome, Unknown)
-			is.Equal(served, 1) // never sent again
+			is.Equal(served.Load(), int64(1)) // never sent again
 		})
 	}
 }
