standin: one event for each token, advertised address

A relay that counts data events knows the token to resume at only if every event has one token: the finish reason now rides on the last token's event instead of an event of its own, and the index follows as the event's id. A stand-in can announce another address than it listens on, so that a proxy fits in between.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -28,6 +28,7 @@
 	Domain        string        `arg:"--domain,required" help:"failure domain"`
 	Entries       []string      `arg:"--entry,separate" help:"address of an entry node; repeat for more"`
 	Listen        string        `arg:"--listen" help:"address to listen on"`
+	Advertise     string        `arg:"--advertise" help:"address to announce; the one listened on if unset"`
 	Incarnation   uint64        `arg:"--incarnation" help:"number of this start"`
 	AnnounceEvery time.Duration `arg:"--announce-every" help:"interval of announcements"`
 	LeaveGrace    time.Duration `arg:"--leave-grace" help:"time a leaving stand-in still takes requests"`
@@ -141,6 +142,7 @@
 		Domain:         a.Domain,
 		Entries:        a.Entries,
 		Listen:         a.Listen,
+		Advertise:      a.Advertise,
 		Incarnation:    a.Incarnation,
 		AnnounceEvery:  a.AnnounceEvery,
 		LeaveGrace:     a.LeaveGrace,
@@ -167,6 +169,7 @@
 		Domain:        a.Domain,
 		Entries:       a.Entries,
 		Listen:        a.Listen,
+		Advertise:     a.Advertise,
 		Incarnation:   a.Incarnation,
 		AnnounceEvery: a.AnnounceEvery,
 		LeaveGrace:    a.LeaveGrace,
--- a/internal/standin/answer.go
+++ b/internal/standin/answer.go
@@ -129,33 +129,28 @@
 	if !a.generation.Stream {
 		return nil
 	}
-	return a.event(strconv.Itoa(a.tokens), chunkOf(a.generation, text, a.tokens == 0, nil))
+	return a.event(a.tokens, chunkOf(a.generation, text, a.tokens))
 }
 
-// finishStream sends the last events.
+// finishStream sends the end marker.
 func (a *answer) finishStream() error {
-	reason := finishLength
-	if err := a.event("", chunkOf(a.generation, "", false, &reason)); err != nil {
-		return err
-	}
 	if _, err := a.w.Write([]byte("data: [DONE]\n\n")); err != nil {
 		return errGone
 	}
 	return a.flush()
 }
 
-// event writes one event with its token index, if any.
-func (a *answer) event(id string, body chunk) error {
+// event writes the event of one token.
+func (a *answer) event(index int, body chunk) error {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return errors.Wrap(err, "encode chunk")
 	}
 	event := make([]byte, 0, len(data)+32)
-	if id != "" {
-		event = append(event, "id: "+id+"\n"...)
-	}
 	event = append(event, "data: "...)
 	event = append(event, data...)
+	event = append(event, "\nid: "...)
+	event = strconv.AppendInt(event, int64(index), 10)
 	event = append(event, "\n\n"...)
 	if _, err := a.w.Write(event); err != nil {
 		return errGone
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -28,6 +28,8 @@
 	Entries    []string
 	// Listen is the address to listen on; a free loopback port if empty.
 	Listen string
+	// Advertise is the address to announce; the one listened on if empty.
+	Advertise string
 	// Incarnation is unique for each start; the time of day if zero.
 	Incarnation uint64
 	// AnnounceEvery is the interval of announcements.
@@ -206,7 +208,7 @@
 	a := directory.Announcement{
 		ID:            e.config.ID,
 		Incarnation:   e.config.Incarnation,
-		Addr:          e.Addr(),
+		Addr:          e.advertised(e.config.Advertise),
 		Domain:        e.config.Domain,
 		Kind:          directory.Engine,
 		Memory:        e.config.Memory,
--- a/internal/standin/openai.go
+++ b/internal/standin/openai.go
@@ -39,14 +39,19 @@
 // that equal requests have equal answers.
 const created = 1_700_000_000
 
-// chunkOf is one streamed part.
-func chunkOf(g *generation, text string, first bool, finish *string) chunk {
+// chunkOf is the streamed part of the token at an index. The last token's part
+// has the finish reason.
+func chunkOf(g *generation, text string, index int) chunk {
 	c := chunk{ID: g.id, Object: "text_completion", Created: created, Model: g.Model}
-	part := choice{FinishReason: finish}
+	var part choice
+	if index == g.MaxTokens-1 {
+		reason := finishLength
+		part.FinishReason = &reason
+	}
 	if g.chat {
 		c.Object = "chat.completion.chunk"
 		part.Delta = &delta{Content: text}
-		if first {
+		if index == 0 {
 			part.Delta.Role = "assistant"
 		}
 	} else {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -69,6 +69,14 @@
 	return s.listener.Addr().String()
 }
 
+// advertised is the address to announce.
+func (s *server) advertised(addr string) string {
+	if addr == "" {
+		return s.Addr()
+	}
+	return addr
+}
+
 // Journal is the record of the requests that were run.
 func (s *server) Journal() []Entry {
 	return s.journal.Entries()
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -26,6 +26,8 @@
 	Service string
 	// Listen is the address to listen on; a free loopback port if empty.
 	Listen string
+	// Advertise is the address to announce; the one listened on if empty.
+	Advertise string
 	// Incarnation is unique for each start; the time of day if zero.
 	Incarnation uint64
 	// AnnounceEvery is the interval of announcements.
@@ -118,7 +120,7 @@
 	return directory.Announcement{
 		ID:          s.config.ID,
 		Incarnation: s.config.Incarnation,
-		Addr:        s.Addr(),
+		Addr:        s.advertised(s.config.Advertise),
 		Domain:      s.config.Domain,
 		Kind:        directory.Service,
 		Service:     s.config.Service,
