engine: identify prefixes as the gateway does

The gateway hashes the prompt's JSON text in blocks; the engine side had hashed the model and the decoded text, so no event could match a request. The gateway's way is kept, because it needs no decoding of messages.

--- a/internal/engine/announce.go
+++ b/internal/engine/announce.go
@@ -65,7 +65,7 @@
 	Model string `json:"model"`
 	// Prefix identifies the prompt prefix; see PrefixHashes.
 	Prefix string `json:"prefix"`
-	// Length is the length of the prefix in bytes of prompt text.
+	// Length is the length of the prefix in bytes of the prompt.
 	Length int `json:"length"`
 }
 
--- a/internal/engine/prefix.go
+++ b/internal/engine/prefix.go
@@ -6,17 +6,23 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// PrefixBlock is the granularity of cached prefixes, in bytes of prompt text.
-const PrefixBlock = 256
+// Bounds of prefix hashes.
+const (
+	// PrefixBlock is the granularity of cached prefixes in bytes of prompt.
+	PrefixBlock = 256
+	// MaxPrefixBlocks bounds the blocks of one prompt that are identified.
+	MaxPrefixBlocks = 32
+)
 
-// PrefixHashes identifies each whole block prefix of a prompt, shortest first.
-func PrefixHashes(model, prompt string) []string {
+// PrefixHashes identifies the whole-block prefixes of a prompt, shortest first.
+// The prompt is the JSON text of the request's field messages, or else of its
+// field prompt, as it was sent.
+func PrefixHashes(prompt []byte) []string {
 	digest := xxhash.New()
-	_, _ = digest.WriteString(model)
-	_, _ = digest.Write([]byte{0})
-	hashes := make([]string, 0, len(prompt)/PrefixBlock)
-	for len(prompt) >= PrefixBlock {
-		_, _ = digest.WriteString(prompt[:PrefixBlock])
+	var hashes []string
+	for len(prompt) >= PrefixBlock && len(hashes) < MaxPrefixBlocks {
+		// Writes to a Digest never fail.
+		_, _ = digest.Write(prompt[:PrefixBlock])
 		prompt = prompt[PrefixBlock:]
 		hashes = append(hashes, strconv.FormatUint(digest.Sum64(), 16))
 	}
