--- /dev/null
+++ b/test/integration/caller_test.go
@@ -0,0 +1,197 @@
+package integration
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/internal/gateway"
+	"github.com/agateslip/agateslip/internal/standin"
+)
+
+// reply is what a caller got for one call.
+type reply struct {
+	// err is set if the connection failed before or within the answer.
+	err    error
+	status int
+	ran    gateway.Ran
+	reason string
+	// body is the answer, or its text if it was streamed.
+	body string
+	// whole says that a stream had its end marker.
+	whole  bool
+	header http.Header
+}
+
+// call is one call of a test.
+type call struct {
+	method, path, body string
+	header             map[string]string
+}
+
+// chat is a call of a model with a fixed prompt.
+func chat(model string, stream bool, tokens int) call {
+	body, err := json.Marshal(map[string]any{
+		"model": model, "stream": stream, "max_tokens": tokens,
+		"messages": []standin.Message{{Role: "user", Content: "loudness?"}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return call{method: http.MethodPost, path: "/v1/chat/completions", body: string(body)}
+}
+
+// chatAnswer is the whole answer to chat.
+func chatAnswer(model string, tokens int) string {
+	return standin.Answer(model, standin.ChatPrompt([]standin.Message{{Role: "user", Content: "loudness?"}}), tokens)
+}
+
+// transfer is a call that may run at most once.
+func transfer(key, query string) call {
+	return call{
+		method: http.MethodPost, path: "/services/ledger/transfers" + query, body: `{"amount":1}`,
+		header: map[string]string{"Idempotency-Key": key, "Content-Type": "application/json"},
+	}
+}
+
+// send makes a call on a connection of its own and reads the whole answer.
+// progress, if not nil, is called after each streamed token.
+func (n *node) send(ctx context.Context, c call, progress func(tokens int)) reply {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, c.method, "http://"+n.callers+c.path, bytes.NewReader([]byte(c.body)))
+	if err != nil {
+		return reply{err: err}
+	}
+	// Without GetBody the transport cannot send the call again by itself.
+	r.GetBody = nil
+	r.Header.Set("Authorization", "Bearer "+callerKey)
+	r.Header.Set("Content-Type", "application/json")
+	for name, value := range c.header {
+		r.Header.Set(name, value)
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := transport.RoundTrip(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	got := reply{
+		status: response.StatusCode,
+		ran:    gateway.Ran(response.Header.Get(gateway.HeaderRan)),
+		reason: response.Header.Get(gateway.HeaderReason),
+		header: response.Header,
+	}
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
+		got.readStream(response.Body, progress)
+		return got
+	}
+	body, err := io.ReadAll(response.Body)
+	got.body, got.err = string(body), err
+	return got
+}
+
+// readStream reads the events of a stream up to its end marker.
+func (got *reply) readStream(body io.Reader, progress func(tokens int)) {
+	lines := bufio.NewScanner(body)
+	tokens := 0
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			got.whole = true
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct {
+					Content string `json:"content"`
+				} `json:"delta"`
+			} `json:"choices"`
+		}
+		if got.err = json.Unmarshal([]byte(data), &chunk); got.err != nil {
+			return
+		}
+		got.body += chunk.Choices[0].Delta.Content
+		tokens++
+		if progress != nil {
+			progress(tokens)
+		}
+	}
+	got.err = lines.Err()
+}
+
+// answered tells whether the call had a whole answer of success.
+func (got reply) answered() bool {
+	return got.err == nil && got.status == http.StatusOK
+}
+
+// sendWhileNotRun makes a call and repeats it while it is refused with proof
+// that it was not run and with a time to come back.
+func (n *node) sendWhileNotRun(ctx context.Context, c call, progress func(tokens int)) reply {
+	for end := time.Now().Add(patience); ; time.Sleep(pollEvery) {
+		got := n.send(ctx, c, progress)
+		refused := got.ran == gateway.NotRun && got.header.Get("Retry-After") != ""
+		if !refused || time.Now().After(end) {
+			return got
+		}
+	}
+}
+
+// sendUntilSettled repeats a call with the same key through the nodes until one
+// answers finally, as a client would after lost answers.
+func sendUntilSettled(t *testing.T, nodes []*node, c call) reply {
+	t.Helper()
+	var got reply
+	for end, i := time.Now().Add(patience), 0; time.Now().Before(end); i++ {
+		got = nodes[i%len(nodes)].send(t.Context(), c, nil)
+		if got.answered() || got.reason == string(gateway.ReasonOutcomeUnknown) {
+			return got
+		}
+		time.Sleep(pollEvery)
+	}
+	t.Fatalf("call is not settled: %+v", got)
+	return got
+}
+
+// waitModel waits until a model answers through every node.
+func (c *cluster) waitModel(t *testing.T, model string) {
+	t.Helper()
+	for _, n := range c.nodes {
+		eventually(t, model+" answers through "+n.name, func() bool {
+			return n.send(t.Context(), chat(model, false, 1), nil).answered()
+		})
+	}
+}
+
+// runs counts the journal's entries with a key.
+func runs(journal []standin.Entry, key string) int {
+	count := 0
+	for _, e := range journal {
+		if e.Key == key {
+			count++
+		}
+	}
+	return count
+}
+
+// readJournal reads the journal of a stand-in process.
+func readJournal(t *testing.T, addr string) []standin.Entry {
+	t.Helper()
+	response, err := http.Get("http://" + addr + standin.PathJournal)
+	is.New(t).NoErr(err)
+	defer response.Body.Close()
+	var entries []standin.Entry
+	is.New(t).NoErr(json.NewDecoder(response.Body).Decode(&entries))
+	return entries
+}
