Test run-once calls under kills at each stage of a call

Entry node, leader and upstream are killed before the claim, while the call runs and after the answer; a retry goes through another node each time.

--- a/test/integration/harness_test.go
+++ b/test/integration/harness_test.go
@@ -21,7 +21,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/agateslip/agateslip/directory"
 	"github.com/agateslip/agateslip/internal/operator"
+	"github.com/agateslip/agateslip/internal/standin"
 )
 
 const (
@@ -199,15 +201,26 @@
 
 // startCluster starts a group and waits until every node is ready.
 func startCluster(t *testing.T, size int) *cluster {
+	t.Helper()
+	return startLinked(t, size, func(_, _ int, addr string) string { return addr })
+}
+
+// startLinked starts a group whose node from reaches node to at the address
+// that link returns for the node's own.
+func startLinked(t *testing.T, size int, link func(from, to int, addr string) string) *cluster {
 	t.Helper()
 	dir := t.TempDir()
 	ports := freePorts(t, 4*size)
 	c := &cluster{}
-	var peers strings.Builder
-	for i := range size {
-		fmt.Fprintf(&peers, "  - {node: n%d, addr: %q, domain: d%d, voter: %d}\n", i+1, ports[4*i+3], i+1, i+1)
-	}
 	for i := range size {
+		var peers strings.Builder
+		for j := range size {
+			addr := ports[4*j+3]
+			if i != j {
+				addr = link(i, j, addr)
+			}
+			fmt.Fprintf(&peers, "  - {node: n%d, addr: %q, domain: d%d, voter: %d}\n", j+1, addr, j+1, j+1)
+		}
 		n := &node{
 			name:      fmt.Sprintf("n%d", i+1),
 			callers:   ports[4*i],
@@ -323,6 +336,37 @@
 	}
 }
 
+// startService starts a ledger service in process, to keep its journal.
+func (c *cluster) startService(t *testing.T, id string, change func(*standin.ServiceConfig)) *standin.Service {
+	t.Helper()
+	config := standin.ServiceConfig{ID: id, Domain: "d1", Service: "ledger", Entries: c.entries(), LeaveGrace: 100 * time.Millisecond}
+	if change != nil {
+		change(&config)
+	}
+	s := standin.NewService(config)
+	is.New(t).NoErr(s.Start(t.Context()))
+	t.Cleanup(s.Kill)
+	return s
+}
+
+// startEngine starts a model engine in process. It has room for one replica and
+// a copy of every model on disk.
+func (c *cluster) startEngine(t *testing.T, id string, change func(*standin.EngineConfig)) *standin.Engine {
+	t.Helper()
+	config := standin.EngineConfig{
+		ID: id, Domain: "d1", Entries: c.entries(), Memory: 5 << 30, ChecksFencing: true,
+		Copies:     []directory.Copy{{Model: "m", Tier: directory.TierDisk}, {Model: "two", Tier: directory.TierDisk}},
+		LeaveGrace: 100 * time.Millisecond, Scale: 0.02, Token: time.Second,
+	}
+	if change != nil {
+		change(&config)
+	}
+	e := standin.NewEngine(config)
+	is.New(t).NoErr(e.Start(t.Context()))
+	t.Cleanup(e.Kill)
+	return e
+}
+
 // startStandin starts a stand-in as a process and returns its address.
 func startStandin(t *testing.T, args ...string) (*process, string) {
 	t.Helper()
--- /dev/null
+++ b/test/integration/once_test.go
@@ -0,0 +1,207 @@
+package integration
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/internal/gateway"
+	"github.com/agateslip/agateslip/internal/standin"
+)
+
+// slowWork is the query of a call that runs long enough to be interrupted.
+const slowWork = "?work=700ms"
+
+// startOnce starts three nodes, the contract and one service that answers.
+func startOnce(t *testing.T) (*cluster, *standin.Service) {
+	t.Helper()
+	c := startCluster(t, 3)
+	s := c.startService(t, "s1", nil)
+	c.apply(t, c.nodes[0], contractText("3s"), 0)
+	c.waitUpstreams(t, 1)
+	c.waitService(t)
+	return c, s
+}
+
+// waitService waits until the service answers through every node.
+func (c *cluster) waitService(t *testing.T) {
+	t.Helper()
+	for _, n := range c.nodes {
+		probe := call{method: http.MethodGet, path: "/services/ledger/health"}
+		eventually(t, "service answers through "+n.name, func() bool {
+			return n.send(t.Context(), probe, nil).answered()
+		})
+	}
+}
+
+// sendAside makes a call on a goroutine; the channel gets its reply.
+func sendAside(t *testing.T, n *node, c call) <-chan reply {
+	t.Helper()
+	replies := make(chan reply, 1)
+	go func() { replies <- n.send(context.Background(), c, nil) }()
+	return replies
+}
+
+// waitRuns waits until a key has been run.
+func waitRuns(t *testing.T, s *standin.Service, key string) {
+	t.Helper()
+	eventually(t, key+" runs", func() bool { return runs(s.Journal(), key) > 0 })
+}
+
+func TestEntryKilledBeforeTheClaimRunsOnceElsewhere(t *testing.T) {
+	is := is.New(t)
+	c, s := startOnce(t)
+	entry, others := c.nodes[0], c.nodes[1:]
+	for _, n := range others {
+		n.signal(syscall.SIGSTOP) // without a majority no claim is made
+	}
+	replies := sendAside(t, entry, transfer("k", ""))
+	time.Sleep(300 * time.Millisecond)
+	is.Equal(runs(s.Journal(), "k"), 0)
+	entry.kill()
+	is.True((<-replies).err != nil)
+	for _, n := range others {
+		n.signal(syscall.SIGCONT)
+	}
+	is.True(sendUntilSettled(t, others, transfer("k", "")).answered())
+	is.Equal(runs(s.Journal(), "k"), 1)
+}
+
+func TestEntryKilledWhileTheCallRunsIsUnknownAndNotRunAgain(t *testing.T) {
+	is := is.New(t)
+	c, s := startOnce(t)
+	entry := c.nodes[0]
+	replies := sendAside(t, entry, transfer("k", slowWork))
+	waitRuns(t, s, "k")
+	entry.kill()
+	is.True((<-replies).err != nil)
+	got := sendUntilSettled(t, c.nodes[1:], transfer("k", slowWork))
+	is.Equal(got.reason, string(gateway.ReasonOutcomeUnknown))
+	is.Equal(got.ran, gateway.RanUnknown)
+	is.Equal(runs(s.Journal(), "k"), 1)
+}
+
+func TestEntryKilledAfterTheAnswerIsReplayedElsewhere(t *testing.T) {
+	is := is.New(t)
+	c, s := startOnce(t)
+	first := c.nodes[0].send(t.Context(), transfer("k", ""), nil)
+	is.Equal(first.status, http.StatusOK)
+	c.nodes[0].kill()
+	for _, n := range c.nodes[1:] {
+		again := sendUntilSettled(t, []*node{n}, transfer("k", ""))
+		is.Equal(again.body, first.body)
+	}
+	is.Equal(runs(s.Journal(), "k"), 1)
+}
+
+func TestLeaderKilledWhileTheCallRunsLosesNoOutcome(t *testing.T) {
+	is := is.New(t)
+	c, s := startOnce(t)
+	leader := c.leader(t)
+	rest := c.other(leader)
+	replies := sendAside(t, rest[0], transfer("k", slowWork))
+	waitRuns(t, s, "k")
+	leader.kill()
+	got := <-replies
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(sendUntilSettled(t, rest[1:], transfer("k", slowWork)).body, got.body)
+	is.Equal(runs(s.Journal(), "k"), 1)
+}
+
+func TestUpstreamKilledWhileTheCallRunsIsUnknownAndNotRunAgain(t *testing.T) {
+	is := is.New(t)
+	c, s := startOnce(t)
+	replies := sendAside(t, c.nodes[0], transfer("k", slowWork))
+	waitRuns(t, s, "k")
+	spare := c.startService(t, "s2", nil)
+	s.Kill()
+	got := <-replies
+	is.NoErr(got.err)
+	is.True(got.status >= http.StatusInternalServerError)
+	is.Equal(got.ran, gateway.RanUnknown)
+	c.waitService(t)
+	for _, n := range c.nodes {
+		again := n.send(t.Context(), transfer("k", slowWork), nil)
+		is.Equal(again.reason, string(gateway.ReasonOutcomeUnknown))
+	}
+	is.Equal(runs(s.Journal(), "k"), 1)
+	is.Equal(runs(spare.Journal(), "k"), 0)
+}
+
+func TestRefusedByOneUpstreamRunsOnceAtAnother(t *testing.T) {
+	is := is.New(t)
+	c, refusing := startOnce(t)
+	refusing.SetFaults(standin.Faults{Refuse: true})
+	taking := c.startService(t, "s2", nil)
+	c.waitUpstreams(t, 2)
+	for i := range 10 {
+		key := fmt.Sprintf("k%d", i)
+		got := c.nodes[i%3].sendWhileNotRun(t.Context(), transfer(key, ""), nil)
+		is.Equal(got.status, http.StatusOK)
+		is.Equal(runs(taking.Journal(), key), 1)
+		is.Equal(runs(refusing.Journal(), key), 0)
+	}
+}
+
+func TestSameKeyAtOnceThroughEveryNodeRunsOnce(t *testing.T) {
+	is := is.New(t)
+	c, s := startOnce(t)
+	const copies = 12
+	replies := make([]reply, copies)
+	var group sync.WaitGroup
+	for i := range copies {
+		group.Go(func() { replies[i] = c.nodes[i%3].send(t.Context(), transfer("k", slowWork), nil) })
+	}
+	group.Wait()
+	for _, got := range replies {
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusOK)
+		is.Equal(got.body, replies[0].body)
+	}
+	is.Equal(runs(s.Journal(), "k"), 1)
+
+	other := transfer("k", slowWork)
+	other.body = `{"amount":2}`
+	got := c.nodes[1].send(t.Context(), other, nil)
+	is.Equal(got.reason, string(gateway.ReasonKeyReused))
+	is.Equal(got.ran, gateway.NotRun)
+	is.Equal(runs(s.Journal(), "k"), 1)
+}
+
+func TestCallsWhileTheLeaderIsKilledRunAtMostOnce(t *testing.T) {
+	is := is.New(t)
+	c, s := startOnce(t)
+	leader := c.leader(t)
+	const calls, callers = 80, 8
+	settled := make([]reply, calls)
+	var group sync.WaitGroup
+	for caller := range callers {
+		group.Go(func() {
+			for i := caller; i < calls; i += callers {
+				nodes := []*node{c.nodes[i%3], c.nodes[(i+1)%3], c.nodes[(i+2)%3]}
+				settled[i] = sendUntilSettled(t, nodes, transfer(fmt.Sprintf("k%d", i), "?work=20ms"))
+			}
+		})
+	}
+	eventually(t, "some calls run", func() bool { return len(s.Journal()) > calls/4 })
+	leader.kill()
+	group.Wait()
+	journal := s.Journal()
+	answered := 0
+	for i, got := range settled {
+		ran := runs(journal, fmt.Sprintf("k%d", i))
+		is.True(ran <= 1)
+		if got.answered() {
+			is.Equal(ran, 1)
+			answered++
+		}
+	}
+	is.True(answered >= calls-callers) // only calls in progress at the dead node are lost
+}
