--- /dev/null
+++ b/admission/allocator_test.go
@@ -0,0 +1,106 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var testLimits = Limits{Customer: "a", Concurrency: 8, Rate: 10, Burst: 10, Queue: 20}
+
+// settledAllocator returns an allocator that no older leases restrain, and a
+// time at which its bucket is full.
+func settledAllocator() (*Allocator, time.Duration) {
+	al := NewAllocator(AllocatorConfig{Term: 1})
+	al.SetLimits(testLimits, 0)
+	return al, time.Minute
+}
+
+func usageReport(node string, seq uint64, u Usage) Report {
+	u.Customer = "a"
+	return Report{Node: node, Term: 1, Seq: seq, Customers: []Usage{u}}
+}
+
+func TestLeaseEndsAtHolderAfterSendTime(t *testing.T) {
+	is := is.New(t)
+	al, now := settledAllocator()
+	th := NewThrottler(Config{Node: "n"})
+	th.SetTerm(1)
+	th.SetLimits(testLimits)
+	th.SetTarget("m", TargetState{Readiness: Ready, Slots: 8}, now)
+	q := Request{ID: 1, Customer: "a", Target: "m", Deadline: now + time.Minute}
+	th.Arrive(q, now)
+	g := al.Report(th.Report(now), now+time.Second)
+	g.Leases[0].Tokens = 1
+	g.Leases[0].Duration = 2100 * time.Millisecond
+	is.True(th.Accept(g, now+2*time.Second))
+	is.Equal(len(th.Poll(now+2*time.Second)), 1)
+	// The lease gained tokens for a tenth of a second, and gives them back.
+	later := now + time.Minute
+	returned := th.Report(later).Customers[0].Returned
+	is.True(returned > 0 && returned < 1)
+	q = Request{ID: 2, Customer: "a", Target: "m", Deadline: later + time.Minute}
+	is.Equal(th.Arrive(q, later).Verdict, Queued)
+}
+
+func TestGrantOfEarlierTermIsNotAccepted(t *testing.T) {
+	is := is.New(t)
+	al, now := settledAllocator()
+	th := NewThrottler(Config{Node: "n"})
+	th.SetTerm(1)
+	g := al.Report(th.Report(now), now)
+	th.SetTerm(2)
+	th.Report(now)
+	is.True(!th.Accept(g, now))
+	g.Report = 2
+	is.True(!th.Accept(g, now))
+}
+
+func TestRepeatedReportsCreditTokensOnce(t *testing.T) {
+	is := is.New(t)
+	al, now := settledAllocator()
+	first := usageReport("n", 1, Usage{Idle: true})
+	al.Report(first, now)
+	al.pools["a"].bucket.level = 0
+	second := usageReport("n", 2, Usage{Serial: 1, Returned: 3, Idle: true})
+	al.Report(second, now)
+	al.Report(first, now)
+	al.Report(second, now)
+	is.Equal(al.pools["a"].bucket.level, 3.0)
+}
+
+func TestNewLeaderStartsWithoutTokens(t *testing.T) {
+	is := is.New(t)
+	al := NewAllocator(AllocatorConfig{Term: 1, Since: time.Minute})
+	al.SetLimits(testLimits, time.Minute)
+	held := Usage{Concurrency: 3, Rate: 2, Burst: 2, Running: 3, Waiting: 9, Queued: 9}
+	l := al.Report(usageReport("n", 1, held), time.Minute).Leases[0]
+	is.Equal(l.Concurrency, 3)
+	is.Equal(l.Burst, 2)
+	is.Equal(l.Tokens, 0.0)
+	l = al.Report(usageReport("n", 2, held), al.settled()).Leases[0]
+	is.True(l.Concurrency > 3)
+	is.Equal(l.Tokens, 0.0)
+}
+
+func TestRunningRequestsStayChargedAfterTheirLease(t *testing.T) {
+	is := is.New(t)
+	al, now := settledAllocator()
+	al.Report(usageReport("n1", 1, Usage{Running: 8}), now)
+	al.Report(usageReport("n1", 2, Usage{Serial: 1, Running: 8, Idle: true}), now)
+	al.Report(usageReport("n1", 3, Usage{Serial: 2, Running: 8, Idle: true}), now)
+	l := al.Report(usageReport("n2", 1, Usage{Waiting: 8}), now).Leases[0]
+	is.Equal(l.Concurrency, 0)
+}
+
+func TestFillIsMaxMinFair(t *testing.T) {
+	is := is.New(t)
+	claims := []claim{
+		{node: "a", demand: 9, slack: 2},
+		{node: "b", demand: 1, slack: 3},
+		{node: "c", demand: 9, slack: 1},
+	}
+	fill(8, claims)
+	is.Equal([]int{claims[0].share, claims[1].share, claims[2].share}, []int{3, 1, 4})
+}
--- a/admission/lease.go
+++ b/admission/lease.go
@@ -22,18 +22,19 @@
 	Customer string `json:"customer"`
 	// Serial is the grant that the held lease came with in this term.
 	Serial uint64 `json:"serial"`
-	// Concurrency, Burst and Queue are the lease held at present.
-	Concurrency int `json:"concurrency"`
-	Burst       int `json:"burst"`
-	Queue       int `json:"queue"`
+	// Concurrency, Rate, Burst and Queue are the lease held at present.
+	Concurrency int     `json:"concurrency"`
+	Rate        float64 `json:"rate"`
+	Burst       int     `json:"burst"`
+	Queue       int     `json:"queue"`
 	// Running is the number of requests that run.
 	Running int `json:"running"`
 	// Waiting is the number of requests that wait for a share only.
 	Waiting int `json:"waiting"`
 	// Queued is the number of all requests that wait.
 	Queued int `json:"queued"`
-	// Rate is the number of requests that arrive a second.
-	Rate float64 `json:"rate"`
+	// Arrivals is the number of requests that arrive a second.
+	Arrivals float64 `json:"arrivals"`
 	// Slack is the time to the earliest deadline among the waiting.
 	Slack time.Duration `json:"slack"`
 	// Tokens is the level of the node's token bucket.
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -9,6 +9,7 @@
 // amount is a part of a contract.
 type amount struct {
 	concurrency, burst, queue int
+	rate                      float64
 }
 
 // most returns the larger of each part.
@@ -17,6 +18,7 @@
 		concurrency: max(a.concurrency, b.concurrency),
 		burst:       max(a.burst, b.burst),
 		queue:       max(a.queue, b.queue),
+		rate:        max(a.rate, b.rate),
 	}
 }
 
@@ -26,6 +28,7 @@
 		concurrency: a.concurrency + b.concurrency,
 		burst:       a.burst + b.burst,
 		queue:       a.queue + b.queue,
+		rate:        a.rate + b.rate,
 	}
 }
 
@@ -125,8 +128,10 @@
 
 // resize fits the bucket to what is not leased.
 func (p *pool) resize() {
-	free := max(0, p.limits.Burst-p.charged(nil).burst)
-	p.bucket.resize(float64(free), p.limits.rateOf(free))
+	all := p.charged(nil)
+	size := max(0, p.limits.Burst-all.burst)
+	rate := max(0, p.limits.Rate-all.rate)
+	p.bucket.resize(float64(size), rate)
 }
 
 // observe takes a node's report.
@@ -151,6 +156,7 @@
 		concurrency: max(0, p.limits.Concurrency-others.concurrency),
 		burst:       max(0, p.limits.Burst-others.burst),
 		queue:       max(0, p.limits.Queue-others.queue),
+		rate:        max(0, p.limits.Rate-others.rate),
 	}
 	want, most := p.want(h)
 	got := amount{
@@ -158,9 +164,11 @@
 		burst:       min(want.burst, free.burst),
 		queue:       min(want.queue, free.queue),
 	}
+	got.rate = min(p.limits.rateOf(got.burst), free.rate)
 	if unsettled {
 		got.concurrency = min(got.concurrency, h.usage.Concurrency)
 		got.burst = min(got.burst, h.usage.Burst)
+		got.rate = min(got.rate, h.usage.Rate)
 		got.queue = min(got.queue, h.usage.Queue)
 		free.queue = got.queue
 	}
@@ -171,7 +179,7 @@
 	return Lease{
 		Customer:       p.limits.Customer,
 		Concurrency:    got.concurrency,
-		Rate:           p.limits.rateOf(got.burst),
+		Rate:           got.rate,
 		Burst:          got.burst,
 		Queue:          got.queue,
 		Tokens:         tokens,
@@ -185,7 +193,7 @@
 func (p *pool) give(h *holding, l Lease, serial uint64, until time.Duration) {
 	p.bucket.level -= l.Tokens
 	h.charges = append(h.charges, charge{
-		amount: amount{concurrency: l.Concurrency, burst: l.Burst, queue: l.Queue},
+		amount: amount{l.Concurrency, l.Burst, l.Queue, l.Rate},
 		serial: serial,
 		until:  until,
 	})
@@ -226,7 +234,7 @@
 	if p.limits.Rate <= 0 {
 		return 0
 	}
-	need := math.Ceil(u.Rate * float64(p.limits.Burst) / p.limits.Rate)
+	need := math.Ceil(u.Arrivals * float64(p.limits.Burst) / p.limits.Rate)
 	need = max(need, float64(u.Waiting))
 	return int(min(need, float64(p.limits.Burst)))
 }
--- a/admission/report.go
+++ b/admission/report.go
@@ -103,13 +103,14 @@
 		Serial:   c.serial,
 		Running:  c.running,
 		Queued:   c.queued,
-		Rate:     c.rate,
+		Arrivals: c.rate,
 		Tokens:   c.bucket.level,
 		Returned: c.returned,
 		Idle:     c.running == 0 && c.queued == 0 && now-c.used > idleAfter,
 	}
 	if c.leased(now) {
 		u.Concurrency = c.lease.Concurrency
+		u.Rate = c.lease.Rate
 		u.Burst = c.lease.Burst
 		u.Queue = c.lease.Queue
 	}
