admission: report by customer, push freed shares, keep burst in the pool

Causes and changes: - one customer's urgent reports carried all customers, which coupled them: reports are due by customer now; - a unit came back with the next regular report, 250 ms later: it is returned at once where nothing is left over, and pushed to the node that waits; - nodes held most of the burst: they hold what they need until the next report, the rest stays with the allocator; - waiting places were leased with spare parts, and 34 of 3,978 requests were refused with almost all places empty: the places are now bounded by the others' reports instead; - a node cut off let requests wait up to 3 s, past their deadline: it refuses after half of the contract's wait at the latest, and then at once.

--- a/admission/allocator.go
+++ b/admission/allocator.go
@@ -31,6 +31,7 @@
 	config AllocatorConfig
 	pools  map[string]*pool
 	serial uint64
+	pushes []Grant
 }
 
 // NewAllocator returns an allocator without contracts.
@@ -91,14 +92,49 @@
 		}
 		h.seq = r.Seq
 		p.observe(h, u, now)
-		lease := p.share(h, now < a.settled())
-		lease.Duration = a.config.LeaseDuration
-		p.give(h, lease, a.serial, now+a.charge())
-		grant.Leases = append(grant.Leases, lease)
+		grant.Leases = append(grant.Leases, a.lease(p, h, grant.Serial, now))
+		a.push(p, h, now)
 	}
 	return grant
 }
 
+// lease gives a node its next lease.
+func (a *Allocator) lease(p *pool, h *holding, serial uint64, now time.Duration) Lease {
+	l := p.share(h, now < a.settled())
+	l.Duration = a.config.LeaseDuration
+	// A lease counts from its report, so a pushed one ends early for its
+	// holder. Charging it from now on is safe.
+	p.give(h, l, serial, now+a.charge())
+	return l
+}
+
+// push gives the nodes that wait what another node's report has freed.
+func (a *Allocator) push(p *pool, but *holding, now time.Duration) {
+	if now < a.settled() {
+		return
+	}
+	for _, h := range p.unmet() {
+		if h == but || p.free() <= 0 {
+			continue
+		}
+		if l := p.share(h, false); l.Concurrency <= h.leased() {
+			continue
+		}
+		a.serial++
+		grant := Grant{Node: h.node, Term: a.config.Term, Serial: a.serial, Report: h.seq}
+		grant.Leases = []Lease{a.lease(p, h, grant.Serial, now)}
+		a.pushes = append(a.pushes, grant)
+	}
+}
+
+// Pushes returns the grants that became due by the reports since the last
+// call, for nodes that wait for a share. They are sent without being asked.
+func (a *Allocator) Pushes() []Grant {
+	pushes := a.pushes
+	a.pushes = nil
+	return pushes
+}
+
 // Expire drops what has ended. It needs to be called only to bound memory.
 func (a *Allocator) Expire(now time.Duration) {
 	for name, p := range a.pools {
@@ -111,8 +147,8 @@
 
 // Charged is what is leased of one contract at present.
 type Charged struct {
-	// Concurrency, Burst and Queue are the sums over all nodes.
-	Concurrency, Burst, Queue int
+	// Concurrency and Burst are the sums over all nodes.
+	Concurrency, Burst int
 	// Nodes is the number of nodes that hold a share.
 	Nodes int
 }
@@ -128,7 +164,6 @@
 	return Charged{
 		Concurrency: all.concurrency,
 		Burst:       all.burst,
-		Queue:       all.queue,
 		Nodes:       len(p.holdings),
 	}
 }
--- a/admission/dispatch.go
+++ b/admission/dispatch.go
@@ -73,7 +73,7 @@
 // time.
 func (t *Throttler) reject(r *request, now time.Duration) (Decision, bool) {
 	c := r.line.customer
-	if c.asking && now-c.asked > t.config.ShareTimeout {
+	if t.cutOff(c, now) {
 		return refuse(r.ID, NoShare, 0), true
 	}
 	if r.line.target.overdue(now, t.config.EstimateTimeout) {
@@ -83,22 +83,34 @@
 		return refuse(r.ID, reason, after), true
 	}
 	if c.queued >= c.places(now) {
-		t.reports.urgent = true
+		t.hurry(c)
 		return refuse(r.ID, QueueFull, t.wait(r, now)), true
 	}
 	return Decision{}, false
 }
 
-// await notes that a customer waits for a lease, and asks for one soon.
+// await notes that a customer waits for a share, and asks for one soon.
 func (t *Throttler) await(c *customer, now time.Duration) {
-	if !c.leased(now) && !c.asking {
-		c.asking, c.asked = true, now
+	if c.mayStart(now) {
+		c.asking = false
+		return
 	}
-	if !c.mayStart(now) {
-		t.reports.urgent = true
+	if !c.asking {
+		c.asking, c.asked = true, now
+		t.hurry(c)
 	}
 }
 
+// cutOff reports whether a customer's need of a share has had no answer for
+// too long. Half of the contract's wait is left to try another node.
+func (t *Throttler) cutOff(c *customer, now time.Duration) bool {
+	timeout := t.config.ShareTimeout
+	if c.limits.Wait > 0 {
+		timeout = min(timeout, c.limits.Wait/2)
+	}
+	return c.asking && now-c.asked > timeout && !c.mayStart(now)
+}
+
 // start runs a request that is in no line.
 func (t *Throttler) start(r *request, now time.Duration) {
 	c := r.line.customer
--- /dev/null
+++ b/admission/fairness_test.go
@@ -0,0 +1,223 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/matryer/is"
+)
+
+// simulation drives nine throttlers and an allocator in virtual time.
+type simulation struct {
+	now       time.Duration
+	nodes     []*Throttler
+	allocator *Allocator
+	customers []simulated
+	cut       int           // node that loses the allocator
+	cutAt     time.Duration // when
+	messages  []message
+	requests  map[uint64]arrival
+	ends      map[time.Duration][]uint64 // running requests by end
+	nextID    uint64
+	reports   int
+}
+
+// simulated is a customer with its load and what came of it.
+type simulated struct {
+	random     *rand.Rand
+	limits     Limits
+	rate       float64 // arrivals a second
+	next       time.Duration
+	waits      *hdrhistogram.Histogram // microseconds
+	running    int
+	maxRunning int
+	arrived    int
+	refused    map[Reason]int
+}
+
+type arrival struct {
+	customer, node int
+	at, service    time.Duration
+	running        bool
+}
+
+// message is a report or a grant that arrives at a time.
+type message struct {
+	at     time.Duration
+	report *Report
+	grant  *Grant
+	node   int
+}
+
+const (
+	simTick    = time.Millisecond
+	simLatency = time.Millisecond
+	simService = 200 * time.Millisecond
+	simWait    = 2 * time.Second
+)
+
+func newSimulation(seed uint64, slots int, loads []float64) *simulation {
+	s := &simulation{
+		allocator: NewAllocator(AllocatorConfig{Term: 1, Since: -time.Minute}),
+		cut:       -1,
+		requests:  map[uint64]arrival{},
+		ends:      map[time.Duration][]uint64{},
+	}
+	for i := range 9 {
+		n := NewThrottler(Config{Node: fmt.Sprintf("n%d", i)})
+		n.SetTerm(1)
+		n.SetTarget("m", TargetState{Readiness: Ready, Slots: slots}, 0)
+		s.nodes = append(s.nodes, n)
+	}
+	for i, load := range loads {
+		l := Limits{
+			Customer: fmt.Sprintf("c%02d", i), Concurrency: 8, Rate: 25, Burst: 20, Queue: 60, Wait: simWait,
+		}
+		s.allocator.SetLimits(l, -time.Minute)
+		for _, n := range s.nodes {
+			n.SetLimits(l)
+		}
+		c := simulated{limits: l, rate: load * l.Rate, refused: map[Reason]int{}}
+		c.random = rand.New(rand.NewPCG(seed, uint64(i)))
+		c.waits = hdrhistogram.New(1, 10_000_000, 3)
+		s.customers = append(s.customers, c)
+	}
+	return s
+}
+
+func (s *simulation) run(until time.Duration) {
+	for ; s.now < until; s.now += simTick {
+		for _, id := range s.ends[s.now] {
+			a := s.requests[id]
+			s.nodes[a.node].Release(id, s.now)
+			s.customers[a.customer].running--
+			delete(s.requests, id)
+		}
+		delete(s.ends, s.now)
+		for i := range s.customers {
+			s.arrivals(i)
+		}
+		s.deliver()
+		for i, n := range s.nodes {
+			for _, d := range n.Poll(s.now) {
+				s.settle(d)
+			}
+			if n.ReportDue(s.now) {
+				s.reports++
+				r := n.Report(s.now)
+				s.messages = append(s.messages, message{at: s.now + simLatency, report: &r, node: i})
+			}
+		}
+	}
+}
+
+func (s *simulation) arrivals(i int) {
+	c := &s.customers[i]
+	for ; c.next <= s.now; c.next += time.Duration(c.random.ExpFloat64() / c.rate * float64(time.Second)) {
+		s.nextID++
+		c.arrived++
+		node := c.random.IntN(len(s.nodes))
+		service := time.Duration(c.random.ExpFloat64() * float64(simService))
+		s.requests[s.nextID] = arrival{customer: i, node: node, at: s.now, service: service}
+		q := Request{ID: s.nextID, Customer: c.limits.Customer, Target: "m", Deadline: s.now + simWait}
+		s.settle(s.nodes[node].Arrive(q, s.now))
+	}
+}
+
+func (s *simulation) deliver() {
+	due := s.messages
+	s.messages = nil
+	for _, m := range due {
+		cut := m.node == s.cut && s.now >= s.cutAt
+		switch {
+		case m.at > s.now:
+			s.messages = append(s.messages, m)
+		case cut:
+		case m.report != nil:
+			g := s.allocator.Report(*m.report, s.now)
+			s.send(g)
+			for _, g := range s.allocator.Pushes() {
+				s.send(g)
+			}
+		default:
+			s.nodes[m.node].Accept(*m.grant, s.now)
+		}
+	}
+}
+
+func (s *simulation) send(g Grant) {
+	node := int(g.Node[1] - '0')
+	s.messages = append(s.messages, message{at: s.now + simLatency, grant: &g, node: node})
+}
+
+func (s *simulation) settle(d Decision) {
+	a, ok := s.requests[d.ID]
+	if !ok || a.running {
+		panic("request ended twice")
+	}
+	c := &s.customers[a.customer]
+	switch d.Verdict {
+	case Refused:
+		c.refused[d.Reason]++
+		delete(s.requests, d.ID)
+	case Run:
+		a.running = true
+		s.requests[d.ID] = a
+		c.running++
+		c.maxRunning = max(c.maxRunning, c.running)
+		_ = c.waits.RecordValue((s.now - a.at).Microseconds())
+		end := s.now + max(simTick, a.service.Truncate(simTick))
+		s.ends[end] = append(s.ends[end], d.ID)
+	}
+}
+
+// others merges the waits of all customers but the first, and counts what they
+// were refused on the nodes that are not cut off.
+func (s *simulation) others() (*hdrhistogram.Histogram, int) {
+	all := hdrhistogram.New(1, 10_000_000, 3)
+	refused := 0
+	for _, c := range s.customers[1:] {
+		all.Merge(c.waits)
+		for reason, n := range c.refused {
+			if reason != NoShare {
+				refused += n
+			}
+		}
+	}
+	return all, refused
+}
+
+func loads(first float64) []float64 {
+	l := []float64{first}
+	for range 9 {
+		l = append(l, 0.6)
+	}
+	return l
+}
+
+func TestOverloadByOneCustomerCostsOthersNothing(t *testing.T) {
+	for _, slots := range []int{80} {
+		for _, cut := range []int{-1, 8} {
+			name := fmt.Sprintf("slots %d, cut %d", slots, cut)
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				var p99 [2]int64
+				for i, load := range []float64{0.6, 10} {
+					s := newSimulation(7, slots, loads(load))
+					s.cut, s.cutAt = cut, 20*time.Second
+					s.run(30 * time.Second)
+					waits, refused := s.others()
+					p99[i] = waits.ValueAtPercentile(99)
+					first := s.customers[0]
+					t.Logf("load %g, %d reports: others p50 %d p99 %d p99.9 %d us max %d, refused %d %v of %d; first ran %d of %d refused %v, max running %d/%d",
+						load, s.reports, waits.ValueAtPercentile(50), p99[i], waits.ValueAtPercentile(99.9), waits.Max(), refused, s.customers[1].refused, s.customers[1].arrived*9,
+						first.waits.TotalCount(), first.arrived, first.refused, first.maxRunning, s.customers[1].maxRunning)
+				}
+				is.True(float64(p99[1]) <= 1.1*float64(p99[0]))
+			})
+		}
+	}
+}
--- a/admission/feasible.go
+++ b/admission/feasible.go
@@ -87,7 +87,7 @@
 func (t *Throttler) sweep(now time.Duration) {
 	for _, c := range slices.Clone(t.active) {
 		t.await(c, now)
-		if c.asking && now-c.asked > t.config.ShareTimeout {
+		if t.cutOff(c, now) {
 			t.refuseAll(c, NoShare, 0)
 			continue
 		}
--- a/admission/lease.go
+++ b/admission/lease.go
@@ -22,11 +22,10 @@
 	Customer string `json:"customer"`
 	// Serial is the grant that the held lease came with in this term.
 	Serial uint64 `json:"serial"`
-	// Concurrency, Rate, Burst and Queue are the lease held at present.
+	// Concurrency, Rate and Burst are the lease held at present.
 	Concurrency int     `json:"concurrency"`
 	Rate        float64 `json:"rate"`
 	Burst       int     `json:"burst"`
-	Queue       int     `json:"queue"`
 	// Running is the number of requests that run.
 	Running int `json:"running"`
 	// Waiting is the number of requests that wait for a share only.
@@ -70,7 +69,9 @@
 	Rate float64 `json:"rate"`
 	// Burst is the size of the node's token bucket.
 	Burst int `json:"burst"`
-	// Queue is how many requests may wait on the node.
+	// Queue is how many requests may wait on the node, by the reports of the
+	// others. It is no share: in the time of one report, nodes together may
+	// queue more than the contract's places.
 	Queue int `json:"queue"`
 	// Tokens are put into the node's bucket once.
 	Tokens float64 `json:"tokens"`
@@ -78,8 +79,8 @@
 	// more, as far as other nodes' needs are known. They serve estimates only.
 	MaxConcurrency int     `json:"maxConcurrency"`
 	MaxRate        float64 `json:"maxRate"`
-	// MaxQueue bounds the waiting requests until the next grant counts them.
-	MaxQueue int `json:"maxQueue"`
+	// Scarce says that other nodes need what this one leaves unused.
+	Scarce bool `json:"scarce,omitempty"`
 	// Duration is the lease's length, from when the answered report was sent.
 	Duration time.Duration `json:"duration"`
 }
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -8,8 +9,8 @@
 
 // amount is a part of a contract.
 type amount struct {
-	concurrency, burst, queue int
-	rate                      float64
+	concurrency, burst int
+	rate               float64
 }
 
 // most returns the larger of each part.
@@ -17,7 +18,6 @@
 	return amount{
 		concurrency: max(a.concurrency, b.concurrency),
 		burst:       max(a.burst, b.burst),
-		queue:       max(a.queue, b.queue),
 		rate:        max(a.rate, b.rate),
 	}
 }
@@ -27,7 +27,6 @@
 	return amount{
 		concurrency: a.concurrency + b.concurrency,
 		burst:       a.burst + b.burst,
-		queue:       a.queue + b.queue,
 		rate:        a.rate + b.rate,
 	}
 }
@@ -55,7 +54,6 @@
 		most = most.most(c.amount)
 	}
 	most.concurrency = max(most.concurrency, h.usage.Running)
-	most.queue = max(most.queue, h.usage.Queued)
 	return most
 }
 
@@ -155,22 +153,18 @@
 	free := amount{
 		concurrency: max(0, p.limits.Concurrency-others.concurrency),
 		burst:       max(0, p.limits.Burst-others.burst),
-		queue:       max(0, p.limits.Queue-others.queue),
 		rate:        max(0, p.limits.Rate-others.rate),
 	}
-	want, most := p.want(h)
+	want, most, scarce := p.want(h)
 	got := amount{
 		concurrency: min(want.concurrency, free.concurrency),
 		burst:       min(want.burst, free.burst),
-		queue:       min(want.queue, free.queue),
 	}
 	got.rate = min(p.limits.rateOf(got.burst), free.rate)
 	if unsettled {
 		got.concurrency = min(got.concurrency, h.usage.Concurrency)
 		got.burst = min(got.burst, h.usage.Burst)
 		got.rate = min(got.rate, h.usage.Rate)
-		got.queue = min(got.queue, h.usage.Queue)
-		free.queue = got.queue
 	}
 	tokens := 0.0
 	if !unsettled {
@@ -181,37 +175,86 @@
 		Concurrency:    got.concurrency,
 		Rate:           got.rate,
 		Burst:          got.burst,
-		Queue:          got.queue,
+		Queue:          p.queue(h),
 		Tokens:         tokens,
 		MaxConcurrency: max(most.concurrency, min(1, p.limits.Concurrency)),
 		MaxRate:        max(p.limits.rateOf(most.burst), p.limits.Rate/float64(len(p.holdings))),
-		MaxQueue:       free.queue,
+		Scarce:         scarce,
 	}
 }
 
+// free returns the concurrency that no node may be using.
+func (p *pool) free() int {
+	return p.limits.Concurrency - p.charged(nil).concurrency
+}
+
+// unmet returns the holdings whose needs their leases do not meet, those with
+// the least slack first.
+func (p *pool) unmet() []*holding {
+	var unmet []*holding
+	for _, h := range p.holdings {
+		if h.usage.Waiting > 0 && h.usage.Running+h.usage.Waiting > h.leased() {
+			unmet = append(unmet, h)
+		}
+	}
+	slices.SortFunc(unmet, func(a, b *holding) int {
+		return cmp.Or(cmp.Compare(a.usage.Slack, b.usage.Slack), cmp.Compare(a.node, b.node))
+	})
+	return unmet
+}
+
+// leased returns the concurrency of the latest lease.
+func (h *holding) leased() int {
+	if len(h.charges) == 0 {
+		return 0
+	}
+	return h.charges[len(h.charges)-1].concurrency
+}
+
 // give charges a lease to a node.
 func (p *pool) give(h *holding, l Lease, serial uint64, until time.Duration) {
 	p.bucket.level -= l.Tokens
 	h.charges = append(h.charges, charge{
-		amount: amount{l.Concurrency, l.Burst, l.Queue, l.Rate},
+		amount: amount{l.Concurrency, l.Burst, l.Rate},
 		serial: serial,
 		until:  until,
 	})
 	p.resize()
 }
 
+// queue returns how many requests may wait at a node. If the nodes have queued
+// more than the contract's places together, they part them fairly.
+func (p *pool) queue(h *holding) int {
+	claims := make([]claim, 0, len(p.holdings))
+	others := 0
+	for _, o := range p.holdings {
+		claims = append(claims, claim{node: o.node, demand: o.usage.Queued, slack: o.usage.Slack})
+		if o != h {
+			others += o.usage.Queued
+		}
+	}
+	if free := p.limits.Queue - others; free >= h.usage.Queued {
+		return free
+	}
+	fill(p.limits.Queue, claims)
+	at := slices.IndexFunc(claims, func(c claim) bool { return c.node == h.node })
+	return claims[at].share
+}
+
 // want returns what a node should hold by all nodes' needs, with a part of
-// what nobody needs, and the most it could get if it needed everything.
-func (p *pool) want(h *holding) (want, most amount) {
-	concurrency, burst, queue := p.claims()
-	want.concurrency, most.concurrency = divide(p.limits.Concurrency, concurrency, h)
-	want.burst, most.burst = divide(p.limits.Burst, burst, h)
-	want.queue, most.queue = divide(p.limits.Queue, queue, h)
-	return want, most
+// what nobody needs, and the most it could get if it needed everything. The
+// concurrency is scarce if there is no such part.
+func (p *pool) want(h *holding) (want, most amount, scarce bool) {
+	concurrency, burst := p.claims()
+	spare := 0
+	want.concurrency, most.concurrency, spare = divide(p.limits.Concurrency, concurrency, h)
+	want.concurrency += spare
+	want.burst, most.burst, _ = divide(p.limits.Burst, burst, h)
+	return want, most, spare == 0
 }
 
 // claims returns what the nodes that need the contract ask of each part.
-func (p *pool) claims() (concurrency, burst, queue []claim) {
+func (p *pool) claims() (concurrency, burst []claim) {
 	for _, h := range p.holdings {
 		if !h.known || h.usage.Idle {
 			continue
@@ -222,34 +265,35 @@
 		concurrency = append(concurrency, c)
 		c.demand = p.burstNeed(u)
 		burst = append(burst, c)
-		c.demand = u.Queued
-		queue = append(queue, c)
 	}
-	return concurrency, burst, queue
+	return concurrency, burst
 }
 
-// burstNeed returns the part of the burst that a node needs, which brings the
-// part of the rate that it needs.
+// burstNeed returns the part of the burst that a node needs until its next
+// report. The rest stays in the pool's bucket, from where tokens reach any node
+// that asks; a part of the rate goes with the part of the burst.
 func (p *pool) burstNeed(u Usage) int {
 	if p.limits.Rate <= 0 {
 		return 0
 	}
-	need := math.Ceil(u.Arrivals * float64(p.limits.Burst) / p.limits.Rate)
-	need = max(need, float64(u.Waiting))
+	filled := float64(p.limits.Burst) / p.limits.Rate
+	span := min(filled, DefaultReportInterval.Seconds())
+	need := math.Ceil(u.Arrivals*span) + float64(u.Waiting)
 	return int(min(need, float64(p.limits.Burst)))
 }
 
-// divide returns the share of a node with a part of the leftover, and the
-// share that it would have if it asked for everything.
-func divide(total int, claims []claim, h *holding) (want, most int) {
+// divide returns the share of a node, the share that it would have if it asked
+// for everything, and its part of what is left over. One such part stays for a
+// node that has not asked yet.
+func divide(total int, claims []claim, h *holding) (want, most, spare int) {
 	at := slices.IndexFunc(claims, func(c claim) bool { return c.node == h.node })
 	if at < 0 {
-		return 0, 0
+		return 0, 0, 0
 	}
 	fill(total, claims)
-	// One part of the leftover stays for a node that has not asked yet.
-	want = claims[at].share + leftover(total, claims)/(len(claims)+1)
+	want = claims[at].share
+	spare = leftover(total, claims) / (len(claims) + 1)
 	claims[at].demand = total
 	fill(total, claims)
-	return want, claims[at].share
+	return want, claims[at].share, spare
 }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -63,7 +63,9 @@
 	queued  int
 
 	returned float64       // tokens given up
-	asking   bool          // a lease is awaited
+	urgent   bool          // a report is due before its time
+	reported time.Duration // last report
+	asking   bool          // a report that asks for a share has no answer yet
 	asked    time.Duration // since when
 	used     time.Duration // last arrival
 	service  time.Duration // mean time that a request runs
@@ -98,7 +100,7 @@
 // whole contract bounds them, until the first lease comes.
 func (c *customer) places(now time.Duration) int {
 	if c.leased(now) {
-		return max(c.lease.Queue, c.lease.MaxQueue)
+		return c.lease.Queue
 	}
 	return c.limits.Queue
 }
--- a/admission/report.go
+++ b/admission/report.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// minReportGap is the shortest time between two reports.
-	minReportGap = 10 * time.Millisecond
-	// waitingReportGap is the time between reports while requests wait for a
-	// share.
-	waitingReportGap = 50 * time.Millisecond
+	// minReportGap is the shortest time between two reports on a customer.
+	minReportGap = 5 * time.Millisecond
+	// waitingReportGap is the time between reports on a customer whose
+	// requests wait.
+	waitingReportGap = 100 * time.Millisecond
 	// rateWindow is the time over which arrivals are averaged.
 	rateWindow = time.Second
 	// maxSent bounds the reports whose answers are still accepted.
@@ -28,10 +28,10 @@
 type reporter struct {
 	term   uint64
 	seq    uint64
-	serial uint64 // of the latest grant in this term
-	last   time.Duration
+	serial uint64        // of the latest grant in this term
+	last   time.Duration // last report on all customers
 	sent   []sentReport
-	urgent bool
+	urgent []*customer // sorted by name
 }
 
 // SetTerm names the leader's term that reports are meant for. Leases of an
@@ -41,50 +41,73 @@
 	if term <= t.reports.term {
 		return
 	}
-	t.reports = reporter{term: term, seq: t.reports.seq, last: t.reports.last, urgent: true}
+	t.reports = reporter{term: term, seq: t.reports.seq, last: -never, urgent: t.reports.urgent}
 	for _, c := range t.customers {
 		c.serial = 0
 	}
 }
 
+// hurry has the next report on a customer sent as soon as may be.
+func (t *Throttler) hurry(c *customer) {
+	if !c.urgent {
+		c.urgent = true
+		t.reports.urgent = insertCustomer(t.reports.urgent, c)
+	}
+}
+
+// due reports whether a report on the customer is to be sent now.
+func (c *customer) due(now time.Duration) bool {
+	since := now - c.reported
+	return c.urgent && since >= minReportGap || c.queued > 0 && since >= waitingReportGap
+}
+
 // ReportDue reports whether a report is to be sent now.
 func (t *Throttler) ReportDue(now time.Duration) bool {
-	since := now - t.reports.last
-	if t.reports.urgent {
-		return since >= minReportGap
-	}
-	if len(t.active) > 0 {
-		return since >= waitingReportGap
+	if now-t.reports.last >= t.config.ReportInterval {
+		return true
 	}
-	return since >= t.config.ReportInterval
+	due := func(c *customer) bool { return c.due(now) }
+	return slices.ContainsFunc(t.reports.urgent, due) || slices.ContainsFunc(t.active, due)
 }
 
-// Report returns the report to send now. The leases that answer it count from
-// this call.
+// Report returns the report to send now, on all customers once in an interval
+// and on those that are due between. The leases that answer it count from this
+// call.
 func (t *Throttler) Report(now time.Duration) Report {
 	s := &t.reports
-	elapsed := now - s.last
 	s.seq++
-	s.last = now
-	s.urgent = false
 	s.sent = append(s.sent, sentReport{seq: s.seq, at: now})
 	if len(s.sent) > maxSent {
 		s.sent = slices.Delete(s.sent, 0, len(s.sent)-maxSent)
 	}
+	all := now-s.last >= t.config.ReportInterval
+	if all {
+		s.last = now
+	}
 	report := Report{Node: t.config.Node, Term: s.term, Seq: s.seq}
 	for _, c := range slices.Clone(t.live) {
-		c.advance(now)
-		c.averageRate(elapsed)
-		usage := c.usage(now, t.config.IdleAfter)
-		if usage.Idle && !c.leased(now) {
-			t.live = removeCustomer(t.live, c)
-			c.asking = false
+		if all || c.due(now) {
+			report.Customers = append(report.Customers, t.usage(c, now))
 		}
-		report.Customers = append(report.Customers, usage)
 	}
 	return report
 }
 
+// usage returns the customer's part of a report that is sent now.
+func (t *Throttler) usage(c *customer, now time.Duration) Usage {
+	c.advance(now)
+	c.averageRate(now - c.reported)
+	c.reported = now
+	c.urgent = false
+	t.reports.urgent = removeCustomer(t.reports.urgent, c)
+	usage := c.usage(now, t.config.IdleAfter)
+	if usage.Idle && !c.leased(now) {
+		t.live = removeCustomer(t.live, c)
+		c.asking = false
+	}
+	return usage
+}
+
 // averageRate updates the arrival rate after the time since the last report.
 func (c *customer) averageRate(elapsed time.Duration) {
 	if elapsed <= 0 {
@@ -112,7 +135,6 @@
 		u.Concurrency = c.lease.Concurrency
 		u.Rate = c.lease.Rate
 		u.Burst = c.lease.Burst
-		u.Queue = c.lease.Queue
 	}
 	u.Slack = never
 	for _, l := range c.lines {
@@ -177,9 +199,7 @@
 	c.returned += c.bucket.add(l.Tokens)
 	c.clip()
 	c.advance(now)
-	if c.leased(now) {
-		c.asking = false
-	}
+	c.asking = false
 	c.swept = -never
 }
 
--- a/admission/throttler.go
+++ b/admission/throttler.go
@@ -89,7 +89,6 @@
 func (c *customer) clip() {
 	c.lease.Concurrency = min(c.lease.Concurrency, c.limits.Concurrency)
 	c.lease.Queue = min(c.lease.Queue, c.limits.Queue)
-	c.lease.MaxQueue = min(c.lease.MaxQueue, c.limits.Queue)
 	c.lease.Burst = min(c.lease.Burst, c.limits.Burst)
 	c.lease.Rate = min(c.lease.Rate, c.limits.Rate)
 	c.returned += c.bucket.resize(float64(c.lease.Burst), c.lease.Rate)
@@ -113,6 +112,7 @@
 func (t *Throttler) forget(c *customer) {
 	delete(t.customers, c.limits.Customer)
 	t.live = removeCustomer(t.live, c)
+	t.reports.urgent = removeCustomer(t.reports.urgent, c)
 }
 
 // SetTarget says whether a model or service serves requests.
@@ -196,8 +196,9 @@
 	r.line.target.running--
 	c.running--
 	t.freed = true
-	if c.running >= c.lease.Concurrency {
-		t.reports.urgent = true
+	unused := c.running+c.queued < c.lease.Concurrency
+	if c.running >= c.lease.Concurrency || c.lease.Scarce && unused {
+		t.hurry(c)
 	}
 	if c.ended && c.running == 0 {
 		t.forget(c)
