--- a/admission/allocator.go
+++ b/admission/allocator.go
@@ -49,6 +49,9 @@
 		a.pools[l.Customer] = p
 	}
 	p.advance(now)
+	if l.Burst > p.limits.Burst {
+		p.forgetReturns(a.serial + 1)
+	}
 	p.limits = l
 	p.resize()
 }
@@ -108,27 +111,43 @@
 	return l
 }
 
-// push gives the nodes that wait what another node's report has freed.
+// push gives the nodes that wait what other nodes have freed, and takes back
+// what others leave unused if that is not enough.
 func (a *Allocator) push(p *pool, but *holding, now time.Duration) {
 	if now < a.settled() {
 		return
 	}
+	short := false
 	for _, h := range p.unmet() {
-		if h == but || p.free() <= 0 {
-			continue
+		if h != but && p.free() > 0 {
+			a.pushIf(p, h, now, func(l Lease) bool { return l.Concurrency > h.leased() })
 		}
-		if l := p.share(h, false); l.Concurrency <= h.leased() {
-			continue
+		short = short || h.leased() < h.need()
+	}
+	if !short {
+		return
+	}
+	for _, h := range p.holdings {
+		if h != but && h.leased() > h.need() {
+			a.pushIf(p, h, now, func(l Lease) bool { return l.Concurrency < h.leased() })
 		}
-		a.serial++
-		grant := Grant{Node: h.node, Term: a.config.Term, Serial: a.serial, Report: h.seq}
-		grant.Leases = []Lease{a.lease(p, h, grant.Serial, now)}
-		a.pushes = append(a.pushes, grant)
 	}
 }
 
+// pushIf gives a node a lease unasked, if it is of use.
+func (a *Allocator) pushIf(p *pool, h *holding, now time.Duration, useful func(Lease) bool) {
+	if !useful(p.share(h, false)) {
+		return
+	}
+	a.serial++
+	grant := Grant{Node: h.node, Term: a.config.Term, Serial: a.serial, Report: h.seq}
+	grant.Leases = []Lease{a.lease(p, h, grant.Serial, now)}
+	a.pushes = append(a.pushes, grant)
+}
+
 // Pushes returns the grants that became due by the reports since the last
-// call, for nodes that wait for a share. They are sent without being asked.
+// call, for nodes that wait for a share or hold more than they use. They are
+// sent without being asked.
 func (a *Allocator) Pushes() []Grant {
 	pushes := a.pushes
 	a.pushes = nil
--- a/admission/bucket.go
+++ b/admission/bucket.go
@@ -10,14 +10,14 @@
 	at    time.Duration
 }
 
-// advance adds the tokens gained until now.
-func (b *bucket) advance(now time.Duration) {
+// advance adds the tokens gained until now and returns those that do not fit.
+func (b *bucket) advance(now time.Duration) float64 {
 	if now <= b.at {
-		return
+		return 0
 	}
 	gained := b.rate * (now - b.at).Seconds()
-	b.level = min(b.size, b.level+gained)
 	b.at = now
+	return b.add(gained)
 }
 
 // resize changes the bucket and returns the tokens that no longer fit.
--- a/admission/fairness_test.go
+++ b/admission/fairness_test.go
@@ -164,6 +164,9 @@
 		c.refused[d.Reason]++
 		delete(s.requests, d.ID)
 	case Run:
+		if debugHook != nil {
+			debugHook(s, d, a)
+		}
 		a.running = true
 		s.requests[d.ID] = a
 		c.running++
@@ -221,3 +224,5 @@
 		}
 	}
 }
+
+var debugHook func(*simulation, Decision, arrival)
--- a/admission/lease.go
+++ b/admission/lease.go
@@ -22,7 +22,8 @@
 	Customer string `json:"customer"`
 	// Serial is the grant that the held lease came with in this term.
 	Serial uint64 `json:"serial"`
-	// Concurrency, Rate and Burst are the lease held at present.
+	// Concurrency, Rate and Burst are what the node holds to from now on of
+	// the lease that came with Serial.
 	Concurrency int     `json:"concurrency"`
 	Rate        float64 `json:"rate"`
 	Burst       int     `json:"burst"`
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -22,6 +22,15 @@
 	}
 }
 
+// least returns the smaller of each part.
+func (a amount) least(b amount) amount {
+	return amount{
+		concurrency: min(a.concurrency, b.concurrency),
+		burst:       min(a.burst, b.burst),
+		rate:        min(a.rate, b.rate),
+	}
+}
+
 // plus returns the sum.
 func (a amount) plus(b amount) amount {
 	return amount{
@@ -43,7 +52,8 @@
 	node    string
 	seq     uint64 // of the latest report
 	usage   Usage
-	known   bool // a report has been seen
+	known   bool   // a report has been seen since the burst last grew
+	fresh   uint64 // serial of the first grant after that
 	charges []charge
 }
 
@@ -64,11 +74,16 @@
 	})
 }
 
-// acknowledge drops the charges that a later lease has replaced.
-func (h *holding) acknowledge(serial uint64) {
+// acknowledge drops the charges that a later lease has replaced, and lowers
+// the charge of the held lease to what its holder still uses of it.
+func (h *holding) acknowledge(u Usage) {
 	h.charges = slices.DeleteFunc(h.charges, func(c charge) bool {
-		return c.serial < serial
+		return c.serial < u.Serial
 	})
+	if len(h.charges) > 0 && h.charges[0].serial == u.Serial {
+		held := amount{u.Concurrency, u.Burst, u.Rate}
+		h.charges[0].amount = h.charges[0].least(held)
+	}
 }
 
 // pool is one contract's capacity and its shares. Its bucket holds the tokens
@@ -132,14 +147,23 @@
 	p.bucket.resize(float64(size), rate)
 }
 
+// forgetReturns keeps tokens that nodes gave up under a smaller burst from
+// being credited under a larger one.
+func (p *pool) forgetReturns(serial uint64) {
+	for _, h := range p.holdings {
+		h.known = false
+		h.fresh = serial
+	}
+}
+
 // observe takes a node's report.
 func (p *pool) observe(h *holding, u Usage, now time.Duration) {
-	h.acknowledge(u.Serial)
+	h.acknowledge(u)
 	if h.known && u.Returned > h.usage.Returned {
 		p.resize()
 		p.bucket.add(u.Returned - h.usage.Returned)
 	}
-	h.known = true
+	h.known = u.Serial >= h.fresh
 	h.usage = u
 	h.expire(now)
 	p.resize()
@@ -193,7 +217,7 @@
 func (p *pool) unmet() []*holding {
 	var unmet []*holding
 	for _, h := range p.holdings {
-		if h.usage.Waiting > 0 && h.usage.Running+h.usage.Waiting > h.leased() {
+		if h.usage.Waiting > 0 && h.need() > h.leased() {
 			unmet = append(unmet, h)
 		}
 	}
@@ -211,6 +235,11 @@
 	return h.charges[len(h.charges)-1].concurrency
 }
 
+// need returns the concurrency that the node can use now.
+func (h *holding) need() int {
+	return h.usage.Running + h.usage.Waiting
+}
+
 // give charges a lease to a node.
 func (p *pool) give(h *holding, l Lease, serial uint64, until time.Duration) {
 	p.bucket.level -= l.Tokens
@@ -256,7 +285,7 @@
 // claims returns what the nodes that need the contract ask of each part.
 func (p *pool) claims() (concurrency, burst []claim) {
 	for _, h := range p.holdings {
-		if !h.known || h.usage.Idle {
+		if h.seq == 0 || h.usage.Idle {
 			continue
 		}
 		u := h.usage
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -83,7 +83,7 @@
 
 // advance gains tokens until now, or until the end of the lease.
 func (c *customer) advance(now time.Duration) {
-	c.bucket.advance(min(now, c.until))
+	c.returned += c.bucket.advance(min(now, c.until))
 	if !c.leased(now) && c.bucket.size > 0 {
 		c.returned += c.bucket.resize(0, 0)
 	}
--- a/admission/report.go
+++ b/admission/report.go
@@ -99,6 +99,7 @@
 	c.averageRate(now - c.reported)
 	c.reported = now
 	c.urgent = false
+	c.giveUp()
 	t.reports.urgent = removeCustomer(t.reports.urgent, c)
 	usage := c.usage(now, t.config.IdleAfter)
 	if usage.Idle && !c.leased(now) {
@@ -108,6 +109,19 @@
 	return usage
 }
 
+// unused reports whether the lease is for more than is needed now.
+func (c *customer) unused() bool {
+	return c.running+c.queued < c.lease.Concurrency
+}
+
+// giveUp lowers a scarce lease to what is used, so that the report frees the
+// rest for other nodes.
+func (c *customer) giveUp() {
+	if c.lease.Scarce {
+		c.lease.Concurrency = min(c.lease.Concurrency, c.running+c.queued)
+	}
+}
+
 // averageRate updates the arrival rate after the time since the last report.
 func (c *customer) averageRate(elapsed time.Duration) {
 	if elapsed <= 0 {
@@ -173,7 +187,11 @@
 			continue
 		}
 		c.serial = g.Serial
+		held := c.lease.Concurrency
 		c.accept(l, sent+l.Duration, now)
+		if l.Concurrency < held || l.Scarce && c.unused() {
+			t.hurry(c)
+		}
 		t.freed = true
 	}
 	return true
--- a/admission/throttler.go
+++ b/admission/throttler.go
@@ -196,8 +196,7 @@
 	r.line.target.running--
 	c.running--
 	t.freed = true
-	unused := c.running+c.queued < c.lease.Concurrency
-	if c.running >= c.lease.Concurrency || c.lease.Scarce && unused {
+	if c.running >= c.lease.Concurrency || c.lease.Scarce && c.unused() {
 		t.hurry(c)
 	}
 	if c.ended && c.running == 0 {
