--- a/admission/lease.go
+++ b/admission/lease.go
@@ -22,18 +22,22 @@
 	Customer string `json:"customer"`
 	// Serial is the grant that the held lease came with in this term.
 	Serial uint64 `json:"serial"`
-	// Concurrency, Burst and Queue are the lease held at present.
-	Concurrency int `json:"concurrency"`
-	Burst       int `json:"burst"`
-	Queue       int `json:"queue"`
+	// Concurrency, Rate and Burst are what the node holds to from now on of
+	// the lease that came with Serial.
+	Concurrency int     `json:"concurrency"`
+	Rate        float64 `json:"rate"`
+	Burst       int     `json:"burst"`
 	// Running is the number of requests that run.
 	Running int `json:"running"`
 	// Waiting is the number of requests that wait for a share only.
 	Waiting int `json:"waiting"`
+	// Backlog is the number of requests that wait for a target that is ready,
+	// also where its slots are taken.
+	Backlog int `json:"backlog"`
 	// Queued is the number of all requests that wait.
 	Queued int `json:"queued"`
-	// Rate is the number of requests that arrive a second.
-	Rate float64 `json:"rate"`
+	// Arrivals is the number of requests that arrive a second.
+	Arrivals float64 `json:"arrivals"`
 	// Slack is the time to the earliest deadline among the waiting.
 	Slack time.Duration `json:"slack"`
 	// Tokens is the level of the node's token bucket.
@@ -69,7 +73,9 @@
 	Rate float64 `json:"rate"`
 	// Burst is the size of the node's token bucket.
 	Burst int `json:"burst"`
-	// Queue is how many requests may wait on the node.
+	// Queue is how many requests may wait on the node, by the reports of the
+	// others. It is no share: in the time of one report, nodes together may
+	// queue more than the contract's places.
 	Queue int `json:"queue"`
 	// Tokens are put into the node's bucket once.
 	Tokens float64 `json:"tokens"`
@@ -77,8 +83,8 @@
 	// more, as far as other nodes' needs are known. They serve estimates only.
 	MaxConcurrency int     `json:"maxConcurrency"`
 	MaxRate        float64 `json:"maxRate"`
-	// MaxQueue bounds the waiting requests until the next grant counts them.
-	MaxQueue int `json:"maxQueue"`
+	// Scarce says that other nodes need what this one leaves unused.
+	Scarce bool `json:"scarce,omitempty"`
 	// Duration is the lease's length, from when the answered report was sent.
 	Duration time.Duration `json:"duration"`
 }
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -8,7 +9,8 @@
 
 // amount is a part of a contract.
 type amount struct {
-	concurrency, burst, queue int
+	concurrency, burst int
+	rate               float64
 }
 
 // most returns the larger of each part.
@@ -16,7 +18,16 @@
 	return amount{
 		concurrency: max(a.concurrency, b.concurrency),
 		burst:       max(a.burst, b.burst),
-		queue:       max(a.queue, b.queue),
+		rate:        max(a.rate, b.rate),
+	}
+}
+
+// least returns the smaller of each part.
+func (a amount) least(b amount) amount {
+	return amount{
+		concurrency: min(a.concurrency, b.concurrency),
+		burst:       min(a.burst, b.burst),
+		rate:        min(a.rate, b.rate),
 	}
 }
 
@@ -25,7 +36,7 @@
 	return amount{
 		concurrency: a.concurrency + b.concurrency,
 		burst:       a.burst + b.burst,
-		queue:       a.queue + b.queue,
+		rate:        a.rate + b.rate,
 	}
 }
 
@@ -41,7 +52,8 @@
 	node    string
 	seq     uint64 // of the latest report
 	usage   Usage
-	known   bool // a report has been seen
+	known   bool   // a report has been seen since the burst last grew
+	fresh   uint64 // serial of the first grant after that
 	charges []charge
 }
 
@@ -52,7 +64,6 @@
 		most = most.most(c.amount)
 	}
 	most.concurrency = max(most.concurrency, h.usage.Running)
-	most.queue = max(most.queue, h.usage.Queued)
 	return most
 }
 
@@ -63,11 +74,16 @@
 	})
 }
 
-// acknowledge drops the charges that a later lease has replaced.
-func (h *holding) acknowledge(serial uint64) {
+// acknowledge drops the charges that a later lease has replaced, and lowers
+// the charge of the held lease to what its holder still uses of it.
+func (h *holding) acknowledge(u Usage) {
 	h.charges = slices.DeleteFunc(h.charges, func(c charge) bool {
-		return c.serial < serial
+		return c.serial < u.Serial
 	})
+	if len(h.charges) > 0 && h.charges[0].serial == u.Serial {
+		held := amount{u.Concurrency, u.Burst, u.Rate}
+		h.charges[0].amount = h.charges[0].least(held)
+	}
 }
 
 // pool is one contract's capacity and its shares. Its bucket holds the tokens
@@ -125,18 +141,29 @@
 
 // resize fits the bucket to what is not leased.
 func (p *pool) resize() {
-	free := max(0, p.limits.Burst-p.charged(nil).burst)
-	p.bucket.resize(float64(free), p.limits.rateOf(free))
+	all := p.charged(nil)
+	size := max(0, p.limits.Burst-all.burst)
+	rate := max(0, p.limits.Rate-all.rate)
+	p.bucket.resize(float64(size), rate)
+}
+
+// forgetReturns keeps tokens that nodes gave up under a smaller burst from
+// being credited under a larger one.
+func (p *pool) forgetReturns(serial uint64) {
+	for _, h := range p.holdings {
+		h.known = false
+		h.fresh = serial
+	}
 }
 
 // observe takes a node's report.
 func (p *pool) observe(h *holding, u Usage, now time.Duration) {
-	h.acknowledge(u.Serial)
+	h.acknowledge(u)
 	if h.known && u.Returned > h.usage.Returned {
 		p.resize()
 		p.bucket.add(u.Returned - h.usage.Returned)
 	}
-	h.known = true
+	h.known = u.Serial >= h.fresh
 	h.usage = u
 	h.expire(now)
 	p.resize()
@@ -150,19 +177,18 @@
 	free := amount{
 		concurrency: max(0, p.limits.Concurrency-others.concurrency),
 		burst:       max(0, p.limits.Burst-others.burst),
-		queue:       max(0, p.limits.Queue-others.queue),
+		rate:        max(0, p.limits.Rate-others.rate),
 	}
-	want, most := p.want(h)
+	want, most, scarce := p.want(h)
 	got := amount{
 		concurrency: min(want.concurrency, free.concurrency),
 		burst:       min(want.burst, free.burst),
-		queue:       min(want.queue, free.queue),
 	}
+	got.rate = min(p.limits.rateOf(got.burst), free.rate)
 	if unsettled {
 		got.concurrency = min(got.concurrency, h.usage.Concurrency)
 		got.burst = min(got.burst, h.usage.Burst)
-		got.queue = min(got.queue, h.usage.Queue)
-		free.queue = got.queue
+		got.rate = min(got.rate, h.usage.Rate)
 	}
 	tokens := 0.0
 	if !unsettled {
@@ -171,41 +197,95 @@
 	return Lease{
 		Customer:       p.limits.Customer,
 		Concurrency:    got.concurrency,
-		Rate:           p.limits.rateOf(got.burst),
+		Rate:           got.rate,
 		Burst:          got.burst,
-		Queue:          got.queue,
+		Queue:          p.queue(h),
 		Tokens:         tokens,
 		MaxConcurrency: max(most.concurrency, min(1, p.limits.Concurrency)),
 		MaxRate:        max(p.limits.rateOf(most.burst), p.limits.Rate/float64(len(p.holdings))),
-		MaxQueue:       free.queue,
+		Scarce:         scarce,
 	}
 }
 
+// free returns the concurrency that no node may be using.
+func (p *pool) free() int {
+	return p.limits.Concurrency - p.charged(nil).concurrency
+}
+
+// unmet returns the holdings whose needs their leases do not meet, those with
+// the least slack first.
+func (p *pool) unmet() []*holding {
+	var unmet []*holding
+	for _, h := range p.holdings {
+		if h.usage.Waiting > 0 && h.need() > h.leased() {
+			unmet = append(unmet, h)
+		}
+	}
+	slices.SortFunc(unmet, func(a, b *holding) int {
+		return cmp.Or(cmp.Compare(a.usage.Slack, b.usage.Slack), cmp.Compare(a.node, b.node))
+	})
+	return unmet
+}
+
+// leased returns the concurrency of the latest lease.
+func (h *holding) leased() int {
+	if len(h.charges) == 0 {
+		return 0
+	}
+	return h.charges[len(h.charges)-1].concurrency
+}
+
+// need returns the concurrency that the node can use now.
+func (h *holding) need() int {
+	return h.usage.Running + h.usage.Waiting
+}
+
 // give charges a lease to a node.
 func (p *pool) give(h *holding, l Lease, serial uint64, until time.Duration) {
 	p.bucket.level -= l.Tokens
 	h.charges = append(h.charges, charge{
-		amount: amount{concurrency: l.Concurrency, burst: l.Burst, queue: l.Queue},
+		amount: amount{l.Concurrency, l.Burst, l.Rate},
 		serial: serial,
 		until:  until,
 	})
 	p.resize()
 }
 
+// queue returns how many requests may wait at a node. If the nodes have queued
+// more than the contract's places together, they part them fairly.
+func (p *pool) queue(h *holding) int {
+	claims := make([]claim, 0, len(p.holdings))
+	others := 0
+	for _, o := range p.holdings {
+		claims = append(claims, claim{node: o.node, demand: o.usage.Queued, slack: o.usage.Slack})
+		if o != h {
+			others += o.usage.Queued
+		}
+	}
+	if free := p.limits.Queue - others; free >= h.usage.Queued {
+		return free
+	}
+	fill(p.limits.Queue, claims)
+	at := slices.IndexFunc(claims, func(c claim) bool { return c.node == h.node })
+	return claims[at].share
+}
+
 // want returns what a node should hold by all nodes' needs, with a part of
-// what nobody needs, and the most it could get if it needed everything.
-func (p *pool) want(h *holding) (want, most amount) {
-	concurrency, burst, queue := p.claims()
-	want.concurrency, most.concurrency = divide(p.limits.Concurrency, concurrency, h)
-	want.burst, most.burst = divide(p.limits.Burst, burst, h)
-	want.queue, most.queue = divide(p.limits.Queue, queue, h)
-	return want, most
+// what nobody needs, and the most it could get if it needed everything. The
+// concurrency is scarce if there is no such part.
+func (p *pool) want(h *holding) (want, most amount, scarce bool) {
+	concurrency, burst := p.claims()
+	spare := 0
+	want.concurrency, most.concurrency, spare = divide(p.limits.Concurrency, concurrency, h)
+	want.concurrency += spare
+	want.burst, most.burst, _ = divide(p.limits.Burst, burst, h)
+	return want, most, spare == 0
 }
 
 // claims returns what the nodes that need the contract ask of each part.
-func (p *pool) claims() (concurrency, burst, queue []claim) {
+func (p *pool) claims() (concurrency, burst []claim) {
 	for _, h := range p.holdings {
-		if !h.known || h.usage.Idle {
+		if h.seq == 0 || h.usage.Idle {
 			continue
 		}
 		u := h.usage
@@ -214,34 +294,35 @@
 		concurrency = append(concurrency, c)
 		c.demand = p.burstNeed(u)
 		burst = append(burst, c)
-		c.demand = u.Queued
-		queue = append(queue, c)
 	}
-	return concurrency, burst, queue
+	return concurrency, burst
 }
 
-// burstNeed returns the part of the burst that a node needs, which brings the
-// part of the rate that it needs.
+// burstNeed returns the part of the burst that a node needs until its next
+// report. The rest stays in the pool's bucket, from where tokens reach any node
+// that asks; a part of the rate goes with the part of the burst.
 func (p *pool) burstNeed(u Usage) int {
 	if p.limits.Rate <= 0 {
 		return 0
 	}
-	need := math.Ceil(u.Rate * float64(p.limits.Burst) / p.limits.Rate)
-	need = max(need, float64(u.Waiting))
+	filled := float64(p.limits.Burst) / p.limits.Rate
+	span := min(filled, DefaultReportInterval.Seconds())
+	need := math.Ceil(u.Arrivals*span) + float64(u.Backlog)
 	return int(min(need, float64(p.limits.Burst)))
 }
 
-// divide returns the share of a node with a part of the leftover, and the
-// share that it would have if it asked for everything.
-func divide(total int, claims []claim, h *holding) (want, most int) {
+// divide returns the share of a node, the share that it would have if it asked
+// for everything, and its part of what is left over. One such part stays for a
+// node that has not asked yet.
+func divide(total int, claims []claim, h *holding) (want, most, spare int) {
 	at := slices.IndexFunc(claims, func(c claim) bool { return c.node == h.node })
 	if at < 0 {
-		return 0, 0
+		return 0, 0, 0
 	}
 	fill(total, claims)
-	// One part of the leftover stays for a node that has not asked yet.
-	want = claims[at].share + leftover(total, claims)/(len(claims)+1)
+	want = claims[at].share
+	spare = leftover(total, claims) / (len(claims) + 1)
 	claims[at].demand = total
 	fill(total, claims)
-	return want, claims[at].share
+	return want, claims[at].share, spare
 }
