policybench: drive the placement decisions in virtual time

Purpose: one small program that compares the placement package with three baselines (load on demand per router, fixed 10-minute keep-alive, least recently used) on the same seeded calls, at both users' sizes.

--- /dev/null
+++ b/cmd/policybench/main.go
@@ -0,0 +1,53 @@
+// Command policybench compares placement policies in virtual time.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/agateslip/agateslip/internal/policybench"
+)
+
+type arguments struct {
+	User string `arg:"--user" default:"both" help:"scenario: tonwerk, pecan or both"`
+	Days int    `arg:"--days" default:"5" help:"simulated days; the first two are not measured"`
+	Seed uint64 `arg:"--seed" default:"1" help:"seed of arrivals and load times"`
+	JSON bool   `arg:"--json" help:"print JSON in place of a table"`
+}
+
+// Description is printed by --help.
+func (arguments) Description() string {
+	return "policybench drives the placement decisions and three baselines through the same\n" +
+		"seeded calls in virtual time, and prints cold-start times and idle accelerator hours."
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	if err := run(args); err != nil {
+		fmt.Fprintln(os.Stderr, "policybench:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args arguments) error {
+	scenarios, err := policybench.Scenarios(args.User)
+	if err != nil {
+		return err
+	}
+	var results []policybench.Result
+	for _, s := range scenarios {
+		results = append(results, policybench.Run(s, policybench.Options{
+			Days: args.Days, Seed: args.Seed, Warmup: policybench.WarmupFor(args.Days), CheckFencing: true,
+		}))
+	}
+	if args.JSON {
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(results)
+	}
+	return policybench.WriteTable(os.Stdout, results)
+}
