--- a/internal/policybench/workload.go
+++ b/internal/policybench/workload.go
@@ -9,10 +9,13 @@
 
 const (
 	dayLength = 24 * time.Hour
-	// waveModels is the number of models that a wave calls at once.
-	waveModels = 15
-	// waveChance is the chance of a wave on a working day.
-	waveChance = 0.7
+	// wavesPerDay is the mean number of waves on a day: many models that are
+	// called at many nodes within a second.
+	wavesPerDay = 6
+	// leastWave and meanWave are the least and the mean number of models that
+	// a wave calls.
+	leastWave = 4
+	meanWave  = 12
 	// quarterEndFactor multiplies the sessions of the last day.
 	quarterEndFactor = 4
 )
@@ -42,7 +45,7 @@
 			w.sessions(m, start, factor)
 			w.nightly(m, start)
 		}
-		if w.rng.Float64() < waveChance {
+		for range w.poisson(wavesPerDay) {
 			w.wave(start)
 		}
 	}
@@ -98,7 +101,8 @@
 func (w *workload) wave(start time.Duration) {
 	at := start + time.Duration((9+8*w.rng.Float64())*float64(time.Hour))
 	models := w.rng.Perm(len(w.scenario.Models))
-	for _, m := range models[:min(waveModels, len(models))] {
+	size := leastWave + int(w.rng.ExpFloat64()*(meanWave-leastWave))
+	for _, m := range models[:min(size, len(models))] {
 		for range 1 + w.rng.IntN(nodes) {
 			w.call(m, at+time.Duration(w.rng.Float64()*float64(time.Second)))
 		}
--- a/placement/evict.go
+++ b/placement/evict.go
@@ -9,10 +9,9 @@
 )
 
 // withdrawExcess proposes to withdraw replicas that no contract requires. A
-// replica that became idle stays for as long as loading it again takes: until
-// then keeping it costs no more accelerator time than the load would (Karlin,
-// Manasse, Rudolph and Sleator, "Competitive snoopy caching", Algorithmica 3,
-// 1988).
+// replica that became idle stays for its hold time, which costs at most twice
+// what the best choice in hindsight would (Karlin, Manasse, Rudolph and
+// Sleator, "Competitive snoopy caching", Algorithmica 3, 1988).
 func (r *round) withdrawExcess() {
 	for i := range r.replicas {
 		v := &r.replicas[i]
@@ -44,9 +43,20 @@
 	return true
 }
 
-// holdTime is the time that loading the model again would take.
+// holdTime is how long an idle replica may stay: until keeping it has cost as
+// much as loading it again would. Both costs are in accelerator seconds. A load
+// costs the memory it holds, and the time of the requests that wait for it,
+// which weighs the more the nearer the load's tail comes to the contract's
+// wait.
 func (r *round) holdTime(m *model) time.Duration {
-	return r.estimator.Typical(r.nearestTier(m), m.memory)
+	tier := r.nearestTier(m)
+	typical := r.estimator.Typical(tier, m.memory)
+	slack := 1 - float64(r.coldTail(m))/float64(m.wait)
+	if slack <= 0 || r.largest == 0 {
+		return typical
+	}
+	share := float64(m.memory) / float64(r.largest)
+	return typical + time.Duration(float64(typical)*m.burst/(share*slack))
 }
 
 // leastUseful returns the live replica that is given up first.
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -131,6 +131,8 @@
 	slots []Instant
 	// storeFrom is when the store's rate allows the next simulated start.
 	storeFrom Instant
+	// largest is the largest accelerator memory of any upstream in bytes.
+	largest int64
 	// mostFree and mostEvictable are the largest free and freeable memory of
 	// any usable upstream.
 	mostFree      int64
--- a/placement/read.go
+++ b/placement/read.go
@@ -53,7 +53,7 @@
 			key := Key{Customer: c.Customer, Model: c.Models[j].Name}
 			m := old[key]
 			if m == nil {
-				m = &model{Key: key, enoughAt: r.now}
+				m = &model{Key: key, enoughAt: r.now, burst: 1}
 			}
 			m.agree(c, &c.Models[j], holder)
 			r.byKey[key] = m
@@ -91,6 +91,7 @@
 
 func (r *round) readUpstreams() {
 	r.upstreams = r.upstreams[:0]
+	r.largest = 0
 	for i := range r.in.Upstreams {
 		view := &r.in.Upstreams[i]
 		if view.Announcement.Kind != directory.Engine {
@@ -102,6 +103,7 @@
 			r.byID[u.id] = u
 		}
 		r.readUpstream(u, view)
+		r.largest = max(r.largest, view.Announcement.Memory)
 		r.upstreams = append(r.upstreams, u)
 	}
 	if len(r.byID) == len(r.upstreams) {
--- a/placement/settle.go
+++ b/placement/settle.go
@@ -12,6 +12,8 @@
 	firstAvoidance = time.Second
 	// longestAvoidance bounds that time.
 	longestAvoidance = time.Minute
+	// burstWeight is the weight of the last load in the mean burst.
+	burstWeight = 0.2
 	// presumedLost is the multiple of the tail load time after which a load on
 	// a silent upstream is no longer counted as using the store.
 	presumedLost = 3
@@ -173,6 +175,11 @@
 	return false
 }
 
+// learnBurst takes in how many requests waited for the load that just ended.
+func (m *model) learnBurst() {
+	m.burst += burstWeight * (float64(max(m.waiting, 1)) - m.burst)
+}
+
 // observeLoads times loads by the reports, and corrects the estimates by the
 // loads that are still in progress.
 func (r *round) observeLoads() {
@@ -188,6 +195,7 @@
 			r.estimator.Observe(v.Tier, v.Memory, age)
 			if v.model != nil {
 				v.model.avoid = nil
+				v.model.learnBurst()
 			}
 			continue
 		}
--- a/placement/state.go
+++ b/placement/state.go
@@ -21,6 +21,8 @@
 	// enoughAt is the last instant at which no replica was in excess.
 	enoughAt Instant
 	avoid    []avoidance
+	// burst is the mean number of requests that wait when a load ends.
+	burst float64
 
 	// Rebuilt in each round.
 	waiting   int
