--- a/cmd/policybench/main.go
+++ b/cmd/policybench/main.go
@@ -12,10 +12,11 @@
 )
 
 type arguments struct {
-	User string `arg:"--user" default:"both" help:"scenario: tonwerk, pecan or both"`
-	Days int    `arg:"--days" default:"5" help:"simulated days; the first two are not measured"`
-	Seed uint64 `arg:"--seed" default:"1" help:"seed of arrivals and load times"`
-	JSON bool   `arg:"--json" help:"print JSON in place of a table"`
+	User   string   `arg:"--user" default:"both" help:"scenario: tonwerk, pecan or both"`
+	Policy []string `arg:"--policy" help:"policies to run: contract, on-demand, keep-alive, lru; all if unset"`
+	Days   int      `arg:"--days" default:"5" help:"simulated days; the first two are not measured"`
+	Seed   uint64   `arg:"--seed" default:"1" help:"seed of arrivals and load times"`
+	JSON   bool     `arg:"--json" help:"print JSON in place of a table"`
 }
 
 // Description is printed by --help.
@@ -38,11 +39,14 @@
 	if err != nil {
 		return err
 	}
+	if len(args.Policy) == 0 {
+		args.Policy = policybench.Policies
+	}
 	var results []policybench.Result
 	for _, s := range scenarios {
 		results = append(results, policybench.Run(s, policybench.Options{
 			Days: args.Days, Seed: args.Seed, Warmup: policybench.WarmupFor(args.Days), CheckFencing: true,
-		}))
+		}, args.Policy))
 	}
 	if args.JSON {
 		encoder := json.NewEncoder(os.Stdout)
--- a/internal/policybench/run.go
+++ b/internal/policybench/run.go
@@ -20,11 +20,11 @@
 	Policies []*Metrics `json:"policies"`
 }
 
-// Run drives the same calls through every policy.
-func Run(s Scenario, options Options) Result {
+// Run drives the same calls through each of the named policies.
+func Run(s Scenario, options Options, names []string) Result {
 	calls := Workload(&s, options.Days, options.Seed)
 	result := Result{Scenario: s.Name, Seed: options.Seed, Days: options.Days}
-	for _, name := range Policies {
+	for _, name := range names {
 		result.Policies = append(result.Policies, RunPolicy(&s, options, calls, name))
 	}
 	return result
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -30,12 +30,12 @@
 	case m.usable > 0:
 		f.Readiness = Loading
 		f.ReadyIn = r.loadingFor(m)
-	case m.charged >= m.limit && m.withdrawn == 0, !r.hasRoom(m):
-		f.Readiness = Blocked
-		f.ReadyIn = max(m.wait, blockedRetry)
 	case m.readyIn > 0:
 		f.Readiness = Loading
 		f.ReadyIn = m.readyIn
+	case m.charged >= m.limit && m.withdrawn == 0, !r.hasRoom(m):
+		f.Readiness = Blocked
+		f.ReadyIn = max(m.wait, blockedRetry)
 	default:
 		f.Readiness = Cold
 		f.ReadyIn = r.coldFor(m)
--- a/placement/place.go
+++ b/placement/place.go
@@ -189,7 +189,8 @@
 // choose returns the upstream for a need and the tier to load from, or nil if
 // none can take it now. Free memory goes before an eviction, a failure domain
 // without a replica of the model before one with, then the shorter load, then
-// the less busy upstream, then the tighter fit.
+// the less busy upstream, then the one whose main memory holds fewer
+// checkpoints, so that later loads find theirs there, then the tighter fit.
 func (r *round) choose(n *need, storeFree bool) (*upstream, directory.Tier) {
 	var best candidate
 	consider := func(u *upstream, tier directory.Tier) {
@@ -248,6 +249,8 @@
 		return c.time < other.time
 	case a.busy != b.busy:
 		return a.busy < b.busy
+	case a.cached != b.cached:
+		return a.cached < b.cached
 	case a.free != b.free:
 		return a.free < b.free
 	default:
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -32,6 +32,8 @@
 	models    []*model
 	byKey     map[Key]*model
 	customers map[string]*customer
+	// sizes is the memory of each model in bytes, by its name.
+	sizes map[string]int64
 
 	upstreams []*upstream
 	byID      map[string]*upstream
--- a/placement/read.go
+++ b/placement/read.go
@@ -11,6 +11,8 @@
 const (
 	defaultSlots    = 8
 	defaultReplicas = 1
+	// busyParts is the number of parts that an upstream's load is told in.
+	busyParts = 4
 )
 
 func (r *round) readLeadership() {
@@ -44,6 +46,7 @@
 	old := r.byKey
 	r.byKey = make(map[Key]*model, len(old))
 	r.customers = make(map[string]*customer, len(r.in.Contracts))
+	r.sizes = make(map[string]int64, len(r.models))
 	r.models = r.models[:0]
 	for i := range r.in.Contracts {
 		c := &r.in.Contracts[i]
@@ -57,6 +60,7 @@
 			}
 			m.agree(c, &c.Models[j], holder)
 			r.byKey[key] = m
+			r.sizes[m.Model] = m.memory
 			r.models = append(r.models, m)
 		}
 	}
@@ -125,7 +129,7 @@
 		r.setCopies(u, a)
 		u.announcement = a
 		u.domain = a.Domain
-		u.busy = float64(a.Load.Running+a.Load.Queued) / float64(max(a.Slots, 1))
+		u.busy = busyParts * (a.Load.Running + a.Load.Queued) / max(a.Slots, 1)
 	}
 	u.free, u.coming, u.evictable = a.Memory, 0, 0
 	u.replicas = u.replicas[:0]
@@ -150,7 +154,11 @@
 			delete(r.holders, c.Model)
 		}
 	}
+	u.cached = 0
 	for _, c := range current {
+		if c.Tier == directory.TierMemory {
+			u.cached += r.sizes[c.Model]
+		}
 		if c.Tier != directory.TierRemote {
 			r.holders[c.Model] = append(r.holders[c.Model], holder{upstream: u, tier: c.Tier})
 		}
--- a/placement/state.go
+++ b/placement/state.go
@@ -72,8 +72,12 @@
 	evictable int64
 	replicas  []*replica
 	domain    string
-	busy      float64
-	round     uint64
+	// busy is the load in quarters of the slots.
+	busy int
+	// cached is the memory in bytes of the models whose checkpoints are held
+	// in main memory.
+	cached int64
+	round  uint64
 }
 
 func (u *upstream) usable() bool {
