placement: admit a cold model only if it delays no load that is in time

A more urgent cold model overtook queued loads whose requests had been accepted, and made them late. The forecast now inserts the model into the simulated queue and refuses it if a load that was in time would be late; it also counts the memory that this round claimed.

--- a/placement/evict.go
+++ b/placement/evict.go
@@ -110,6 +110,9 @@
 	r.plan.Changes = append(r.plan.Changes, Change{Kind: Withdraw, ID: v.ID})
 	v.State = Withdrawn
 	v.upstream.coming += v.charged
+	if v.evictable {
+		v.upstream.evictable -= v.charged
+	}
 	if m := v.model; m != nil {
 		m.live = slices.DeleteFunc(m.live, func(other *replica) bool { return other == v })
 	}
@@ -127,15 +130,20 @@
 	return until
 }
 
-// measureMemory finds what each upstream has free and could free.
+// measureMemory finds what each upstream could free.
 func (r *round) measureMemory() {
 	for i := range r.replicas {
 		v := &r.replicas[i]
 		if v.upstream != nil && v.live() && !v.lost() && r.surplus(v) {
+			v.evictable = true
 			v.upstream.evictable += v.charged
 		}
 	}
-	r.mostFree, r.mostEvictable = 0, 0
+}
+
+// measureRoom finds the most memory that any usable upstream has free, or could
+// free, beyond what this round granted and claimed.
+func (r *round) measureRoom() {
 	for _, u := range r.upstreams {
 		if u.usable() {
 			r.mostFree = max(r.mostFree, u.free)
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -14,6 +14,7 @@
 // forecast tells for each model how soon a request that arrives now could be
 // served.
 func (r *round) forecast() {
+	r.measureRoom()
 	r.simulateStore()
 	r.plan.Forecasts = make([]Forecast, 0, len(r.models))
 	for _, m := range r.models {
@@ -87,8 +88,12 @@
 func (r *round) coldFor(m *model) time.Duration {
 	tier := r.nearestTier(m)
 	left := decisionDelay + r.estimator.Tail(tier, m.memory)
-	if tier == directory.TierRemote {
-		left += r.nextSlot() - r.now
+	if tier != directory.TierRemote {
+		return left
+	}
+	left += r.store.next() - r.now
+	if r.overtakes(m) {
+		left = max(left, m.wait+1)
 	}
 	return left
 }
@@ -97,8 +102,7 @@
 // when each queued load ends.
 func (r *round) simulateStore() {
 	width := r.config.Store.Width
-	r.storeFrom = r.nextStart
-	r.slots = make([]Instant, 0, width)
+	r.store = storeTimes{from: max(r.nextStart, r.now), spacing: r.spacing()}
 	var unsent []*replica
 	for i := range r.replicas {
 		v := &r.replicas[i]
@@ -110,16 +114,17 @@
 			continue
 		}
 		mean := r.estimator.Mean(v.Tier, v.Memory)
-		r.slots = append(r.slots, max(r.now, v.progress.firstAt+mean))
+		r.store.free = append(r.store.free, max(r.now, v.progress.firstAt+mean))
 	}
-	for len(r.slots) < width {
-		r.slots = append(r.slots, r.now)
+	for len(r.store.free) < width {
+		r.store.free = append(r.store.free, r.now)
 	}
-	slices.Sort(r.slots)
-	r.slots = r.slots[len(r.slots)-width:]
+	slices.Sort(r.store.free)
+	r.store.free = r.store.free[len(r.store.free)-width:]
 	for _, v := range unsent {
-		r.takeSlot(v.Memory)
+		r.store.take(r.estimator.Mean(directory.TierRemote, v.Memory))
 	}
+	r.ahead = storeTimes{free: slices.Clone(r.store.free), from: r.store.from, spacing: r.store.spacing}
 	for i := range r.granted {
 		r.simulateLoad(&r.granted[i])
 	}
@@ -128,32 +133,82 @@
 	}
 }
 
+// simulateLoad assigns a queued load its place. The time for which a load can
+// still be delayed without missing its deadline becomes its spare time.
 func (r *round) simulateLoad(n *need) {
 	left := r.estimator.Tail(n.tier, n.model.memory) + decisionDelay
 	if n.tier == directory.TierRemote {
-		left += r.takeSlot(n.model.memory) - r.now
+		service := r.estimator.Mean(n.tier, n.model.memory)
+		start := r.store.take(service) - r.now
+		left += start
+		r.line = append(r.line, lineItem{service: service, slack: n.slack, promised: n.class == classDemand && start <= n.slack})
+	}
+	if n.blocked {
+		left = max(left, n.model.wait, blockedRetry)
 	}
 	if n.model.readyIn == 0 {
 		n.model.readyIn = left
 	}
 }
 
-// takeSlot assigns the next free place of the store to a load and returns its
-// start.
-func (r *round) takeSlot(memory int64) Instant {
-	start := r.nextSlot()
+// overtakes reports whether a load that is asked for now would go ahead of
+// others in the queue and make one of them late that is in time without it.
+func (r *round) overtakes(m *model) bool {
+	if len(r.line) == 0 {
+		return false
+	}
+	service := r.estimator.Mean(directory.TierRemote, m.memory)
+	slack := m.wait - r.estimator.Tail(directory.TierRemote, m.memory) - decisionDelay
+	times := storeTimes{free: append(r.scratch[:0], r.ahead.free...), from: r.ahead.from, spacing: r.ahead.spacing}
+	r.scratch = times.free
+	inserted := false
+	for i := range r.line {
+		item := &r.line[i]
+		if !inserted && (!item.promised || item.slack > slack) {
+			times.take(service)
+			inserted = true
+		}
+		start := times.take(item.service) - r.now
+		if item.promised && start > item.slack {
+			return true
+		}
+	}
+	return false
+}
+
+// lineItem is one load that queues for the store.
+type lineItem struct {
+	service time.Duration
+	// slack is the latest start relative to now that meets the deadline.
+	slack time.Duration
+	// promised says that the load is in time as the queue stands.
+	promised bool
+}
+
+// storeTimes simulates the store's places.
+type storeTimes struct {
+	// free are the instants at which the places become free.
+	free []Instant
+	// from is when the store's rate allows the next start.
+	from    Instant
+	spacing time.Duration
+}
+
+// next returns when the next load could start.
+func (s *storeTimes) next() Instant {
+	return max(slices.Min(s.free), s.from)
+}
+
+// take assigns the place that becomes free first, and returns the start.
+func (s *storeTimes) take(service time.Duration) Instant {
+	start := s.next()
 	at := 0
-	for i := range r.slots {
-		if r.slots[i] < r.slots[at] {
+	for i := range s.free {
+		if s.free[i] < s.free[at] {
 			at = i
 		}
 	}
-	busy := max(r.estimator.Mean(directory.TierRemote, memory), r.spacing())
-	r.slots[at] = start + busy
-	r.storeFrom = start + r.spacing()
+	s.free[at] = start + max(service, s.spacing)
+	s.from = start + s.spacing
 	return start
 }
-
-func (r *round) nextSlot() Instant {
-	return max(slices.Min(r.slots), r.storeFrom, r.now)
-}
--- a/placement/place.go
+++ b/placement/place.go
@@ -22,6 +22,10 @@
 	classAhead
 )
 
+// grantsAhead is the number of grants committed ahead of free places of the
+// store, so that a place is taken again without waiting for a commit.
+const grantsAhead = 2
+
 // need is one replica that has to be loaded.
 type need struct {
 	model *model
@@ -34,6 +38,8 @@
 	rate float64
 	// tier is the nearest tier.
 	tier directory.Tier
+	// blocked says that no upstream has memory for the replica.
+	blocked bool
 }
 
 // place proposes grants for the replicas that are needed, the most urgent
@@ -48,12 +54,13 @@
 		if !r.permits(n.model) {
 			continue
 		}
-		limit := 2 * width
+		limit := width + grantsAhead
 		if n.class == classAhead {
 			limit = width - 1
 		}
 		target, tier := r.choose(n, remote < max(limit, 1))
 		if target == nil {
+			n.blocked = !r.fits(n)
 			r.queue = append(r.queue, *n)
 			continue
 		}
@@ -71,6 +78,12 @@
 	}
 }
 
+// fits reports whether any upstream has, or could free, memory for a need.
+func (r *round) fits(n *need) bool {
+	target, _ := r.choose(n, true)
+	return target != nil
+}
+
 func (r *round) grant(m *model, u *upstream, tier directory.Tier) {
 	u.free -= m.memory
 	m.charged++
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -129,10 +129,13 @@
 	// those that still wait, each in the order of service.
 	granted []need
 	queue   []need
-	// slots are the instants at which the store's places become free.
-	slots []Instant
-	// storeFrom is when the store's rate allows the next simulated start.
-	storeFrom Instant
+	// line are the simulated loads of both, store the store's places after
+	// them, and ahead the places before them.
+	line  []lineItem
+	store storeTimes
+	ahead storeTimes
+	// scratch is reused between simulations.
+	scratch []Instant
 	// largest is the largest accelerator memory of any upstream in bytes.
 	largest int64
 	// mostFree and mostEvictable are the largest free and freeable memory of
--- a/placement/state.go
+++ b/placement/state.go
@@ -104,6 +104,8 @@
 	progress *progress
 	// charged is the larger of the granted and the reported memory in bytes.
 	charged int64
+	// evictable says that the replica counts in its upstream's evictable.
+	evictable bool
 	// fetched says that the upstream holds a local copy, so that the load no
 	// longer uses the store.
 	fetched bool
