placement: claim memory for loads that queue for the store

A load that waited for the store held no memory, so that less urgent local loads took it and the accepted requests missed their waits. Claims now follow urgency; the choice of upstream compares the whole time until ready, an unload and the store's queue included.

--- a/internal/policybench/scenario.go
+++ b/internal/policybench/scenario.go
@@ -88,8 +88,8 @@
 	}
 	for i := range models {
 		size := int64(5 * float64(gib) * math.Exp(0.6*rng.NormFloat64()))
-		size = min(max(size, 2*gib), 16*gib)
 		c := &s.Contracts[i%len(waits)]
+		size = min(max(size, 2*gib), 16*gib, s.largestFor(time.Duration(c.Wait)))
 		f := ModelFacts{
 			Key:  placement.Key{Customer: c.Customer, Model: fmt.Sprintf("model-%03d", i)},
 			Size: size, Memory: size + size/4, Slots: 8, Replicas: 1, Wait: time.Duration(c.Wait),
@@ -110,3 +110,13 @@
 		})
 	}
 }
+
+// waitMargin is the least ratio of a contract's wait to the nominal time of a
+// load from the store that the scenarios' contracts were agreed with.
+const waitMargin = 2.2
+
+// largestFor returns the largest checkpoint that a wait was agreed for.
+func (s *Scenario) largestFor(wait time.Duration) int64 {
+	transfer := wait.Seconds()/waitMargin - initTime.Seconds()
+	return int64(transfer / (1/s.Fetch + 1/initSpeed))
+}
--- a/placement/evict.go
+++ b/placement/evict.go
@@ -159,18 +159,28 @@
 		r.now >= r.withdrawableFrom(v)
 }
 
-// evictableFor returns the memory in bytes that may be freed for a need.
-func (r *round) evictableFor(n *need, u *upstream) int64 {
-	if u.evictable == 0 {
-		return 0
+// evictable reports whether an upstream can free the missing memory in bytes
+// for a need, and whether a required replica would have to go.
+func (r *round) evictable(n *need, u *upstream, missing int64) (fits, costly bool) {
+	if missing <= 0 {
+		return true, false
+	}
+	if u.evictable < missing {
+		return false, false
 	}
-	total := int64(0)
 	for _, v := range r.victims(n, u) {
-		total += v.charged
+		missing -= v.charged
+		costly = v.model.isRequired()
+		if missing <= 0 {
+			return true, costly
+		}
 	}
-	return total
+	return false, false
 }
 
+// isRequired reports whether a contract requires each of the live replicas.
+func (m *model) isRequired() bool { return m.want >= len(m.live) }
+
 // victims lists the replicas on an upstream that may make room for a need: the
 // ones that no contract requires first, then the least called.
 func (r *round) victims(n *need, u *upstream) []*replica {
@@ -188,14 +198,14 @@
 // contract requires it, else to requests that wait, to reservations, and to a
 // model that is called at least twice as often.
 func (r *round) yields(v *replica, n *need) bool {
-	if v.model.want < len(v.model.live) || n.class != classAhead {
+	if !v.model.isRequired() || n.class != classAhead {
 		return true
 	}
 	return n.rate > 2*v.model.arrivals.rate(r.now)
 }
 
 func (r *round) compareVictims(a, b *replica) int {
-	aRequired, bRequired := a.model.want >= len(a.model.live), b.model.want >= len(b.model.live)
+	aRequired, bRequired := a.model.isRequired(), b.model.isRequired()
 	if aRequired != bRequired {
 		if bRequired {
 			return -1
--- a/placement/place.go
+++ b/placement/place.go
@@ -48,7 +48,7 @@
 	needs := r.needs()
 	r.measureMemory()
 	width := r.config.Store.Width
-	remote := r.remoteLoads()
+	r.remoteCount = r.remoteLoads()
 	for i := range needs {
 		n := &needs[i]
 		if !r.permits(n.model) {
@@ -58,19 +58,25 @@
 		if n.class == classAhead {
 			limit = width - 1
 		}
-		target, tier := r.choose(n, remote < max(limit, 1))
+		target, tier := r.choose(n)
 		if target == nil {
-			n.blocked = !r.fits(n)
+			n.blocked = true
 			r.queue = append(r.queue, *n)
 			continue
 		}
-		if target.free < n.model.memory {
+		full := tier == directory.TierRemote && r.remoteCount >= max(limit, 1)
+		if full && n.class == classAhead {
+			r.queue = append(r.queue, *n)
+			continue
+		}
+		if full || target.free < n.model.memory {
+			n.tier = tier
 			r.makeRoom(n, target)
 			r.queue = append(r.queue, *n)
 			continue
 		}
 		if tier == directory.TierRemote {
-			remote++
+			r.remoteCount++
 		}
 		n.tier = tier
 		r.granted = append(r.granted, *n)
@@ -78,12 +84,6 @@
 	}
 }
 
-// fits reports whether any upstream has, or could free, memory for a need.
-func (r *round) fits(n *need) bool {
-	target, _ := r.choose(n, true)
-	return target != nil
-}
-
 func (r *round) grant(m *model, u *upstream, tier directory.Tier) {
 	u.free -= m.memory
 	m.charged++
@@ -192,70 +192,79 @@
 type candidate struct {
 	upstream *upstream
 	tier     directory.Tier
-	// room is 0 for free memory, 1 for memory about to be freed, 2 for memory
-	// that an eviction frees.
-	room   int
+	// costly says that a required replica has to be evicted.
+	costly bool
+	// shared is the number of the model's replicas in the failure domain.
 	shared int
-	time   time.Duration
+	// time is the tail of the time until the replica is ready.
+	time time.Duration
 }
 
 // choose returns the upstream for a need and the tier to load from, or nil if
-// none can take it now. Free memory goes before an eviction, a failure domain
-// without a replica of the model before one with, then the shorter load, then
-// the less busy upstream, then the one whose main memory holds fewer
-// checkpoints, so that later loads find theirs there, then the tighter fit.
-func (r *round) choose(n *need, storeFree bool) (*upstream, directory.Tier) {
+// none has, or could free, the memory. An upstream on which no required replica
+// is evicted goes first, then a failure domain with fewer replicas of the
+// model, then the one that is ready sooner, then the less busy, then the one
+// whose main memory holds fewer checkpoints, so that later loads find theirs
+// there, then the tighter fit.
+func (r *round) choose(n *need) (*upstream, directory.Tier) {
 	var best candidate
-	consider := func(u *upstream, tier directory.Tier) {
+	consider := func(u *upstream, tier directory.Tier, wait time.Duration) {
 		c, fits := r.assess(n, u, tier)
+		c.time += wait
 		if fits && (best.upstream == nil || c.before(&best)) {
 			best = c
 		}
 	}
 	for _, h := range r.holders[n.model.Model] {
-		consider(h.upstream, h.tier)
-	}
-	if best.upstream != nil && best.room == 0 && best.shared == 0 {
-		return best.upstream, best.tier
+		consider(h.upstream, h.tier, 0)
 	}
-	if !storeFree {
+	storeWait := r.storeWait()
+	if best.upstream != nil && !best.costly && best.shared == 0 &&
+		best.time <= storeWait+r.estimator.Tail(directory.TierRemote, n.model.memory) {
 		return best.upstream, best.tier
 	}
 	for _, u := range r.upstreams {
-		consider(u, directory.TierRemote)
+		consider(u, directory.TierRemote, storeWait)
 	}
 	return best.upstream, best.tier
 }
 
+// storeWait estimates how long a further load waits for the store.
+func (r *round) storeWait() time.Duration {
+	waiting := r.remoteCount - r.config.Store.Width + 1
+	if waiting <= 0 {
+		return 0
+	}
+	return time.Duration(waiting) * max(r.estimator.Mean(directory.TierRemote, typicalSize)/time.Duration(r.config.Store.Width), r.spacing())
+}
+
 func (r *round) assess(n *need, u *upstream, tier directory.Tier) (candidate, bool) {
 	if !u.usable() || n.model.avoids(u.id, r.now) {
 		return candidate{}, false
 	}
-	c := candidate{upstream: u, tier: tier}
-	memory := n.model.memory
-	switch {
-	case u.free >= memory:
-	case u.free+u.coming >= memory:
-		c.room = 1
-	case u.free+u.coming+r.evictableFor(n, u) >= memory:
-		c.room = 2
-	default:
-		return candidate{}, false
+	c := candidate{upstream: u, tier: tier, time: r.estimator.Tail(tier, n.model.memory)}
+	if u.free < n.model.memory {
+		c.time += r.unloadTime
+		missing := n.model.memory - u.free - u.coming
+		fits, costly := r.evictable(n, u, missing)
+		if !fits {
+			return candidate{}, false
+		}
+		c.costly = costly
 	}
 	for _, v := range n.model.live {
 		if v.upstream != nil && !v.lost() && v.upstream.domain == u.domain {
 			c.shared++
 		}
 	}
-	c.time = r.estimator.Tail(tier, memory)
 	return c, true
 }
 
 func (c *candidate) before(other *candidate) bool {
 	a, b := c.upstream, other.upstream
 	switch {
-	case c.room != other.room:
-		return c.room < other.room
+	case c.costly != other.costly:
+		return other.costly
 	case c.shared != other.shared:
 		return c.shared < other.shared
 	case c.time != other.time:
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -12,6 +12,10 @@
 	decisionDelay = 100 * time.Millisecond
 	// longestRound bounds the time between two planning rounds.
 	longestRound = time.Second
+	// firstUnloadTime is assumed before any unload was observed, and
+	// unloadWeight is the weight of the last one in their mean.
+	firstUnloadTime = 500 * time.Millisecond
+	unloadWeight    = 0.2
 	// typicalSize is the checkpoint size in bytes that load times are assumed
 	// for before the first contract is known.
 	typicalSize = 16 << 30
@@ -41,8 +45,10 @@
 
 	progress map[uint64]*progress
 	replicas []replica
-	strays   map[stray]Instant
-	adapters []adapterLoad
+	// unloadTime is the mean time from an unload order to its report.
+	unloadTime time.Duration
+	strays     map[stray]Instant
+	adapters   []adapterLoad
 	// nextStart is when the store's rate allows the next load.
 	nextStart Instant
 }
@@ -61,14 +67,15 @@
 	config.AdaptersInFlight = max(config.AdaptersInFlight, 1)
 	typical := seconds(float64(config.Store.Width) / config.Store.Rate)
 	return &Planner{
-		config:    config,
-		estimator: NewEstimator(typical, typicalSize),
-		byKey:     make(map[Key]*model),
-		customers: make(map[string]*customer),
-		byID:      make(map[string]*upstream),
-		holders:   make(map[string][]holder),
-		progress:  make(map[uint64]*progress),
-		strays:    make(map[stray]Instant),
+		config:     config,
+		estimator:  NewEstimator(typical, typicalSize),
+		unloadTime: firstUnloadTime,
+		byKey:      make(map[Key]*model),
+		customers:  make(map[string]*customer),
+		byID:       make(map[string]*upstream),
+		holders:    make(map[string][]holder),
+		progress:   make(map[uint64]*progress),
+		strays:     make(map[stray]Instant),
 	}
 }
 
@@ -136,6 +143,8 @@
 	ahead storeTimes
 	// scratch is reused between simulations.
 	scratch []Instant
+	// remoteCount counts the loads from the store, granted or in progress.
+	remoteCount int
 	// largest is the largest accelerator memory of any upstream in bytes.
 	largest int64
 	// mostFree and mostEvictable are the largest free and freeable memory of
--- a/placement/settle.go
+++ b/placement/settle.go
@@ -35,6 +35,7 @@
 		if state == directory.Failed && v.model != nil {
 			v.model.avoidUpstream(v.Upstream, r.now)
 		}
+		r.observeUnload(v)
 		if until := r.orderInFlightUntil(v); r.now < until {
 			r.wake(until)
 			continue
@@ -43,6 +44,16 @@
 	}
 }
 
+// observeUnload times a finished unload once.
+func (r *round) observeUnload(v *replica) {
+	if v.progress.unloads != 1 || v.progress.unloaded {
+		return
+	}
+	v.progress.unloaded = true
+	took := r.now - v.progress.sentAt
+	r.unloadTime += time.Duration(unloadWeight * float64(took-r.unloadTime))
+}
+
 // endGone proposes the end of whole incarnations.
 func (r *round) endGone() {
 	var last string
--- a/placement/state.go
+++ b/placement/state.go
@@ -134,7 +134,9 @@
 	timed bool
 	// unloads counts the unload orders sent.
 	unloads int
-	round   uint64
+	// unloaded says that the end of the unload was observed.
+	unloaded bool
+	round    uint64
 }
 
 // holder is an upstream that holds a checkpoint copy.
