--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -36,7 +36,7 @@
 		f.ReadyIn = m.readyIn
 	case m.charged >= m.limit && m.withdrawn == 0, !r.hasRoom(m):
 		f.Readiness = Blocked
-		f.ReadyIn = max(m.wait, blockedRetry)
+		f.ReadyIn = m.tooLate()
 	default:
 		f.Readiness = Cold
 		f.ReadyIn = r.coldFor(m)
@@ -45,6 +45,12 @@
 	return f
 }
 
+// tooLate is the time told where none can be estimated. It is beyond the
+// contract's wait.
+func (m *model) tooLate() time.Duration {
+	return max(m.wait+decisionDelay, blockedRetry)
+}
+
 // hasRoom reports whether some upstream could hold the model, perhaps after an
 // eviction.
 func (r *round) hasRoom(m *model) bool {
@@ -93,7 +99,7 @@
 	}
 	left += r.store.next() - r.now
 	if r.overtakes(m) {
-		left = max(left, m.wait+1)
+		left = max(left, m.tooLate())
 	}
 	return left
 }
