--- a/placement/evict.go
+++ b/placement/evict.go
@@ -9,10 +9,9 @@
 )
 
 // withdrawExcess proposes to withdraw replicas that no contract requires. A
-// replica that became idle stays for as long as loading it again takes: until
-// then keeping it costs no more accelerator time than the load would (Karlin,
-// Manasse, Rudolph and Sleator, "Competitive snoopy caching", Algorithmica 3,
-// 1988).
+// replica that became idle stays for its hold time, which costs at most twice
+// what the best choice in hindsight would (Karlin, Manasse, Rudolph and
+// Sleator, "Competitive snoopy caching", Algorithmica 3, 1988).
 func (r *round) withdrawExcess() {
 	for i := range r.replicas {
 		v := &r.replicas[i]
@@ -44,9 +43,20 @@
 	return true
 }
 
-// holdTime is the time that loading the model again would take.
+// holdTime is how long an idle replica may stay: until keeping it has cost as
+// much as loading it again would. Both costs are in accelerator seconds. A load
+// costs the memory it holds, and the time of the requests that wait for it,
+// which weighs the more the nearer the load's tail comes to the contract's
+// wait.
 func (r *round) holdTime(m *model) time.Duration {
-	return r.estimator.Typical(r.nearestTier(m), m.memory)
+	tier := r.nearestTier(m)
+	typical := r.estimator.Typical(tier, m.memory)
+	slack := 1 - float64(r.coldTail(m))/float64(m.wait)
+	if slack <= 0 || r.largest == 0 {
+		return typical
+	}
+	share := float64(m.memory) / float64(r.largest)
+	return typical + time.Duration(float64(typical)*m.burst/(share*slack))
 }
 
 // leastUseful returns the live replica that is given up first.
@@ -100,6 +110,9 @@
 	r.plan.Changes = append(r.plan.Changes, Change{Kind: Withdraw, ID: v.ID})
 	v.State = Withdrawn
 	v.upstream.coming += v.charged
+	if v.evictable {
+		v.upstream.evictable -= v.charged
+	}
 	if m := v.model; m != nil {
 		m.live = slices.DeleteFunc(m.live, func(other *replica) bool { return other == v })
 	}
@@ -117,15 +130,20 @@
 	return until
 }
 
-// measureMemory finds what each upstream has free and could free.
+// measureMemory finds what each upstream could free.
 func (r *round) measureMemory() {
 	for i := range r.replicas {
 		v := &r.replicas[i]
 		if v.upstream != nil && v.live() && !v.lost() && r.surplus(v) {
+			v.evictable = true
 			v.upstream.evictable += v.charged
 		}
 	}
-	r.mostFree, r.mostEvictable = 0, 0
+}
+
+// measureRoom finds the most memory that any usable upstream has free, or could
+// free, beyond what this round granted and claimed.
+func (r *round) measureRoom() {
 	for _, u := range r.upstreams {
 		if u.usable() {
 			r.mostFree = max(r.mostFree, u.free)
@@ -141,18 +159,28 @@
 		r.now >= r.withdrawableFrom(v)
 }
 
-// evictableFor returns the memory in bytes that may be freed for a need.
-func (r *round) evictableFor(n *need, u *upstream) int64 {
-	if u.evictable == 0 {
-		return 0
+// evictable reports whether an upstream can free the missing memory in bytes
+// for a need, and whether a required replica would have to go.
+func (r *round) evictable(n *need, u *upstream, missing int64) (fits, costly bool) {
+	if missing <= 0 {
+		return true, false
+	}
+	if u.evictable < missing {
+		return false, false
 	}
-	total := int64(0)
 	for _, v := range r.victims(n, u) {
-		total += v.charged
+		missing -= v.charged
+		costly = v.model.isRequired()
+		if missing <= 0 {
+			return true, costly
+		}
 	}
-	return total
+	return false, false
 }
 
+// isRequired reports whether a contract requires each of the live replicas.
+func (m *model) isRequired() bool { return m.want >= len(m.live) }
+
 // victims lists the replicas on an upstream that may make room for a need: the
 // ones that no contract requires first, then the least called.
 func (r *round) victims(n *need, u *upstream) []*replica {
@@ -170,14 +198,14 @@
 // contract requires it, else to requests that wait, to reservations, and to a
 // model that is called at least twice as often.
 func (r *round) yields(v *replica, n *need) bool {
-	if v.model.want < len(v.model.live) || n.class != classAhead {
+	if !v.model.isRequired() || n.class != classAhead {
 		return true
 	}
 	return n.rate > 2*v.model.arrivals.rate(r.now)
 }
 
 func (r *round) compareVictims(a, b *replica) int {
-	aRequired, bRequired := a.model.want >= len(a.model.live), b.model.want >= len(b.model.live)
+	aRequired, bRequired := a.model.isRequired(), b.model.isRequired()
 	if aRequired != bRequired {
 		if bRequired {
 			return -1
--- a/placement/state.go
+++ b/placement/state.go
@@ -21,6 +21,8 @@
 	// enoughAt is the last instant at which no replica was in excess.
 	enoughAt Instant
 	avoid    []avoidance
+	// burst is the mean number of requests that wait when a load ends.
+	burst float64
 
 	// Rebuilt in each round.
 	waiting   int
@@ -70,8 +72,12 @@
 	evictable int64
 	replicas  []*replica
 	domain    string
-	busy      float64
-	round     uint64
+	// busy is the load in quarters of the slots.
+	busy int
+	// cached is the memory in bytes of the models whose checkpoints are held
+	// in main memory.
+	cached int64
+	round  uint64
 }
 
 func (u *upstream) usable() bool {
@@ -98,6 +104,8 @@
 	progress *progress
 	// charged is the larger of the granted and the reported memory in bytes.
 	charged int64
+	// evictable says that the replica counts in its upstream's evictable.
+	evictable bool
 	// fetched says that the upstream holds a local copy, so that the load no
 	// longer uses the store.
 	fetched bool
@@ -126,7 +134,9 @@
 	timed bool
 	// unloads counts the unload orders sent.
 	unloads int
-	round   uint64
+	// unloaded says that the end of the unload was observed.
+	unloaded bool
+	round    uint64
 }
 
 // holder is an upstream that holds a checkpoint copy.
