--- /dev/null
+++ b/internal/replica/mesh_test.go
@@ -0,0 +1,158 @@
+package replica_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/agateslip/agateslip/internal/peer"
+	"github.com/agateslip/agateslip/internal/replica"
+	"github.com/agateslip/agateslip/internal/storage"
+	"github.com/agateslip/agateslip/raft"
+)
+
+// nodes names the node of each member.
+type nodes map[raft.MemberID]string
+
+// NodeOf implements replica.Directory.
+func (n nodes) NodeOf(id raft.MemberID) (string, bool) {
+	name, ok := n[id]
+	return name, ok
+}
+
+// meshGroup is three replicas over TCP on loopback, with files.
+type meshGroup struct {
+	replicas []*replica.Replica
+	machines []*registers
+	meshes   []*peer.Mesh
+}
+
+func newMeshGroup(tb testing.TB) *meshGroup {
+	tb.Helper()
+	is := is.New(tb)
+	ids := []raft.MemberID{1, 2, 3}
+	directory := nodes{1: "a", 2: "b", 3: "c"}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	g := &meshGroup{}
+	var peers []peer.Peer
+	for _, id := range ids {
+		mux := peer.NewMux()
+		mesh, err := peer.New(peer.Options{
+			Self: directory[id], Addr: "127.0.0.1:0", Secret: "secret", Mux: mux, Log: log, Seed: uint64(id),
+		})
+		is.NoErr(err)
+		peers = append(peers, peer.Peer{Name: directory[id], Addr: mesh.Addr()})
+		initial, err := replica.Founding(ids, newRegisters())
+		is.NoErr(err)
+		store, err := storage.Create(storage.Options{
+			Dir: tb.TempDir(), Identity: storage.Identity{Group: "g", Member: id},
+		}, initial)
+		is.NoErr(err)
+		tb.Cleanup(func() { store.Close() })
+		machine := newRegisters()
+		r, err := replica.New(replica.Config{
+			Raft: raft.Config{
+				ID: id, Heartbeat: heartbeat, ElectionTimeout: electionTimeout, Lease: lease,
+				MaxBatchBytes: 1 << 20, MaxInflight: 16, CatchUpMargin: 16, Seed: uint64(id),
+			},
+			Restored: initial, Store: store, Machine: machine, Log: log,
+			Transport: replica.MeshTransport{Mesh: mesh, Directory: directory},
+		})
+		is.NoErr(err)
+		replica.HandleMessages(mux, directory, r.Deliver)
+		g.replicas = append(g.replicas, r)
+		g.machines = append(g.machines, machine)
+		g.meshes = append(g.meshes, mesh)
+	}
+	g.run(tb, peers)
+	return g
+}
+
+func (g *meshGroup) run(tb testing.TB, peers []peer.Peer) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i := range g.meshes {
+		g.meshes[i].SetPeers(peers)
+		for _, run := range []func(context.Context) error{g.meshes[i].Run, g.replicas[i].Run} {
+			wg.Go(func() {
+				if err := run(ctx); err != nil {
+					tb.Error(err)
+				}
+			})
+		}
+	}
+	tb.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+}
+
+// leader waits for a member that leads with a lease.
+func (g *meshGroup) leader(tb testing.TB) int {
+	tb.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(heartbeat) {
+		for i, r := range g.replicas {
+			if r.LeaseValid() {
+				return i
+			}
+		}
+	}
+	tb.Fatal("no leader")
+	return 0
+}
+
+func TestGroupOverMesh(t *testing.T) {
+	is := is.New(t)
+	g := newMeshGroup(t)
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	var leader int
+	for i := range 20 {
+		var err error
+		for done := false; !done; done = err == nil {
+			leader = g.leader(t)
+			_, err = g.replicas[leader].Propose(ctx, encode(command{ID: fmt.Sprint(i), Key: "k", Base: i, Value: i}))
+			is.NoErr(ctx.Err())
+		}
+	}
+	index, err := g.replicas[leader].ReadBarrier(ctx)
+	is.NoErr(err)
+	for i, r := range g.replicas {
+		is.NoErr(r.WaitApplied(ctx, index))
+		is.Equal(g.machines[i].get("k").Version, 20)
+	}
+}
+
+// BenchmarkPropose measures changes over TCP and files, one by one and with 64
+// at once.
+func BenchmarkPropose(b *testing.B) {
+	for _, parallel := range []int{1, 64} {
+		b.Run(fmt.Sprintf("%d at once", parallel), func(b *testing.B) {
+			g := newMeshGroup(b)
+			leader := g.leader(b)
+			sent := g.meshes[leader].Stats().SentBytes
+			b.ResetTimer()
+			var wg sync.WaitGroup
+			for p := range parallel {
+				wg.Go(func() {
+					for i := p; i < b.N; i += parallel {
+						c := command{ID: fmt.Sprint(i % 100), Key: fmt.Sprint(i % 100)}
+						if _, err := g.replicas[leader].Propose(b.Context(), encode(c)); err != nil {
+							b.Error(err)
+						}
+					}
+				})
+			}
+			wg.Wait()
+			bytes := g.meshes[leader].Stats().SentBytes - sent
+			b.ReportMetric(float64(bytes)/float64(b.N)/2, "wire-B/op/follower")
+		})
+	}
+}
