raft: test each rule of leaders and followers on its own

Table tests play the other members by hand; bounds on messages, bytes, probes and allocations are asserted as counts. A TimeoutNow of the present term can only come from that term's leader, so the check of the sender, which no schedule could tell from its absence, is dropped.

--- /dev/null
+++ b/raft/bounds_test.go
@@ -0,0 +1,145 @@
+package raft
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// batched is the number of proposals that one write carries in these tests.
+const batched = 64
+
+// commandBytes is the size of each command in them.
+const commandBytes = 100
+
+// TestMessagesPerCommittedEntry bounds the traffic of three voters and six
+// learners, heartbeats included.
+func TestMessagesPerCommittedEntry(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(3, 1)
+	n.cfg.MaxBatchBytes, n.cfg.MaxInflight = 1<<20, 16
+	for _, h := range n.hosts {
+		n.start(h)
+	}
+	n.run(3 * time.Second)
+	next := founding(3).Snapshot.Members
+	for id := MemberID(4); id <= 9; id++ {
+		n.add(id, Restored{})
+		next.Learners = append(next.Learners, id)
+		n.change(next)
+	}
+	const rounds = 50
+	const peers = 8
+	n.messages, n.entryBytes = 0, 0
+	start := n.maxCommitted
+	for range rounds {
+		n.burst(batched)
+		n.run(testHeartbeat)
+	}
+	entries := float64(n.maxCommitted - start)
+	is.Equal(entries, float64(rounds*batched))
+	perEntry := float64(n.messages) / entries
+	bytesPerPeer := float64(n.entryBytes) / entries / peers
+	t.Logf("%.3f messages and %.1f bytes per entry and peer", perEntry/peers, bytesPerPeer)
+	// An append, a commit notice, a heartbeat, and their answers.
+	is.True(perEntry <= 6.0*peers/batched)
+	is.True(bytesPerPeer <= commandBytes+entryOverheadBytes)
+}
+
+// burst proposes commands on the leader in one go.
+func (n *network) burst(commands int) {
+	h := n.leader()
+	for range commands {
+		if _, _, err := h.core.Propose(make([]byte, commandBytes), n.clock(h)); err != nil {
+			panic(err)
+		}
+	}
+	n.pump(h)
+}
+
+func TestFlowControl(t *testing.T) {
+	is := is.New(t)
+	c := start(t, founding(3))
+	now := elect(t, c)
+	write(c, now)
+	answer(c, 2, 2, 1, now)
+	for c.lead.uncommitted+commandBytes+entryOverheadBytes <= c.cfg.MaxBatchBytes*c.cfg.MaxInflight {
+		_, _, err := c.Propose(make([]byte, commandBytes), now)
+		is.NoErr(err)
+	}
+	_, _, err := c.Propose(make([]byte, commandBytes), now)
+	is.True(errors.Is(err, ErrOverloaded))
+	// Small entries would fill more messages than may be under way.
+	c.cfg.MaxInflight = 2
+	sent := map[MemberID]int{}
+	for _, m := range write(c, now).Messages {
+		sent[m.To]++
+		size := 0
+		for i := range m.Entries {
+			size += entrySize(&m.Entries[i])
+		}
+		is.True(size > 0 && size <= c.cfg.MaxBatchBytes)
+	}
+	is.Equal(sent, map[MemberID]int{2: 2})
+	// A heartbeat goes out although the flow is full.
+	c.Tick(now + testHeartbeat)
+	is.Equal(len(c.Take(now+testHeartbeat).Messages), 2)
+}
+
+// TestConflictsAreSkippedByTerm bounds the probes that a long diverged log
+// takes, by its number of terms.
+func TestConflictsAreSkippedByTerm(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(3, 1)
+	const terms, perTerm = 4, 100
+	diverged := founding(3)
+	kept := founding(3)
+	for i := range terms * perTerm {
+		index, term := uint64(i+2), uint64(2+2*(i/perTerm))
+		diverged.Entries = append(diverged.Entries, Entry{Index: index, Term: term})
+		kept.Entries = append(kept.Entries, Entry{Index: index, Term: term + 1})
+	}
+	diverged.Hard.Term, kept.Hard.Term = 20, 20
+	for _, h := range n.hosts {
+		h.disk = kept
+		if h.id == 3 {
+			h.disk = diverged
+		}
+		n.start(h)
+	}
+	n.cfg.MaxBatchBytes = 1 << 20
+	rejected := 0
+	n.onSend = func(m Message) {
+		if m.Kind == MsgAppendReply && m.Reject {
+			rejected++
+		}
+	}
+	n.run(5 * time.Second)
+	is.Equal(n.host(3).core.log.commit, n.maxCommitted)
+	is.True(n.maxCommitted > terms*perTerm)
+	is.True(rejected <= 2*terms)
+}
+
+// TestAllocationsPerBatch bounds the allocations of a batch of proposals from
+// Propose to commitment, on the leader.
+func TestAllocationsPerBatch(t *testing.T) {
+	c := start(t, founding(3))
+	now := elect(t, c)
+	write(c, now)
+	answer(c, 2, 2, 1, now)
+	data := make([]byte, commandBytes)
+	c.cfg.MaxBatchBytes = 1 << 20
+	got := testing.AllocsPerRun(100, func() {
+		for range batched {
+			_, _, _ = c.Propose(data, now)
+		}
+		write(c, now)
+		answer(c, 2, c.log.last(), 1, now)
+		write(c, now)
+		c.Applied(c.log.last())
+	})
+	t.Logf("%.0f allocations per %d entries", got, batched)
+	is.New(t).True(got <= batched/4)
+}
--- a/raft/core.go
+++ b/raft/core.go
@@ -150,7 +150,7 @@
 	case MsgSnapshotReply:
 		c.onAppendReply(m)
 	case MsgTimeoutNow:
-		c.onTimeoutNow(m)
+		c.onTimeoutNow()
 	}
 }
 
--- /dev/null
+++ b/raft/leader_test.go
@@ -0,0 +1,391 @@
+package raft
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// start makes member 1 on its own; the test plays the others.
+func start(t *testing.T, from Restored) *Core {
+	t.Helper()
+	c, err := New(testConfig(), from, 0)
+	is.New(t).NoErr(err)
+	return c
+}
+
+// elect makes a core the leader by the vote of member 2 and returns when.
+func elect(t *testing.T, c *Core) Instant {
+	t.Helper()
+	now := 2 * testElection
+	c.Tick(now)
+	c.Step(Message{Kind: MsgPreVoteReply, From: 2, To: 1, Term: c.term + 1}, now)
+	c.Step(Message{Kind: MsgVoteReply, From: 2, To: 1, Term: c.term}, now)
+	is.New(t).Equal(c.role, Leader)
+	return now
+}
+
+// write makes a core's output durable and returns it.
+func write(c *Core, now Instant) Output {
+	out := c.Take(now)
+	c.Persisted(c.log.last(), now)
+	return out
+}
+
+// answer has a member accept everything up to index in a round.
+func answer(c *Core, from MemberID, index, round uint64, now Instant) {
+	c.Step(Message{Kind: MsgAppendReply, From: from, To: 1, Term: c.term, Hint: index, Round: round}, now)
+}
+
+func TestLeaseCountsFromSend(t *testing.T) {
+	is := is.New(t)
+	c := start(t, founding(3))
+	sent := elect(t, c)
+	write(c, sent)
+	late := sent + testLease - time.Millisecond
+	answer(c, 2, 2, 1, late)
+	is.True(c.LeaseValid(late))
+	is.True(!c.LeaseValid(sent + testLease))
+	// The process was frozen: what it finds in its queue gives no lease.
+	answer(c, 3, 2, 1, sent+time.Hour)
+	is.True(!c.LeaseValid(sent + time.Hour))
+}
+
+func TestLeaseNeedsOwnCommit(t *testing.T) {
+	is := is.New(t)
+	c := start(t, founding(3))
+	now := elect(t, c)
+	write(c, now)
+	answer(c, 2, 1, 1, now)
+	is.True(!c.LeaseValid(now))
+	answer(c, 2, 2, 1, now)
+	is.True(c.LeaseValid(now))
+}
+
+func TestLeaderCountsItselfOnceDurable(t *testing.T) {
+	is := is.New(t)
+	c := start(t, founding(3))
+	now := elect(t, c)
+	c.Take(now)
+	answer(c, 2, 2, 1, now)
+	is.Equal(c.log.commit, uint64(1))
+	c.Persisted(2, now)
+	is.Equal(c.log.commit, uint64(2))
+}
+
+func TestEarlierTermsCommitWithOwnEntry(t *testing.T) {
+	is := is.New(t)
+	from := founding(3)
+	from.Hard = HardState{Term: 3}
+	from.Entries = []Entry{{Index: 2, Term: 2}}
+	c := start(t, from)
+	now := elect(t, c)
+	write(c, now)
+	answer(c, 2, 2, 1, now)
+	is.Equal(c.log.commit, uint64(1))
+	answer(c, 2, 3, 1, now)
+	is.Equal(c.log.commit, uint64(3))
+}
+
+func TestCutOffLeaderStepsDown(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(3, 1)
+	n.run(2 * time.Second)
+	old := n.leader()
+	n.isolate(old.id)
+	n.run(testElection + testHeartbeat)
+	is.True(old.core.role != Leader)
+	n.run(time.Minute)
+	successor, term := n.leader(), n.leader().core.term
+	is.True(successor != old)
+	n.heal()
+	n.run(2 * time.Second)
+	is.Equal(n.leader(), successor)
+	is.Equal(successor.core.term, term)
+	is.Equal(old.core.leader, successor.id)
+}
+
+func TestReturningFollowerKeepsTerm(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(3, 1)
+	n.run(2 * time.Second)
+	leader, term := n.leader(), n.leader().core.term
+	cut := n.hosts[leader.id%3]
+	n.isolate(cut.id)
+	n.run(time.Minute)
+	n.heal()
+	n.run(2 * time.Second)
+	is.Equal(n.leader(), leader)
+	// It still reaches the member that hears the leader.
+	n.cut[[2]MemberID{leader.id, cut.id}] = true
+	n.run(time.Minute)
+	n.heal()
+	n.run(2 * time.Second)
+	is.Equal(n.leader(), leader)
+	is.Equal(leader.core.term, term)
+	is.Equal(cut.core.term, term)
+}
+
+func TestTransfer(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(3, 1)
+	n.run(2 * time.Second)
+	old := n.leader()
+	target := n.hosts[old.id%3]
+	is.True(errors.Is(target.core.Transfer(old.id, n.clock(target)), ErrNotLeader))
+	is.True(errors.Is(old.core.Transfer(old.id, n.clock(old)), ErrUnknownVoter))
+	is.NoErr(old.core.Transfer(target.id, n.clock(old)))
+	is.True(!old.core.LeaseValid(n.clock(old)))
+	_, _, err := old.core.Propose(nil, n.clock(old))
+	is.True(errors.Is(err, ErrNotLeader))
+	n.pump(old)
+	n.run(testHeartbeat)
+	is.Equal(n.leader(), target)
+}
+
+func TestAbandonedTransferMovesToANewTerm(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(3, 1)
+	n.run(2 * time.Second)
+	leader, term := n.leader(), n.leader().core.term
+	target := n.hosts[leader.id%3]
+	n.isolate(target.id)
+	is.NoErr(leader.core.Transfer(target.id, n.clock(leader)))
+	n.pump(leader)
+	n.run(testElection + testHeartbeat)
+	is.Equal(n.leader(), leader)
+	is.Equal(leader.core.term, term+1)
+	is.True(leader.core.LeaseValid(n.clock(leader)))
+	target.core.Step(Message{Kind: MsgTimeoutNow, From: leader.id, To: target.id, Term: term}, n.clock(target))
+	n.heal()
+	n.run(time.Second)
+	is.Equal(leader.core.term, term+1)
+}
+
+func TestMembershipChangeRefusals(t *testing.T) {
+	// Member 3 is silent, learner 4 holds everything, learner 5 does not.
+	voters := []MemberID{1, 2, 3}
+	for name, tt := range map[string]struct {
+		next Members
+		want error
+	}{
+		"promote":               {Members{Voters: []MemberID{1, 2, 3, 4}, Learners: []MemberID{5}}, nil},
+		"promote lagging":       {Members{Voters: []MemberID{1, 2, 3, 5}, Learners: []MemberID{4}}, ErrNotCaughtUp},
+		"voter from nowhere":    {Members{Voters: []MemberID{1, 2, 3, 6}, Learners: []MemberID{4, 5}}, ErrUnsafeChange},
+		"replace at once":       {Members{Voters: []MemberID{1, 2, 4}, Learners: []MemberID{5}}, ErrUnsafeChange},
+		"remove silent":         {Members{Voters: []MemberID{1, 2}, Learners: []MemberID{4, 5}}, nil},
+		"remove responsive":     {Members{Voters: []MemberID{1, 3}, Learners: []MemberID{4, 5}}, ErrUnsafeChange},
+		"remove two":            {Members{Voters: []MemberID{1}, Learners: []MemberID{4, 5}}, ErrUnsafeChange},
+		"demote":                {Members{Voters: []MemberID{1, 2}, Learners: []MemberID{3, 4, 5}}, ErrUnsafeChange},
+		"two learners":          {Members{Voters: voters, Learners: []MemberID{4, 5, 6, 7}}, ErrUnsafeChange},
+		"one learner":           {Members{Voters: voters, Learners: []MemberID{4, 5, 6}}, nil},
+		"no change":             {Members{Voters: voters, Learners: []MemberID{4, 5}}, ErrUnsafeChange},
+		"nobody":                {Members{}, ErrUnsafeChange},
+		"named twice":           {Members{Voters: voters, Learners: []MemberID{3, 4, 5}}, ErrUnsafeChange},
+		"zero":                  {Members{Voters: voters, Learners: []MemberID{0, 4, 5}}, ErrUnsafeChange},
+		"same in another order": {Members{Voters: []MemberID{3, 2, 1}, Learners: []MemberID{4, 5}}, ErrUnsafeChange},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			from := founding(3)
+			from.Snapshot.Members.Learners = []MemberID{4, 5}
+			c := start(t, from)
+			now := elect(t, c)
+			write(c, now)
+			_, _, err := c.ProposeMembers(tt.next, now)
+			is.True(errors.Is(err, ErrChangePending)) // the first entry of the term is not committed
+			now += testElection - time.Millisecond
+			answer(c, 2, 2, 1, now)
+			answer(c, 4, 2, 1, now)
+			answer(c, 5, 1, 1, now)
+			now += 2 * time.Millisecond
+			_, _, err = c.ProposeMembers(tt.next, now)
+			is.True(errors.Is(err, tt.want))
+			if tt.want != nil {
+				return
+			}
+			_, _, err = c.ProposeMembers(Members{Voters: voters}, now)
+			is.True(errors.Is(err, ErrChangePending))
+		})
+	}
+}
+
+// change proposes a membership on the leader until it is committed.
+func (n *network) change(next Members) {
+	for i := 0; ; i++ {
+		h := n.leader()
+		index, _, err := h.core.ProposeMembers(next, n.clock(h))
+		n.pump(h)
+		n.run(200 * time.Millisecond)
+		if err == nil && (n.maxCommitted >= index) {
+			return
+		}
+		if i > 20 {
+			broken("membership %v is not accepted: %v", next, err)
+		}
+	}
+}
+
+func TestSecondLossAfterRepair(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(3, 1)
+	n.run(2 * time.Second)
+	n.write(100)
+	leader := n.leader()
+	n.compact(leader)
+	lost, second := MemberID(leader.id%3+1), MemberID((leader.id+1)%3+1)
+	n.host(lost).down = true
+	kept := []MemberID{leader.id, second}
+	n.add(4, Restored{})
+	n.change(Members{Voters: append(slices.Clone(kept), lost), Learners: []MemberID{4}})
+	n.change(Members{Voters: append(slices.Clone(kept), lost, 4)})
+	n.change(Members{Voters: append(slices.Clone(kept), 4)})
+	n.write(10)
+	committed := n.maxCommitted
+	n.crash(n.leader())
+	n.run(3 * time.Second)
+	n.write(1)
+	is.True(n.maxCommitted > committed)
+	n.checkConverged(n)
+}
+
+// write proposes commands on the leader, one at a time.
+func (n *network) write(commands int) {
+	for range commands {
+		h := n.leader()
+		_, _, _ = h.core.Propose([]byte("x"), n.clock(h))
+		n.pump(h)
+		n.run(2 * testStep)
+	}
+	n.run(testHeartbeat * 2)
+}
+
+func TestRemovedMemberIsHarmless(t *testing.T) {
+	const follower, leading = 0, 2
+	for _, shift := range []MemberID{follower, leading} {
+		is := is.New(t)
+		n := newNetwork(3, 1)
+		n.run(2 * time.Second)
+		leader := n.leader()
+		removed := n.hosts[(leader.id+shift)%3]
+		n.change(Members{Voters: without([]MemberID{1, 2, 3}, []MemberID{removed.id})})
+		n.run(2 * time.Second)
+		is.True(removed.core.role != Leader)
+		successor, term := n.leader(), n.leader().core.term
+		n.run(time.Minute)
+		n.write(1)
+		is.Equal(n.leader(), successor)
+		is.Equal(successor.core.term, term)
+		n.checkConverged(n)
+	}
+}
+
+func TestRemovedMemberLacksUncommittedRemoval(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(3, 1)
+	n.run(2 * time.Second)
+	leader := n.leader()
+	removed, other := n.hosts[leader.id%3], n.hosts[(leader.id+1)%3]
+	n.cut[[2]MemberID{leader.id, other.id}] = true
+	_, _, err := leader.core.ProposeMembers(Members{Voters: []MemberID{leader.id, other.id}}, n.clock(leader))
+	is.NoErr(err)
+	n.pump(leader)
+	n.run(testHeartbeat)
+	n.crash(leader)
+	n.run(5 * time.Second)
+	is.True(n.leader() != nil)
+	is.Equal(removed.core.leader, n.leader().id)
+}
+
+func TestUncommittedSelfRemovalDoesNotLock(t *testing.T) {
+	is := is.New(t)
+	n := newNetwork(2, 1)
+	n.run(2 * time.Second)
+	leader := n.leader()
+	other := n.hosts[leader.id%2]
+	n.isolate(leader.id)
+	_, _, err := leader.core.ProposeMembers(Members{Voters: []MemberID{other.id}}, n.clock(leader))
+	is.NoErr(err)
+	n.pump(leader)
+	n.crash(leader)
+	n.heal()
+	n.run(8 * time.Second)
+	is.Equal(n.leader(), other)
+	is.Equal(other.core.members.latest().Voters, []MemberID{other.id})
+}
+
+func TestReadBarrier(t *testing.T) {
+	is := is.New(t)
+	from := founding(3)
+	from.Hard = HardState{Term: 3}
+	from.Entries = []Entry{{Index: 2, Term: 2}, {Index: 3, Term: 3}}
+	c := start(t, from)
+	is.True(errors.Is(c.ReadBarrier(1, 0), ErrNotLeader))
+	now := elect(t, c)
+	write(c, now)
+	is.NoErr(c.ReadBarrier(7, now))
+	answer(c, 2, 3, 1, now) // answers the round before the request
+	write(c, now)
+	is.Equal(len(write(c, now).Reads), 0)
+	answer(c, 3, 3, 2, now)
+	is.Equal(write(c, now).Reads, []ReadResult{{Request: 7, Index: 4, OK: true}})
+	is.NoErr(c.ReadBarrier(8, now))
+	c.Step(appendFrom(2, 9), now)
+	is.Equal(write(c, now).Reads, []ReadResult{{Request: 8}})
+}
+
+func TestLeader(t *testing.T) {
+	reject := Message{Kind: MsgAppendReply, From: 2, To: 1, Term: 2, LogIndex: 1, Reject: true, Hint: 1, LogTerm: 1}
+	for name, tt := range map[string]struct {
+		do   func(c *Core, now Instant)
+		want func(c *Core, out Output) bool
+	}{
+		"a stranger's newer term is ignored": {
+			func(c *Core, now Instant) {
+				c.Step(Message{Kind: MsgAppendReply, From: 9, To: 1, Term: 9, Reject: true}, now)
+			},
+			func(c *Core, _ Output) bool { return c.role == Leader }},
+		"a member's newer term ends the lead": {
+			func(c *Core, now Instant) {
+				c.Step(Message{Kind: MsgAppendReply, From: 3, To: 1, Term: 9, Reject: true}, now)
+			},
+			func(c *Core, _ Output) bool { return c.role == Follower && c.term == 9 }},
+		"a transfer waits for the target": {
+			func(c *Core, now Instant) { _ = c.Transfer(3, now) },
+			func(_ *Core, out Output) bool { return !hasKind(out, MsgTimeoutNow) }},
+		"a transfer starts once the target holds all": {
+			func(c *Core, now Instant) { _ = c.Transfer(3, now); answer(c, 3, 2, 1, now) },
+			func(_ *Core, out Output) bool { return hasKind(out, MsgTimeoutNow) }},
+		"a stale rejection sends nothing": {
+			func(c *Core, now Instant) { c.Step(reject, now) },
+			func(_ *Core, out Output) bool { return !hasEntriesTo(out, 2) }},
+		"a late rejection of a probe sends nothing": {
+			func(c *Core, now Instant) {
+				late := reject
+				late.From, late.LogIndex = 3, 7
+				c.Step(late, now)
+			},
+			func(_ *Core, out Output) bool { return !hasEntriesTo(out, 3) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := start(t, founding(3))
+			now := elect(t, c)
+			write(c, now)
+			answer(c, 2, 2, 1, now)
+			write(c, now)
+			tt.do(c, now)
+			is.New(t).True(tt.want(c, c.Take(now)))
+		})
+	}
+}
+
+func hasKind(out Output, kind MessageKind) bool {
+	return slices.ContainsFunc(out.Messages, func(m Message) bool { return m.Kind == kind })
+}
+
+func hasEntriesTo(out Output, to MemberID) bool {
+	return slices.ContainsFunc(out.Messages, func(m Message) bool { return m.To == to && len(m.Entries) > 0 })
+}
--- a/raft/members.go
+++ b/raft/members.go
@@ -29,7 +29,8 @@
 }
 
 func sameSet(a, b []MemberID) bool {
-	return len(a) == len(b) && len(without(a, b)) == 0 && len(without(b, a)) == 0
+	added, removed := difference(a, b)
+	return len(added)+len(removed) == 0
 }
 
 // without is the members of a that are not in b.
@@ -43,6 +44,11 @@
 	return out
 }
 
+// difference is the members added and removed from one list to the next.
+func difference(next, present []MemberID) (added, removed []MemberID) {
+	return without(next, present), without(present, next)
+}
+
 // wellFormed reports whether there is a voter, and no member is zero or named
 // twice.
 func (m *Members) wellFormed() bool {
@@ -139,9 +145,9 @@
 	if !next.wellFormed() {
 		return errors.Wrap(ErrUnsafeChange, "no voter, or a member is zero or named twice")
 	}
-	now := c.members.latest()
-	addedVoters, removedVoters := without(next.Voters, now.Voters), without(now.Voters, next.Voters)
-	addedLearners, removedLearners := without(next.Learners, now.Learners), without(now.Learners, next.Learners)
+	present := c.members.latest()
+	addedVoters, removedVoters := difference(next.Voters, present.Voters)
+	addedLearners, removedLearners := difference(next.Learners, present.Learners)
 	promotes := len(addedVoters) == 1 && slices.Equal(addedVoters, removedLearners)
 	changes := len(addedVoters) + len(removedVoters) + len(addedLearners) + len(removedLearners)
 	switch {
--- a/raft/transfer.go
+++ b/raft/transfer.go
@@ -75,10 +75,9 @@
 	c.campaign(true)
 }
 
-// onTimeoutNow campaigns at once on the order of the leader that it follows.
-func (c *Core) onTimeoutNow(m Message) {
-	if c.role != Follower || c.leader != m.From || !c.promotable() {
-		return
+// onTimeoutNow campaigns at once on the order of the leader of this term.
+func (c *Core) onTimeoutNow() {
+	if c.role != Leader && c.promotable() {
+		c.campaign(true)
 	}
-	c.campaign(true)
 }
