--- /dev/null
+++ b/internal/demo/cluster.go
@@ -0,0 +1,204 @@
+// Package demo runs three nodes and a handful of stand-in upstreams in one
+// process on loopback ports, sends one request of each kind and prints every
+// outcome with its time.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/agateslip/agateslip/directory"
+	"github.com/agateslip/agateslip/internal/config"
+	"github.com/agateslip/agateslip/internal/node"
+	"github.com/agateslip/agateslip/internal/operator"
+	"github.com/agateslip/agateslip/internal/standin"
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	nodeCount     = 3
+	operatorToken = "demo-operator-token"
+	// gibibyte is the unit of accelerator memory.
+	gibibyte = 1 << 30
+	// timeScale shortens the stand-ins' simulated times.
+	timeScale = 0.1
+	// readyTimeout bounds the start of the nodes and upstreams.
+	readyTimeout = 10 * time.Second
+	readyPoll    = 20 * time.Millisecond
+)
+
+var domains = [nodeCount]string{"muc", "nue", "aug"}
+
+// cluster is the nodes and upstreams of the demonstration.
+type cluster struct {
+	dir     string
+	nodes   []*node.Node
+	store   *standin.Store
+	engines []*standin.Engine
+	service *standin.Service
+	group   *errgroup.Group
+	stop    context.CancelFunc
+}
+
+// startCluster starts everything and waits until the nodes are ready.
+func startCluster(ctx context.Context, log logrus.FieldLogger) (*cluster, error) {
+	dir, err := os.MkdirTemp("", "agateslip-demo-")
+	if err != nil {
+		return nil, errors.Wrap(err, "data folder")
+	}
+	c := &cluster{dir: dir}
+	if err := c.startNodes(ctx, log); err != nil {
+		c.close()
+		return nil, err
+	}
+	if err := c.startUpstreams(ctx); err != nil {
+		c.close()
+		return nil, err
+	}
+	return c, c.waitReady(ctx)
+}
+
+func (c *cluster) startNodes(ctx context.Context, log logrus.FieldLogger) error {
+	peers, err := freePeers()
+	if err != nil {
+		return err
+	}
+	for i := range nodeCount {
+		cfg, err := c.settings(i, peers)
+		if err != nil {
+			return err
+		}
+		if _, err := node.InitVoter(cfg); err != nil {
+			return err
+		}
+		n, err := node.New(cfg, log)
+		if err != nil {
+			return err
+		}
+		c.nodes = append(c.nodes, n)
+	}
+	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	c.stop = stop
+	c.group = &errgroup.Group{}
+	for _, n := range c.nodes {
+		c.group.Go(func() error { return n.Run(runCtx) })
+	}
+	return nil
+}
+
+// freePeers asks the kernel for an address for each node's links.
+func freePeers() ([]string, error) {
+	var addrs []string
+	for range nodeCount {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "free port")
+		}
+		defer func() { _ = ln.Close() }()
+		addrs = append(addrs, ln.Addr().String())
+	}
+	return addrs, nil
+}
+
+// settings builds a node's settings as an operator would write them.
+func (c *cluster) settings(i int, peers []string) (config.Config, error) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "group: demo\nnode: node-%d\ndomain: %s\n", i+1, domains[i])
+	fmt.Fprintf(&b, "listen: {callers: '127.0.0.1:0', upstreams: '127.0.0.1:0', operators: '127.0.0.1:0', peers: '%s'}\n", peers[i])
+	fmt.Fprintf(&b, "secret: demo-secret-of-the-nodes\noperatorToken: %s\n", operatorToken)
+	fmt.Fprintf(&b, "data: %s\n", filepath.Join(c.dir, domains[i]))
+	b.WriteString("stop: {balancerLag: 100ms}\npeers:\n")
+	for j, addr := range peers {
+		fmt.Fprintf(&b, "  - {node: node-%d, addr: '%s', domain: %s, voter: %d}\n", j+1, addr, domains[j], j+1)
+	}
+	return config.Decode("demo", []byte(b.String()))
+}
+
+func (c *cluster) startUpstreams(ctx context.Context) error {
+	c.store = standin.NewStore(standin.StoreConfig{Scale: timeScale})
+	if err := c.store.Start(ctx); err != nil {
+		return err
+	}
+	var entries []string
+	for _, n := range c.nodes {
+		entries = append(entries, n.UpstreamsAddr())
+	}
+	for i := range 2 {
+		e := standin.NewEngine(standin.EngineConfig{
+			ID:            fmt.Sprintf("engine-%d", i+1),
+			Domain:        domains[i],
+			Entries:       entries,
+			Memory:        24 * gibibyte,
+			Slots:         4,
+			ChecksFencing: true,
+			Copies:        []directory.Copy{{Model: "loudness-7b", Tier: directory.TierDisk}},
+			Store:         c.store.Addr(),
+			Scale:         timeScale,
+			LeaveGrace:    100 * time.Millisecond,
+		})
+		if err := e.Start(ctx); err != nil {
+			return err
+		}
+		c.engines = append(c.engines, e)
+	}
+	c.service = standin.NewService(standin.ServiceConfig{
+		ID: "queue-1", Domain: domains[2], Entries: entries, Service: "queue", LeaveGrace: 100 * time.Millisecond,
+	})
+	return c.service.Start(ctx)
+}
+
+// operatorClient talks to one node as an operator.
+func (c *cluster) operatorClient(i int) *operator.Client {
+	return operator.NewClient(c.nodes[i].OperatorsAddr(), operatorToken, "demo")
+}
+
+// waitReady waits until every node takes requests and knows the upstreams.
+func (c *cluster) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for i := range c.nodes {
+		for {
+			s, err := c.operatorClient(i).Status(ctx)
+			if err == nil && s.Ready && len(s.Upstreams) == len(c.engines)+1 {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return errors.Wrapf(ctx.Err(), "node %d is not ready", i+1)
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+// shutdown stops the nodes as a planned stop does, then the upstreams.
+func (c *cluster) shutdown(ctx context.Context) error {
+	c.stop()
+	err := c.group.Wait()
+	for _, e := range c.engines {
+		err = errors.CombineErrors(err, e.Stop(ctx))
+	}
+	if c.service != nil {
+		err = errors.CombineErrors(err, c.service.Stop(ctx))
+	}
+	if c.store != nil {
+		err = errors.CombineErrors(err, c.store.Stop(ctx))
+	}
+	return err
+}
+
+// close removes the data folders.
+func (c *cluster) close() {
+	if c.stop != nil {
+		c.stop()
+	}
+	_ = os.RemoveAll(c.dir)
+}
