--- /dev/null
+++ b/test/integration/stop_test.go
@@ -0,0 +1,129 @@
+package integration
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/internal/engine"
+)
+
+// millis is a duration as the protocol writes it.
+func millis(d time.Duration) engine.Millis {
+	return engine.Millis(d)
+}
+
+func TestPlannedStopOfTwoNodesCutsOffNothing(t *testing.T) {
+	is := is.New(t)
+	c, _ := startPair(t, nil)
+	leader := c.leader(t)
+	stopping := []*node{leader, c.other(leader)[0]}
+	const streams = 6
+	var started, ended sync.WaitGroup
+	replies := make([]reply, 2*streams)
+	for i := range replies {
+		begun, got := streamAside(stopping[i%2], 150)
+		started.Go(func() { <-begun })
+		ended.Go(func() { replies[i] = <-got })
+	}
+	started.Wait()
+	for _, n := range stopping {
+		n.signal(syscall.SIGTERM)
+	}
+	for _, n := range stopping {
+		eventually(t, "readiness fails first", func() bool { return !n.isReady(t) })
+		is.Equal(len(n.exitedEarly()), 0)
+	}
+	ended.Wait()
+	for _, got := range replies {
+		is.NoErr(got.err)
+		is.True(got.whole)
+		is.Equal(got.body, chatAnswer("two", 150))
+	}
+	for _, n := range stopping {
+		is.Equal(n.waitExit(t), 0)
+	}
+}
+
+// isReady asks a node whether it takes requests.
+func (n *node) isReady(t *testing.T) bool {
+	t.Helper()
+	response, err := http.Get("http://" + n.callers + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// exitedEarly names the node if its process has ended.
+func (n *node) exitedEarly() string {
+	select {
+	case <-n.exited:
+		return n.name
+	default:
+		return ""
+	}
+}
+
+func TestStoppingNodeServesLateArrivalsAndHandsOverClaims(t *testing.T) {
+	is := is.New(t)
+	c, s := startOnce(t)
+	leader := c.leader(t)
+	replies := sendAside(t, leader, transfer("k", slowWork))
+	waitRuns(t, s, "k")
+	leader.signal(syscall.SIGTERM)
+	eventually(t, "readiness fails", func() bool { return !leader.isReady(t) })
+	late := leader.send(t.Context(), transfer("late", ""), nil)
+	is.NoErr(late.err)
+	is.Equal(late.status, http.StatusOK)
+	got := <-replies
+	is.NoErr(got.err)
+	is.Equal(got.status, http.StatusOK)
+	is.Equal(leader.waitExit(t), 0)
+	for _, key := range []string{"k", "late"} {
+		is.Equal(runs(s.Journal(), key), 1)
+	}
+	again := sendUntilSettled(t, c.other(leader), transfer("k", slowWork))
+	is.Equal(again.body, got.body)
+	is.Equal(runs(s.Journal(), "k"), 1)
+}
+
+func TestLeavingUpstreamGetsNoWorkAfterTwoSeconds(t *testing.T) {
+	is := is.New(t)
+	c, leaving := startOnce(t)
+	staying := c.startService(t, "s2", nil)
+	c.waitUpstreams(t, 2)
+	var stop atomic.Bool
+	var load sync.WaitGroup
+	failed := make([]int, len(c.nodes))
+	for i, n := range c.nodes {
+		load.Go(func() {
+			for k := 0; !stop.Load(); k++ {
+				got := n.send(t.Context(), transfer(fmt.Sprintf("%s-%d", n.name, k), ""), nil)
+				if !got.answered() {
+					failed[i]++
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
+		})
+	}
+	eventually(t, "both are used", func() bool { return len(leaving.Journal()) > 20 && len(staying.Journal()) > 20 })
+	leaving.Leave()
+	time.Sleep(4 * time.Second)
+	stop.Store(true)
+	load.Wait()
+	latest := int64(0)
+	for _, entry := range leaving.Journal() {
+		latest = max(latest, entry.LeavingFor)
+	}
+	t.Logf("last work reached the leaving upstream %d ms after it said so", latest)
+	is.True(latest < 2000)
+	is.Equal(failed, make([]int, len(c.nodes)))
+}
--- /dev/null
+++ b/test/integration/stream_test.go
@@ -0,0 +1,201 @@
+package integration
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/internal/faultproxy"
+	"github.com/agateslip/agateslip/internal/standin"
+)
+
+// startPair starts three nodes and two engines that each have one replica of
+// the model two, which the contract keeps loaded.
+func startPair(t *testing.T, change func(*standin.EngineConfig)) (*cluster, []*standin.Engine) {
+	t.Helper()
+	c := startCluster(t, 3)
+	engines := []*standin.Engine{c.startEngine(t, "e1", change), c.startEngine(t, "e2", change)}
+	c.apply(t, c.nodes[0], contractText("10s"), 0)
+	c.waitUpstreams(t, 2)
+	for _, e := range engines {
+		eventually(t, "replica ready", func() bool { return hasReady(e) })
+	}
+	c.waitModel(t, "two")
+	return c, engines
+}
+
+// hasReady tells whether an engine has a ready replica.
+func hasReady(e *standin.Engine) bool {
+	for _, r := range e.Replicas() {
+		if r.State == "ready" {
+			return true
+		}
+	}
+	return false
+}
+
+// serving waits for a stream and returns the engine that runs it and the other.
+func serving(t *testing.T, engines []*standin.Engine) (*standin.Engine, *standin.Engine) {
+	t.Helper()
+	var found int
+	eventually(t, "an engine runs the stream", func() bool {
+		for i, e := range engines {
+			for _, entry := range e.Journal() {
+				if entry.End == standin.Running {
+					found = i
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return engines[found], engines[1-found]
+}
+
+// streamAside streams the model two on a goroutine. The first channel is closed
+// after some tokens, the second gets the reply.
+func streamAside(n *node, tokens int) (<-chan struct{}, <-chan reply) {
+	begun := make(chan struct{})
+	replies := make(chan reply, 1)
+	go func() {
+		replies <- n.send(context.Background(), chat("two", true, tokens), func(done int) {
+			if done == 5 {
+				close(begun)
+			}
+		})
+	}()
+	return begun, replies
+}
+
+func TestStreamIsResumedWhenItsEngineDies(t *testing.T) {
+	is := is.New(t)
+	c, engines := startPair(t, nil)
+	begun, replies := streamAside(c.nodes[0], 60)
+	<-begun
+	first, second := serving(t, engines)
+	first.Kill()
+	got := <-replies
+	is.NoErr(got.err)
+	is.True(got.whole)
+	is.Equal(got.body, chatAnswer("two", 60))
+	journal := second.Journal()
+	is.True(journal[len(journal)-1].ResumeFrom >= 5)
+}
+
+func TestStreamCutByItsEngineIsResumedAtTheNextToken(t *testing.T) {
+	is := is.New(t)
+	c, engines := startPair(t, nil)
+	engines[0].SetFaults(standin.Faults{CutAfter: 7})
+	engines[1].SetFaults(standin.Faults{CutAfter: 11})
+	// Each attempt adds some tokens; the whole must have each token once.
+	got := c.nodes[1].send(t.Context(), chat("two", true, 18), nil)
+	is.NoErr(got.err)
+	is.True(got.whole)
+	is.Equal(got.body, chatAnswer("two", 18))
+}
+
+func TestStreamOnASilentConnectionIsResumed(t *testing.T) {
+	is := is.New(t)
+	var proxies []*faultproxy.Proxy
+	c, engines := startPair(t, func(config *standin.EngineConfig) {
+		config.Listen = freePorts(t, 1)[0]
+		proxy, err := faultproxy.New(config.Listen)
+		is.NoErr(err)
+		t.Cleanup(proxy.Close)
+		proxies = append(proxies, proxy)
+		config.Advertise = proxy.Addr()
+	})
+	begun, replies := streamAside(c.nodes[2], 100)
+	<-begun
+	serving(t, engines)
+	silenced := time.Now()
+	for _, p := range proxies {
+		p.SetExisting(faultproxy.Silent())
+	}
+	got := <-replies
+	t.Logf("answer ended %s after the connections fell silent", time.Since(silenced).Round(time.Millisecond))
+	is.NoErr(got.err)
+	is.True(got.whole)
+	is.Equal(got.body, chatAnswer("two", 100))
+}
+
+func TestLongQuietGenerationIsNotMistakenForSilence(t *testing.T) {
+	is := is.New(t)
+	c, engines := startPair(t, nil)
+	for _, e := range engines {
+		// Longer than any link's silence limit, and than the contract's wait.
+		e.SetFaults(standin.Faults{AnswerDelay: millis(12 * time.Second)})
+	}
+	got := c.nodes[0].send(t.Context(), chat("two", true, 5), nil)
+	is.NoErr(got.err)
+	is.True(got.whole)
+	is.Equal(got.body, chatAnswer("two", 5))
+	runs := 0
+	for _, e := range engines {
+		for _, entry := range e.Journal() {
+			if entry.Tokens > 1 || entry.End == standin.Running {
+				runs++
+			}
+		}
+	}
+	is.Equal(runs, 1)
+}
+
+func TestCallerThatGoesAwayFreesTheEngine(t *testing.T) {
+	is := is.New(t)
+	c, engines := startPair(t, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	got := c.nodes[0].send(ctx, chat("two", true, 5000), func(tokens int) {
+		if tokens == 3 {
+			cancel()
+		}
+	})
+	cancel()
+	is.True(got.err != nil)
+	eventually(t, "the engine ends the run", func() bool {
+		for _, e := range engines {
+			for _, entry := range e.Journal() {
+				if entry.End == standin.Canceled {
+					return true
+				}
+			}
+		}
+		return false
+	})
+}
+
+func TestStreamOfAKilledNodeEndsVisiblyBroken(t *testing.T) {
+	is := is.New(t)
+	c, _ := startPair(t, nil)
+	begun, replies := streamAside(c.nodes[0], 500)
+	<-begun
+	c.nodes[0].kill()
+	got := <-replies
+	is.True(got.err != nil)
+	is.True(!got.whole)
+	again := c.nodes[1].send(t.Context(), chat("two", true, 5), nil)
+	is.True(again.whole)
+}
+
+func TestCallsAtOnceGetTheirOwnAnswers(t *testing.T) {
+	is := is.New(t)
+	c, _ := startPair(t, nil)
+	const calls = 24
+	replies := make([]reply, calls)
+	var group sync.WaitGroup
+	for i := range calls {
+		group.Go(func() { replies[i] = c.nodes[i%3].sendWhileNotRun(t.Context(), chat("two", i%2 == 0, i+1), nil) })
+	}
+	group.Wait()
+	for i, got := range replies {
+		is.NoErr(got.err)
+		is.Equal(got.status, http.StatusOK)
+		if i%2 == 0 {
+			is.Equal(got.body, chatAnswer("two", i+1))
+		}
+	}
+}
