--- a/admission/queue.go
+++ b/admission/queue.go
@@ -63,7 +63,9 @@
 	queued  int
 
 	returned float64       // tokens given up
-	asking   bool          // a lease is awaited
+	urgent   bool          // a report is due before its time
+	reported time.Duration // last report
+	asking   bool          // a report that asks for a share has no answer yet
 	asked    time.Duration // since when
 	used     time.Duration // last arrival
 	service  time.Duration // mean time that a request runs
@@ -81,7 +83,7 @@
 
 // advance gains tokens until now, or until the end of the lease.
 func (c *customer) advance(now time.Duration) {
-	c.bucket.advance(min(now, c.until))
+	c.returned += c.bucket.advance(min(now, c.until))
 	if !c.leased(now) && c.bucket.size > 0 {
 		c.returned += c.bucket.resize(0, 0)
 	}
@@ -98,7 +100,7 @@
 // whole contract bounds them, until the first lease comes.
 func (c *customer) places(now time.Duration) int {
 	if c.leased(now) {
-		return max(c.lease.Queue, c.lease.MaxQueue)
+		return c.lease.Queue
 	}
 	return c.limits.Queue
 }
--- a/placement/settle.go
+++ b/placement/settle.go
@@ -12,6 +12,8 @@
 	firstAvoidance = time.Second
 	// longestAvoidance bounds that time.
 	longestAvoidance = time.Minute
+	// burstWeight is the weight of the last load in the mean burst.
+	burstWeight = 0.2
 	// presumedLost is the multiple of the tail load time after which a load on
 	// a silent upstream is no longer counted as using the store.
 	presumedLost = 3
@@ -33,6 +35,7 @@
 		if state == directory.Failed && v.model != nil {
 			v.model.avoidUpstream(v.Upstream, r.now)
 		}
+		r.observeUnload(v)
 		if until := r.orderInFlightUntil(v); r.now < until {
 			r.wake(until)
 			continue
@@ -41,6 +44,16 @@
 	}
 }
 
+// observeUnload times a finished unload once.
+func (r *round) observeUnload(v *replica) {
+	if v.progress.unloads != 1 || v.progress.unloaded {
+		return
+	}
+	v.progress.unloaded = true
+	took := r.now - v.progress.sentAt
+	r.unloadTime += time.Duration(unloadWeight * float64(took-r.unloadTime))
+}
+
 // endGone proposes the end of whole incarnations.
 func (r *round) endGone() {
 	var last string
@@ -173,6 +186,11 @@
 	return false
 }
 
+// learnBurst takes in how many requests waited for the load that just ended.
+func (m *model) learnBurst() {
+	m.burst += burstWeight * (float64(max(m.waiting, 1)) - m.burst)
+}
+
 // observeLoads times loads by the reports, and corrects the estimates by the
 // loads that are still in progress.
 func (r *round) observeLoads() {
@@ -188,6 +206,7 @@
 			r.estimator.Observe(v.Tier, v.Memory, age)
 			if v.model != nil {
 				v.model.avoid = nil
+				v.model.learnBurst()
 			}
 			continue
 		}
