--- a/internal/policybench/engine.go
+++ b/internal/policybench/engine.go
@@ -142,10 +142,7 @@
 func (e *engine) read(r *replica) {
 	w := e.world
 	size := float64(w.scenario.Models[r.model].Size)
-	noise := math.Exp(loadSpread * w.rng.NormFloat64())
-	if w.rng.Float64() < stragglerChance {
-		noise *= 2
-	}
+	noise := w.loadNoise()
 	scaled := func(s float64) time.Duration { return time.Duration(s * noise * float64(time.Second)) }
 	setUp := scaled(initTime.Seconds() + size/initSpeed)
 	switch e.tier(r.model) {
@@ -166,6 +163,18 @@
 	}
 }
 
+// loadNoise draws the ratio of a load's time to the nominal one.
+func (w *world) loadNoise() float64 {
+	if w.options.Exact {
+		return 1
+	}
+	noise := math.Exp(loadSpread * w.rng.NormFloat64())
+	if w.rng.Float64() < stragglerChance {
+		noise *= 2
+	}
+	return noise
+}
+
 func (e *engine) keepCopy(m int) {
 	size := func(x int) int64 { return e.world.scenario.Models[x].Size }
 	e.memory.add(m, size)
