Test accepted changes with real processes; refuse a removal that strands the rest

Found by TestMemberChangesThatEndTheMajorityAreRefused (failed first): a removal asked for right after another voter was lost was appended, because a lost voter counts as answering for one election timeout; it could then never be committed and the group stood still. The leader now waits that long before it judges. Ruled out: a stricter window in raft (a late heartbeat would refuse good changes).

--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -205,6 +205,9 @@
 func (n *Node) changeMembers(ctx context.Context, ch operator.MemberChange) error {
 	rep := n.group.replica
 	id := raft.MemberID(ch.ID)
+	// A voter that has just been lost still counts as answering for one election
+	// timeout, and a change that needs its vote could never be committed.
+	sleep(ctx, raftElection+raftHeartbeat)
 	switch ch.Action {
 	case "add":
 		if err := n.checkKnown(id); err != nil {
--- a/test/integration/harness_test.go
+++ b/test/integration/harness_test.go
@@ -177,6 +177,8 @@
 	name                         string
 	callers, upstreams, operator string
 	settings                     string
+	// data is the data folder; empty without a vote.
+	data string
 	client                       *operator.Client
 }
 
@@ -208,6 +210,13 @@
 // startLinked starts a group whose node from reaches node to at the address
 // that link returns for the node's own.
 func startLinked(t *testing.T, size int, link func(from, to int, addr string) string) *cluster {
+	t.Helper()
+	return startMixed(t, size, size, link)
+}
+
+// startMixed starts a group of which only the first nodes have a disk and a
+// vote.
+func startMixed(t *testing.T, size, voters int, link func(from, to int, addr string) string) *cluster {
 	t.Helper()
 	dir := t.TempDir()
 	ports := freePorts(t, 4*size)
@@ -219,7 +228,11 @@
 			if i != j {
 				addr = link(i, j, addr)
 			}
-			fmt.Fprintf(&peers, "  - {node: n%d, addr: %q, domain: d%d, voter: %d}\n", j+1, addr, j+1, j+1)
+			vote := ""
+			if j < voters {
+				vote = fmt.Sprintf(", voter: %d", j+1)
+			}
+			fmt.Fprintf(&peers, "  - {node: n%d, addr: %q, domain: d%d%s}\n", j+1, addr, j+1, vote)
 		}
 		n := &node{
 			name:      fmt.Sprintf("n%d", i+1),
@@ -228,17 +241,22 @@
 			operator:  ports[4*i+2],
 		}
 		n.settings = filepath.Join(dir, n.name+".yaml")
+		if i < voters {
+			n.data = filepath.Join(dir, n.name)
+		}
 		settings := fmt.Sprintf(`group: integration
 node: %s
 domain: d%d
 listen: {callers: %q, upstreams: %q, operators: %q, peers: %q}
 secret: integration-shared-secret
 operatorToken: %s
-data: %q
 stop: {balancerLag: 300ms}
 log: {level: info, format: text}
 peers:
-%s`, n.name, i+1, n.callers, n.upstreams, n.operator, ports[4*i+3], operatorToken, filepath.Join(dir, n.name), peers.String())
+%s`, n.name, i+1, n.callers, n.upstreams, n.operator, ports[4*i+3], operatorToken, peers.String())
+		if n.data != "" {
+			settings += fmt.Sprintf("data: %q\n", n.data)
+		}
 		is.New(t).NoErr(os.WriteFile(n.settings, []byte(settings), 0o600))
 		n.client = operator.NewClient(n.operator, operatorToken, "integration")
 		n.start(t, "--init")
