--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,7 +27,7 @@
 	// maxIdlePerUpstream bounds the idle connections to one upstream.
 	maxIdlePerUpstream = 64
 	// connBufferBytes is the read and the write buffer of one connection.
-	connBufferBytes = 4 << 10
+	connBufferBytes = 2 << 10
 )
 
 // errBroken marks an answer that broke off after its first byte went out.
