peer, replica: notice one-way silence at both ends in time; close test gaps

The age of the oldest unanswered heartbeat is now looked at on each tick; it does not count while a record arrives, behind which the answer waits. The default silence is 600 ms, so that silence and two heartbeats make one second.

--- a/internal/faultfs/faultfs.go
+++ b/internal/faultfs/faultfs.go
@@ -20,10 +20,9 @@
 
 // FS implements storage.FS. Methods may be called from any goroutine.
 type FS struct {
-	// SyncDelay is how long each sync takes.
-	SyncDelay time.Duration
-
 	mu sync.Mutex
+	// syncDelay is how long each sync of a file takes.
+	syncDelay time.Duration
 	// names are the files as the process sees them; durable is what a crash
 	// leaves, journal the changes of names since the last SyncDir.
 	names   map[string]*node
@@ -74,6 +73,19 @@
 
 var errDied = errors.New("process died")
 
+// SetSyncDelay sets how long each sync of a file takes from now on.
+func (f *FS) SetSyncDelay(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.syncDelay = d
+}
+
+func (f *FS) delay() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.syncDelay
+}
+
 // Ops returns how many changing operations were done.
 func (f *FS) Ops() int {
 	f.mu.Lock()
@@ -313,7 +325,7 @@
 }
 
 func (f *file) Sync() error {
-	time.Sleep(f.fs.SyncDelay)
+	time.Sleep(f.fs.delay())
 	f.fs.mu.Lock()
 	defer f.fs.mu.Unlock()
 	if err := f.begin(); err != nil {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -40,8 +40,11 @@
 
 	queue       chan []byte
 	queuedBytes atomic.Int64
-	closed      chan struct{}
-	once        sync.Once
+	// recordAt is when the last whole record was received, by the connection's
+	// time.
+	recordAt atomic.Int64
+	closed   chan struct{}
+	once     sync.Once
 
 	mu       sync.Mutex
 	sentAt   []sentHeartbeat
@@ -50,9 +53,11 @@
 	proven   bool
 }
 
+// sentHeartbeat is a heartbeat that the peer has not returned; at is the
+// connection's time.
 type sentHeartbeat struct {
 	seq uint64
-	at  time.Time
+	at  time.Duration
 }
 
 func newLink(conn *watchedConn, reader io.Reader, t Timing, c *counters) *link {
@@ -97,6 +102,7 @@
 			l.Close()
 			return nil, err
 		}
+		l.recordAt.Store(int64(l.conn.now()))
 		if !bytes.HasPrefix(record, heartbeatPrefix) {
 			return record, nil
 		}
@@ -155,7 +161,7 @@
 	l.mu.Lock()
 	l.nextSeq++
 	hb := heartbeat{Seq: l.nextSeq, Ack: l.received}
-	l.sentAt = append(l.sentAt, sentHeartbeat{seq: hb.Seq, at: time.Now()})
+	l.sentAt = append(l.sentAt, sentHeartbeat{seq: hb.Seq, at: l.conn.now()})
 	l.mu.Unlock()
 	record, err := json.Marshal(hb)
 	if err != nil {
@@ -164,8 +170,7 @@
 	return l.framed.Send(record)
 }
 
-// heard handles a received heartbeat: one that returns none of those sent
-// within the limit shows that the way to the peer is cut.
+// heard handles a received heartbeat.
 func (l *link) heard(hb heartbeat) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -176,14 +181,9 @@
 	if hb.Ack > 0 {
 		l.proven = true
 	}
-	if len(l.sentAt) > 0 && time.Since(l.sentAt[0].at) > l.silence {
-		l.counters.silent.Add(1)
-		l.Close()
-	}
 }
 
-// watch closes the link when nothing was read, or a write made no progress,
-// for the limit.
+// watch closes the link when it is silent in either direction.
 func (l *link) watch() {
 	ticker := time.NewTicker(l.interval)
 	defer ticker.Stop()
@@ -193,7 +193,7 @@
 			return
 		case <-ticker.C:
 		}
-		if l.conn.stalledFor() > l.silence {
+		if l.conn.stalledFor() > l.silence || l.unansweredFor() > l.silence {
 			l.counters.silent.Add(1)
 			l.Close()
 			return
@@ -201,6 +201,18 @@
 	}
 }
 
+// unansweredFor returns the age of the oldest heartbeat that the peer has not
+// returned. It is zero while a record arrives, behind which the peer's next
+// heartbeat waits.
+func (l *link) unansweredFor() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.sentAt) == 0 || l.conn.readSince(time.Duration(l.recordAt.Load())) {
+		return 0
+	}
+	return l.conn.now() - l.sentAt[0].at
+}
+
 // alive reports whether the peer has returned a heartbeat and the link is open.
 func (l *link) alive() bool {
 	select {
@@ -233,10 +245,13 @@
 	return w
 }
 
+// now is the monotonic time since the connection was made.
+func (w *watchedConn) now() time.Duration { return time.Since(w.start) }
+
 // Read implements net.Conn.
 func (w *watchedConn) Read(p []byte) (int, error) {
 	n, err := w.Conn.Read(p)
-	w.readAt.Store(int64(time.Since(w.start)))
+	w.readAt.Store(int64(w.now()))
 	w.counters.received.Add(uint64(n))
 	return n, err
 }
@@ -246,7 +261,7 @@
 	defer w.writeAt.Store(-1)
 	written := 0
 	for written < len(p) {
-		w.writeAt.Store(int64(time.Since(w.start)))
+		w.writeAt.Store(int64(w.now()))
 		end := min(len(p), written+writeChunkBytes)
 		n, err := w.Conn.Write(p[written:end])
 		written += n
@@ -258,13 +273,18 @@
 	return written, nil
 }
 
+// readSince reports whether anything was read after an instant.
+func (w *watchedConn) readSince(at time.Duration) bool {
+	return time.Duration(w.readAt.Load()) > at
+}
+
 // stalledFor returns the longer of the time since the last read and the time
 // that the write in progress has made none.
 func (w *watchedConn) stalledFor() time.Duration {
-	now := int64(time.Since(w.start))
-	idle := now - w.readAt.Load()
+	now := w.now()
+	idle := now - time.Duration(w.readAt.Load())
 	if at := w.writeAt.Load(); at >= 0 {
-		idle = max(idle, now-at)
+		idle = max(idle, now-time.Duration(at))
 	}
-	return time.Duration(idle)
+	return idle
 }
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -25,8 +25,8 @@
 type Timing struct {
 	// Heartbeat is the interval between heartbeats.
 	Heartbeat time.Duration
-	// Silence is how long a connection may give no sign of life; with one
-	// Heartbeat it bounds the time to notice.
+	// Silence is how long a connection may give no sign of life in either
+	// direction. Both ends notice within Silence and two Heartbeats.
 	Silence time.Duration
 	// Dial bounds connecting, and again the handshake.
 	Dial time.Duration
@@ -34,10 +34,10 @@
 	BackoffMin, BackoffMax time.Duration
 }
 
-// Default bounds: a silent connection is noticed within one second.
+// Default bounds: both ends notice a silent connection within one second.
 const (
 	DefaultHeartbeat  = 200 * time.Millisecond
-	DefaultSilence    = 800 * time.Millisecond
+	DefaultSilence    = 600 * time.Millisecond
 	DefaultDial       = time.Second
 	DefaultBackoffMin = 20 * time.Millisecond
 	DefaultBackoffMax = time.Second
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -146,6 +147,42 @@
 	is.Equal(b.calls.Load(), int64(0))
 }
 
+// TestDialerMustProveItself answers the handshake without the secret, and sends
+// a first message that never ends.
+func TestDialerMustProveItself(t *testing.T) {
+	is := is.New(t)
+	b := start(t, "b", "secret", peer.Peer{Name: "a", Addr: "127.0.0.1:1"})
+	for i, second := range []string{
+		`{"version":1,"node":"a","proof":"AAAA"}` + "\n",
+		`{"version":1,"node":"a"}` + "\n",
+		strings.Repeat("x", 2000),
+	} {
+		conn, err := net.Dial("tcp", b.Addr())
+		is.NoErr(err)
+		_, err = io.WriteString(conn, `{"version":1,"node":"a","nonce":"AAAA"}`+"\n"+second)
+		is.NoErr(err)
+		is.NoErr(conn.SetReadDeadline(time.Now().Add(patience)))
+		data, _ := io.ReadAll(conn) // ends when the node closes the connection
+		is.True(!strings.Contains(string(data), "hb"))
+		is.NoErr(conn.Close())
+		eventually(t, func() bool { return b.Stats().Rejected == uint64(i+1) })
+	}
+}
+
+// TestPeersCanChange removes a peer and lists it again at another address.
+func TestPeersCanChange(t *testing.T) {
+	is := is.New(t)
+	a, b, _ := pair(t)
+	b.SetPeers(nil)
+	eventually(t, func() bool { return !b.Reachable("a") && b.Stats().Rejected > 0 })
+	is.True(errors.Is(b.Call(within(t, patience), "a", "echo", nil, nil), peer.ErrNotSent))
+	b.SetPeers([]peer.Peer{{Name: "a", Addr: a.Addr()}})
+	a.SetPeers([]peer.Peer{{Name: "b", Addr: b.Addr()}}) // not through the proxy
+	eventually(t, func() bool { return a.Reachable("b") && b.Reachable("a") })
+	var answer string
+	is.NoErr(a.Call(within(t, patience), "b", "echo", 1, &answer))
+}
+
 // TestSilentConnectionIsReplaced drops the bytes of the present connections in
 // one direction, without an error, while new connections work.
 func TestSilentConnectionIsReplaced(t *testing.T) {
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -39,6 +39,7 @@
 	mu      sync.Mutex
 	members map[raft.MemberID]*member
 	cut     map[raft.MemberID]bool
+	severed map[link]bool
 	// links hold the messages under way, in order.
 	links map[link][][]byte
 	bytes int
@@ -63,6 +64,7 @@
 		founded: ids,
 		members: map[raft.MemberID]*member{},
 		cut:     map[raft.MemberID]bool{},
+		severed: map[link]bool{},
 		links:   map[link][][]byte{},
 	}
 	for _, id := range ids {
@@ -88,7 +90,7 @@
 func (c *cluster) create(id raft.MemberID, initial raft.Restored) {
 	c.t.Helper()
 	fs := faultfs.New()
-	fs.SyncDelay = syncDelay
+	fs.SetSyncDelay(syncDelay)
 	store, err := storage.Create(storeOptions(id, fs), initial)
 	c.check(err)
 	c.run(id, fs, store, initial)
@@ -159,6 +161,14 @@
 	c.cut[id] = cut
 }
 
+// sever drops all messages between two members.
+func (c *cluster) sever(a, b raft.MemberID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.severed[link{a, b}] = true
+	c.severed[link{b, a}] = true
+}
+
 // Send implements replica.Transport.
 func (c *cluster) Send(messages []raft.Message) {
 	for _, m := range messages {
@@ -187,7 +197,7 @@
 	data := c.links[l][0]
 	c.links[l] = c.links[l][1:]
 	to := c.members[l.to]
-	if to == nil || c.cut[l.from] || c.cut[l.to] {
+	if to == nil || c.cut[l.from] || c.cut[l.to] || c.severed[l] {
 		return
 	}
 	var m raft.Message
@@ -267,8 +277,8 @@
 type registers struct {
 	mu    sync.Mutex
 	state registerState
-	// replayed counts the entries applied since the last restore.
-	replayed int
+	// delay is how long Apply takes.
+	delay time.Duration
 }
 
 type registerState struct {
@@ -289,7 +299,7 @@
 		panic(errors.AssertionFailedf("entry %d applied after %d", e.Index, r.state.Applied))
 	}
 	r.state.Applied = e.Index
-	r.replayed++
+	time.Sleep(r.delay)
 	if e.Kind != raft.EntryCommand {
 		return nil
 	}
@@ -321,11 +331,16 @@
 func (r *registers) Restore(data []byte) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.replayed = 0
 	r.state = newRegisters().state
 	return json.Unmarshal(data, &r.state)
 }
 
+func (r *registers) setDelay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
 func (r *registers) get(key string) answer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/replica/linear_test.go
+++ b/internal/replica/linear_test.go
@@ -137,7 +137,7 @@
 			is := is.New(t)
 			is.True(cs.resends.Load() > 50)
 			is.True(cs.disturbed >= 6)
-			is.Equal(porcupine.CheckOperationsTimeout(model, cs.history, 30*time.Second), porcupine.Ok)
+			is.Equal(porcupine.CheckOperationsTimeout(model, cs.history, 10*time.Second), porcupine.Ok)
 		})
 	}
 }
--- a/internal/replica/mesh_test.go
+++ b/internal/replica/mesh_test.go
@@ -130,6 +130,35 @@
 	}
 }
 
+// TestForgedSenderIsDropped sends messages in the name of another node's member.
+func TestForgedSenderIsDropped(t *testing.T) {
+	is := is.New(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	directory := nodes{1: "a", 2: "b", 3: "c"}
+	received := make(chan []raft.Message, 1)
+	mux := peer.NewMux()
+	replica.HandleMessages(mux, directory, func(ms []raft.Message) { received <- ms })
+	a, err := peer.New(peer.Options{Self: "a", Addr: "127.0.0.1:0", Secret: "s", Mux: mux, Log: log})
+	is.NoErr(err)
+	b, err := peer.New(peer.Options{Self: "b", Addr: "127.0.0.1:0", Secret: "s", Mux: peer.NewMux(), Log: log})
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for _, m := range []*peer.Mesh{a, b} {
+		m.SetPeers([]peer.Peer{{Name: "a", Addr: a.Addr()}, {Name: "b", Addr: b.Addr()}})
+		wg.Go(func() { _ = m.Run(ctx) })
+	}
+	defer wg.Wait()
+	defer cancel()
+	for !b.Reachable("a") {
+		time.Sleep(time.Millisecond)
+	}
+	transport := replica.MeshTransport{Mesh: b, Directory: directory}
+	transport.Send([]raft.Message{{From: 3, To: 1}, {From: 2, To: 1}, {From: 9, To: 1}})
+	is.Equal(<-received, []raft.Message{{From: 2, To: 1}})
+}
+
 // BenchmarkPropose measures changes over TCP and files, one by one and with 64
 // at once.
 func BenchmarkPropose(b *testing.B) {
--- /dev/null
+++ b/internal/replica/propose_test.go
@@ -0,0 +1,21 @@
+package replica
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/raft"
+)
+
+// TestReplacedEntryIsNotAnswered applies another leader's entry at the index of
+// a proposal.
+func TestReplacedEntryIsNotAnswered(t *testing.T) {
+	is := is.New(t)
+	p := &proposal{term: 1, done: make(chan outcome, 1)}
+	r := &Replica{pending: map[uint64]*proposal{5: p}}
+	r.finishProposal(raft.Entry{Index: 5, Term: 2}, "other")
+	got := <-p.done
+	is.True(got.result == nil && errors.Is(got.err, ErrNotProposed))
+}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -79,8 +79,10 @@
 		is.True(errors.As(err, &notLeader))
 
 		c.isolate(leader.id, true)
+		start := time.Now()
 		_, err = leader.Propose(ctx, encode(command{ID: "lost", Key: "lost", Value: 1}))
-		is.True(errors.Is(err, replica.ErrUnknown)) // stepped down after appending
+		is.True(errors.Is(err, replica.ErrUnknown))    // stepped down after appending
+		is.True(time.Since(start) < 2*electionTimeout) // not at its own deadline
 		is.True(!leader.LeaseValid())
 		next := c.leader(others(c, leader.id)...)
 		is.True(c.put(next, "b", 0, 1).OK)
@@ -88,11 +90,6 @@
 		c.converge(1, 2, 3)
 		is.Equal(leader.machine.get("lost").Version, 0)
 		is.Equal(leader.machine.get("b").Version, 1)
-
-		expired, stop := context.WithCancel(ctx)
-		stop()
-		_, err = next.Propose(expired, encode(command{ID: "x", Key: "x"}))
-		is.True(err != nil)
 	})
 }
 
@@ -177,6 +174,8 @@
 			if from == 0 {
 				is.Equal(follower.dump(), leader.machine.dump())
 			}
+			recent := from+2*replica.SnapshotInterval >= at
+			is.Equal(leader.Feed().Since(from).Snapshot == nil, recent)
 		}
 		is.True(leader.Update(ctx, 0).Confirmed)
 		is.True(!c.member(others(c, leader.id)[0]).Update(ctx, 0).Confirmed)
@@ -187,6 +186,87 @@
 	})
 }
 
+// TestAbandonedProposalIsNotMade gives up on a proposal that waits while the
+// owner writes.
+func TestAbandonedProposalIsNotMade(t *testing.T) {
+	bubble(t, 10, func(is *is.I, c *cluster) {
+		leader := c.leader()
+		leader.fs.SetSyncDelay(lease / 2)
+		go c.put(leader, "a", 0, 1)
+		time.Sleep(oneWay)
+		ctx, cancel := context.WithTimeout(context.Background(), lease/4)
+		defer cancel()
+		_, err := leader.Propose(ctx, encode(command{ID: "b", Key: "b", Value: 1}))
+		is.True(errors.Is(err, replica.ErrNotProposed))
+		leader.fs.SetSyncDelay(syncDelay)
+		time.Sleep(electionTimeout)
+		is.Equal(c.leader().machine.get("a").Version, 1)
+		is.Equal(c.leader().machine.get("b").Version, 0)
+	})
+}
+
+// TestReadWaitsForTheNewLeadersState restarts a leader, whose state machine
+// then lags behind its log, with only a member that lacks entries beside it.
+func TestReadWaitsForTheNewLeadersState(t *testing.T) {
+	bubble(t, 11, func(is *is.I, c *cluster) {
+		leader := c.leader()
+		behind, gone := others(c, leader.id)[0], others(c, leader.id)[1]
+		c.isolate(behind, true)
+		for i := range 20 {
+			is.True(c.put(leader, "k", i, i).OK)
+		}
+		c.kill(gone)
+		c.kill(leader.id)
+		c.restart(leader.id)
+		c.isolate(behind, false)
+		leader = c.member(leader.id)
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		for {
+			index, err := leader.ReadBarrier(ctx)
+			if err == nil {
+				is.Equal(leader.machine.get("k").Version, 20)
+				is.True(index > 20)
+				return
+			}
+			is.NoErr(ctx.Err())
+			time.Sleep(oneWay)
+		}
+	})
+}
+
+// TestSlowApplyKeepsTheLeader stalls the leader's state machine for longer than
+// an election timeout while its followers answer and cannot elect another.
+func TestSlowApplyKeepsTheLeader(t *testing.T) {
+	bubble(t, 12, func(is *is.I, c *cluster) {
+		leader := c.leader()
+		ids := others(c, leader.id)
+		c.sever(ids[0], ids[1])
+		term := leader.Status().Term
+		for i := range 8 {
+			leader.machine.setDelay(electionTimeout * 6 / 5)
+			is.True(c.put(leader, "k", i, i).OK)
+			leader.machine.setDelay(0)
+			time.Sleep(electionTimeout)
+		}
+		is.Equal(leader.Status().Role, raft.Leader)
+		is.Equal(leader.Status().Term, term)
+	})
+}
+
+// TestRemovedLeaderAnswersAndStepsDown removes the leader itself.
+func TestRemovedLeaderAnswersAndStepsDown(t *testing.T) {
+	bubble(t, 13, func(is *is.I, c *cluster) {
+		leader := c.leader()
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		is.NoErr(leader.Remove(ctx, leader.id))
+		next := c.leader(others(c, leader.id)...)
+		is.True(c.put(next, "a", 0, 1).OK)
+		is.Equal(len(next.Status().Members.Voters), 2)
+	})
+}
+
 // follow applies updates after index until the follower is up to date.
 func follow(is *is.I, m *member, follower *registers, index uint64) uint64 {
 	for {
