placement: scale out only if the queue outlasts a further load

Service times are learned by Little's law; a grant that is no longer needed before its load was ordered is withdrawn. Load times in the benchmark are drawn per model, so that runs compare.

--- a/internal/policybench/driver.go
+++ b/internal/policybench/driver.go
@@ -38,6 +38,7 @@
 	forecasts []placement.Forecast
 	index     map[placement.Key]int
 	position  []int
+	ordered   bool
 	plannedAt time.Duration
 	scheduled bool
 	version   uint64
@@ -157,9 +158,14 @@
 	})
 	p.plannedAt = now
 	p.forecasts = plan.Forecasts
+	// The order of the forecasts is the same in every round.
 	for i := range plan.Forecasts {
+		if p.ordered {
+			break
+		}
 		p.position[p.index[plan.Forecasts[i].Key]] = i
 	}
+	p.ordered = true
 	p.commit(plan.Changes)
 	for _, o := range plan.Orders {
 		p.world.clock.after(orderDelay, func() { p.deliver(o) })
--- a/internal/policybench/totals.go
+++ b/internal/policybench/totals.go
@@ -11,12 +11,19 @@
 type Totals struct {
 	IdleHours float64
 	cold      *hdrhistogram.Histogram
+	customers []*hdrhistogram.Histogram
 }
 
 // Add takes in one run.
 func (t *Totals) Add(m *Metrics) {
 	if t.cold == nil {
 		t.cold = newHistogram()
+		for range m.byCustomer {
+			t.customers = append(t.customers, newHistogram())
+		}
+	}
+	for i, h := range m.byCustomer {
+		t.customers[i].Merge(h)
 	}
 	t.IdleHours += m.IdleHours
 	t.cold.Merge(m.cold)
@@ -25,9 +32,16 @@
 // ColdP99 returns the 99th percentile of cold-start times in milliseconds.
 func (t *Totals) ColdP99() float64 { return float64(t.cold.ValueAtQuantile(99)) }
 
+// CustomerP99 returns the 99th percentile of one customer's answer starts in
+// milliseconds.
+func (t *Totals) CustomerP99(customer int) float64 {
+	return float64(t.customers[customer].ValueAtQuantile(99))
+}
+
 // LowerBound returns the least time in which the store lets the scenario's
-// first k models be loaded at once: bounded by its width, by its rate, and by
-// the longest load.
+// first k models be loaded at once: bounded by its width, of which the n-th
+// place is first taken n starts of the rate later, by its rate, and by the
+// longest load.
 func LowerBound(s *Scenario, k int) time.Duration {
 	var fetches, longest, shortest, setUp float64
 	for i := range k {
@@ -40,7 +54,9 @@
 			shortest, setUp = fetch+set, set
 		}
 	}
-	byWidth := fetches/float64(s.Store.Width) + setUp
+	width := float64(s.Store.Width)
+	ramp := width * (width - 1) / 2 / s.Store.Rate
+	byWidth := (fetches+ramp)/width + setUp
 	byRate := float64(k-1)/s.Store.Rate + shortest
 	return time.Duration(max(byWidth, byRate, longest) * float64(time.Second))
 }
--- a/internal/policybench/world.go
+++ b/internal/policybench/world.go
@@ -79,10 +79,12 @@
 	options  Options
 	clock    *clock
 	rng      *rand.Rand
-	store    *store
-	engines  []*engine
-	policy   policy
-	metrics  *Metrics
+	// noise draws the load times of each model.
+	noise   []*rand.Rand
+	store   *store
+	engines []*engine
+	policy  policy
+	metrics *Metrics
 
 	// queues hold the waiting requests by model, in the order of deadlines.
 	queues   [][]*request
@@ -103,6 +105,7 @@
 		scenario: s, options: options, clock: &clock{}, cut: -1,
 		rng:      rand.New(rand.NewPCG(options.Seed, 23)),
 		metrics:  newMetrics(len(s.Contracts)),
+		noise:    make([]*rand.Rand, len(s.Models)),
 		queues:   make([][]*request, len(s.Models)),
 		running:  make([]int, len(s.Models)),
 		replicas: make([][]*replica, len(s.Models)),
--- a/placement/arrivals.go
+++ b/placement/arrivals.go
@@ -76,6 +76,9 @@
 
 // expire moves wake-ups whose window passed to the next day.
 func (a *arrivals) expire(now Instant) {
+	if len(a.wakeups) == 0 {
+		return
+	}
 	for i := range a.wakeups {
 		w := &a.wakeups[i]
 		for now > w.at+joinWithin {
--- a/placement/evict.go
+++ b/placement/evict.go
@@ -32,7 +32,7 @@
 
 // releasable reports whether an excess replica stayed long enough.
 func (r *round) releasable(m *model, v *replica) bool {
-	if len(m.live) > m.limit || v.upstream != nil && v.upstream.announcement.Leaving {
+	if len(m.live) > m.limit || v.unsent() || v.upstream != nil && v.upstream.announcement.Leaving {
 		return true
 	}
 	until := m.enoughAt + r.holdTime(m)
@@ -49,9 +49,8 @@
 // which weighs the more the nearer the load's tail comes to the contract's
 // wait.
 func (r *round) holdTime(m *model) time.Duration {
-	tier := r.nearestTier(m)
-	typical := r.estimator.Typical(tier, m.memory)
-	slack := 1 - float64(r.coldTail(m))/float64(m.wait)
+	typical := r.estimator.Typical(m.tier, m.memory)
+	slack := 1 - float64(m.cold)/float64(m.wait)
 	if slack <= 0 || r.largest == 0 {
 		return typical
 	}
@@ -83,17 +82,25 @@
 	return v.ID > other.ID
 }
 
-// rank orders replicas by their use: unreachable, leaving, loading, ready.
+// unsent reports whether no load order was sent for the grant.
+func (v *replica) unsent() bool {
+	return v.status == statusUnreported && v.progress.own && v.progress.sends == 0
+}
+
+// rank orders replicas by their use: not ordered yet, unreachable, leaving,
+// loading, ready.
 func (v *replica) rank() int {
 	switch {
-	case v.lost():
+	case v.unsent():
 		return 0
-	case v.upstream.announcement.Leaving:
+	case v.lost():
 		return 1
-	case v.status != statusReady:
+	case v.upstream.announcement.Leaving:
 		return 2
-	default:
+	case v.status != statusReady:
 		return 3
+	default:
+		return 4
 	}
 }
 
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -92,9 +92,8 @@
 // coldFor returns the tail of the time for a load that is asked for now and
 // queues behind all others.
 func (r *round) coldFor(m *model) time.Duration {
-	tier := r.nearestTier(m)
-	left := decisionDelay + r.estimator.Tail(tier, m.memory)
-	if tier != directory.TierRemote {
+	left := m.cold
+	if m.tier != directory.TierRemote {
 		return left
 	}
 	left += r.store.next() - r.now
--- a/placement/place.go
+++ b/placement/place.go
@@ -112,7 +112,7 @@
 }
 
 func (r *round) newNeed(m *model) need {
-	n := need{model: m, tier: r.nearestTier(m), rate: m.arrivals.rate(r.now)}
+	n := need{model: m, tier: m.tier, rate: m.arrivals.rate(r.now)}
 	tail := r.estimator.Tail(n.tier, m.memory)
 	switch {
 	case m.waiting > 0:
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -10,8 +10,10 @@
 	// decisionDelay bounds the time for committing a grant and for carrying
 	// its order and the report of its end.
 	decisionDelay = 100 * time.Millisecond
-	// longestRound bounds the time between two planning rounds.
-	longestRound = time.Second
+	// longestRound bounds the time between two planning rounds, and
+	// progressRound while loads are in progress.
+	longestRound  = 10 * time.Second
+	progressRound = 250 * time.Millisecond
 	// firstUnloadTime is assumed before any unload was observed, and
 	// unloadWeight is the weight of the last one in their mean.
 	firstUnloadTime = 500 * time.Millisecond
--- a/placement/read.go
+++ b/placement/read.go
@@ -334,5 +334,6 @@
 		if m.arrived > 0 {
 			m.arrivals.observe(r.now, m.arrived)
 		}
+		m.service.observe(r.now, m.waiting, m.running, m.arrived)
 	}
 }
--- a/placement/require.go
+++ b/placement/require.go
@@ -20,8 +20,10 @@
 // expected together do.
 func (r *round) require() {
 	for _, m := range r.models {
+		m.tier = r.nearestTier(m)
+		m.cold = decisionDelay + r.estimator.Tail(m.tier, m.memory)
 		m.want = max(m.demanded(), m.reserved)
-		if m.want == 0 && r.coldTail(m) > m.wait {
+		if m.want == 0 && m.cold > m.wait {
 			m.required = true
 			m.want = 1
 		}
@@ -34,25 +36,33 @@
 	}
 }
 
-// demanded returns the replicas that the present requests need.
+// demanded returns the replicas that the present requests need. A further
+// replica is of use only if the requests beyond the slots of the others take
+// longer to be started there than the replica takes to be loaded.
 func (m *model) demanded() int {
 	requests := m.waiting + m.running
 	if requests == 0 {
 		return 0
 	}
-	return min((requests+m.slots-1)/m.slots, m.limit)
-}
-
-// coldTail returns the tail of the time for a cold start that begins now and
-// finds the store idle.
-func (r *round) coldTail(m *model) time.Duration {
-	return decisionDelay + r.estimator.Tail(r.nearestTier(m), m.memory)
+	mean, known := m.service.mean()
+	n := 1
+	for n < m.limit && requests > n*m.slots {
+		excess := float64(requests-n*m.slots) / float64(n*m.slots)
+		if known && excess*mean.Seconds() <= m.cold.Seconds() {
+			break
+		}
+		n++
+	}
+	return n
 }
 
 // nearestTier returns the nearest tier that an upstream in service holds the
 // model's checkpoint in.
 func (r *round) nearestTier(m *model) directory.Tier {
 	best := directory.TierRemote
+	if len(r.holders) == 0 {
+		return best
+	}
 	for _, h := range r.holders[m.Model] {
 		if h.upstream.usable() && tierIndex(h.tier) < tierIndex(best) {
 			best = h.tier
@@ -98,12 +108,10 @@
 
 func (r *round) expect(m *model, from, until Instant) expectation {
 	e := expectation{model: m, from: from, until: until}
-	tier := r.nearestTier(m)
-	tail := r.estimator.Tail(tier, m.memory)
-	if tier == directory.TierRemote {
-		e.service = max(r.estimator.Mean(tier, m.memory)/time.Duration(r.config.Store.Width), r.spacing())
+	if m.tier == directory.TierRemote {
+		e.service = max(r.estimator.Mean(m.tier, m.memory)/time.Duration(r.config.Store.Width), r.spacing())
 	}
-	e.latest = m.wait - tail - decisionDelay
+	e.latest = m.wait - m.cold
 	return e
 }
 
--- a/placement/settle.go
+++ b/placement/settle.go
@@ -213,6 +213,7 @@
 		if v.State == Withdrawn {
 			continue
 		}
+		r.wake(r.now + progressRound)
 		tier := tierIndex(v.Tier)
 		ratio := r.estimator.Ratio(v.Tier, v.Memory, age)
 		if ratio > first[tier] {
--- a/placement/state.go
+++ b/placement/state.go
@@ -18,6 +18,7 @@
 	customer *customer
 
 	arrivals arrivals
+	service  service
 	// enoughAt is the last instant at which no replica was in excess.
 	enoughAt Instant
 	avoid    []avoidance
@@ -35,7 +36,11 @@
 	ready     int
 	usable    int
 	// charged counts live and withdrawn replicas.
-	charged  int
+	charged int
+	// tier is the nearest tier of a checkpoint copy, and cold the tail of the
+	// time for a cold start from there that finds the store idle.
+	tier     directory.Tier
+	cold     time.Duration
 	required bool
 	want     int
 	// readyIn is the simulated end of the model's queued load; zero if none.
