placement: fill upstreams in use before empty ones

Large models were loaded from the store although a disk copy existed, as small replicas kept the runner with the copy busy.

--- a/placement/place.go
+++ b/placement/place.go
@@ -196,6 +196,8 @@
 	costly bool
 	// shared is the number of the model's replicas in the failure domain.
 	shared int
+	// opens says that the upstream holds no replica yet.
+	opens bool
 	// time is the tail of the time until the replica is ready.
 	time time.Duration
 }
@@ -203,7 +205,8 @@
 // choose returns the upstream for a need and the tier to load from, or nil if
 // none has, or could free, the memory. An upstream on which no required replica
 // is evicted goes first, then a failure domain with fewer replicas of the
-// model, then the one that is ready sooner, then the less busy, then the one
+// model, then the one that is ready sooner, then the less busy, then one that
+// holds replicas already, so that large models find an empty one, then the one
 // whose main memory holds fewer checkpoints, so that later loads find theirs
 // there, then the tighter fit.
 func (r *round) choose(n *need) (*upstream, directory.Tier) {
@@ -242,7 +245,7 @@
 	if !u.usable() || n.model.avoids(u.id, r.now) {
 		return candidate{}, false
 	}
-	c := candidate{upstream: u, tier: tier, time: r.estimator.Tail(tier, n.model.memory)}
+	c := candidate{upstream: u, tier: tier, opens: len(u.replicas) == 0, time: r.estimator.Tail(tier, n.model.memory)}
 	if u.free < n.model.memory {
 		c.time += r.unloadTime
 		missing := n.model.memory - u.free - u.coming
@@ -271,6 +274,8 @@
 		return c.time < other.time
 	case a.busy != b.busy:
 		return a.busy < b.busy
+	case c.opens != other.opens:
+		return other.opens
 	case a.cached != b.cached:
 		return a.cached < b.cached
 	case a.free != b.free:
