node: pass renewals on in short form; fewer heartbeats and ticks

Change: an announcement that differs only in sequence and load goes out as a renewal of about 100 bytes in a batch every 500 ms, checked by digest; a peer that does not know the body compares directories. Links beat twice a second (silence is found within 2 s); targets are set when something changed.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -16,9 +16,12 @@
 
 const (
 	// tickInterval is the cadence of the control loop without events.
-	tickInterval = 50 * time.Millisecond
+	tickInterval = 100 * time.Millisecond
 	// forecastLife is how long a forecast of the leader counts.
 	forecastLife = 2 * time.Second
+	// refreshEvery is when targets are set again although nothing changed, for
+	// forecasts that have aged.
+	refreshEvery = 500 * time.Millisecond
 	// postQueue bounds the events that wait for the control loop.
 	postQueue = 1024
 	// adapterAllowance is added to a forecast for a request that also needs an
@@ -78,6 +81,12 @@
 	forecasts map[placement.Key]forecast
 	// local are the upstreams that announce themselves to this node.
 	local map[string]bool
+	// bodies and told are the announcements known here and those that the peers
+	// were told, by digest.
+	bodies *bodies
+	told   map[string]uint64
+	// pulls names peers to compare directories with now.
+	pulls chan string
 	// seen are the versions of upstreams that the selector knows.
 	seen map[string]uint64
 	// grants is the ledger that the selector's replicas were checked against.
@@ -85,6 +94,10 @@
 	revision uint64
 	// customers are those whose limits were put.
 	customers map[string]bool
+	// refreshed is the version of the directory that targets were set by, and
+	// refreshedAt when.
+	refreshed   uint64
+	refreshedAt time.Duration
 	// pushed is the version of the directory that peers were told.
 	pushed uint64
 	// pushedAt is when peers were last told anything.
@@ -111,6 +124,9 @@
 		demands:   map[demandKey]*demand{},
 		forecasts: map[placement.Key]forecast{},
 		local:     map[string]bool{},
+		bodies:    newBodies(),
+		told:      map[string]uint64{},
+		pulls:     make(chan string, 1),
 		seen:      map[string]uint64{},
 		kick:      make(chan struct{}, 1),
 		ended:     make(chan struct{}),
@@ -213,6 +229,11 @@
 	for _, e := range l.dir.TakeEvents() {
 		l.onUpstreamEvent(e)
 	}
+	if !all && l.dir.Version() == l.refreshed && now-l.refreshedAt < refreshEvery {
+		return
+	}
+	l.refreshed = l.dir.Version()
+	l.refreshedAt = now
 	views := l.dir.Snapshot(now)
 	for _, v := range views {
 		id := v.Announcement.ID
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -85,7 +85,9 @@
 
 // pushNote carries announcements that the sender heard.
 type pushNote struct {
-	Relayed []directory.Relayed `json:"relayed"`
+	Relayed []directory.Relayed `json:"relayed,omitempty"`
+	// Renewals are of upstreams whose announcement was passed on before.
+	Renewals []renewal `json:"renewals,omitempty"`
 	// Node, Boot and Member identify the sender's process.
 	Node   string `json:"node"`
 	Boot   string `json:"boot"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,13 @@
 	raftInflight  = 64
 )
 
+// Timers of the links between nodes: a silent link is found and replaced within
+// their sum.
+const (
+	linkHeartbeat = 500 * time.Millisecond
+	linkSilence   = 1500 * time.Millisecond
+)
+
 // Node is one entry node.
 type Node struct {
 	cfg      config.Config
@@ -129,6 +136,7 @@
 		Mux:    mux,
 		Log:    n.log.WithField("part", "peers"),
 		Seed:   n.seed,
+		Timing: peer.Timing{Heartbeat: linkHeartbeat, Silence: linkSilence},
 	})
 	if err != nil {
 		return errors.Wrap(err, "listen.peers")
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -12,7 +12,7 @@
 
 const (
 	// syncInterval is the cadence of reports to the leader.
-	syncInterval = 250 * time.Millisecond
+	syncInterval = 500 * time.Millisecond
 	// syncTimeout bounds one report.
 	syncTimeout = 500 * time.Millisecond
 	// leaderlessAfter is how long no leader must have answered before voters are
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"io"
 	"net/http"
+	"net/http/pprof"
 	"strconv"
 	"strings"
 	"time"
@@ -43,6 +44,8 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.Handle("GET /debug/vars", s.authorized(expvar.Handler().ServeHTTP))
+	mux.Handle("GET /debug/pprof/", s.authorized(pprof.Index))
+	mux.Handle("GET /debug/pprof/profile", s.authorized(pprof.Profile))
 	mux.Handle("GET /v1/status", s.authorized(s.status))
 	mux.Handle("GET /v1/contracts", s.authorized(s.contracts))
 	mux.Handle("GET /v1/contracts/{customer}", s.authorized(s.contract))
