raft: show by an example how a Core is driven; swarm the schedules

Each schedule now draws its actions from a few kinds, so that each kind is frequent in some (swarm testing). Members that restart at once are a new kind.

--- a/raft/follower_test.go
+++ b/raft/follower_test.go
@@ -47,7 +47,7 @@
 		"an append after a gap is refused": {[]Message{long}, []Message{gap},
 			func(_ *Core, out Output) bool { return out.Messages[0].Reject && out.Messages[0].Hint == 4 }},
 		"an append of an older term is refused": {[]Message{other}, []Message{short},
-			func(c *Core, out Output) bool { return out.Messages[0].Reject && out.Messages[0].Term == 3 }},
+			func(_ *Core, out Output) bool { return out.Messages[0].Reject && out.Messages[0].Term == 3 }},
 		"a snapshot brings members": {nil, []Message{snapshotAt(9, four)},
 			func(c *Core, out Output) bool { return voters(c) == 4 && out.Snapshot.Index == 9 }},
 		"an older snapshot changes nothing": {[]Message{snapshotAt(9, four)}, []Message{snapshotAt(5, Members{})},
@@ -64,6 +64,9 @@
 			func(c *Core, _ Output) bool { return c.vote == 0 }},
 		"no vote beside a known leader": {[]Message{appendFrom(2, 9)}, []Message{voteFor(3, 9, 9, 9)},
 			func(c *Core, _ Output) bool { return c.vote == 0 }},
+		"a learner does not campaign": {[]Message{snapshotAt(9, Members{Voters: []MemberID{2}, Learners: []MemberID{1}})},
+			[]Message{{Kind: MsgTimeoutNow, From: 2, To: 1, Term: 2}},
+			func(c *Core, _ Output) bool { return c.role == Follower && c.term == 2 }},
 		"messages to others are ignored": {nil, []Message{{Kind: MsgAppend, From: 2, To: 3, Term: 9}},
 			func(c *Core, _ Output) bool { return c.term == 1 }},
 	} {
@@ -136,6 +139,16 @@
 	}
 }
 
+func TestRestartKeepsVote(t *testing.T) {
+	is := is.New(t)
+	from := founding(3)
+	from.Hard = HardState{Term: 2, Vote: 3}
+	c := start(t, from)
+	c.Step(voteFor(2, 2, 9, 2), testElection)
+	c.Step(voteFor(3, 2, 9, 2), testElection)
+	is.Equal(rejections(c.Take(testElection)), []bool{true, false})
+}
+
 func TestCompact(t *testing.T) {
 	is := is.New(t)
 	c := start(t, founding(3))
--- a/raft/leader_test.go
+++ b/raft/leader_test.go
@@ -52,6 +52,8 @@
 	// The process was frozen: what it finds in its queue gives no lease.
 	answer(c, 3, 2, 1, sent+time.Hour)
 	is.True(!c.LeaseValid(sent + time.Hour))
+	c.Tick(sent) // an instant read before the freeze
+	is.True(!c.LeaseValid(sent))
 }
 
 func TestLeaseNeedsOwnCommit(t *testing.T) {
@@ -236,7 +238,7 @@
 	n.write(100)
 	leader := n.leader()
 	n.compact(leader)
-	lost, second := MemberID(leader.id%3+1), MemberID((leader.id+1)%3+1)
+	lost, second := leader.id%3+1, (leader.id+1)%3+1
 	n.host(lost).down = true
 	kept := []MemberID{leader.id, second}
 	n.add(4, Restored{})
@@ -272,6 +274,8 @@
 		leader := n.leader()
 		removed := n.hosts[(leader.id+shift)%3]
 		n.change(Members{Voters: without([]MemberID{1, 2, 3}, []MemberID{removed.id})})
+		is.True(n.leader() != nil) // sooner than by an election timeout
+		is.True(!removed.core.promotable())
 		n.run(2 * time.Second)
 		is.True(removed.core.role != Leader)
 		successor, term := n.leader(), n.leader().core.term
@@ -359,16 +363,23 @@
 		"a transfer starts once the target holds all": {
 			func(c *Core, now Instant) { _ = c.Transfer(3, now); answer(c, 3, 2, 1, now) },
 			func(_ *Core, out Output) bool { return hasKind(out, MsgTimeoutNow) }},
+		"a leader that removes itself does not count": {
+			func(c *Core, now Instant) {
+				_, _, _ = c.ProposeMembers(Members{Voters: []MemberID{2, 3}}, now)
+				write(c, now)
+				answer(c, 2, 3, 1, now)
+			},
+			func(c *Core, _ Output) bool { return c.log.last() == 3 && c.log.commit == 2 }},
 		"a stale rejection sends nothing": {
 			func(c *Core, now Instant) { c.Step(reject, now) },
-			func(_ *Core, out Output) bool { return !hasEntriesTo(out, 2) }},
+			func(_ *Core, out Output) bool { return !hasMessageTo(out, 2) }},
 		"a late rejection of a probe sends nothing": {
 			func(c *Core, now Instant) {
 				late := reject
 				late.From, late.LogIndex = 3, 7
 				c.Step(late, now)
 			},
-			func(_ *Core, out Output) bool { return !hasEntriesTo(out, 3) }},
+			func(_ *Core, out Output) bool { return !hasMessageTo(out, 3) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := start(t, founding(3))
@@ -386,6 +397,6 @@
 	return slices.ContainsFunc(out.Messages, func(m Message) bool { return m.Kind == kind })
 }
 
-func hasEntriesTo(out Output, to MemberID) bool {
-	return slices.ContainsFunc(out.Messages, func(m Message) bool { return m.To == to && len(m.Entries) > 0 })
+func hasMessageTo(out Output, to MemberID) bool {
+	return slices.ContainsFunc(out.Messages, func(m Message) bool { return m.To == to })
 }
--- a/raft/property_test.go
+++ b/raft/property_test.go
@@ -35,6 +35,7 @@
 	actRead
 	actCrash
 	actRestart
+	actBounce
 	actFreeze
 	actThaw
 	actIsolate
@@ -52,10 +53,13 @@
 // waits are how long the network runs after an action, in steps.
 var waits = []int{0, 1, 3, 10, 30, 60, 150}
 
+// drawSchedule draws actions of a few kinds, so that each kind is frequent in
+// some schedules (Groce et al., "Swarm Testing", 2012).
 func drawSchedule(t *rapid.T) []action {
+	kinds := rapid.SliceOfNDistinct(rapid.IntRange(0, actKinds-1), 3, actKinds, rapid.ID).Draw(t, "kinds")
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) action {
 		return action{
-			Kind: rapid.IntRange(0, actKinds-1).Draw(t, "kind"),
+			Kind: rapid.SampledFrom(kinds).Draw(t, "kind"),
 			Host: rapid.IntRange(0, 7).Draw(t, "host"),
 			Peer: rapid.IntRange(0, 7).Draw(t, "peer"),
 			Wait: rapid.SampledFrom(waits).Draw(t, "wait"),
@@ -77,6 +81,9 @@
 		if h.down {
 			n.start(h)
 		}
+	case actBounce:
+		n.crash(h)
+		n.start(h)
 	case actFreeze:
 		h.frozen = true
 	case actThaw:
--- a/raft/types.go
+++ b/raft/types.go
@@ -8,6 +8,35 @@
 // durable writes go in, each with the caller's monotonic time; messages, state
 // to persist and entries to apply come out. It has no clock, goroutine, I/O or
 // randomness beyond its seed.
+//
+// # Driving a Core
+//
+// One goroutine owns a [Core]. It calls Tick at a fraction of the heartbeat
+// interval, Step for each message that arrived, and Propose for each command.
+// While HasOutput reports true it calls Take and does what the [Output] says, in
+// order: it makes Hard, Snapshot and Entries durable with one sync, calls
+// Persisted, sends Messages, restores Snapshot or applies Committed, answers
+// Reads, and calls Applied. Proposals that come in before a Take share its sync
+// and its messages.
+//
+// Messages may be lost, repeated, delayed and reordered. Writes may not: a write
+// that fails ends the member, and one whose disk was lost or restored from an
+// older copy comes back under a new [MemberID], as a learner.
+//
+// # Reads and leases
+//
+// A read that must see everything committed before it asks for a ReadBarrier and
+// waits until the index in its [ReadResult] is applied. An action that only one
+// leader may take at a time is preceded by LeaseValid. The lease rests on the
+// monotonic clocks of the members advancing at the same rate, within the share
+// by which Lease is shorter than ElectionTimeout; their origins do not matter.
+//
+// # Membership
+//
+// ProposeMembers changes one member at a time. A new voter joins as a learner
+// from an empty Restored, receives a snapshot and the log, and is promoted once
+// it has caught up. A voter that is lost is removed, and its replacement added
+// under a new identity.
 package raft
 
 import "time"
@@ -162,11 +191,12 @@
 
 // Output is everything the caller must do next, in this order: make Hard,
 // Snapshot and Entries durable (one sync suffices), call Persisted, send
-// Messages, restore Snapshot or apply Committed, call Applied.
+// Messages, restore Snapshot, apply Committed, call Applied.
 type Output struct {
 	// Hard is non-nil when term or vote changed.
 	Hard *HardState
-	// Snapshot is non-nil when a received snapshot replaces the log.
+	// Snapshot is non-nil when a received snapshot replaces the log. Entries and
+	// Committed, if any, come after it.
 	Snapshot *Snapshot
 	// Entries are to be written after truncating the durable log from
 	// Entries[0].Index.
