--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -17,8 +17,8 @@
 	mesh   *Mesh
 	peer   Peer
 	random *rand.Rand
-	done   chan struct{}
-	once   sync.Once
+	// stop ends run; the mesh sets it when it starts the dialer.
+	stop context.CancelFunc
 
 	mu     sync.Mutex
 	link   *link
@@ -32,23 +32,12 @@
 		mesh:   m,
 		peer:   p,
 		random: rand.New(rand.NewPCG(m.opts.Seed, h.Sum64())),
-		done:   make(chan struct{}),
+		stop:   func() {},
 	}
 }
 
-// stop ends run.
-func (d *dialer) stop() { d.once.Do(func() { close(d.done) }) }
-
-// run connects again and again until it is stopped.
+// run connects again and again until the context ends.
 func (d *dialer) run(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stopped := context.AfterFunc(ctx, d.stop)
-	defer stopped()
-	go func() {
-		<-d.done
-		cancel()
-	}()
 	backoff := d.mesh.opts.Timing.BackoffMin
 	for ctx.Err() == nil {
 		link, err := d.connect(ctx)
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -173,8 +173,10 @@
 	if m.running == nil {
 		return
 	}
-	ctx := m.ctx
+	ctx, cancel := context.WithCancel(m.ctx)
+	d.stop = cancel
 	m.running.Go(func() error {
+		defer cancel()
 		d.run(ctx)
 		return nil
 	})
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -24,6 +24,12 @@
 // patience bounds every wait; passing tests do not come near it.
 const patience = 20 * time.Second
 
+// Connections of most tests must not be taken for silent on a busy machine.
+const (
+	patient   = patience
+	impatient = 500 * time.Millisecond
+)
+
 const codeTaken peer.Code = 7
 
 // node is a running mesh that records what it was asked.
@@ -34,7 +40,7 @@
 	release chan struct{}
 }
 
-func start(t *testing.T, name, secret string, peers ...peer.Peer) *node {
+func start(t *testing.T, name, secret string, silence time.Duration, peers ...peer.Peer) *node {
 	t.Helper()
 	n := &node{release: make(chan struct{})}
 	mux := peer.NewMux()
@@ -62,7 +68,7 @@
 	log.SetOutput(io.Discard)
 	mesh, err := peer.New(peer.Options{
 		Self: name, Addr: "127.0.0.1:0", Peers: peers, Secret: secret, Mux: mux, Log: log,
-		Timing: peer.Timing{Heartbeat: 50 * time.Millisecond, Silence: 500 * time.Millisecond},
+		Timing: peer.Timing{Heartbeat: 50 * time.Millisecond, Silence: silence},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -81,11 +87,11 @@
 }
 
 // pair starts two nodes that know each other; a reaches b through the proxy.
-func pair(t *testing.T) (a, b *node, p *proxy) {
+func pair(t *testing.T, silence time.Duration) (a, b *node, p *proxy) {
 	t.Helper()
-	b = start(t, "b", "secret")
+	b = start(t, "b", "secret", silence)
 	p = newProxy(t, b.Addr())
-	a = start(t, "a", "secret", peer.Peer{Name: "b", Addr: p.addr()})
+	a = start(t, "a", "secret", silence, peer.Peer{Name: "b", Addr: p.addr()})
 	b.SetPeers([]peer.Peer{{Name: "a", Addr: a.Addr()}})
 	eventually(t, func() bool { return a.Reachable("b") && b.Reachable("a") })
 	return a, b, p
@@ -108,7 +114,7 @@
 
 func TestCallNotifyAndErrors(t *testing.T) {
 	is := is.New(t)
-	a, b, _ := pair(t)
+	a, b, _ := pair(t, patient)
 	var answer string
 	is.NoErr(a.Call(within(t, patience), "b", "echo", 5, &answer))
 	is.Equal(answer, "a5")
@@ -134,10 +140,10 @@
 
 func TestStrangersAreRejected(t *testing.T) {
 	is := is.New(t)
-	b := start(t, "b", "secret", peer.Peer{Name: "a", Addr: "127.0.0.1:1"})
-	wrong := start(t, "a", "guess", peer.Peer{Name: "b", Addr: b.Addr()})
-	unlisted := start(t, "x", "secret", peer.Peer{Name: "b", Addr: b.Addr()})
-	misnamed := start(t, "a", "secret", peer.Peer{Name: "c", Addr: b.Addr()})
+	b := start(t, "b", "secret", patient, peer.Peer{Name: "a", Addr: "127.0.0.1:1"})
+	wrong := start(t, "a", "guess", patient, peer.Peer{Name: "b", Addr: b.Addr()})
+	unlisted := start(t, "x", "secret", patient, peer.Peer{Name: "b", Addr: b.Addr()})
+	misnamed := start(t, "a", "secret", patient, peer.Peer{Name: "c", Addr: b.Addr()})
 	eventually(t, func() bool { return b.Stats().Rejected > 2 })
 	eventually(t, func() bool { return wrong.Stats().DialFailures > 1 && misnamed.Stats().DialFailures > 1 })
 	for _, n := range []*node{wrong, unlisted, misnamed} {
@@ -151,7 +157,7 @@
 // a first message that never ends.
 func TestDialerMustProveItself(t *testing.T) {
 	is := is.New(t)
-	b := start(t, "b", "secret", peer.Peer{Name: "a", Addr: "127.0.0.1:1"})
+	b := start(t, "b", "secret", patient, peer.Peer{Name: "a", Addr: "127.0.0.1:1"})
 	for i, second := range []string{
 		`{"version":1,"node":"a","proof":"AAAA"}` + "\n",
 		`{"version":1,"node":"a"}` + "\n",
@@ -163,7 +169,7 @@
 		is.NoErr(err)
 		is.NoErr(conn.SetReadDeadline(time.Now().Add(patience)))
 		data, _ := io.ReadAll(conn) // ends when the node closes the connection
-		is.True(!strings.Contains(string(data), "hb"))
+		is.True(!strings.Contains(string(data), `"hb":`))
 		is.NoErr(conn.Close())
 		eventually(t, func() bool { return b.Stats().Rejected == uint64(i+1) })
 	}
@@ -172,7 +178,7 @@
 // TestPeersCanChange removes a peer and lists it again at another address.
 func TestPeersCanChange(t *testing.T) {
 	is := is.New(t)
-	a, b, _ := pair(t)
+	a, b, _ := pair(t, patient)
 	b.SetPeers(nil)
 	eventually(t, func() bool { return !b.Reachable("a") && b.Stats().Rejected > 0 })
 	is.True(errors.Is(b.Call(within(t, patience), "a", "echo", nil, nil), peer.ErrNotSent))
@@ -193,14 +199,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			a, b, p := pair(t)
+			a, b, p := pair(t, impatient)
+			before := a.Stats().Connects
 			drop(p)
 			err := a.Call(within(t, patience), "b", "hang", nil, nil)
 			is.True(errors.Is(err, peer.ErrUnknown)) // well before its own deadline
 			eventually(t, func() bool { return a.Reachable("b") })
 			var answer string
 			is.NoErr(a.Call(within(t, patience), "b", "echo", 1, &answer))
-			is.Equal(a.Stats().Connects, uint64(2))
+			is.True(a.Stats().Connects > before)
 			eventually(t, func() bool { return a.Stats().Silent+b.Stats().Silent > 0 })
 		})
 	}
@@ -209,7 +216,8 @@
 // TestLateAnswerIsDropped has an answer come after its caller gave up.
 func TestLateAnswerIsDropped(t *testing.T) {
 	is := is.New(t)
-	a, b, _ := pair(t)
+	a, b, _ := pair(t, patient)
+	before := a.Stats().Connects
 	err := a.Call(within(t, 50*time.Millisecond), "b", "hang", nil, nil)
 	is.True(errors.Is(err, peer.ErrUnknown))
 	eventually(t, func() bool { return b.calls.Load() == 1 })
@@ -219,15 +227,15 @@
 		is.NoErr(a.Call(within(t, patience), "b", "echo", i, &answer))
 		is.True(answer != "late")
 	}
-	is.Equal(a.Stats().Connects, uint64(1))
+	is.Equal(a.Stats().Connects, before) // on the connection of the late answer
 }
 
 // TestSlowReaderBlocksNobody stops reading from one connection: senders to it
 // return at once, and another peer is served.
 func TestSlowReaderBlocksNobody(t *testing.T) {
 	is := is.New(t)
-	a, _, p := pair(t)
-	c := start(t, "c", "secret", peer.Peer{Name: "a", Addr: a.Addr()})
+	a, _, p := pair(t, impatient)
+	c := start(t, "c", "secret", impatient, peer.Peer{Name: "a", Addr: a.Addr()})
 	a.SetPeers([]peer.Peer{{Name: "b", Addr: p.addr()}, {Name: "c", Addr: c.Addr()}})
 	eventually(t, func() bool { return a.Reachable("c") })
 	p.stall()
