replica: report a member that lacks what it acknowledged

A voter whose disk was wiped or put back from an old copy under its old member ID cannot be told from its folder alone. A leader to which it had acknowledged entries can tell: three refusals in a row of appends that follow such an entry. It logs the member and names it in Stats.

Weighed: peers that remember positions and refuse such a member. A peer that was cut off would still elect it, and the refusal would keep it from catching up, so it is only reported. TestRegressedMemberIsReported creates a wiped member again wrongly and then replaces it; the kill test checks that no orderly restart is reported.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -38,6 +38,7 @@
 	applied     uint64
 	snapshotAt  uint64
 	compaction  *raft.Snapshot
+	regressions map[raft.MemberID]int
 }
 
 // New makes a replica from its durable state and restores the state machine.
@@ -52,6 +53,8 @@
 		stopped:   make(chan struct{}),
 		pending:   map[uint64]*proposal{},
 		barriers:  map[uint64]chan raft.ReadResult{},
+
+		regressions: map[raft.MemberID]int{},
 	}
 	core, err := raft.New(cfg.Raft, cfg.Restored, r.now())
 	if err != nil {
@@ -123,6 +126,7 @@
 func (r *Replica) step(messages []raft.Message) {
 	r.withCore(func(core *raft.Core, now raft.Instant) {
 		for _, m := range messages {
+			r.checkRegression(core, m)
 			core.Step(m, now)
 		}
 	})
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -36,6 +36,7 @@
 			for i := range 60 {
 				is.True(c.put(leader, fmt.Sprintf("k%d-%d", round, i), 0, i).OK)
 			}
+			is.Equal(leader.Stats().Regressed, raft.MemberID(0)) // no false report
 			switch round % 3 {
 			case 0:
 				c.kill(leader.id)
@@ -140,6 +141,33 @@
 	})
 }
 
+// TestRegressedMemberIsReported wipes a disk and wrongly creates the member
+// again under its old ID.
+func TestRegressedMemberIsReported(t *testing.T) {
+	bubble(t, 14, func(is *is.I, c *cluster) {
+		leader := c.leader()
+		for i := range 20 {
+			is.True(c.put(leader, "k", i, i).OK)
+		}
+		c.converge(c.founded...)
+		is.Equal(leader.Stats().Regressed, raft.MemberID(0))
+		wiped := others(c, leader.id)[0]
+		c.kill(wiped)
+		initial, err := replica.Founding(c.founded, newRegisters())
+		is.NoErr(err)
+		c.create(wiped, initial)
+		for deadline := time.Now().Add(patience); leader.Stats().Regressed != wiped; time.Sleep(heartbeat) {
+			is.True(time.Now().Before(deadline))
+		}
+
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		c.create(4, raft.Restored{})
+		is.NoErr(leader.Replace(ctx, wiped, 4))
+		is.True(c.put(leader, "k", 20, 20).OK)
+	})
+}
+
 // TestStorageFailureStopsTheReplica fails a sync: nothing is acknowledged, and
 // the others go on.
 func TestStorageFailureStopsTheReplica(t *testing.T) {
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -48,10 +48,13 @@
 	Applied uint64 `json:"applied"`
 	// DroppedMessages counts received messages for which there was no room.
 	DroppedMessages uint64 `json:"droppedMessages"`
+	// Regressed is the last member that was found, while this one led, to lack
+	// entries that it had acknowledged; zero if none.
+	Regressed raft.MemberID `json:"regressed,omitempty"`
 }
 
 type counters struct {
-	entries, applied, dropped atomic.Uint64
+	entries, applied, dropped, regressed atomic.Uint64
 }
 
 // Stats returns the counters.
@@ -60,5 +63,6 @@
 		Entries:         r.counters.entries.Load(),
 		Applied:         r.counters.applied.Load(),
 		DroppedMessages: r.counters.dropped.Load(),
+		Regressed:       raft.MemberID(r.counters.regressed.Load()),
 	}
 }
