placement: a failed load stays charged while a copy of its order may arrive

A grant is now released only after the last load order's deadline, whatever was reported; an earlier leader's orders are waited out as before.

Not caught by the properties: load orders with the highest possible fencing number, as the wait before a release alone keeps the promises in this model.

--- a/internal/policybench/world.go
+++ b/internal/policybench/world.go
@@ -97,7 +97,6 @@
 	adapting int
 	cut      int
 	limiters []*limiter
-	finished int
 }
 
 func newWorld(s *Scenario, options Options) *world {
--- a/placement/evict.go
+++ b/placement/evict.go
@@ -130,11 +130,7 @@
 	if v.upstream.announcement.ChecksFencing {
 		return 0
 	}
-	until := r.holdEnds()
-	if v.progress.sends > 0 {
-		until = max(until, v.progress.sentAt+r.in.Leadership.OrderDeadline)
-	}
-	return until
+	return max(r.holdEnds(), r.orderInFlightUntil(v))
 }
 
 // measureMemory finds what each upstream could free.
--- /dev/null
+++ b/placement/faults_test.go
@@ -0,0 +1,294 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/agateslip/agateslip/contract"
+	"github.com/agateslip/agateslip/directory"
+)
+
+const (
+	testDeadline = time.Second
+	testLease    = 2 * time.Second
+	testMemory   = 40 * gib
+)
+
+// host is an upstream whose process may be killed and whose reports and orders
+// may be lost, late or repeated.
+type host struct {
+	id       string
+	checks   bool
+	life     uint64
+	seq      uint64
+	fence    uint64
+	replicas []directory.Replica
+	dead     bool
+}
+
+func (h *host) used() int64 {
+	total := int64(0)
+	for _, r := range h.replicas {
+		total += r.Memory
+	}
+	return total
+}
+
+func (h *host) find(grant uint64) *directory.Replica {
+	for i := range h.replicas {
+		if h.replicas[i].Grant == grant {
+			return &h.replicas[i]
+		}
+	}
+	return nil
+}
+
+// perform carries out an order. It remembers no ended replica, so that a late
+// load order would load it again.
+func (h *host) perform(o Order) {
+	if h.dead || o.Incarnation != h.life || h.checks && o.Fence < h.fence {
+		return
+	}
+	h.fence = max(h.fence, o.Fence)
+	r := h.find(o.Grant)
+	switch {
+	case o.Kind == LoadModel && (r == nil || r.Memory == 0):
+		h.forget(o.Grant)
+		h.replicas = append(h.replicas, directory.Replica{Grant: o.Grant, Model: o.Model, State: directory.Loading, Memory: o.Memory})
+	case o.Kind == UnloadModel && r == nil:
+		h.replicas = append(h.replicas, directory.Replica{Grant: o.Grant, Model: o.Model, State: directory.Unloaded})
+	case o.Kind == UnloadModel && r.Memory > 0:
+		r.State = directory.Unloading
+	}
+}
+
+func (h *host) forget(grant uint64) {
+	h.replicas = slices.DeleteFunc(h.replicas, func(r directory.Replica) bool { return r.Grant == grant })
+}
+
+func (h *host) report() directory.Announcement {
+	h.seq++
+	return directory.Announcement{
+		ID: h.id, Incarnation: h.life, Seq: h.seq, Domain: h.id, Kind: directory.Engine, Memory: testMemory,
+		Slots: 8, ChecksFencing: h.checks, Replicas: slices.Clone(h.replicas),
+	}
+}
+
+// flight is an order on its way.
+type flight struct {
+	order Order
+	sent  Instant
+}
+
+// cluster is the planner with its ledger, hosts and faults.
+type cluster struct {
+	*bench
+	hosts   []*host
+	orders  []flight
+	reports []directory.Announcement
+	pending []Change
+	limits  map[string]int
+}
+
+func newCluster(t *rapid.T) *cluster {
+	c := &cluster{limits: map[string]int{}}
+	var models []contract.Model
+	for i := range 4 {
+		m := contract.Model{Name: fmt.Sprintf("m%d", i), Memory: contract.Bytes((8 + 6*i) * gib), Replicas: 1 + i%2, Slots: 2}
+		c.limits[m.Name] = m.Replicas
+		models = append(models, m)
+	}
+	c.bench = newBench(30*time.Second, models...)
+	c.in.Leadership = Leadership{Lease: true, LongestLease: testLease, OrderDeadline: testDeadline}
+	for i := range 3 {
+		h := &host{id: fmt.Sprintf("u%d", i), life: 1, checks: rapid.Bool().Draw(t, "checks")}
+		c.hosts = append(c.hosts, h)
+		c.merge(h.report())
+	}
+	return c
+}
+
+// merge keeps the newest announcement, as the directory does.
+func (c *cluster) merge(a directory.Announcement) {
+	for i := range c.in.Upstreams {
+		old := c.in.Upstreams[i].Announcement
+		if old.ID != a.ID {
+			continue
+		}
+		if a.Incarnation > old.Incarnation || a.Incarnation == old.Incarnation && a.Seq > old.Seq {
+			c.in.Upstreams[i].Announcement = &a
+		}
+		return
+	}
+	c.upstream(a)
+}
+
+func (c *cluster) plan() {
+	c.in.Pending = c.pending
+	plan := c.planner.Plan(c.now, c.in)
+	c.pending = append(c.pending, plan.Changes...)
+	for _, o := range plan.Orders {
+		c.orders = append(c.orders, flight{order: o, sent: c.now})
+	}
+}
+
+func (c *cluster) commit() {
+	for _, change := range c.pending {
+		limits := Limits{Model: c.limits[change.Grant.Model], Customer: 100}
+		_, _ = c.ledger.Apply(change, limits)
+	}
+	c.pending = nil
+}
+
+// check verifies the promises after every step.
+func (c *cluster) check(t *rapid.T) {
+	loaded := map[string]int{}
+	for _, h := range c.hosts {
+		if h.used() > testMemory {
+			t.Fatalf("%s holds %d bytes", h.id, h.used())
+		}
+		for _, r := range h.replicas {
+			if r.Memory == 0 {
+				continue
+			}
+			loaded[r.Model]++
+			g, found := c.ledger.Find(r.Grant)
+			if !found || g.Upstream != h.id || g.Incarnation != h.life {
+				t.Fatalf("%s holds grant %d, which is not charged", h.id, r.Grant)
+			}
+		}
+	}
+	for model, n := range loaded {
+		if n > c.limits[model] {
+			t.Fatalf("%d replicas of %s are loaded", n, model)
+		}
+	}
+}
+
+func (c *cluster) host(t *rapid.T) *host {
+	return c.hosts[rapid.IntRange(0, len(c.hosts)-1).Draw(t, "host")]
+}
+
+// actions are the steps and faults that a run is drawn from.
+func (c *cluster) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"demand": func(t *rapid.T) {
+			model := fmt.Sprintf("m%d", rapid.IntRange(0, 3).Draw(t, "model"))
+			c.demand(model, rapid.IntRange(0, 6).Draw(t, "waiting"), 20*time.Second)
+		},
+		"quiet": func(*rapid.T) { c.in.Demand = nil },
+		"time": func(t *rapid.T) {
+			c.now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
+			c.orders = slices.DeleteFunc(c.orders, func(f flight) bool { return c.now >= f.sent+testDeadline })
+		},
+		"turn":    func(t *rapid.T) { c.turn(t) },
+		"turn 2":  func(t *rapid.T) { c.turn(t) },
+		"turn 3":  func(t *rapid.T) { c.turn(t) },
+		"plan":    func(*rapid.T) { c.plan() },
+		"commit":  func(*rapid.T) { c.commit() },
+		"deliver": func(t *rapid.T) { c.deliver(t) },
+		"progress": func(t *rapid.T) {
+			h := c.host(t)
+			for i := range h.replicas {
+				h.progress(i, rapid.Bool().Draw(t, "fails"))
+			}
+		},
+		"fail": func(*rapid.T) {
+			for _, h := range c.hosts {
+				for i := range h.replicas {
+					h.progress(i, true)
+				}
+				c.merge(h.report())
+			}
+			c.plan()
+			c.commit()
+		},
+		"report":  func(t *rapid.T) { c.reports = append(c.reports, c.host(t).report()) },
+		"receive": func(t *rapid.T) { c.receive(t) },
+		"kill": func(t *rapid.T) {
+			h := c.host(t)
+			h.life++
+			h.seq, h.fence, h.replicas = 0, 0, nil
+		},
+		"change leader": func(*rapid.T) {
+			c.pending = nil
+			c.in.Leadership.Since = c.now
+			c.planner = NewPlanner(Config{Store: StoreLimits{Width: 4, Rate: 4}, AdaptersInFlight: 30})
+		},
+		"silence": func(t *rapid.T) {
+			at := rapid.IntRange(0, len(c.in.Upstreams)-1).Draw(t, "upstream")
+			c.in.Upstreams[at].Silent = !c.in.Upstreams[at].Silent
+		},
+		"": func(t *rapid.T) { c.check(t) },
+	}
+}
+
+// turn is one undisturbed round of planning, committing, ordering and loading.
+func (c *cluster) turn(t *rapid.T) {
+	c.now += 50 * time.Millisecond
+	c.plan()
+	c.commit()
+	c.plan()
+	for range len(c.orders) {
+		c.deliver(t)
+	}
+	for _, h := range c.hosts {
+		for i := range h.replicas {
+			h.progress(i, false)
+		}
+		c.merge(h.report())
+	}
+}
+
+// deliver hands one order to its host, perhaps not for the last time.
+func (c *cluster) deliver(t *rapid.T) {
+	if len(c.orders) == 0 {
+		return
+	}
+	at := rapid.IntRange(0, len(c.orders)-1).Draw(t, "order")
+	o := c.orders[at].order
+	if !rapid.Bool().Draw(t, "keep a copy") {
+		c.orders = slices.Delete(c.orders, at, at+1)
+	}
+	for _, h := range c.hosts {
+		if h.id == o.Upstream {
+			h.perform(o)
+		}
+	}
+}
+
+func (h *host) progress(i int, fails bool) {
+	r := &h.replicas[i]
+	switch {
+	case r.State == directory.Loading && fails:
+		r.State, r.Memory = directory.Failed, 0
+	case r.State == directory.Loading:
+		r.State = directory.Ready
+	case r.State == directory.Unloading:
+		r.State, r.Memory = directory.Unloaded, 0
+	}
+}
+
+func (c *cluster) receive(t *rapid.T) {
+	if len(c.reports) == 0 {
+		return
+	}
+	at := rapid.IntRange(0, len(c.reports)-1).Draw(t, "report")
+	c.merge(c.reports[at])
+	if rapid.Bool().Draw(t, "drop") {
+		c.reports = slices.Delete(c.reports, at, at+1)
+	}
+}
+
+// TestFaultsNeverBreakThePromises draws kills in mid-load, lost, late and
+// repeated orders and reports, silence and leader changes in any order.
+func TestFaultsNeverBreakThePromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t)
+		t.Repeat(c.actions())
+	})
+}
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -42,6 +42,9 @@
 		f.ReadyIn = r.coldFor(m)
 	}
 	f.RetryAfter = f.ReadyIn
+	if f.ReadyIn == m.tooLate() {
+		f.RetryAfter = blockedRetry
+	}
 	return f
 }
 
@@ -149,7 +152,7 @@
 		r.line = append(r.line, lineItem{service: service, slack: n.slack, promised: n.class == classDemand && start <= n.slack})
 	}
 	if n.blocked {
-		left = max(left, n.model.wait, blockedRetry)
+		left = max(left, n.model.tooLate())
 	}
 	if n.model.readyIn == 0 {
 		n.model.readyIn = left
--- a/placement/order.go
+++ b/placement/order.go
@@ -64,7 +64,7 @@
 
 // resend repeats a load order that the upstream has not reported.
 func (r *round) resend(v *replica) {
-	due := v.progress.sentAt + r.in.Leadership.OrderDeadline
+	due := v.progress.loadSentAt + r.in.Leadership.OrderDeadline
 	if v.progress.sends > 0 && r.now < due {
 		r.wake(due)
 		return
@@ -77,7 +77,7 @@
 		v.progress.firstAt = r.now
 	}
 	v.progress.sends++
-	v.progress.sentAt = r.now
+	v.progress.loadSentAt = r.now
 	r.plan.Orders = append(r.plan.Orders, Order{
 		Kind: LoadModel, Upstream: v.Upstream, Incarnation: v.Incarnation,
 		Grant: v.ID, Fence: r.in.Ledger.Last, Key: v.Key, Tier: v.Tier, Memory: v.Memory,
@@ -87,13 +87,13 @@
 // orderUnload orders a withdrawn replica to be unloaded, and repeats the order
 // until the upstream reports it.
 func (r *round) orderUnload(v *replica) {
-	due := v.progress.sentAt + r.in.Leadership.OrderDeadline
+	due := v.progress.unloadSentAt + r.in.Leadership.OrderDeadline
 	if v.status == statusUnloading || v.progress.unloads > 0 && r.now < due {
 		r.wake(due)
 		return
 	}
 	v.progress.unloads++
-	v.progress.sentAt = r.now
+	v.progress.unloadSentAt = r.now
 	r.plan.Orders = append(r.plan.Orders, Order{
 		Kind: UnloadModel, Upstream: v.Upstream, Incarnation: v.Incarnation,
 		Grant: v.ID, Fence: r.in.Ledger.Last, Key: v.Key,
--- a/placement/settle.go
+++ b/placement/settle.go
@@ -50,7 +50,7 @@
 		return
 	}
 	v.progress.unloaded = true
-	took := r.now - v.progress.sentAt
+	took := r.now - v.progress.unloadSentAt
 	r.unloadTime += time.Duration(unloadWeight * float64(took-r.unloadTime))
 }
 
@@ -126,35 +126,19 @@
 	return "", false
 }
 
-// orderInFlightUntil returns when no load order of the grant can be on its way
-// any more. A single order that the upstream answered is not on its way. An
-// upstream that checks fencing refuses a load order once the grant was
-// withdrawn, as its unload order carried a higher number.
+// orderInFlightUntil returns when no load order of the grant, nor a copy of
+// one, can be on its way any more.
 func (r *round) orderInFlightUntil(v *replica) Instant {
-	if v.State == Withdrawn && v.upstream.announcement.ChecksFencing && v.progress.unloads > 0 {
-		return 0
-	}
 	until := Instant(0)
 	if !v.progress.own {
 		until = r.holdEnds()
 	}
-	if v.progress.sends > 1 || v.progress.sends == 1 && !v.reportedAtAll() {
-		until = max(until, v.progress.sentAt+r.in.Leadership.OrderDeadline)
+	if v.progress.sends > 0 {
+		until = max(until, v.progress.loadSentAt+r.in.Leadership.OrderDeadline)
 	}
 	return until
 }
 
-// reportedAtAll reports whether the upstream knows the grant.
-func (v *replica) reportedAtAll() bool {
-	a := v.upstream.announcement
-	for i := range a.Replicas {
-		if a.Replicas[i].Grant == v.ID {
-			return true
-		}
-	}
-	return false
-}
-
 func (m *model) avoidUpstream(id string, now Instant) {
 	for i := range m.avoid {
 		a := &m.avoid[i]
--- a/placement/state.go
+++ b/placement/state.go
@@ -132,9 +132,11 @@
 	own bool
 	// sends counts the load orders sent under this leadership.
 	sends int
-	// sentAt is when the last order was sent, firstAt the first.
-	sentAt  Instant
-	firstAt Instant
+	// firstAt and loadSentAt are when the first and the last load order were
+	// sent, unloadSentAt when the last unload order was.
+	firstAt      Instant
+	loadSentAt   Instant
+	unloadSentAt Instant
 	// timed says that the load's time was observed.
 	timed bool
 	// unloads counts the unload orders sent.
