Resume every interrupted stream; callers that hang up trip no breaker

Of 24 streams on two engines one of which died, 3 broke: the retry budget of 3 for each node and customer was spent. A stream that both engines had cut once, or the only engine, broke: a tried upstream was never asked again. After three callers hung up, the next nine and then a tenth call were refused for two seconds and more: each hang-up counted as a failure of the engine and opened its breaker.

Asking for the rest of an answer repeats no work, so it needs no budget, and an attempt that brought a part starts the count of attempts and of upstreams tried anew. An attempt that ended by its caller, or after a part of the answer, says nothing against its upstream. A larger budget was ruled out: it would let new work storm too. A dead engine is still found, by the next connect that fails.

Partition tests now use a call without a claim, so that only the node's proof of its contracts stands against an old one.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -88,6 +88,9 @@
 	AttemptRefused
 	// AttemptCancelled means that the caller went away.
 	AttemptCancelled
+	// AttemptInterrupted means that the answer broke off after a part of it. That
+	// tells of a connection, not of the upstream, which proved that it serves.
+	AttemptInterrupted
 )
 
 // Router chooses upstreams.
@@ -106,7 +109,10 @@
 	// Resumable says that a part of the answer is with the caller and that the
 	// rest can be asked for.
 	Resumable bool
-	// Number counts the call's attempts, from 1.
+	// Progressed says that the attempt itself brought a part of the answer.
+	Progressed bool
+	// Number counts the call's attempts since the last one that progressed, from
+	// 1.
 	Number int
 }
 
--- a/internal/gateway/repeatable.go
+++ b/internal/gateway/repeatable.go
@@ -42,38 +42,61 @@
 }
 
 // runRepeatable sends the call until an upstream answers, within the deadline
-// and the retry budget.
+// and the retry budget. An attempt that brought a part of the answer starts the
+// count anew, so that a long stream outlives several upstreams.
 func (s *sender) runRepeatable(ctx context.Context, w http.ResponseWriter, c *Call) error {
 	out := newRelay(w)
 	var tried []string
 	stall := s.streamStall
+	progressed := false
 	for n := 1; ; n++ {
-		route, err := s.router.Pick(c, tried)
+		route, err := s.pickNext(c, tried, progressed)
 		if err != nil {
 			return s.giveUp(c, out, err)
 		}
 		a := newAttempt(route)
 		a.resumeFrom = out.tokens
 		err = s.runAttempt(ctx, c, a, out, stall)
+		progressed = out.tokens > a.resumeFrom
 		if err == nil {
 			return nil
 		}
 		if ctx.Err() != nil || errors.Is(err, errBroken) || (out.started && !route.Resumes) {
 			return s.giveUp(c, out, err)
 		}
-		failed := FailedAttempt{Upstream: route.Upstream, Ran: ranOf(err), Resumable: out.started, Number: n}
+		if progressed {
+			n = 1
+			tried = nil
+		}
+		failed := FailedAttempt{
+			Upstream:   route.Upstream,
+			Ran:        ranOf(err),
+			Resumable:  out.started,
+			Progressed: progressed,
+			Number:     n,
+		}
 		if !s.waitRetry(ctx, c, failed) {
 			return s.giveUp(c, out, err)
 		}
 		s.metrics.Resumed.Add(boolCount(out.started))
 		if errors.Is(err, errStalled) {
-			stall = s.nextStall(stall, out.tokens > a.resumeFrom)
+			stall = s.nextStall(stall, progressed)
 			continue
 		}
 		tried = append(tried, route.Upstream)
 	}
 }
 
+// pickNext chooses an upstream other than those tried. Where there is none, one
+// whose attempt progressed may be asked again: its connection broke, not it.
+func (s *sender) pickNext(c *Call, tried []string, progressed bool) (Route, error) {
+	route, err := s.router.Pick(c, tried)
+	if err != nil && progressed {
+		return s.router.Pick(c, nil)
+	}
+	return route, err
+}
+
 // nextStall doubles the patience after a silence without any event.
 func (s *sender) nextStall(stall time.Duration, progressed bool) time.Duration {
 	if progressed {
@@ -110,8 +133,8 @@
 }
 
 // runAttempt sends the call once and relays its answer.
-func (s *sender) runAttempt(ctx context.Context, c *Call, a attempt, out *relay, stall time.Duration) error {
-	ctx, cancel := context.WithCancelCause(ctx)
+func (s *sender) runAttempt(caller context.Context, c *Call, a attempt, out *relay, stall time.Duration) error {
+	ctx, cancel := context.WithCancelCause(caller)
 	defer cancel(nil)
 	a.dog = watch(cancel)
 	defer a.dog.rest()
@@ -128,12 +151,22 @@
 	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
 		err = &attemptError{ran: DidRun, err: errStalled}
 	}
-	if err != nil {
-		a.route.Done(AttemptFailed)
-		return err
+	a.route.Done(endOf(caller, err, out.tokens > a.resumeFrom))
+	return err
+}
+
+// endOf is how an attempt ended whose answer had begun.
+func endOf(caller context.Context, err error, progressed bool) AttemptResult {
+	switch {
+	case err == nil:
+		return AttemptOK
+	case caller.Err() != nil, errors.Is(err, errBroken):
+		return AttemptCancelled
+	case progressed:
+		return AttemptInterrupted
+	default:
+		return AttemptFailed
 	}
-	a.route.Done(AttemptOK)
-	return nil
 }
 
 // limitStart cancels the attempt at the deadline unless the answer has started.
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -62,10 +62,11 @@
 
 func (r *router) done(c routing.Choice, res gateway.AttemptResult) {
 	ending := map[gateway.AttemptResult]routing.Ending{
-		gateway.AttemptOK:        routing.Answered,
-		gateway.AttemptFailed:    routing.Failed,
-		gateway.AttemptRefused:   routing.Rejected,
-		gateway.AttemptCancelled: routing.Canceled,
+		gateway.AttemptOK:          routing.Answered,
+		gateway.AttemptFailed:      routing.Failed,
+		gateway.AttemptRefused:     routing.Rejected,
+		gateway.AttemptCancelled:   routing.Canceled,
+		gateway.AttemptInterrupted: routing.Canceled,
 	}[res]
 	r.loop.post(context.Background(), func() { r.loop.selector.Done(c, ending, r.loop.now()) })
 }
@@ -80,6 +81,7 @@
 		Customer:   c.Customer(),
 		Execution:  execution(f.Ran),
 		Idempotent: !c.RunsOnce,
+		Continues:  f.Resumable && f.Progressed,
 		Number:     f.Number,
 		Deadline:   r.loop.now() + time.Until(c.Deadline),
 	}
--- a/internal/standin/answer.go
+++ b/internal/standin/answer.go
@@ -51,7 +51,7 @@
 			return err
 		}
 	}
-	if err := a.pause(a.engine.prefill(g)); err != nil {
+	if err := a.pause(a.engine.prefill(g) + time.Duration(a.faults.Pause)); err != nil {
 		return err
 	}
 	seed := xxhash.Sum64String(g.Model + "\x00" + g.Prompt)
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -23,6 +23,9 @@
 	CutAnswer bool `json:"cutAnswer,omitempty"`
 	// AnswerDelay is held before an answer starts, after the work is begun.
 	AnswerDelay engine.Millis `json:"answerDelay,omitempty"`
+	// Pause is held before the first token of a generation, after the header of
+	// a stream; heartbeats go on.
+	Pause engine.Millis `json:"pause,omitempty"`
 	// NoAnswer takes requests, runs nothing and never answers.
 	NoAnswer bool `json:"noAnswer,omitempty"`
 	// Refuse refuses requests with proof that they did not run.
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -30,6 +30,9 @@
 	Idempotent bool
 	// Answered says that a part of the answer has reached the caller.
 	Answered bool
+	// Continues says that the attempt itself brought a part of the answer and
+	// that the rest can be asked for.
+	Continues bool
 	// Number counts the attempts of the request, from 1.
 	Number int
 	// Deadline is the last instant at which the request may start.
@@ -120,8 +123,13 @@
 }
 
 // Retry decides whether an attempt may be followed by another and after what
-// wait. An allowed retry is charged to both budgets.
+// wait. An allowed retry is charged to both budgets. The rest of an answer is
+// always asked for: that repeats no work, and every stream of a lost upstream
+// needs it at once.
 func (r *Retrier) Retry(a Attempt, now time.Duration) (time.Duration, RetryDenial) {
+	if a.Continues {
+		return r.backoff(a.Number), Allowed
+	}
 	if a.Execution != NotRun {
 		if !a.Idempotent {
 			return 0, MayHaveRun
--- a/test/integration/partition_test.go
+++ b/test/integration/partition_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -52,6 +53,10 @@
 	return -1
 }
 
+// read is a call that needs no claim, so that only the node's own proof of its
+// contracts stands against it.
+var read = call{method: http.MethodGet, path: "/services/ledger/balance"}
+
 // revoked is the test contract with another key than the callers have.
 func revoked() string {
 	contract := contractText("3s")
@@ -97,13 +102,12 @@
 	majority.apply(t, rest[0], revoked(), 1)
 	accepted := time.Now()
 	eventually(t, "the isolated node refuses", func() bool {
-		return !isolated.send(t.Context(), transfer("old", ""), nil).answered()
+		return !isolated.send(t.Context(), read, nil).answered()
 	})
 	t.Logf("the isolated leader refused %s after the change was accepted", time.Since(accepted).Round(time.Millisecond))
 	before := len(s.Journal())
-	for i := range 20 {
-		got := isolated.send(t.Context(), transfer(fmt.Sprintf("k%d", i), ""), nil)
-		is.Equal(got.ran, gateway.NotRun)
+	for range 20 {
+		is.Equal(isolated.send(t.Context(), read, nil).ran, gateway.NotRun)
 	}
 	is.Equal(len(s.Journal()), before)
 	for _, proxy := range between.of(c.index(isolated)) {
@@ -111,7 +115,7 @@
 		proxy.Reset()
 	}
 	eventually(t, "the healed node knows the change", func() bool {
-		got := isolated.send(t.Context(), transfer("healed", ""), nil)
+		got := isolated.send(t.Context(), read, nil)
 		is.True(!got.answered())
 		return got.reason == string(gateway.ReasonUnauthorized)
 	})
@@ -126,7 +130,7 @@
 	replies := make([]<-chan reply, 10)
 	for i := range replies {
 		// They wait in the kernel and are read in the first moment after.
-		replies[i] = sendAside(t, frozen, transfer(fmt.Sprintf("k%d", i), ""))
+		replies[i] = sendAside(t, frozen, read)
 	}
 	majority := &cluster{nodes: rest}
 	eventually(t, "a leader of the majority", func() bool {
@@ -162,7 +166,7 @@
 	before := len(s.Journal())
 	restarted.start(t)
 	eventually(t, "the restarted node knows the change", func() bool {
-		got := restarted.send(t.Context(), transfer("restarted", ""), nil)
+		got := restarted.send(t.Context(), read, nil)
 		is.True(!got.answered())
 		return got.reason == string(gateway.ReasonUnauthorized)
 	})
--- a/test/integration/stop_test.go
+++ b/test/integration/stop_test.go
@@ -10,15 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/agateslip/agateslip/internal/engine"
 )
 
-// millis is a duration as the protocol writes it.
-func millis(d time.Duration) engine.Millis {
-	return engine.Millis(d)
-}
-
 func TestPlannedStopOfTwoNodesCutsOffNothing(t *testing.T) {
 	is := is.New(t)
 	c, _ := startPair(t, nil)
--- a/test/integration/stream_test.go
+++ b/test/integration/stream_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/agateslip/agateslip/internal/engine"
 	"github.com/agateslip/agateslip/internal/faultproxy"
 	"github.com/agateslip/agateslip/internal/standin"
 )
@@ -125,24 +126,57 @@
 
 func TestLongQuietGenerationIsNotMistakenForSilence(t *testing.T) {
 	is := is.New(t)
+	// Longer than any link's silence limit, and than the contract's wait.
+	const quiet = 12 * time.Second
 	c, engines := startPair(t, nil)
 	for _, e := range engines {
-		// Longer than any link's silence limit, and than the contract's wait.
-		e.SetFaults(standin.Faults{AnswerDelay: millis(12 * time.Second)})
+		e.SetFaults(standin.Faults{Pause: engine.Millis(quiet)})
 	}
+	before := len(engines[0].Journal()) + len(engines[1].Journal())
 	got := c.nodes[0].send(t.Context(), chat("two", true, 5), nil)
 	is.NoErr(got.err)
 	is.True(got.whole)
 	is.Equal(got.body, chatAnswer("two", 5))
-	runs := 0
-	for _, e := range engines {
-		for _, entry := range e.Journal() {
-			if entry.Tokens > 1 || entry.End == standin.Running {
-				runs++
-			}
+	is.Equal(len(engines[0].Journal())+len(engines[1].Journal()), before+1)
+}
+
+func TestEveryStreamOfADeadEngineIsResumed(t *testing.T) {
+	is := is.New(t)
+	c, engines := startPair(t, func(config *standin.EngineConfig) { config.Slots = 32 })
+	const streams = 24
+	var started, ended sync.WaitGroup
+	replies := make([]reply, streams)
+	for i := range streams {
+		begun, got := streamAside(c.nodes[i%3], 100)
+		started.Go(func() { <-begun })
+		ended.Go(func() { replies[i] = <-got })
+	}
+	started.Wait()
+	engines[0].Kill()
+	ended.Wait()
+	broken := 0
+	for _, got := range replies {
+		if !got.whole {
+			broken++
+			continue
 		}
+		is.Equal(got.body, chatAnswer("two", 100))
 	}
-	is.Equal(runs, 1)
+	is.Equal(broken, 0)
+}
+
+func TestStreamCutWithASingleReplicaIsResumedThere(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, 3)
+	e := c.startEngine(t, "e1", nil)
+	c.apply(t, c.nodes[0], contractText("10s"), 0)
+	c.waitUpstreams(t, 1)
+	c.waitModel(t, "two")
+	e.SetFaults(standin.Faults{CutAfter: 7})
+	got := c.nodes[1].send(t.Context(), chat("two", true, 30), nil)
+	is.NoErr(got.err)
+	is.True(got.whole)
+	is.Equal(got.body, chatAnswer("two", 30))
 }
 
 func TestCallerThatGoesAwayFreesTheEngine(t *testing.T) {
@@ -168,6 +202,27 @@
 	})
 }
 
+func TestCallersThatGoAwayTellNothingAgainstTheEngine(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, 3)
+	c.startEngine(t, "e1", nil)
+	c.apply(t, c.nodes[0], contractText("10s"), 0)
+	c.waitUpstreams(t, 1)
+	c.waitModel(t, "two")
+	for range 12 {
+		ctx, cancel := context.WithCancel(t.Context())
+		c.nodes[0].send(ctx, chat("two", true, 5000), func(tokens int) {
+			if tokens == 3 {
+				cancel()
+			}
+		})
+		cancel()
+	}
+	got := c.nodes[0].send(t.Context(), chat("two", true, 5), nil)
+	is.Equal(got.status, http.StatusOK)
+	is.True(got.whole)
+}
+
 func TestStreamOfAKilledNodeEndsVisiblyBroken(t *testing.T) {
 	is := is.New(t)
 	c, _ := startPair(t, nil)
