--- a/test/integration/caller_test.go
+++ b/test/integration/caller_test.go
@@ -138,9 +138,9 @@
 
 // sendWhileNotRun makes a call and repeats it while it is refused with proof
 // that it was not run and with a time to come back.
-func (n *node) sendWhileNotRun(ctx context.Context, c call, progress func(tokens int)) reply {
+func (n *node) sendWhileNotRun(ctx context.Context, c call) reply {
 	for end := time.Now().Add(patience); ; time.Sleep(pollEvery) {
-		got := n.send(ctx, c, progress)
+		got := n.send(ctx, c, nil)
 		refused := got.ran == gateway.NotRun && got.header.Get("Retry-After") != ""
 		if !refused || time.Now().After(end) {
 			return got
--- a/test/integration/harness_test.go
+++ b/test/integration/harness_test.go
@@ -31,6 +31,8 @@
 	patience = 30 * time.Second
 	// pollEvery is the interval of looking whether it has happened.
 	pollEvery = 20 * time.Millisecond
+	// clusterSize is the number of nodes of a test cluster; each has a vote.
+	clusterSize = 3
 	// operatorToken is the operators' token of every test cluster.
 	operatorToken = "integration-operator-token"
 	// callerKey is the bearer token of the test customer.
@@ -200,21 +202,21 @@
 }
 
 // startCluster starts a group and waits until every node is ready.
-func startCluster(t *testing.T, size int) *cluster {
+func startCluster(t *testing.T) *cluster {
 	t.Helper()
-	return startLinked(t, size, func(_, _ int, addr string) string { return addr })
+	return startLinked(t, func(_, _ int, addr string) string { return addr })
 }
 
 // startLinked starts a group whose node from reaches node to at the address
 // that link returns for the node's own.
-func startLinked(t *testing.T, size int, link func(from, to int, addr string) string) *cluster {
+func startLinked(t *testing.T, link func(from, to int, addr string) string) *cluster {
 	t.Helper()
 	dir := t.TempDir()
-	ports := freePorts(t, 4*size)
+	ports := freePorts(t, 4*clusterSize)
 	c := &cluster{}
-	for i := range size {
+	for i := range clusterSize {
 		var peers strings.Builder
-		for j := range size {
+		for j := range clusterSize {
 			addr := ports[4*j+3]
 			if i != j {
 				addr = link(i, j, addr)
--- a/test/integration/once_test.go
+++ b/test/integration/once_test.go
@@ -21,7 +21,7 @@
 // startOnce starts three nodes, the contract and one service that answers.
 func startOnce(t *testing.T) (*cluster, *standin.Service) {
 	t.Helper()
-	c := startCluster(t, 3)
+	c := startCluster(t)
 	s := c.startService(t, "s1", nil)
 	c.apply(t, c.nodes[0], contractText("3s"), 0)
 	c.waitUpstreams(t, 1)
@@ -48,10 +48,10 @@
 	return replies
 }
 
-// waitRuns waits until a key has been run.
-func waitRuns(t *testing.T, s *standin.Service, key string) {
+// waitRun waits until the call with the key k runs.
+func waitRun(t *testing.T, s *standin.Service) {
 	t.Helper()
-	eventually(t, key+" runs", func() bool { return runs(s.Journal(), key) > 0 })
+	eventually(t, "the call runs", func() bool { return runs(s.Journal(), "k") > 0 })
 }
 
 func TestEntryKilledBeforeTheClaimRunsOnceElsewhere(t *testing.T) {
@@ -78,7 +78,7 @@
 	c, s := startOnce(t)
 	entry := c.nodes[0]
 	replies := sendAside(t, entry, transfer("k", slowWork))
-	waitRuns(t, s, "k")
+	waitRun(t, s)
 	entry.kill()
 	is.True((<-replies).err != nil)
 	got := sendUntilSettled(t, c.nodes[1:], transfer("k", slowWork))
@@ -106,7 +106,7 @@
 	leader := c.leader(t)
 	rest := c.other(leader)
 	replies := sendAside(t, rest[0], transfer("k", slowWork))
-	waitRuns(t, s, "k")
+	waitRun(t, s)
 	leader.kill()
 	got := <-replies
 	is.NoErr(got.err)
@@ -119,7 +119,7 @@
 	is := is.New(t)
 	c, s := startOnce(t)
 	replies := sendAside(t, c.nodes[0], transfer("k", slowWork))
-	waitRuns(t, s, "k")
+	waitRun(t, s)
 	spare := c.startService(t, "s2", nil)
 	s.Kill()
 	got := <-replies
@@ -143,7 +143,7 @@
 	c.waitUpstreams(t, 2)
 	for i := range 10 {
 		key := fmt.Sprintf("k%d", i)
-		got := c.nodes[i%3].sendWhileNotRun(t.Context(), transfer(key, ""), nil)
+		got := c.nodes[i%3].sendWhileNotRun(t.Context(), transfer(key, ""))
 		is.Equal(got.status, http.StatusOK)
 		is.Equal(runs(taking.Journal(), key), 1)
 		is.Equal(runs(refusing.Journal(), key), 0)
--- a/test/integration/partition_test.go
+++ b/test/integration/partition_test.go
@@ -22,7 +22,7 @@
 func startProxied(t *testing.T) (*cluster, links) {
 	t.Helper()
 	between := links{}
-	c := startLinked(t, 3, func(from, to int, addr string) string {
+	c := startLinked(t, func(from, to int, addr string) string {
 		proxy, err := faultproxy.New(addr)
 		is.New(t).NoErr(err)
 		t.Cleanup(proxy.Close)
@@ -175,7 +175,7 @@
 
 func TestSilentConnectionToAServiceIsFoundBeforeTheCallRuns(t *testing.T) {
 	is := is.New(t)
-	c := startCluster(t, 3)
+	c := startCluster(t)
 	var proxy *faultproxy.Proxy
 	s := c.startService(t, "s1", func(config *standin.ServiceConfig) {
 		config.Listen = freePorts(t, 1)[0]
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -13,7 +13,7 @@
 
 func TestColdStreamedRequestThroughThreeNodes(t *testing.T) {
 	is := is.New(t)
-	c := startCluster(t, 3)
+	c := startCluster(t)
 	_, store := startStandin(t, "store", "--scale", "0.05")
 	common := func(id, domain string) []string {
 		args := []string{"--id", id, "--domain", domain, "--scale", "0.05", "--leave-grace", "100ms"}
@@ -28,7 +28,7 @@
 	c.apply(t, c.nodes[0], contractText("20s"), 0)
 	c.waitUpstreams(t, 2)
 
-	got := c.nodes[1].sendWhileNotRun(t.Context(), chat("m", true, 40), nil)
+	got := c.nodes[1].sendWhileNotRun(t.Context(), chat("m", true, 40))
 	is.NoErr(got.err)
 	is.Equal(got.status, http.StatusOK)
 	is.True(got.whole)
@@ -38,7 +38,7 @@
 
 	for i, n := range c.nodes {
 		key := fmt.Sprintf("k%d", i)
-		got = n.sendWhileNotRun(t.Context(), transfer(key, ""), nil)
+		got = n.sendWhileNotRun(t.Context(), transfer(key, ""))
 		is.Equal(got.status, http.StatusOK)
 		is.Equal(runs(readJournal(t, serviceAddr), key), 1)
 	}
--- a/test/integration/stop_test.go
+++ b/test/integration/stop_test.go
@@ -70,7 +70,7 @@
 	c, s := startOnce(t)
 	leader := c.leader(t)
 	replies := sendAside(t, leader, transfer("k", slowWork))
-	waitRuns(t, s, "k")
+	waitRun(t, s)
 	leader.signal(syscall.SIGTERM)
 	eventually(t, "readiness fails", func() bool { return !leader.isReady(t) })
 	late := leader.send(t.Context(), transfer("late", ""), nil)
--- a/test/integration/stream_test.go
+++ b/test/integration/stream_test.go
@@ -18,7 +18,7 @@
 // the model two, which the contract keeps loaded.
 func startPair(t *testing.T, change func(*standin.EngineConfig)) (*cluster, []*standin.Engine) {
 	t.Helper()
-	c := startCluster(t, 3)
+	c := startCluster(t)
 	engines := []*standin.Engine{c.startEngine(t, "e1", change), c.startEngine(t, "e2", change)}
 	c.apply(t, c.nodes[0], contractText("10s"), 0)
 	c.waitUpstreams(t, 2)
@@ -167,7 +167,7 @@
 
 func TestStreamCutWithASingleReplicaIsResumedThere(t *testing.T) {
 	is := is.New(t)
-	c := startCluster(t, 3)
+	c := startCluster(t)
 	e := c.startEngine(t, "e1", nil)
 	c.apply(t, c.nodes[0], contractText("10s"), 0)
 	c.waitUpstreams(t, 1)
@@ -204,7 +204,7 @@
 
 func TestCallersThatGoAwayTellNothingAgainstTheEngine(t *testing.T) {
 	is := is.New(t)
-	c := startCluster(t, 3)
+	c := startCluster(t)
 	c.startEngine(t, "e1", nil)
 	c.apply(t, c.nodes[0], contractText("10s"), 0)
 	c.waitUpstreams(t, 1)
@@ -243,7 +243,7 @@
 	replies := make([]reply, calls)
 	var group sync.WaitGroup
 	for i := range calls {
-		group.Go(func() { replies[i] = c.nodes[i%3].sendWhileNotRun(t.Context(), chat("two", i%2 == 0, i+1), nil) })
+		group.Go(func() { replies[i] = c.nodes[i%3].sendWhileNotRun(t.Context(), chat("two", i%2 == 0, i+1)) })
 	}
 	group.Wait()
 	for i, got := range replies {
