--- a/test/integration/harness_test.go
+++ b/test/integration/harness_test.go
@@ -213,7 +213,7 @@
 // that link returns for the node's own.
 func startLinked(t *testing.T, link func(from, to int, addr string) string) *cluster {
 	t.Helper()
-	return startMixed(t, size, size, link)
+	return startMixed(t, clusterSize, clusterSize, link)
 }
 
 // startMixed starts a group of which only the first nodes have a disk and a
@@ -221,11 +221,11 @@
 func startMixed(t *testing.T, size, voters int, link func(from, to int, addr string) string) *cluster {
 	t.Helper()
 	dir := t.TempDir()
-	ports := freePorts(t, 4*clusterSize)
+	ports := freePorts(t, 4*size)
 	c := &cluster{}
-	for i := range clusterSize {
+	for i := range size {
 		var peers strings.Builder
-		for j := range clusterSize {
+		for j := range size {
 			addr := ports[4*j+3]
 			if i != j {
 				addr = link(i, j, addr)
