gateway: an admitted call waits for an upstream with room; truthful refusals

Cause, seen on nine nodes with nine engines: nine calls at once for one warm model, 8 slots: six were refused after 0.5 s although the contract waits 8 s, because an upstream's refusal spent the retry budget and a tried upstream was not asked again. And a call whose first attempt may have run was refused as not-run when the next choice failed.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/agateslip/agateslip/contract"
 	"github.com/agateslip/agateslip/ledger"
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 )
@@ -55,7 +56,7 @@
 			return Route{Upstream: u, Addr: u, Resumes: c.Service == "", Done: func(AttemptResult) {}}, nil
 		}
 	}
-	return Route{}, refuse(ReasonNoUpstream, "none left")
+	return Route{}, errors.Mark(refuse(ReasonNoUpstream, "none left"), ErrBusy)
 }
 
 func (f *fakeNode) MayRetry(c *Call, a FailedAttempt) (time.Duration, bool) {
@@ -199,6 +200,44 @@
 	is.Equal(resp.Header.Get(HeaderRan), string(DidRun))
 }
 
+// TestUpstreamWithoutRoomIsAskedAgain refuses a call ten times: more than the
+// retry budget allows, but within the contract's wait.
+func TestUpstreamWithoutRoomIsAskedAgain(t *testing.T) {
+	is := is.New(t)
+	var asked atomic.Int32
+	_, _, url := newGateway(t, func(w http.ResponseWriter, _ *http.Request) {
+		if asked.Add(1) <= 10 {
+			w.Header().Set(headerNotRun, "true")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ok")
+	})
+	_, body, err := answerOf(t, "POST", url+"/v1/completions", `{"model":"m"}`)
+	is.NoErr(err)
+	is.Equal(body, "ok")
+}
+
+// TestRefusalAfterAnAttemptThatMayHaveRun lets one upstream break off a call
+// and the other refuse it until the wait is over.
+func TestRefusalAfterAnAttemptThatMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	var cut atomic.Bool
+	_, f, url := newGateway(t, func(w http.ResponseWriter, _ *http.Request) {
+		if cut.CompareAndSwap(false, true) {
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			_ = conn.Close()
+			return
+		}
+		w.Header().Set(headerNotRun, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	f.contract.Wait = contract.Duration(400 * time.Millisecond)
+	resp, _, err := answerOf(t, "POST", url+"/v1/completions", `{"model":"m"}`)
+	is.NoErr(err)
+	is.Equal(resp.Header.Get(HeaderRan), string(RanUnknown))
+}
+
 func TestAnswerOfAnotherAttemptIsDropped(t *testing.T) {
 	is := is.New(t)
 	g, _, url := newGateway(t, func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -70,4 +70,3 @@
 	t.Logf("%d bytes an idle stream (direct %d, through the gateway %d)", each, direct/streams, through/streams)
 	is.New(t).True(each < bound)
 }
-
--- a/internal/gateway/repeatable.go
+++ b/internal/gateway/repeatable.go
@@ -46,27 +46,32 @@
 // count anew, so that a long stream outlives several upstreams.
 func (s *sender) runRepeatable(ctx context.Context, w http.ResponseWriter, c *Call) error {
 	out := newRelay(w)
-	var tried []string
+	p := s.pursue(c)
 	stall := s.streamStall
-	progressed := false
 	for n := 1; ; n++ {
-		route, err := s.pickNext(c, tried, progressed)
+		route, err := p.next(ctx)
 		if err != nil {
-			return s.giveUp(c, out, err)
+			return giveUp(p, out, err)
 		}
 		a := newAttempt(route)
 		a.resumeFrom = out.tokens
 		err = s.runAttempt(ctx, c, a, out, stall)
-		progressed = out.tokens > a.resumeFrom
 		if err == nil {
 			return nil
 		}
+		p.failed(route.Upstream, err)
 		if ctx.Err() != nil || errors.Is(err, errBroken) || (out.started && !route.Resumes) {
-			return s.giveUp(c, out, err)
+			return giveUp(p, out, err)
 		}
+		progressed := out.tokens > a.resumeFrom
 		if progressed {
 			n = 1
-			tried = nil
+			p.tried = nil
+			p.started()
+		}
+		if isRefused(err) {
+			n--
+			continue
 		}
 		failed := FailedAttempt{
 			Upstream:   route.Upstream,
@@ -76,25 +81,14 @@
 			Number:     n,
 		}
 		if !s.waitRetry(ctx, c, failed) {
-			return s.giveUp(c, out, err)
+			return giveUp(p, out, err)
 		}
 		s.metrics.Resumed.Add(boolCount(out.started))
 		if errors.Is(err, errStalled) {
+			p.tried = nil
 			stall = s.nextStall(stall, progressed)
-			continue
 		}
-		tried = append(tried, route.Upstream)
-	}
-}
-
-// pickNext chooses an upstream other than those tried. Where there is none, one
-// whose attempt progressed may be asked again: its connection broke, not it.
-func (s *sender) pickNext(c *Call, tried []string, progressed bool) (Route, error) {
-	route, err := s.router.Pick(c, tried)
-	if err != nil && progressed {
-		return s.router.Pick(c, nil)
 	}
-	return route, err
 }
 
 // nextStall doubles the patience after a silence without any event.
@@ -213,19 +207,11 @@
 }
 
 // giveUp is the final answer to a call whose attempts all failed.
-func (s *sender) giveUp(c *Call, out *relay, last error) error {
+func giveUp(p *pursuit, out *relay, err error) error {
 	if out.started {
-		return errors.Mark(errors.Wrap(last, "stream"), errBroken)
-	}
-	var refusal *Refusal
-	if errors.As(last, &refusal) {
-		return refusal
-	}
-	reason := ReasonUpstreamFailed
-	if time.Until(c.Deadline) <= 0 {
-		reason = ReasonDeadline
+		return errors.Mark(errors.Wrap(err, "stream"), errBroken)
 	}
-	return refuse(reason, "%v", last).withRan(ranOf(last)).afterMoment()
+	return p.refusal(err)
 }
 
 func contentLength(body []byte) string { return strconv.Itoa(len(body)) }
--- a/internal/gateway/runonce.go
+++ b/internal/gateway/runonce.go
@@ -238,24 +238,24 @@
 // runOnce sends the call to one upstream after another until one may have run
 // it.
 func (s *sender) runOnce(ctx context.Context, c *Call) onceOutcome {
-	var tried []string
-	out := onceOutcome{state: ledger.NotRun}
+	p := s.pursue(c)
 	for n := 1; ; n++ {
-		route, err := s.router.Pick(c, tried)
+		route, err := p.next(ctx)
 		if err != nil {
-			if out.err == nil {
-				out.err = err
-			}
-			return out
+			return onceOutcome{state: ledger.NotRun, err: p.refusal(err)}
 		}
-		out = s.sendOnce(ctx, c, newAttempt(route))
+		out := s.sendOnce(ctx, c, newAttempt(route))
 		if out.state != ledger.NotRun {
 			return out
 		}
+		p.failed(route.Upstream, out.err)
+		if isRefused(out.err) {
+			n--
+			continue
+		}
 		if !s.waitRetry(ctx, c, FailedAttempt{Upstream: route.Upstream, Ran: NotRun, Number: n}) {
 			return out
 		}
-		tried = append(tried, route.Upstream)
 	}
 }
 
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -10,6 +10,7 @@
 	"github.com/agateslip/agateslip/internal/gateway"
 	"github.com/agateslip/agateslip/placement"
 	"github.com/agateslip/agateslip/routing"
+	"github.com/cockroachdb/errors"
 )
 
 // router chooses upstreams by asking the control loop.
@@ -31,7 +32,8 @@
 	}
 	p, ok := call(context.Background(), r.loop, func() picked { return r.loop.pick(q, len(tried) == 0) })
 	if !ok || p.result != routing.Chosen {
-		return gateway.Route{}, gateway.NewRefusal(gateway.ReasonNoUpstream, retryDefault, "no upstream can take the call: "+p.result.String())
+		refusal := gateway.NewRefusal(gateway.ReasonNoUpstream, retryDefault, "no upstream can take the call: "+p.result.String())
+		return gateway.Route{}, errors.Mark(refusal, gateway.ErrBusy)
 	}
 	return gateway.Route{
 		Upstream: p.choice.Upstream,
