--- a/routing/selector.go
+++ b/routing/selector.go
@@ -6,9 +6,7 @@
 
 import (
 	"cmp"
-	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -103,7 +101,8 @@
 type Config struct {
 	// Costs weigh the candidates.
 	Costs Costs
-	// Sample is how many candidates are looked at when there are more.
+	// Sample is how many candidates are drawn by lot and compared, besides the
+	// ones that the prompt or the adapter point to.
 	Sample int
 	// Overload is how many requests for each slot an upstream may have.
 	Overload float64
@@ -117,7 +116,7 @@
 
 // Defaults of Config.
 const (
-	DefaultSample         = 32
+	DefaultSample         = 2
 	DefaultOverload       = 2.0
 	DefaultPrefixBlocks   = 4096
 	DefaultPrefixHalfLife = time.Minute
@@ -147,8 +146,9 @@
 	config    Config
 	random    *rand.Rand
 	upstreams map[string]*upstream
-	models    map[string][]*upstream // sorted by ID
-	services  map[string][]*upstream // sorted by ID
+	models    map[string][]*upstream     // sorted by ID
+	services  map[string][]*upstream     // sorted by ID
+	adapters  map[adapterKey][]*upstream // that have it loaded, sorted by ID
 	prefixes  *PrefixIndex
 }
 
@@ -161,6 +161,7 @@
 		upstreams: map[string]*upstream{},
 		models:    map[string][]*upstream{},
 		services:  map[string][]*upstream{},
+		adapters:  map[adapterKey][]*upstream{},
 		prefixes:  NewPrefixIndex(config.PrefixBlocks, config.PrefixHalfLife),
 	}
 }
@@ -170,123 +171,3 @@
 func (s *Selector) Prefixes() *PrefixIndex {
 	return s.prefixes
 }
-
-// Select chooses the upstream of a request. The caller notes with Sent that it
-// sends the request there.
-func (s *Selector) Select(q Query, now time.Duration) (Choice, Result) {
-	candidates := s.candidates(q)
-	if len(candidates) == 0 {
-		return Choice{}, NoReplica
-	}
-	if len(candidates) > s.config.Sample {
-		if best, _ := s.sample(candidates, q, now); best != nil {
-			return best.choice(q), Chosen
-		}
-	}
-	best, result := s.scan(candidates, q, now)
-	if best == nil {
-		return Choice{}, result
-	}
-	return best.choice(q), Chosen
-}
-
-// candidates returns the upstreams that serve the target.
-func (s *Selector) candidates(q Query) []*upstream {
-	if q.Service != "" {
-		return s.services[q.Service]
-	}
-	return s.models[q.Model]
-}
-
-// scan returns the best candidate. Equal ones are chosen by lot, so that nodes
-// with the same view do not all choose the same.
-func (s *Selector) scan(candidates []*upstream, q Query, now time.Duration) (*upstream, Result) {
-	best, least, ties := (*upstream)(nil), time.Duration(math.MaxInt64), 0
-	result := NotTaking
-	for _, u := range candidates {
-		if r := s.usable(u, q, now); r != Chosen {
-			result = max(result, r)
-			continue
-		}
-		cost := s.cost(u, q, now)
-		if cost == least {
-			ties++
-			if s.random.IntN(ties+1) == 0 {
-				best = u
-			}
-		}
-		if cost < least {
-			best, least, ties = u, cost, 0
-		}
-	}
-	return best, result
-}
-
-// sample returns the best of a few candidates drawn by lot.
-func (s *Selector) sample(candidates []*upstream, q Query, now time.Duration) (*upstream, time.Duration) {
-	var best *upstream
-	least := time.Duration(math.MaxInt64)
-	for range s.config.Sample {
-		u := candidates[s.random.IntN(len(candidates))]
-		if s.usable(u, q, now) != Chosen {
-			continue
-		}
-		if cost := s.cost(u, q, now); cost < least {
-			best, least = u, cost
-		}
-	}
-	return best, least
-}
-
-// usable reports whether the upstream may be given the request, or why not.
-func (s *Selector) usable(u *upstream, q Query, now time.Duration) Result {
-	switch {
-	case !u.takes:
-		return NotTaking
-	case slices.Contains(q.Exclude, u.id):
-		return Excluded
-	case !u.breaker.Allows(now):
-		return Broken
-	case s.overloaded(u, q):
-		return Overloaded
-	default:
-		return Chosen
-	}
-}
-
-// overloaded reports whether the upstream has as much work as it may. Batch
-// requests leave it at its slots.
-func (s *Selector) overloaded(u *upstream, q Query) bool {
-	bound := s.config.Overload * float64(u.slots)
-	if q.Priority == Batch {
-		bound = float64(u.slots)
-	}
-	return float64(u.load()) >= bound
-}
-
-// cost is the expected time to the first token.
-func (s *Selector) cost(u *upstream, q Query, now time.Duration) time.Duration {
-	costs := s.config.Costs
-	load := u.load()
-	if q.Priority == Urgent {
-		load = min(load, u.slots)
-	}
-	// A batch slows down as it fills, and what exceeds it waits.
-	cost := time.Duration(float64(costs.Service) * float64(load) / float64(max(1, u.slots)))
-	if u.domain != q.Domain {
-		cost += costs.Crossing
-	}
-	if q.Adapter != "" && !u.hasAdapter(q.Model, q.Adapter) {
-		cost += costs.Adapter
-	}
-	if len(q.Prefix) > 0 {
-		missing := float64(len(q.Prefix)) - s.prefixes.Match(u.id, q.Prefix, now)
-		cost += time.Duration(missing * float64(costs.Block))
-	}
-	return cost
-}
-
-// decay halves a weight each half-life.
-func decay(age, halfLife time.Duration) float64 {
-	return math.Exp2(-age.Seconds() / halfLife.Seconds())
-}
--- a/routing/upstream.go
+++ b/routing/upstream.go
@@ -5,12 +5,20 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/agateslip/agateslip/directory"
 )
 
+// adapterKey names an adapter of a model.
+type adapterKey struct {
+	model, adapter string
+}
+
 // upstream is what the selector knows of one upstream.
 type upstream struct {
 	id          string
+	hash        uint64 // of the ID
 	incarnation uint64
 	addr        string
 	domain      string
@@ -68,7 +76,12 @@
 	}
 	if u == nil || a.Incarnation > u.incarnation {
 		s.Remove(a.ID)
-		u = &upstream{id: a.ID, incarnation: a.Incarnation, breaker: NewBreaker(s.config.Breaker)}
+		u = &upstream{
+			id:          a.ID,
+			hash:        xxhash.Sum64String(a.ID),
+			incarnation: a.Incarnation,
+			breaker:     NewBreaker(s.config.Breaker),
+		}
 		s.upstreams[a.ID] = u
 	}
 	u.takes = v.Takes()
@@ -79,33 +92,70 @@
 	u.addr, u.domain, u.slots = a.Addr, a.Domain, a.Slots
 	// The report counts this node's requests too, about as they are now.
 	u.others = max(0, a.Load.Running+a.Load.Queued-u.own)
-	s.index(u, a)
+	if !u.serves(a) {
+		s.index(u, a)
+	}
 }
 
 // index lists the upstream under what it serves now.
 func (s *Selector) index(u *upstream, a directory.Announcement) {
-	old := u.replicas
+	s.unlistAll(u)
+	u.service = a.Service
 	u.replicas = nil
 	for _, r := range a.Replicas {
 		if r.State == directory.Ready {
 			u.replicas = append(u.replicas, r)
 		}
 	}
-	for _, r := range old {
-		if u.replica(r.Model) == nil {
-			unlist(s.models, r.Model, u)
-		}
+	s.listAll(u)
+}
+
+// listAll lists the upstream under all that it serves.
+func (s *Selector) listAll(u *upstream) {
+	if u.service != "" {
+		enlist(s.services, u.service, u)
 	}
 	for _, r := range u.replicas {
 		enlist(s.models, r.Model, u)
+		for _, adapter := range r.Adapters {
+			enlist(s.adapters, adapterKey{r.Model, adapter}, u)
+		}
 	}
-	if a.Service != u.service {
-		unlist(s.services, u.service, u)
+}
+
+// unlistAll removes the upstream from all lists.
+func (s *Selector) unlistAll(u *upstream) {
+	unlist(s.services, u.service, u)
+	for _, r := range u.replicas {
+		unlist(s.models, r.Model, u)
+		for _, adapter := range r.Adapters {
+			unlist(s.adapters, adapterKey{r.Model, adapter}, u)
+		}
 	}
-	u.service = a.Service
-	if u.service != "" {
-		enlist(s.services, u.service, u)
+}
+
+// serves reports whether the upstream is listed under what the announcement
+// says it serves.
+func (u *upstream) serves(a directory.Announcement) bool {
+	if u.service != a.Service {
+		return false
+	}
+	n := 0
+	for _, r := range a.Replicas {
+		if r.State != directory.Ready {
+			continue
+		}
+		if n >= len(u.replicas) || !sameReplica(u.replicas[n], r) {
+			return false
+		}
+		n++
 	}
+	return n == len(u.replicas)
+}
+
+// sameReplica reports whether two states of a replica are listed alike.
+func sameReplica(a, b directory.Replica) bool {
+	return a.Grant == b.Grant && a.Model == b.Model && slices.Equal(a.Adapters, b.Adapters)
 }
 
 // Remove forgets an upstream.
@@ -114,10 +164,7 @@
 	if u == nil {
 		return
 	}
-	for _, r := range u.replicas {
-		unlist(s.models, r.Model, u)
-	}
-	unlist(s.services, u.service, u)
+	s.unlistAll(u)
 	s.prefixes.Remove(id)
 	delete(s.upstreams, id)
 }
@@ -128,7 +175,7 @@
 }
 
 // enlist adds an upstream to the sorted list of a target, once.
-func enlist(lists map[string][]*upstream, name string, u *upstream) {
+func enlist[K comparable](lists map[K][]*upstream, name K, u *upstream) {
 	list := lists[name]
 	at, found := slices.BinarySearchFunc(list, u.id, compareUpstream)
 	if !found {
@@ -137,7 +184,7 @@
 }
 
 // unlist removes an upstream from the list of a target.
-func unlist(lists map[string][]*upstream, name string, u *upstream) {
+func unlist[K comparable](lists map[K][]*upstream, name K, u *upstream) {
 	list := lists[name]
 	at, found := slices.BinarySearchFunc(list, u.id, compareUpstream)
 	if !found {
