--- a/routing/selector.go
+++ b/routing/selector.go
@@ -118,7 +118,7 @@
 const (
 	DefaultSample         = 2
 	DefaultOverload       = 2.0
-	DefaultPrefixBlocks   = 4096
+	DefaultPrefixBlocks   = 1024
 	DefaultPrefixHalfLife = time.Minute
 )
 
--- a/routing/selector_test.go
+++ b/routing/selector_test.go
@@ -15,10 +15,21 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	_ = flag.Set("rapid.seed", "1")
+	setDefault("rapid.seed", "1")
+	setDefault("rapid.checks", "500")
+	setDefault("rapid.steps", "100")
+	setDefault("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
 
+// setDefault sets a flag that the command line leaves at its default.
+func setDefault(name, value string) {
+	f := flag.Lookup(name)
+	if f.Value.String() == f.DefValue {
+		_ = f.Value.Set(value)
+	}
+}
+
 // engineView returns a view of an engine with one ready replica.
 func engineView(n int, model string, load int) directory.View {
 	return directory.View{Announcement: directory.Announcement{
--- a/routing/upstream.go
+++ b/routing/upstream.go
@@ -158,7 +158,7 @@
 	return a.Grant == b.Grant && a.Model == b.Model && slices.Equal(a.Adapters, b.Adapters)
 }
 
-// Remove forgets an upstream.
+// Remove forgets an upstream whose incarnation has ended and does not return.
 func (s *Selector) Remove(id string) {
 	u := s.upstreams[id]
 	if u == nil {
