--- a/placement/order.go
+++ b/placement/order.go
@@ -20,7 +20,7 @@
 		v := &r.replicas[i]
 		switch {
 		case v.status == statusProposed || r.isEnded(v.ID) || v.lost():
-		case r.in.Ledger.isWithdrawn(v.ID):
+		case v.committed == Withdrawn:
 			r.orderUnload(v)
 		case v.State == Withdrawn || v.status != statusUnreported:
 		case v.progress.sends > 0 || !v.progress.own:
@@ -38,11 +38,6 @@
 	}
 }
 
-func (l *Ledger) isWithdrawn(id uint64) bool {
-	g, found := l.Find(id)
-	return found && g.State == Withdrawn
-}
-
 // startLoad orders a load if the store has a place, and returns the number of
 // places taken.
 func (r *round) startLoad(v *replica, running int) int {
--- a/placement/place.go
+++ b/placement/place.go
@@ -211,23 +211,23 @@
 // there, then the tighter fit.
 func (r *round) choose(n *need) (*upstream, directory.Tier) {
 	var best candidate
-	consider := func(u *upstream, tier directory.Tier, wait time.Duration) {
-		c, fits := r.assess(n, u, tier)
-		c.time += wait
+	consider := func(u *upstream, tier directory.Tier, tail time.Duration) {
+		c, fits := r.assess(n, u)
+		c.tier = tier
+		c.time += tail
 		if fits && (best.upstream == nil || c.before(&best)) {
 			best = c
 		}
 	}
 	for _, h := range r.holders[n.model.Model] {
-		consider(h.upstream, h.tier, 0)
+		consider(h.upstream, h.tier, r.estimator.Tail(h.tier, n.model.memory))
 	}
-	storeWait := r.storeWait()
-	if best.upstream != nil && !best.costly && best.shared == 0 &&
-		best.time <= storeWait+r.estimator.Tail(directory.TierRemote, n.model.memory) {
+	fromStore := r.storeWait() + r.estimator.Tail(directory.TierRemote, n.model.memory)
+	if best.upstream != nil && !best.costly && best.shared == 0 && best.time <= fromStore {
 		return best.upstream, best.tier
 	}
 	for _, u := range r.upstreams {
-		consider(u, directory.TierRemote, storeWait)
+		consider(u, directory.TierRemote, fromStore)
 	}
 	return best.upstream, best.tier
 }
@@ -241,11 +241,11 @@
 	return time.Duration(waiting) * max(r.estimator.Mean(directory.TierRemote, typicalSize)/time.Duration(r.config.Store.Width), r.spacing())
 }
 
-func (r *round) assess(n *need, u *upstream, tier directory.Tier) (candidate, bool) {
+func (r *round) assess(n *need, u *upstream) (candidate, bool) {
 	if !u.usable() || n.model.avoids(u.id, r.now) {
 		return candidate{}, false
 	}
-	c := candidate{upstream: u, tier: tier, opens: len(u.replicas) == 0, time: r.estimator.Tail(tier, n.model.memory)}
+	c := candidate{upstream: u, opens: len(u.replicas) == 0}
 	if u.free < n.model.memory {
 		c.time += r.unloadTime
 		missing := n.model.memory - u.free - u.coming
--- a/placement/read.go
+++ b/placement/read.go
@@ -172,7 +172,7 @@
 	}
 	r.replicas = r.replicas[:0]
 	for i := range grants {
-		r.replicas = append(r.replicas, replica{Grant: grants[i], status: statusUnreported})
+		r.replicas = append(r.replicas, replica{Grant: grants[i], status: statusUnreported, committed: grants[i].State})
 	}
 	r.applyPending()
 	for i := range r.replicas {
@@ -293,7 +293,7 @@
 			if reported.State == directory.Failed || reported.State == directory.Unloaded {
 				continue
 			}
-			if g, found := r.in.Ledger.Find(reported.Grant); found && g.Upstream == u.id && g.Incarnation == a.Incarnation {
+			if u.holdsGrant(reported.Grant) {
 				continue
 			}
 			u.free -= reported.Memory
@@ -303,6 +303,17 @@
 	}
 }
 
+// holdsGrant reports whether the ledger charges a grant to the announced
+// incarnation.
+func (u *upstream) holdsGrant(id uint64) bool {
+	for _, v := range u.replicas {
+		if v.ID == id && v.Incarnation == u.announcement.Incarnation && v.status != statusProposed {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *round) unloadStray(u *upstream, reported *directory.Replica) {
 	key := stray{upstream: u.id, grant: reported.Grant}
 	last, sent := r.strays[key]
--- a/placement/state.go
+++ b/placement/state.go
@@ -107,6 +107,8 @@
 	upstream *upstream
 	status   replicaStatus
 	progress *progress
+	// committed is the state in the ledger, without pending changes.
+	committed GrantState
 	// charged is the larger of the granted and the reported memory in bytes.
 	charged int64
 	// evictable says that the replica counts in its upstream's evictable.
