node: pass on shares that the leader moves; wake for due verdicts

The allocator frees shares between reports; the node now delivers them at once as a notification, and the control loop wakes when the throttler says a verdict is due in place of the next 100 ms tick.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -17,6 +17,8 @@
 const (
 	// tickInterval is the cadence of the control loop without events.
 	tickInterval = 100 * time.Millisecond
+	// minWake bounds the cadence of looking for due verdicts.
+	minWake = time.Millisecond
 	// forecastLife is how long a forecast of the leader counts.
 	forecastLife = 2 * time.Second
 	// refreshEvery is when targets are set again although nothing changed, for
@@ -141,18 +143,24 @@
 	defer close(l.ended)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	wake := time.NewTimer(tickInterval)
+	defer wake.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case f := <-l.posts:
 			f()
+		case <-wake.C:
 		case <-l.node.store.changed:
 			l.onState()
 		case <-ticker.C:
 			l.onTick()
 		}
 		l.decide()
+		if at, ok := l.throttler.Wake(l.now()); ok {
+			wake.Reset(max(at-l.now(), minWake))
+		}
 	}
 }
 
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -22,6 +22,8 @@
 	methodMembers = "control.members"
 	// methodSync carries a node's report to the leader.
 	methodSync = "node.sync"
+	// methodLease carries an unasked admission.Grant as a notification.
+	methodLease = "node.lease"
 	// methodPush carries announcements as a notification.
 	methodPush = "directory.push"
 	// methodCache carries cache events as a notification.
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/agateslip/agateslip/admission"
 	"github.com/agateslip/agateslip/placement"
 	"github.com/agateslip/agateslip/raft"
 	"github.com/cockroachdb/errors"
@@ -134,6 +135,27 @@
 	}
 }
 
+// pushLeases sends nodes the shares that they got or lost unasked.
+func (l *loop) pushLeases() {
+	for _, g := range l.lead.allocator.Pushes() {
+		if g.Node == l.node.cfg.Node {
+			l.throttler.Accept(g, l.now())
+			continue
+		}
+		l.node.mesh.Notify(g.Node, methodLease, g)
+	}
+}
+
+// serveLease takes a share that the leader gave unasked.
+func (n *Node) serveLease(ctx context.Context, _ string, params json.RawMessage) (any, error) {
+	var g admission.Grant
+	if err := json.Unmarshal(params, &g); err != nil {
+		return nil, errors.Wrap(err, "decode lease")
+	}
+	n.loop.post(ctx, func() { n.loop.throttler.Accept(g, n.now()) })
+	return nil, nil
+}
+
 // serveSync answers another node's report.
 func (n *Node) serveSync(ctx context.Context, from string, params json.RawMessage) (any, error) {
 	var req syncRequest
@@ -159,7 +181,9 @@
 	}
 	reply, ok := call(ctx, n.loop, func() syncReply {
 		n.loop.lead.begin(term, n.now())
-		return n.loop.lead.sync(req, n.now())
+		reply := n.loop.lead.sync(req, n.now())
+		n.loop.pushLeases()
+		return reply
 	})
 	if !ok {
 		return syncReply{}, errors.New("the node stops")
