raft: restart voters of a divided group in a property test

Messages now pass several hops within a step, the lease is nearly as long as the election timeout, and a second property restarts voters at short intervals.

--- a/raft/network_test.go
+++ b/raft/network_test.go
@@ -11,9 +11,9 @@
 
 // Settings of the groups under test.
 const (
-	testHeartbeat = 50 * time.Millisecond
+	testHeartbeat = 100 * time.Millisecond
 	testElection  = 500 * time.Millisecond
-	testLease     = 400 * time.Millisecond
+	testLease     = 490 * time.Millisecond
 	testStep      = 10 * time.Millisecond
 )
 
@@ -238,7 +238,7 @@
 		if n.cut[[2]MemberID{m.From, m.To}] || n.rng.Float64() < n.loss {
 			continue
 		}
-		due := n.now + time.Millisecond
+		due := n.now
 		if n.delay > 0 {
 			due += Instant(n.rng.Int64N(int64(n.delay)))
 		}
@@ -246,9 +246,13 @@
 	}
 }
 
-// deliver hands over the packets that are due. Frozen members get theirs when
-// they go on; those of members that are down are lost.
-func (n *network) deliver() {
+// maxHops bounds the messages that may follow from another within a step.
+const maxHops = 8
+
+// deliver hands over the packets that are due, and reports whether there were
+// any. Frozen members get theirs when they go on; those of members that are down
+// are lost.
+func (n *network) deliver() bool {
 	var due []packet
 	keep := n.packets[:0]
 	for _, p := range n.packets {
@@ -267,12 +271,15 @@
 		h.core.Step(p.m, n.clock(h))
 		n.pump(h)
 	}
+	return len(due) > 0
 }
 
 // step lets testStep pass.
 func (n *network) step() {
 	n.now += testStep
-	n.deliver()
+	for hops := 0; hops < maxHops && n.deliver(); hops++ {
+		n.checkNow(n)
+	}
 	for _, h := range n.hosts {
 		if h.down || h.frozen {
 			continue
--- a/raft/property_test.go
+++ b/raft/property_test.go
@@ -12,7 +12,7 @@
 
 // TestMain fixes the schedules, so that every run gives the same verdict.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1500", "rapid.nofailfile": "true"} {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "3000", "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
@@ -40,6 +40,7 @@
 	actThaw
 	actIsolate
 	actCutOneWay
+	actCutPair
 	actReconnect
 	actTransfer
 	actCompact
@@ -57,6 +58,10 @@
 // some schedules (Groce et al., "Swarm Testing", 2012).
 func drawSchedule(t *rapid.T) []action {
 	kinds := rapid.SliceOfNDistinct(rapid.IntRange(0, actKinds-1), 3, actKinds, rapid.ID).Draw(t, "kinds")
+	return drawActions(t, kinds, waits)
+}
+
+func drawActions(t *rapid.T, kinds, waits []int) []action {
 	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) action {
 		return action{
 			Kind: rapid.SampledFrom(kinds).Draw(t, "kind"),
@@ -92,6 +97,9 @@
 		n.isolate(h.id)
 	case actCutOneWay:
 		n.cut[[2]MemberID{h.id, peer.id}] = true
+	case actCutPair:
+		n.cut[[2]MemberID{h.id, peer.id}] = true
+		n.cut[[2]MemberID{peer.id, h.id}] = true
 	case actReconnect:
 		n.cut = map[[2]MemberID]bool{}
 	case actCompact:
@@ -176,3 +184,20 @@
 		n.checkConverged(n)
 	})
 }
+
+// TestLeaseWithRestarts restarts voters of a divided group at short intervals,
+// where a forgotten promise or vote shows at once.
+func TestLeaseWithRestarts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNetwork(3, rapid.Uint64().Draw(t, "seed"))
+		n.slowDisk = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "slow disk")
+		n.run(testElection * 3)
+		kinds := []int{actBounce, actBounce, actCutPair, actReconnect, actPropose}
+		for i, a := range drawActions(t, kinds, []int{1, 2, 3, 5, 9, 20, 50}) {
+			n.act(a, i)
+		}
+		n.heal()
+		n.run(settleTime)
+		n.checkConverged(n)
+	})
+}
