peer, replica: survive failed accepts, refuse an empty secret, forget waiters

A failed accept (too many open files) ended the mesh for good; it now waits 50 ms and goes on. An empty shared secret proves nothing and is refused. An answer that cannot be decoded had no outcome; it is unknown. Callers of WaitApplied that gave up stayed in the owner's list until their entry came; they are forgotten with the next applied entry.

--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -95,6 +95,9 @@
 // New listens on the address and returns a mesh that does nothing before Run.
 func New(opts Options) (*Mesh, error) {
 	opts.Timing = opts.Timing.withDefaults()
+	if opts.Secret == "" {
+		return nil, errors.New("peers need a shared secret")
+	}
 	listener, err := net.Listen("tcp", opts.Addr)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", opts.Addr)
@@ -122,7 +125,10 @@
 		m.start(d)
 	}
 	m.mu.Unlock()
-	group.Go(func() error { return m.acceptLoop(ctx, group) })
+	group.Go(func() error {
+		m.acceptLoop(ctx, group)
+		return nil
+	})
 	<-ctx.Done()
 	m.mu.Lock()
 	m.running = nil
@@ -218,7 +224,10 @@
 	if result == nil {
 		return nil
 	}
-	return errors.Wrapf(answers[0].UnmarshalResult(result), "decode answer of %s at %s", method, to)
+	if err := answers[0].UnmarshalResult(result); err != nil {
+		return errors.Mark(errors.Wrapf(err, "decode answer of %s at %s", method, to), ErrUnknown)
+	}
+	return nil
 }
 
 // Notify queues a notification and reports whether it was queued. It never
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -117,6 +117,8 @@
 	a, b, _ := pair(t, patient)
 	var answer string
 	is.NoErr(a.Call(within(t, patience), "b", "echo", 5, &answer))
+	var number int
+	is.True(errors.Is(a.Call(within(t, patience), "b", "echo", 5, &number), peer.ErrUnknown)) // not decodable
 	is.Equal(answer, "a5")
 	is.NoErr(b.Call(within(t, patience), "a", "echo", 6, &answer))
 	is.Equal(answer, "b6")
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/creachadair/jrpc2"
@@ -15,18 +16,23 @@
 	maxHandlers = 1024
 	// maxUnproven bounds the connections that have not finished the handshake.
 	maxUnproven = 64
+	// acceptPause is the wait after a failed accept.
+	acceptPause = 50 * time.Millisecond
 )
 
-// acceptLoop serves connections until the listener is closed.
-func (m *Mesh) acceptLoop(ctx context.Context, group *errgroup.Group) error {
+// acceptLoop serves connections until the listener is closed. Other errors,
+// such as too many open files, pass.
+func (m *Mesh) acceptLoop(ctx context.Context, group *errgroup.Group) {
 	unproven := make(chan struct{}, maxUnproven)
 	for {
 		conn, err := m.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			return nil
+			return
 		}
 		if err != nil {
-			return errors.Wrap(err, "accept")
+			m.opts.Log.WithError(err).Warn("accept connection")
+			time.Sleep(acceptPause)
+			continue
 		}
 		select {
 		case unproven <- struct{}{}:
--- a/internal/replica/propose_test.go
+++ b/internal/replica/propose_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -19,3 +20,16 @@
 	got := <-p.done
 	is.True(got.result == nil && errors.Is(got.err, ErrNotProposed))
 }
+
+// TestWaitersThatGaveUpAreForgotten checks that retries do not pile up.
+func TestWaitersThatGaveUpAreForgotten(t *testing.T) {
+	is := is.New(t)
+	over, cancel := context.WithCancel(t.Context())
+	cancel()
+	r := &Replica{applied: 4}
+	for _, ctx := range []context.Context{over, t.Context(), over} {
+		r.waiting = append(r.waiting, appliedWaiter{index: 5, ctx: ctx})
+	}
+	r.wakeWaiters()
+	is.Equal(len(r.waiting), 1)
+}
--- a/internal/replica/reads.go
+++ b/internal/replica/reads.go
@@ -6,9 +6,10 @@
 	"github.com/agateslip/agateslip/raft"
 )
 
-// appliedWaiter waits until an entry is applied.
+// appliedWaiter waits until an entry is applied, or its caller's context ends.
 type appliedWaiter struct {
 	index uint64
+	ctx   context.Context
 	done  chan struct{}
 }
 
@@ -62,7 +63,7 @@
 
 // WaitApplied waits until the entry at index is applied here.
 func (r *Replica) WaitApplied(ctx context.Context, index uint64) error {
-	w := appliedWaiter{index: index, done: make(chan struct{})}
+	w := appliedWaiter{index: index, ctx: ctx, done: make(chan struct{})}
 	err := r.do(ctx, func() {
 		r.waiting = append(r.waiting, w)
 		r.wakeWaiters()
@@ -80,15 +81,17 @@
 	}
 }
 
-// wakeWaiters releases those whose entry is applied.
+// wakeWaiters releases those whose entry is applied and forgets those who gave
+// up.
 func (r *Replica) wakeWaiters() {
 	kept := r.waiting[:0]
 	for _, w := range r.waiting {
-		if w.index > r.applied {
+		switch {
+		case w.index <= r.applied:
+			close(w.done)
+		case w.ctx.Err() == nil:
 			kept = append(kept, w)
-			continue
 		}
-		close(w.done)
 	}
 	clear(r.waiting[len(kept):])
 	r.waiting = kept
