--- a/test/integration/stop_test.go
+++ b/test/integration/stop_test.go
@@ -10,15 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/agateslip/agateslip/internal/engine"
 )
 
-// millis is a duration as the protocol writes it.
-func millis(d time.Duration) engine.Millis {
-	return engine.Millis(d)
-}
-
 func TestPlannedStopOfTwoNodesCutsOffNothing(t *testing.T) {
 	is := is.New(t)
 	c, _ := startPair(t, nil)
@@ -77,7 +70,7 @@
 	c, s := startOnce(t)
 	leader := c.leader(t)
 	replies := sendAside(t, leader, transfer("k", slowWork))
-	waitRuns(t, s, "k")
+	waitRun(t, s)
 	leader.signal(syscall.SIGTERM)
 	eventually(t, "readiness fails", func() bool { return !leader.isReady(t) })
 	late := leader.send(t.Context(), transfer("late", ""), nil)
