--- a/internal/storage/load.go
+++ b/internal/storage/load.go
@@ -79,6 +79,7 @@
 	if first.Base == nil {
 		return l, &DamagedError{File: segments[0].file, Reason: "checkpoint without a snapshot"}
 	}
+	l.state.Snapshot = raft.Snapshot{Index: first.Base.Index, Term: first.Base.Term}
 	for _, s := range segments {
 		for _, r := range s.records {
 			if err := l.apply(r); err != nil {
@@ -96,10 +97,6 @@
 // apply applies one record to the state.
 func (l *loaded) apply(r record) error {
 	l.nextSeq = r.Seq + 1
-	if r.Base != nil {
-		l.state.Snapshot = raft.Snapshot{Index: r.Base.Index, Term: r.Base.Term}
-		l.state.Entries = nil
-	}
 	if r.Hard != nil {
 		l.state.Hard = *r.Hard
 	}
