--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -10,12 +10,15 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"go.uber.org/goleak"
 
 	"github.com/agateslip/agateslip/internal/replica"
 	"github.com/agateslip/agateslip/internal/storage"
 	"github.com/agateslip/agateslip/raft"
 )
 
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // bubble runs a test with a cluster in virtual time.
 func bubble(t *testing.T, seed uint64, test func(*is.I, *cluster)) {
 	synctest.Test(t, func(t *testing.T) {
