placement: keep the nearest tier until copies change

Each round looked up every model's copies; now only after a change of copies or of an upstream's standing. Passed wake-ups are expired once a minute.

--- a/placement/planner.go
+++ b/placement/planner.go
@@ -44,6 +44,9 @@
 	upstreams []*upstream
 	byID      map[string]*upstream
 	holders   map[string][]holder
+	// copies counts the changes of holders and of the upstreams in service.
+	copies   uint64
+	expireAt Instant
 
 	progress map[uint64]*progress
 	replicas []replica
--- a/placement/read.go
+++ b/placement/read.go
@@ -123,8 +123,11 @@
 
 func (r *round) readUpstream(u *upstream, view *Upstream) {
 	u.round = r.round
-	u.silent, u.gone = view.Silent, view.Gone
 	a := view.Announcement
+	if u.announcement == nil || u.silent != view.Silent || u.gone != view.Gone || u.announcement.Leaving != a.Leaving {
+		r.copies++
+	}
+	u.silent, u.gone = view.Silent, view.Gone
 	if u.announcement != a {
 		r.setCopies(u, a)
 		u.announcement = a
@@ -154,6 +157,7 @@
 			delete(r.holders, c.Model)
 		}
 	}
+	r.copies++
 	u.cached = 0
 	for _, c := range current {
 		if c.Tier == directory.TierMemory {
--- a/placement/require.go
+++ b/placement/require.go
@@ -11,6 +11,9 @@
 // foresight is how far ahead expected wake-ups are gathered.
 const foresight = 30 * time.Minute
 
+// expireInterval is the time between two checks for passed wake-ups.
+const expireInterval = time.Minute
+
 // require decides how many replicas of each model its contract requires now.
 //
 // Waiting and running requests require replicas, and so do reservations.
@@ -20,7 +23,9 @@
 // expected together do.
 func (r *round) require() {
 	for _, m := range r.models {
-		m.tier = r.nearestTier(m)
+		if m.tierOf != r.copies {
+			m.tierOf, m.tier = r.copies, r.nearestTier(m)
+		}
 		m.cold = decisionDelay + r.estimator.Tail(m.tier, m.memory)
 		m.want = max(m.demanded(), m.reserved)
 		if m.want == 0 && m.cold > m.wait {
@@ -87,8 +92,8 @@
 // together and could not all be loaded within their waits.
 func (r *round) requireExpected() {
 	var all []expectation
+	r.expireWakeups()
 	for _, m := range r.models {
-		m.arrivals.expire(r.now)
 		from, until, found := m.arrivals.expected(r.now)
 		if !found || from > r.now+foresight || m.required {
 			continue
@@ -106,6 +111,17 @@
 	}
 }
 
+// expireWakeups moves passed wake-ups on, every expireInterval.
+func (r *round) expireWakeups() {
+	if r.now < r.expireAt {
+		return
+	}
+	r.expireAt = r.now + expireInterval
+	for _, m := range r.models {
+		m.arrivals.expire(r.now)
+	}
+}
+
 func (r *round) expect(m *model, from, until Instant) expectation {
 	e := expectation{model: m, from: from, until: until}
 	if m.tier == directory.TierRemote {
--- a/placement/state.go
+++ b/placement/state.go
@@ -39,7 +39,9 @@
 	charged int
 	// tier is the nearest tier of a checkpoint copy, and cold the tail of the
 	// time for a cold start from there that finds the store idle.
-	tier     directory.Tier
+	tier directory.Tier
+	// tierOf is the revision of the index of copies that tier was read from.
+	tierOf   uint64
 	cold     time.Duration
 	required bool
 	want     int
