--- /dev/null
+++ b/admission/bench_test.go
@@ -0,0 +1,171 @@
+package admission
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// benchThrottler returns a throttler with wide leases for n customers, of which
+// each has a number of requests waiting for a model that is not ready.
+func benchThrottler(n, waiting int) *bench {
+	b := newBench()
+	b.config.IdleAfter = time.Hour
+	b.ready("m", 1<<30)
+	for i := range n {
+		l := wide(fmt.Sprintf("customer-%05d", i))
+		l.Rate, l.Burst = 1e9, 1e6
+		b.SetLimits(l)
+		b.allocator.SetLimits(l, 0)
+		b.arrive(l.Customer, "m", time.Hour)
+		for range waiting {
+			b.arrive(l.Customer, "cold", time.Hour)
+		}
+	}
+	b.exchange()
+	for _, d := range b.Poll(b.now) {
+		b.Release(d.ID, b.now)
+	}
+	return b
+}
+
+// cycle admits and releases one request that need not wait.
+func (b *bench) cycle(customer string) Verdict {
+	d := b.arrive(customer, "m", time.Minute)
+	if d.Verdict == Queued {
+		b.Cancel(d.ID)
+	}
+	b.Release(d.ID, b.now)
+	return d.Verdict
+}
+
+func BenchmarkArriveRelease(b *testing.B) {
+	for _, n := range []int{10, 300, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			th := benchThrottler(n, 0)
+			c := fmt.Sprintf("customer-%05d", n/2)
+			b.ReportAllocs()
+			for b.Loop() {
+				th.customers[c].bucket.level = 1e6
+				if th.cycle(c) != Run {
+					b.Fatal("queued")
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkPollWaiting(b *testing.B) {
+	for _, n := range []int{10, 300, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			th := benchThrottler(n, 3)
+			b.ReportAllocs()
+			for b.Loop() {
+				th.Poll(th.now)
+			}
+		})
+	}
+}
+
+func BenchmarkSweep(b *testing.B) {
+	for _, n := range []int{10, 300, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			th := benchThrottler(n, 3)
+			b.ReportAllocs()
+			for b.Loop() {
+				for _, c := range th.active {
+					c.swept = -never
+				}
+				th.Poll(th.now)
+			}
+		})
+	}
+}
+
+func BenchmarkReport(b *testing.B) {
+	for _, n := range []int{10, 300, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			th := benchThrottler(n, 0)
+			b.ReportAllocs()
+			for b.Loop() {
+				th.reports.last = -never
+				th.Report(th.now)
+			}
+		})
+	}
+}
+
+// BenchmarkAllocate answers reports on one contract that so many nodes use.
+func BenchmarkAllocate(b *testing.B) {
+	for _, n := range []int{3, 9, 46, 370} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			al, now := settledAllocator()
+			l := wide("a")
+			l.Concurrency = 4 * n
+			al.SetLimits(l, now)
+			b.ReportAllocs()
+			serials := make([]uint64, n)
+			for i := 0; b.Loop(); i++ {
+				now += time.Second / time.Duration(4*n)
+				u := Usage{Running: 2, Waiting: 1, Backlog: 1, Concurrency: 3, Serial: serials[i%n]}
+				g := al.Report(usageReport(fmt.Sprintf("n%03d", i%n), uint64(i+1), u), now)
+				serials[i%n] = g.Serial
+				al.Pushes()
+			}
+		})
+	}
+}
+
+// BenchmarkState reports the bytes for each customer and waiting request on a
+// node, and for each share on the leader.
+func BenchmarkState(b *testing.B) {
+	for _, n := range []int{10, 300, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				before := heapInUse()
+				th := benchThrottler(n, 0)
+				th.allocator = nil
+				idle := heapInUse()
+				b.ReportMetric(float64(idle-before)/float64(n), "B/customer")
+				for i := range 10 * n {
+					th.arrive(fmt.Sprintf("customer-%05d", i%n), "cold", time.Hour)
+				}
+				b.ReportMetric(float64(heapInUse()-idle)/float64(10*n), "B/waiting")
+				runtime.KeepAlive(th)
+				before = heapInUse()
+				al := NewAllocator(AllocatorConfig{Term: 1})
+				for i := range n {
+					al.SetLimits(wide(fmt.Sprint(i)), 0)
+					for node := range 9 {
+						u := Usage{Customer: fmt.Sprint(i), Waiting: 1}
+						r := Report{Node: fmt.Sprintf("n%d", node), Term: 1, Seq: uint64(i + 1), Customers: []Usage{u}}
+						al.Report(r, time.Minute)
+					}
+				}
+				al.Pushes()
+				b.ReportMetric(float64(heapInUse()-before)/float64(9*n), "B/share")
+				runtime.KeepAlive(al)
+			}
+		})
+	}
+}
+
+// heapInUse returns the bytes in use after a collection.
+func heapInUse() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+func TestAdmissionAllocatesLittle(t *testing.T) {
+	th := benchThrottler(300, 0)
+	allocs := testing.AllocsPerRun(100, func() {
+		th.customers["customer-00007"].bucket.level = 1e6
+		th.cycle("customer-00007")
+	})
+	if allocs > 2 {
+		t.Errorf("%g allocations for each request", allocs)
+	}
+}
--- a/admission/fairness_test.go
+++ b/admission/fairness_test.go
@@ -35,6 +35,8 @@
 	running    int
 	maxRunning int
 	arrived    int
+	busy       time.Duration // sum of the times that requests ran
+	heldBack   int           // requests refused after half of their wait
 	refused    map[Reason]int
 }
 
@@ -60,6 +62,12 @@
 )
 
 func newSimulation(seed uint64, slots int, loads []float64) *simulation {
+	l := Limits{Concurrency: 8, Rate: 25, Burst: 20, Queue: 60, Wait: simWait}
+	return newLimitedSimulation(seed, slots, l, loads)
+}
+
+// newLimitedSimulation gives all customers contracts of the same size.
+func newLimitedSimulation(seed uint64, slots int, l Limits, loads []float64) *simulation {
 	s := &simulation{
 		allocator: NewAllocator(AllocatorConfig{Term: 1, Since: -time.Minute}),
 		cut:       -1,
@@ -73,9 +81,7 @@
 		s.nodes = append(s.nodes, n)
 	}
 	for i, load := range loads {
-		l := Limits{
-			Customer: fmt.Sprintf("c%02d", i), Concurrency: 8, Rate: 25, Burst: 20, Queue: 60, Wait: simWait,
-		}
+		l.Customer = fmt.Sprintf("c%02d", i)
 		s.allocator.SetLimits(l, -time.Minute)
 		for _, n := range s.nodes {
 			n.SetLimits(l)
@@ -162,6 +168,9 @@
 	switch d.Verdict {
 	case Refused:
 		c.refused[d.Reason]++
+		if s.now-a.at > simWait/2 {
+			c.heldBack++
+		}
 		delete(s.requests, d.ID)
 	case Run:
 		a.running = true
@@ -169,6 +178,7 @@
 		c.running++
 		c.maxRunning = max(c.maxRunning, c.running)
 		_ = c.waits.RecordValue((s.now - a.at).Microseconds())
+		c.busy += a.service
 		end := s.now + max(simTick, a.service.Truncate(simTick))
 		s.ends[end] = append(s.ends[end], d.ID)
 	}
@@ -220,8 +230,8 @@
 				s.run(30 * time.Second)
 				waits, refused := s.others()
 				p99[i] = waits.ValueAtPercentile(99)
-				t.Logf("load %g: others' wait p50 %d us, p99 %d us, p99.9 %d us; %d reports",
-					load, waits.ValueAtPercentile(50), p99[i], waits.ValueAtPercentile(99.9), s.reports)
+				t.Logf("load %g: others' wait p50 %d us, p99 %d us, p99.9 %d us; %d reports; first refused %v, %d after half of the wait",
+					load, waits.ValueAtPercentile(50), p99[i], waits.ValueAtPercentile(99.9), s.reports, s.customers[0].refused, s.customers[0].heldBack)
 				is.Equal(refused, 0)
 				is.True(s.customers[0].waits.TotalCount() < int64(25*30+20))
 				if c.cut < 0 {
@@ -245,3 +255,22 @@
 	perRequest := float64(s.reports) / float64(waits.TotalCount())
 	is.True(perRequest < 4)
 }
+
+// TestSmallContractsAreUsable sends more than a contract's concurrency over all
+// nodes and bounds the time that the concurrency stays unused.
+func TestSmallContractsAreUsable(t *testing.T) {
+	for _, concurrency := range []int{1, 2, 4} {
+		t.Run(fmt.Sprint(concurrency), func(t *testing.T) {
+			is := is.New(t)
+			l := Limits{Concurrency: concurrency, Rate: 100, Burst: 20, Queue: 60, Wait: simWait}
+			s := newLimitedSimulation(7, 80, l, []float64{0.1 * float64(concurrency)})
+			s.run(30 * time.Second)
+			c := s.customers[0]
+			used := float64(c.busy) / float64(concurrency) / float64(30*time.Second)
+			t.Logf("%d ran, %.2f of the time used; refused %v, %d after half of the wait; %d reports",
+				c.waits.TotalCount(), used, c.refused, c.heldBack, s.reports)
+			is.True(used > 0.9)
+			is.True(c.maxRunning <= concurrency)
+		})
+	}
+}
--- a/admission/feasible.go
+++ b/admission/feasible.go
@@ -1,9 +1,6 @@
 package admission
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // wait estimates how long a request waits until it starts.
 func (t *Throttler) wait(r *request, now time.Duration) time.Duration {
@@ -74,30 +71,55 @@
 
 // expire refuses what is past its deadline.
 func (t *Throttler) expire(now time.Duration) {
-	for _, c := range slices.Clone(t.active) {
-		for _, l := range slices.Clone(c.lines) {
-			for len(l.waiting) > 0 && l.waiting[0].Deadline < now {
-				t.drop(l.waiting[0], Late, 0)
-			}
+	for i := 0; i < len(t.active); {
+		c := t.active[i]
+		for r := c.expired(now); r != nil; r = c.expired(now) {
+			t.drop(r, Late, 0)
+		}
+		if c.queued > 0 {
+			i++
 		}
 	}
 }
 
+// expired returns a waiting request that is past its deadline, or nil.
+func (c *customer) expired(now time.Duration) *request {
+	for _, l := range c.lines {
+		if l.waiting[0].Deadline < now {
+			return l.waiting[0]
+		}
+	}
+	return nil
+}
+
 // sweep refuses what cannot start in time any more.
 func (t *Throttler) sweep(now time.Duration) {
-	for _, c := range slices.Clone(t.active) {
-		t.await(c, now)
-		if t.cutOff(c, now) {
-			t.refuseAll(c, NoShare, 0)
-			continue
-		}
-		if now-c.swept < sweepInterval {
-			continue
+	for i := 0; i < len(t.active); {
+		c := t.active[i]
+		t.sweepCustomer(c, now)
+		if c.queued > 0 {
+			i++
 		}
-		c.swept = now
-		t.trim(c, now)
-		for _, l := range slices.Clone(c.lines) {
-			t.sweepLine(l, now)
+	}
+}
+
+// sweepCustomer refuses what one customer has waiting in vain.
+func (t *Throttler) sweepCustomer(c *customer, now time.Duration) {
+	t.await(c, now)
+	if t.cutOff(c, now) {
+		t.refuseAll(c, NoShare, 0)
+		return
+	}
+	if now-c.swept < sweepInterval {
+		return
+	}
+	c.swept = now
+	t.trim(c, now)
+	for i := 0; i < len(c.lines); {
+		l := c.lines[i]
+		t.sweepLine(l, now)
+		if len(l.waiting) > 0 {
+			i++
 		}
 	}
 }
