admission: estimate the wait by all nodes' queues

A node judged feasibility by the share that it could get, without the requests that wait on other nodes, so that most refusals of an overloaded contract came late. Grants now carry how much runs and waits elsewhere and the pool's tokens, and the estimate takes the contract as one queue by deadline.

--- a/admission/feasible.go
+++ b/admission/feasible.go
@@ -7,21 +7,21 @@
 	return max(r.line.customer.shareWait(r, now), r.line.target.slotWait(r, now))
 }
 
-// shareWait estimates the wait for the contract's rate and concurrency, as far
-// as shares can move to this node.
+// shareWait estimates the wait for the contract's rate and concurrency, which
+// shares move to where they are needed. Requests on all nodes start by deadline,
+// so those of the other nodes count by the request's place on this one.
 func (c *customer) shareWait(r *request, now time.Duration) time.Duration {
-	concurrency, rate := c.limits.Concurrency, c.limits.Rate
+	ahead := c.ahead(r)
+	free := c.limits.Concurrency - c.running
 	tokens := float64(c.limits.Burst)
 	if c.leased(now) {
 		c.advance(now)
-		concurrency = max(c.lease.Concurrency, c.lease.MaxConcurrency)
-		rate = max(c.lease.Rate, c.lease.MaxRate)
-		tokens = c.bucket.level
+		ahead += c.lease.OthersBacklog * (ahead + 1) / max(c.queued, ahead+1)
+		free -= c.lease.OthersRunning
+		tokens = c.bucket.level + c.lease.PoolTokens
 	}
-	ahead := c.ahead(r)
-	wait := refill(float64(ahead+1), tokens, rate)
-	over := ahead + 1 - (concurrency - c.running)
-	return max(wait, turns(over, concurrency, c.service))
+	wait := refill(float64(ahead+1), tokens, c.limits.Rate)
+	return max(wait, turns(ahead+1-free, c.limits.Concurrency, c.service))
 }
 
 // slotWait estimates the wait until the target is ready and has a free slot.
--- a/admission/lease.go
+++ b/admission/lease.go
@@ -80,10 +80,11 @@
 	Queue int `json:"queue"`
 	// Tokens are put into the node's bucket once.
 	Tokens float64 `json:"tokens"`
-	// MaxConcurrency and MaxRate are what the node could get if it asked for
-	// more, as far as other nodes' needs are known. They serve estimates only.
-	MaxConcurrency int     `json:"maxConcurrency"`
-	MaxRate        float64 `json:"maxRate"`
+	// OthersRunning and OthersBacklog are the requests that run and wait on the
+	// other nodes, and PoolTokens the tokens on no node. They serve estimates.
+	OthersRunning int     `json:"othersRunning"`
+	OthersBacklog int     `json:"othersBacklog"`
+	PoolTokens    float64 `json:"poolTokens"`
 	// Scarce says that other nodes need what this one leaves unused.
 	Scarce bool `json:"scarce,omitempty"`
 	// Duration is the lease's length, from when the answered report was sent.
--- a/admission/pool.go
+++ b/admission/pool.go
@@ -207,7 +207,7 @@
 		burst:       max(0, p.limits.Burst-others.burst),
 		rate:        max(0, p.limits.Rate-others.rate),
 	}
-	want, most, scarce := p.want(h)
+	want, scarce := p.want(h)
 	got := amount{
 		concurrency: min(want.concurrency, free.concurrency),
 		burst:       min(want.burst, free.burst),
@@ -222,17 +222,23 @@
 	if !unsettled {
 		tokens = max(0, min(p.bucket.level, float64(got.burst)-h.usage.Tokens))
 	}
-	return Lease{
-		Customer:       p.limits.Customer,
-		Concurrency:    got.concurrency,
-		Rate:           got.rate,
-		Burst:          got.burst,
-		Queue:          p.queue(h),
-		Tokens:         tokens,
-		MaxConcurrency: max(most.concurrency, min(1, p.limits.Concurrency)),
-		MaxRate:        max(p.limits.rateOf(most.burst), p.limits.Rate/float64(len(p.holdings))),
-		Scarce:         scarce,
+	lease := Lease{
+		Customer:    p.limits.Customer,
+		Concurrency: got.concurrency,
+		Rate:        got.rate,
+		Burst:       got.burst,
+		Queue:       p.queue(h),
+		Tokens:      tokens,
+		PoolTokens:  p.bucket.level - tokens,
+		Scarce:      scarce,
 	}
+	for _, o := range p.holdings {
+		if o != h {
+			lease.OthersRunning += o.usage.Running
+			lease.OthersBacklog += o.usage.Backlog
+		}
+	}
+	return lease
 }
 
 // free returns the concurrency that no node may be using.
@@ -300,16 +306,14 @@
 	return claims[at].share
 }
 
-// want returns what a node should hold by all nodes' needs, with a part of
-// what nobody needs, and the most it could get if it needed everything. The
-// concurrency is scarce if there is no such part.
-func (p *pool) want(h *holding) (want, most amount, scarce bool) {
+// want returns what a node should hold by all nodes' needs, with a part of the
+// concurrency that nobody needs, which is scarce if there is no such part.
+func (p *pool) want(h *holding) (want amount, scarce bool) {
 	concurrency, burst := p.claims()
-	spare := 0
-	want.concurrency, most.concurrency, spare = divide(p.limits.Concurrency, concurrency, h)
-	want.concurrency += spare
-	want.burst, most.burst, _ = divide(p.limits.Burst, burst, h)
-	return want, most, spare == 0
+	share, spare := divide(p.limits.Concurrency, concurrency, h)
+	want.concurrency = share + spare
+	want.burst, _ = divide(p.limits.Burst, burst, h)
+	return want, spare == 0
 }
 
 // claims returns what the nodes that need the contract ask of each part.
@@ -341,18 +345,13 @@
 	return int(min(need, float64(p.limits.Burst)))
 }
 
-// divide returns the share of a node, the share that it would have if it asked
-// for everything, and its part of what is left over. One such part stays for a
-// node that has not asked yet.
-func divide(total int, claims []claim, h *holding) (want, most, spare int) {
+// divide returns the share of a node and its part of what is left over. One
+// such part stays for a node that has not asked yet.
+func divide(total int, claims []claim, h *holding) (share, spare int) {
 	at := slices.IndexFunc(claims, func(c claim) bool { return c.node == h.node })
 	if at < 0 {
-		return 0, 0, 0
+		return 0, 0
 	}
 	fill(total, claims)
-	want = claims[at].share
-	spare = leftover(total, claims) / (len(claims) + 1)
-	claims[at].demand = total
-	fill(total, claims)
-	return want, claims[at].share, spare
+	return claims[at].share, leftover(total, claims) / (len(claims) + 1)
 }
