--- a/admission/feasible.go
+++ b/admission/feasible.go
@@ -1,30 +1,27 @@
 package admission
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // wait estimates how long a request waits until it starts.
 func (t *Throttler) wait(r *request, now time.Duration) time.Duration {
 	return max(r.line.customer.shareWait(r, now), r.line.target.slotWait(r, now))
 }
 
-// shareWait estimates the wait for the contract's rate and concurrency, as far
-// as shares can move to this node.
+// shareWait estimates the wait for the contract's rate and concurrency, which
+// shares move to where they are needed. Requests on all nodes start by deadline,
+// so those of the other nodes count by the request's place on this one.
 func (c *customer) shareWait(r *request, now time.Duration) time.Duration {
-	concurrency, rate := c.limits.Concurrency, c.limits.Rate
+	ahead := c.ahead(r)
+	free := c.limits.Concurrency - c.running
 	tokens := float64(c.limits.Burst)
 	if c.leased(now) {
 		c.advance(now)
-		concurrency = max(c.lease.Concurrency, c.lease.MaxConcurrency)
-		rate = max(c.lease.Rate, c.lease.MaxRate)
-		tokens = c.bucket.level
+		ahead += c.lease.OthersBacklog * (ahead + 1) / max(c.queued, ahead+1)
+		free -= c.lease.OthersRunning
+		tokens = c.bucket.level + c.lease.PoolTokens
 	}
-	ahead := c.ahead(r)
-	wait := refill(float64(ahead+1), tokens, rate)
-	over := ahead + 1 - (concurrency - c.running)
-	return max(wait, turns(over, concurrency, c.service))
+	wait := refill(float64(ahead+1), tokens, c.limits.Rate)
+	return max(wait, turns(ahead+1-free, c.limits.Concurrency, c.service))
 }
 
 // slotWait estimates the wait until the target is ready and has a free slot.
@@ -74,30 +71,55 @@
 
 // expire refuses what is past its deadline.
 func (t *Throttler) expire(now time.Duration) {
-	for _, c := range slices.Clone(t.active) {
-		for _, l := range slices.Clone(c.lines) {
-			for len(l.waiting) > 0 && l.waiting[0].Deadline < now {
-				t.drop(l.waiting[0], Late, 0)
-			}
+	for i := 0; i < len(t.active); {
+		c := t.active[i]
+		for r := c.expired(now); r != nil; r = c.expired(now) {
+			t.drop(r, Late, 0)
+		}
+		if c.queued > 0 {
+			i++
 		}
 	}
 }
 
+// expired returns a waiting request that is past its deadline, or nil.
+func (c *customer) expired(now time.Duration) *request {
+	for _, l := range c.lines {
+		if l.waiting[0].Deadline < now {
+			return l.waiting[0]
+		}
+	}
+	return nil
+}
+
 // sweep refuses what cannot start in time any more.
 func (t *Throttler) sweep(now time.Duration) {
-	for _, c := range slices.Clone(t.active) {
-		t.await(c, now)
-		if t.cutOff(c, now) {
-			t.refuseAll(c, NoShare, 0)
-			continue
-		}
-		if now-c.swept < sweepInterval {
-			continue
+	for i := 0; i < len(t.active); {
+		c := t.active[i]
+		t.sweepCustomer(c, now)
+		if c.queued > 0 {
+			i++
 		}
-		c.swept = now
-		t.trim(c, now)
-		for _, l := range slices.Clone(c.lines) {
-			t.sweepLine(l, now)
+	}
+}
+
+// sweepCustomer refuses what one customer has waiting in vain.
+func (t *Throttler) sweepCustomer(c *customer, now time.Duration) {
+	t.await(c, now)
+	if t.cutOff(c, now) {
+		t.refuseAll(c, NoShare, 0)
+		return
+	}
+	if now-c.swept < sweepInterval {
+		return
+	}
+	c.swept = now
+	t.trim(c, now)
+	for i := 0; i < len(c.lines); {
+		l := c.lines[i]
+		t.sweepLine(l, now)
+		if len(l.waiting) > 0 {
+			i++
 		}
 	}
 }
