Test cold starts with real processes; refuse at once what a lost engine blocks

One test failed first: a model whose only allowed replica was on a lost engine, withdrawn there, was forecast as a cold start while another engine had room, so calls waited 8.7 s of 10 s and were then refused.

--- a/placement/read.go
+++ b/placement/read.go
@@ -212,7 +212,9 @@
 	m.charged++
 	m.customer.charged++
 	if !v.live() {
-		m.withdrawn++
+		if !v.lost() {
+			m.withdrawn++
+		}
 		return
 	}
 	m.live = append(m.live, v)
--- a/placement/state.go
+++ b/placement/state.go
@@ -30,7 +30,8 @@
 	running   int
 	remaining time.Duration
 	arrived   int
-	// live are the granted replicas, withdrawn those being unloaded.
+	// live are the granted replicas, withdrawn counts those being unloaded on
+	// upstreams that are heard.
 	live      []*replica
 	withdrawn int
 	ready     int
--- a/test/integration/harness_test.go
+++ b/test/integration/harness_test.go
@@ -180,8 +180,8 @@
 	callers, upstreams, operator string
 	settings                     string
 	// data is the data folder; empty without a vote.
-	data string
-	client                       *operator.Client
+	data   string
+	client *operator.Client
 }
 
 // start starts the node's process, again after an end.
