faultproxy: a refused connection may be reset while connecting

TestRefusedConnections failed once, on a busy machine: the reset reached the client inside connect. The test now wants the reset, at either place.

--- a/internal/faultproxy/proxy_test.go
+++ b/internal/faultproxy/proxy_test.go
@@ -217,10 +217,12 @@
 	is := is.New(t)
 	p, _ := start(t)
 	p.SetRefuse(true)
+	// The reset may reach the client while it still connects.
 	conn, err := net.Dial("tcp", p.Addr())
-	is.NoErr(err)
-	defer conn.Close()
-	_, err = readEnd(t, conn)
-	is.True(err != nil)
+	if err == nil {
+		defer conn.Close()
+		_, err = readEnd(t, conn)
+	}
+	is.True(errors.Is(err, syscall.ECONNRESET))
 	is.Equal(p.Opened(), 0)
 }
--- a/test/integration/cold_test.go
+++ b/test/integration/cold_test.go
@@ -20,6 +20,8 @@
 	coldModels = 6
 	// coldWait is the wait of coldContract.
 	coldWait = 10 * time.Second
+	// burstEach is the number of calls for each model in a burst.
+	burstEach = 9
 	// answerSlack is what an answer may be late by on a busy machine.
 	answerSlack = 2 * time.Second
 )
@@ -61,9 +63,9 @@
 }
 
 // burst sends calls for every model through the nodes at once.
-func burst(t *testing.T, nodes []*node, each int) []reply {
+func burst(t *testing.T, nodes []*node) []reply {
 	t.Helper()
-	replies := make([]reply, coldModels*each)
+	replies := make([]reply, coldModels*burstEach)
 	var group sync.WaitGroup
 	for i := range replies {
 		group.Go(func() {
@@ -125,7 +127,7 @@
 	is := is.New(t)
 	c, engines := startCold(t, 3, nil)
 	settleShares(t, c)
-	replies := burst(t, c.nodes, 9)
+	replies := burst(t, c.nodes)
 	is.Equal(checkBurst(t, replies), len(replies))
 	is.Equal(checkMemory(t, engines), coldModels)
 }
@@ -136,7 +138,7 @@
 	settleShares(t, c)
 	leader := c.leader(t)
 	replies := make(chan []reply)
-	go func() { replies <- burst(t, c.other(leader), 9) }()
+	go func() { replies <- burst(t, c.other(leader)) }()
 	eventually(t, "loads run", func() bool { return loading(engines) > 2 })
 	leader.kill()
 	got := <-replies
@@ -150,12 +152,12 @@
 	leader := c.leader(t)
 	rest := c.other(leader)
 	replies := make(chan []reply)
-	go func() { replies <- burst(t, rest, 9) }()
+	go func() { replies <- burst(t, rest) }()
 	eventually(t, "loads run", func() bool { return loading(engines) > 0 })
 	leader.signal(syscall.SIGSTOP)
 	checkBurst(t, <-replies)
 	leader.signal(syscall.SIGCONT)
-	checkBurst(t, burst(t, c.nodes, 9))
+	checkBurst(t, burst(t, c.nodes))
 	checkMemory(t, engines)
 }
 
