routing: retry budgets refill with time

Only requests refilled a budget, a tenth of a retry each: after three faults a customer with a call a minute had no retry for ten minutes. A budget now gains one retry a second up to its reserve. A larger reserve alone was ruled out: it is spent as well, and lets a burst of faults double more work.

--- a/routing/retry.go
+++ b/routing/retry.go
@@ -66,8 +66,12 @@
 	MaxAttempts int
 	// Ratio is the number of retries that each first attempt pays for.
 	Ratio float64
-	// Reserve is the number of retries that are free at first.
+	// Reserve is the number of retries that are free at first, and the most that
+	// a budget holds.
 	Reserve float64
+	// Refill is the number of retries a second that a budget gains without any
+	// request, so that rare requests have their retries.
+	Refill float64
 	// Backoff is the longest wait before the first retry; it doubles with each
 	// attempt.
 	Backoff time.Duration
@@ -75,11 +79,12 @@
 	MaxBackoff time.Duration
 }
 
-// DefaultRetry allows one retry for ten requests.
+// DefaultRetry allows one retry for ten requests, and one a second.
 var DefaultRetry = RetryConfig{
 	MaxAttempts: 3,
 	Ratio:       0.1,
 	Reserve:     3,
+	Refill:      1,
 	Backoff:     20 * time.Millisecond,
 	MaxBackoff:  time.Second,
 }
@@ -89,8 +94,14 @@
 type Retrier struct {
 	config    RetryConfig
 	random    *rand.Rand
-	upstreams map[string]float64
-	customers map[string]float64
+	upstreams map[string]budget
+	customers map[string]budget
+}
+
+// budget is the number of retries that were left at a time.
+type budget struct {
+	left float64
+	at   time.Duration
 }
 
 // NewRetrier returns a Retrier that draws its jitter from random.
@@ -98,28 +109,41 @@
 	return &Retrier{
 		config:    config,
 		random:    random,
-		upstreams: map[string]float64{},
-		customers: map[string]float64{},
+		upstreams: map[string]budget{},
+		customers: map[string]budget{},
 	}
 }
 
 // Sent notes the first attempt of a request, which pays into both budgets.
 func (r *Retrier) Sent(upstream, customer string) {
-	r.pay(r.upstreams, upstream, r.config.Ratio)
-	r.pay(r.customers, customer, r.config.Ratio)
+	r.pay(r.upstreams, upstream)
+	r.pay(r.customers, customer)
 }
 
 // pay adds to a budget, up to the reserve.
-func (r *Retrier) pay(budgets map[string]float64, name string, amount float64) {
-	budgets[name] = min(r.config.Reserve, r.budget(budgets, name)+amount)
+func (r *Retrier) pay(budgets map[string]budget, name string) {
+	b, ok := budgets[name]
+	if !ok {
+		return // it is full
+	}
+	b.left = min(r.config.Reserve, b.left+r.config.Ratio)
+	budgets[name] = b
 }
 
-// budget returns what a budget holds.
-func (r *Retrier) budget(budgets map[string]float64, name string) float64 {
-	if b, ok := budgets[name]; ok {
-		return b
+// balance returns what a budget holds now.
+func (r *Retrier) balance(budgets map[string]budget, name string, now time.Duration) budget {
+	b, ok := budgets[name]
+	if !ok {
+		return budget{left: r.config.Reserve, at: now}
 	}
-	return r.config.Reserve
+	gained := r.config.Refill * (now - b.at).Seconds()
+	return budget{left: min(r.config.Reserve, b.left+gained), at: now}
+}
+
+// spend charges one retry to a budget.
+func (b budget) spend() budget {
+	b.left--
+	return b
 }
 
 // Retry decides whether an attempt may be followed by another and after what
@@ -145,13 +169,13 @@
 	if now+wait >= a.Deadline {
 		return 0, PastDeadline
 	}
-	upstream := r.budget(r.upstreams, a.Upstream)
-	customer := r.budget(r.customers, a.Customer)
-	if upstream < 1 || customer < 1 {
+	upstream := r.balance(r.upstreams, a.Upstream, now)
+	customer := r.balance(r.customers, a.Customer, now)
+	if upstream.left < 1 || customer.left < 1 {
 		return 0, NoBudget
 	}
-	r.upstreams[a.Upstream] = upstream - 1
-	r.customers[a.Customer] = customer - 1
+	r.upstreams[a.Upstream] = upstream.spend()
+	r.customers[a.Customer] = customer.spend()
 	return wait, Allowed
 }
 
--- a/routing/retry_test.go
+++ b/routing/retry_test.go
@@ -25,3 +25,15 @@
 		is.Equal(denial, Allowed)
 	}
 }
+
+func TestRareRequestsGetTheirRetries(t *testing.T) {
+	is := is.New(t)
+	r := NewRetrier(DefaultRetry, rand.New(rand.NewPCG(1, 1)))
+	for minute := range 20 {
+		now := time.Duration(minute) * time.Minute
+		a := Attempt{Upstream: "u", Customer: "c", Idempotent: true, Number: 1, Deadline: now + time.Minute}
+		r.Sent("u", "c")
+		_, denial := r.Retry(a, now)
+		is.Equal(denial, Allowed)
+	}
+}
