peer: do not stop a server whose link is closed; gateway: resume past a dead engine

Cause 1, found by TestChangesSurviveKilledAndFrozenLeaders (a node that went on after SIGSTOP died by 'send on closed channel'): jrpc2's Server.Stop closes the channel on which a record read just before is announced. The link is closed at that point, so the server ends by itself; Stop is not called any more. Ruled out: a lock around Recv (the window is inside the library).

Cause 2, TestEveryStreamOfADeadEngineIsResumed: 2 of 24 streams broke, because a stream that had progressed asked its dead upstream again and had no retry budget left. It now excludes that upstream at first, and a connect that provably sent nothing costs a started stream no budget.

--- a/internal/gateway/repeatable.go
+++ b/internal/gateway/repeatable.go
@@ -66,10 +66,10 @@
 		progressed := out.tokens > a.resumeFrom
 		if progressed {
 			n = 1
-			p.tried = nil
+			p.tried = []string{route.Upstream}
 			p.started()
 		}
-		if isRefused(err) {
+		if isRefused(err) || (out.started && ranOf(err) == NotRun) {
 			n--
 			continue
 		}
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -354,3 +354,32 @@
 		}
 	}
 }
+
+// TestConnectionsEndWhileRecordsArrive ends connections at the serving end while
+// the other end sends all the time.
+func TestConnectionsEndWhileRecordsArrive(t *testing.T) {
+	const ends = 60
+	a, b, _ := pair(t, patient)
+	listed := []peer.Peer{{Name: "a", Addr: a.Addr()}}
+	stop := make(chan struct{})
+	var sending sync.WaitGroup
+	sending.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				a.Notify("b", "note", struct{}{})
+			}
+		}
+	})
+	for range ends {
+		eventually(t, func() bool { return a.Reachable("b") })
+		before := a.Stats().Connects
+		b.SetPeers(nil)
+		b.SetPeers(listed)
+		eventually(t, func() bool { return a.Stats().Connects > before })
+	}
+	close(stop)
+	sending.Wait()
+}
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -94,7 +94,9 @@
 	server.Start(l)
 	l.run()
 	cancel()
-	server.Stop()
+	// The link is closed, so the server's next read fails and ends it. Its Stop
+	// must not be called: it closes a channel that a record read just before is
+	// announced on, which panics.
 	if err := server.Wait(); err != nil {
 		m.opts.Log.WithField("peer", from).WithError(err).Debug("connection from peer ended")
 	}
