--- a/internal/node/capacity_test.go
+++ b/internal/node/capacity_test.go
@@ -83,3 +83,19 @@
 		})
 	}
 }
+
+// BenchmarkRenewals measures the messages that pass unchanged announcements on.
+func BenchmarkRenewals(b *testing.B) {
+	for _, n := range []int{1, 16, 64, 256} {
+		b.Run(fmt.Sprintf("upstreams=%d", n), func(b *testing.B) {
+			known := newBodies()
+			note := pushNote{Node: "node-1", Boot: "8c1c3b1e-1a57-4b0f-9d31-0123456789ab"}
+			for i := range n {
+				a := sizedAnnouncement(i, 2, 10)
+				known.note(a)
+				note.Renewals = append(note.Renewals, known.renewalOf(directory.Relayed{Announcement: a, Age: time.Millisecond}))
+			}
+			roundTrip(b, note)
+		})
+	}
+}
