--- a/raft/types.go
+++ b/raft/types.go
@@ -171,7 +171,8 @@
 }
 
 // Restored is the durable state a member starts from. A new group starts from a
-// snapshot at index 1, term 1 whose Members are the founding voters.
+// snapshot at index 1, term 1 whose Members are the founding voters. A member
+// that joins a group starts from the zero value.
 type Restored struct {
 	Hard     HardState
 	Snapshot Snapshot
