--- a/raft/bounds_test.go
+++ b/raft/bounds_test.go
@@ -33,6 +33,12 @@
 	const rounds = 50
 	const peers = 8
 	n.messages, n.entryBytes = 0, 0
+	appends := 0
+	n.onSend = func(m Message) {
+		if len(m.Entries) > 0 {
+			appends++
+		}
+	}
 	start := n.maxCommitted
 	for range rounds {
 		n.burst(batched)
@@ -43,6 +49,7 @@
 	perEntry := float64(n.messages) / entries
 	bytesPerPeer := float64(n.entryBytes) / entries / peers
 	t.Logf("%.3f messages and %.1f bytes per entry and peer", perEntry/peers, bytesPerPeer)
+	is.Equal(appends, rounds*peers) // one for each batch and peer
 	// An append, a commit notice, a heartbeat, and their answers.
 	is.True(perEntry <= 6.0*peers/batched)
 	is.True(bytesPerPeer <= commandBytes+entryOverheadBytes)
