placement: estimate when running requests free memory, in place of refusing

A model that found no memory was refused at once, also where running requests end well within its wait.

--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -34,9 +34,12 @@
 	case m.readyIn > 0:
 		f.Readiness = Loading
 		f.ReadyIn = m.readyIn
-	case m.charged >= m.limit && m.withdrawn == 0, !r.hasRoom(m):
+	case m.charged >= m.limit && m.withdrawn == 0:
 		f.Readiness = Blocked
 		f.ReadyIn = m.tooLate()
+	case !r.hasRoom(m):
+		f.Readiness = Blocked
+		f.ReadyIn = r.blockedFor(m)
 	default:
 		f.Readiness = Cold
 		f.ReadyIn = r.coldFor(m)
@@ -54,6 +57,17 @@
 	return max(m.wait+decisionDelay, blockedRetry)
 }
 
+// blockedFor returns the time until a model that finds no memory can be ready,
+// once running requests elsewhere ended. The load counts twice, as loads that
+// are asked for later may take the memory first.
+func (r *round) blockedFor(m *model) time.Duration {
+	clear, possible := r.clearFor(m.memory)
+	if !possible {
+		return m.tooLate()
+	}
+	return clear + 2*r.coldFor(m)
+}
+
 // hasRoom reports whether some upstream could hold the model, perhaps after an
 // eviction.
 func (r *round) hasRoom(m *model) bool {
@@ -152,7 +166,7 @@
 		r.line = append(r.line, lineItem{service: service, slack: n.slack, promised: n.class == classDemand && start <= n.slack})
 	}
 	if n.blocked {
-		left = max(left, n.model.tooLate())
+		left = r.blockedFor(n.model)
 	}
 	if n.model.readyIn == 0 {
 		n.model.readyIn = left
--- a/placement/place.go
+++ b/placement/place.go
@@ -61,6 +61,7 @@
 		target, tier := r.choose(n)
 		if target == nil {
 			n.blocked = true
+			r.blocked++
 			r.queue = append(r.queue, *n)
 			continue
 		}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -148,6 +148,11 @@
 	ahead storeTimes
 	// scratch is reused between simulations.
 	scratch []Instant
+	// blocked counts the needs that wait for memory, and clears holds the
+	// estimates of clearFor by size class; negative where there is none.
+	blocked  int
+	clears   map[int]time.Duration
+	releases []release
 	// remoteCount counts the loads from the store, granted or in progress.
 	remoteCount int
 	// largest is the largest accelerator memory of any upstream in bytes.
