--- a/internal/policybench/targets_test.go
+++ b/internal/policybench/targets_test.go
@@ -39,7 +39,7 @@
 
 func TestTonwerkTargets(t *testing.T) {
 	is := is.New(t)
-	var ours, onDemand, keepAlive Totals
+	var ours, keepAlive Totals
 	for _, seed := range testSeeds {
 		options := testOptions(seed)
 		m := runOne(Tonwerk(), options, "contract")
@@ -47,12 +47,21 @@
 		is.Equal(m.Duplicates, 0) // no duplicate load
 		is.Equal(m.Missed, 0)     // no missed wait
 		ours.Add(m)
-		onDemand.Add(runOne(Tonwerk(), options, "on-demand"))
 		keepAlive.Add(runOne(Tonwerk(), options, "keep-alive"))
 	}
-	t.Logf("p99 cold start: %.0f ms, on demand %.0f ms; idle hours: %.1f, keep-alive %.1f",
-		ours.ColdP99(), onDemand.ColdP99(), ours.IdleHours, keepAlive.IdleHours)
+	t.Logf("idle hours: %.1f, keep-alive %.1f", ours.IdleHours, keepAlive.IdleHours)
 	is.True(ours.IdleHours <= keepAlive.IdleHours)
+}
+
+func TestTonwerkTailTarget(t *testing.T) {
+	is := is.New(t)
+	var ours, onDemand Totals
+	for _, seed := range testSeeds {
+		options := testOptions(seed)
+		ours.Add(runOne(Tonwerk(), options, "contract"))
+		onDemand.Add(runOne(Tonwerk(), options, "on-demand"))
+	}
+	t.Logf("p99 cold start: %.0f ms, on demand %.0f ms", ours.ColdP99(), onDemand.ColdP99())
 	is.True(ours.ColdP99() <= onDemand.ColdP99()/2)
 }
 
