--- a/placement/faults_test.go
+++ b/placement/faults_test.go
@@ -71,7 +71,9 @@
 }
 
 func (h *host) report() directory.Announcement {
-	h.seq++
+	if !h.dead {
+		h.seq++
+	}
 	return directory.Announcement{
 		ID: h.id, Incarnation: h.life, Seq: h.seq, Domain: h.id, Kind: directory.Engine, Memory: testMemory,
 		Slots: 8, ChecksFencing: h.checks, Replicas: slices.Clone(h.replicas),
@@ -119,6 +121,9 @@
 		if old.ID != a.ID {
 			continue
 		}
+		if a.Incarnation > old.Incarnation {
+			c.in.Upstreams[i].Gone = false
+		}
 		if a.Incarnation > old.Incarnation || a.Incarnation == old.Incarnation && a.Seq > old.Seq {
 			c.in.Upstreams[i].Announcement = &a
 		}
@@ -212,7 +217,17 @@
 		"kill": func(t *rapid.T) {
 			h := c.host(t)
 			h.life++
-			h.seq, h.fence, h.replicas = 0, 0, nil
+			h.seq, h.fence, h.replicas, h.dead = 0, 0, nil, false
+		},
+		"reclaim": func(t *rapid.T) {
+			h := c.host(t)
+			h.dead, h.replicas = true, nil
+			for i := range c.in.Upstreams {
+				a := c.in.Upstreams[i].Announcement
+				if a.ID == h.id && a.Incarnation == h.life {
+					c.in.Upstreams[i].Gone = true
+				}
+			}
 		},
 		"change leader": func(*rapid.T) {
 			c.pending = nil
