placement: a replica on a leaving upstream is not ready, and is replaced

Found by a new test, failing first: a model whose only replica sat on a leaving upstream was forecast as ready, so its requests were accepted and waited for nothing; with a limit of one it was not loaded elsewhere either. The replica is now withdrawn (running requests finish) and loaded elsewhere.

--- a/placement/evict.go
+++ b/placement/evict.go
@@ -261,5 +261,15 @@
 	r.withdraw(found[0])
 }
 
+// withdrawLeaving gives up a model's replicas on leaving upstreams. Their
+// running requests finish.
+func (r *round) withdrawLeaving(m *model) {
+	for _, v := range slices.Clone(m.live) {
+		if v.status != statusProposed && !v.lost() && v.upstream.announcement.Leaving {
+			r.withdraw(v)
+		}
+	}
+}
+
 // holdsLocally reports whether a tier needs no load from the store.
 func holdsLocally(tier directory.Tier) bool { return tier != directory.TierRemote }
--- a/placement/place.go
+++ b/placement/place.go
@@ -148,11 +148,12 @@
 	return compareKeys(a.model.Key, b.model.Key)
 }
 
-// permits reports whether the contract's replica limits leave room, and frees
-// an idle replica of the same customer where only the customer's limit is in
-// the way.
+// permits reports whether the contract's replica limits leave room. Where the
+// model's limit is in the way it gives up replicas on leaving upstreams, where
+// only the customer's is, an idle replica of the same customer.
 func (r *round) permits(m *model) bool {
 	if m.charged >= m.limit {
+		r.withdrawLeaving(m)
 		return false
 	}
 	if m.customer.charged < m.customer.limit {
--- a/placement/read.go
+++ b/placement/read.go
@@ -220,12 +220,10 @@
 		return
 	}
 	m.live = append(m.live, v)
-	if v.lost() {
+	if v.lost() || v.upstream.announcement.Leaving {
 		return
 	}
-	if !v.upstream.announcement.Leaving {
-		m.usable++
-	}
+	m.usable++
 	if v.status == statusReady {
 		m.ready++
 	}
--- a/placement/rules_test.go
+++ b/placement/rules_test.go
@@ -155,6 +155,63 @@
 	}
 }
 
+func TestReplicaOnALeavingUpstreamIsReplaced(t *testing.T) {
+	is := is.New(t)
+	b := newBench(time.Minute, contract.Model{Name: "m", Memory: gib})
+	b.ledger = Ledger{Last: 1, Grants: []Grant{{ID: 1, Key: Key{"c", "m"}, Upstream: "u1", Incarnation: 1, Memory: gib}}}
+	leaving := engine("u1", directory.Replica{Grant: 1, Model: "m", State: directory.Ready, Memory: gib})
+	leaving.Leaving = true
+	b.upstream(leaving)
+	b.upstream(engine("u2"))
+	b.now = 10 * time.Second
+	b.demand("m", 1, time.Minute)
+	plan := b.step(t, 0)
+	is.True(plan.Forecasts[0].Readiness != Ready) // it takes no new work
+	is.Equal(b.ledger.Grants[0].State, Withdrawn) // its running requests finish
+	leaving.Replicas[0].State, leaving.Replicas[0].Memory = directory.Unloaded, 0
+	b.upstream(leaving)
+	b.step(t, time.Second)
+	b.step(t, 10*time.Millisecond)
+	is.Equal(b.ledger.Grants[0].Upstream, "u2")
+}
+
+func TestReclaimedUpstreamIsReplaced(t *testing.T) {
+	is := is.New(t)
+	b := newBench(time.Minute, contract.Model{Name: "m", Memory: gib})
+	b.ledger = Ledger{Last: 1, Grants: []Grant{{ID: 1, Key: Key{"c", "m"}, Upstream: "u1", Incarnation: 1, Memory: gib}}}
+	b.upstream(engine("u1", directory.Replica{Grant: 1, Model: "m", State: directory.Ready, Memory: gib}))
+	b.upstream(engine("u2"))
+	b.in.Upstreams[0].Gone = true
+	b.demand("m", 1, time.Minute)
+	b.step(t, 0)
+	b.step(t, 10*time.Millisecond)
+	is.Equal(b.ledger.Grants[0].Upstream, "u2")
+}
+
+func TestStrayReplicaIsChargedAndUnloaded(t *testing.T) {
+	is := is.New(t)
+	b := newBench(time.Minute, contract.Model{Name: "m", Memory: 16 * gib})
+	b.ledger.Last = 9
+	b.upstream(engine("u1", directory.Replica{Grant: 4, Model: "x", State: directory.Ready, Memory: 70 * gib}))
+	b.demand("m", 1, time.Minute)
+	plan := b.step(t, 0)
+	is.Equal(len(b.ledger.Grants), 0)
+	is.Equal(plan.Orders[0].Kind, UnloadModel)
+	is.Equal(plan.Orders[0].Grant, uint64(4))
+	is.Equal(plan.Orders[0].Fence, uint64(9))
+}
+
+func TestPendingChangesAreNotProposedAgain(t *testing.T) {
+	is := is.New(t)
+	b := newBench(time.Minute, contract.Model{Name: "m", Memory: gib})
+	b.upstream(engine("u1"))
+	b.demand("m", 1, time.Minute)
+	first := b.planner.Plan(0, b.in)
+	is.Equal(len(first.Changes), 1)
+	b.in.Pending = first.Changes
+	is.Equal(len(b.planner.Plan(time.Millisecond, b.in).Changes), 0)
+}
+
 func TestNoOrderWithoutLease(t *testing.T) {
 	is := is.New(t)
 	b := newBench(time.Minute, contract.Model{Name: "m", Memory: 16 * gib})
