--- a/admission/decision.go
+++ b/admission/decision.go
@@ -2,9 +2,11 @@
 
 import "time"
 
-// MinRetryAfter is the shortest time after which a refused caller is asked to
-// come back.
-const MinRetryAfter = time.Second
+// A refused caller is asked to come back after a time within these bounds.
+const (
+	MinRetryAfter = time.Second
+	MaxRetryAfter = time.Hour
+)
 
 // Request is one request that asks for admission.
 type Request struct {
@@ -95,6 +97,6 @@
 		ID:         id,
 		Verdict:    Refused,
 		Reason:     reason,
-		RetryAfter: max(after, MinRetryAfter),
+		RetryAfter: min(max(after, MinRetryAfter), MaxRetryAfter),
 	}
 }
--- a/admission/throttler_test.go
+++ b/admission/throttler_test.go
@@ -149,6 +149,10 @@
 	b.SetTarget("cold", TargetState{Readiness: Gone, RetryAfter: time.Minute}, b.now)
 	d = b.arrive("a", "cold", 5*time.Second)
 	is.Equal(d, Decision{ID: d.ID, Verdict: Refused, Reason: Unavailable, RetryAfter: time.Minute})
+	limits := wide("none")
+	limits.Concurrency = 0
+	b.SetLimits(limits)
+	is.Equal(b.arrive("none", "warm", 5*time.Second).RetryAfter, MaxRetryAfter)
 }
 
 func TestEstimateThatNeverComesEndsTheWait(t *testing.T) {
