--- a/admission/bench_test.go
+++ b/admission/bench_test.go
@@ -42,132 +42,118 @@
 }
 
 func BenchmarkArriveRelease(b *testing.B) {
-	for _, n := range []int{10, 300, 3000} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			th := benchThrottler(n, 0)
-			c := fmt.Sprintf("customer-%05d", n/2)
-			b.ReportAllocs()
-			for b.Loop() {
-				th.customers[c].bucket.level = 1e6
-				if th.cycle(c) != Run {
-					b.Fatal("queued")
-				}
+	bySize(b, []int{10, 300, 3000}, func(b *testing.B, n int) {
+		th := benchThrottler(n, 0)
+		c := fmt.Sprintf("customer-%05d", n/2)
+		b.ReportAllocs()
+		for b.Loop() {
+			th.customers[c].bucket.level = 1e6
+			if th.cycle(c) != Run {
+				b.Fatal("queued")
 			}
-		})
-	}
+		}
+	})
 }
 
 func BenchmarkPollWaiting(b *testing.B) {
-	for _, n := range []int{10, 300, 3000} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			th := benchThrottler(n, 3)
-			b.ReportAllocs()
-			for b.Loop() {
-				th.Poll(th.now)
-			}
-		})
-	}
+	bySize(b, []int{10, 300, 3000}, func(b *testing.B, n int) {
+		th := benchThrottler(n, 3)
+		b.ReportAllocs()
+		for b.Loop() {
+			th.Poll(th.now)
+		}
+	})
 }
 
 func BenchmarkSweep(b *testing.B) {
-	for _, n := range []int{10, 300, 3000} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			th := benchThrottler(n, 3)
-			b.ReportAllocs()
-			for b.Loop() {
-				for _, c := range th.active {
-					c.swept = -never
-				}
-				th.Poll(th.now)
+	bySize(b, []int{10, 300, 3000}, func(b *testing.B, n int) {
+		th := benchThrottler(n, 3)
+		b.ReportAllocs()
+		for b.Loop() {
+			for _, c := range th.active {
+				c.swept = -never
 			}
-		})
-	}
+			th.Poll(th.now)
+		}
+	})
 }
 
 func BenchmarkReport(b *testing.B) {
-	for _, n := range []int{10, 300, 3000} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			th := benchThrottler(n, 0)
-			b.ReportAllocs()
-			for b.Loop() {
-				th.reports.last = -never
-				th.Report(th.now)
-			}
-		})
-	}
+	bySize(b, []int{10, 300, 3000}, func(b *testing.B, n int) {
+		th := benchThrottler(n, 0)
+		b.ReportAllocs()
+		for b.Loop() {
+			th.reports.last = -never
+			th.Report(th.now)
+		}
+	})
 }
 
 // BenchmarkAllocate answers reports on one contract that so many nodes use.
 func BenchmarkAllocate(b *testing.B) {
-	for _, n := range []int{3, 9, 46, 370} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			al, now := settledAllocator()
-			l := wide("a")
-			l.Concurrency = 4 * n
-			al.SetLimits(l, now)
-			b.ReportAllocs()
-			serials := make([]uint64, n)
-			for i := 0; b.Loop(); i++ {
-				now += time.Second / time.Duration(4*n)
-				u := Usage{Running: 2, Waiting: 1, Backlog: 1, Concurrency: 3, Serial: serials[i%n]}
-				g := al.Report(usageReport(fmt.Sprintf("n%03d", i%n), uint64(i+1), u), now)
-				serials[i%n] = g.Serial
-				al.Pushes()
-			}
-		})
-	}
+	bySize(b, []int{3, 9, 46, 370}, func(b *testing.B, n int) {
+		al, now := settledAllocator()
+		l := wide("a")
+		l.Concurrency = 4 * n
+		al.SetLimits(l, now)
+		b.ReportAllocs()
+		serials := make([]uint64, n)
+		for i := 0; b.Loop(); i++ {
+			now += time.Second / time.Duration(4*n)
+			u := Usage{Running: 2, Waiting: 1, Backlog: 1, Concurrency: 3, Serial: serials[i%n]}
+			g := al.Report(usageReport(fmt.Sprintf("n%03d", i%n), uint64(i+1), u), now)
+			serials[i%n] = g.Serial
+			al.Pushes()
+		}
+	})
 }
 
 // BenchmarkMessages reports the bytes of a report and of its answer, for each
 // customer in them, as JSON.
 func BenchmarkMessages(b *testing.B) {
-	for _, n := range []int{1, 10, 300} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			th := benchThrottler(n, 0)
-			for b.Loop() {
-				th.reports.last = -never
-				r := th.Report(th.now)
-				report, _ := json.Marshal(r)
-				grant, _ := json.Marshal(th.allocator.Report(r, th.now))
-				b.ReportMetric(float64(len(report))/float64(n), "B/usage")
-				b.ReportMetric(float64(len(grant))/float64(n), "B/lease")
-			}
-		})
-	}
+	bySize(b, []int{1, 10, 300}, func(b *testing.B, n int) {
+		th := benchThrottler(n, 0)
+		for b.Loop() {
+			th.reports.last = -never
+			r := th.Report(th.now)
+			report, _ := json.Marshal(r)
+			grant, _ := json.Marshal(th.allocator.Report(r, th.now))
+			b.ReportMetric(float64(len(report))/float64(n), "B/usage")
+			b.ReportMetric(float64(len(grant))/float64(n), "B/lease")
+		}
+	})
 }
 
 // BenchmarkState reports the bytes for each customer and waiting request on a
 // node, and for each share on the leader.
 func BenchmarkState(b *testing.B) {
-	for _, n := range []int{10, 300, 3000} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			for b.Loop() {
-				before := heapInUse()
-				th := benchThrottler(n, 0)
-				th.allocator = nil
-				idle := heapInUse()
-				b.ReportMetric(float64(idle-before)/float64(n), "B/customer")
-				for i := range 10 * n {
-					th.arrive(fmt.Sprintf("customer-%05d", i%n), "cold", time.Hour)
-				}
-				b.ReportMetric(float64(heapInUse()-idle)/float64(10*n), "B/waiting")
-				runtime.KeepAlive(th)
-				before = heapInUse()
-				al := NewAllocator(AllocatorConfig{Term: 1})
-				for i := range n {
-					al.SetLimits(wide(fmt.Sprint(i)), 0)
-					for node := range 9 {
-						u := Usage{Customer: fmt.Sprint(i), Waiting: 1}
-						r := Report{Node: fmt.Sprintf("n%d", node), Term: 1, Seq: uint64(i + 1), Customers: []Usage{u}}
-						al.Report(r, time.Minute)
-					}
+	bySize(b, []int{10, 300, 3000}, func(b *testing.B, n int) {
+		for b.Loop() {
+			before := heapInUse()
+			th := benchThrottler(n, 0)
+			th.allocator = nil
+			idle := heapInUse()
+			b.ReportMetric(float64(idle-before)/float64(n), "B/customer")
+			for i := range 10 * n {
+				th.arrive(fmt.Sprintf("customer-%05d", i%n), "cold", time.Hour)
+			}
+			b.ReportMetric(float64(heapInUse()-idle)/float64(10*n), "B/waiting")
+			runtime.KeepAlive(th)
+			before = heapInUse()
+			al := NewAllocator(AllocatorConfig{Term: 1})
+			for i := range n {
+				al.SetLimits(wide(fmt.Sprint(i)), 0)
+				for node := range 9 {
+					u := Usage{Customer: fmt.Sprint(i), Waiting: 1}
+					r := Report{Node: fmt.Sprintf("n%d", node), Term: 1, Seq: uint64(i + 1), Customers: []Usage{u}}
+					al.Report(r, time.Minute)
 				}
-				al.Pushes()
-				b.ReportMetric(float64(heapInUse()-before)/float64(9*n), "B/share")
-				runtime.KeepAlive(al)
 			}
-		})
-	}
+			al.Pushes()
+			b.ReportMetric(float64(heapInUse()-before)/float64(9*n), "B/share")
+			runtime.KeepAlive(al)
+		}
+	})
 }
 
 // heapInUse returns the bytes in use after a collection.
@@ -188,3 +174,10 @@
 		t.Errorf("%g allocations for each request", allocs)
 	}
 }
+
+// bySize runs a benchmark for each size.
+func bySize(b *testing.B, sizes []int, run func(b *testing.B, n int)) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) { run(b, n) })
+	}
+}
--- a/directory/bench_test.go
+++ b/directory/bench_test.go
@@ -18,55 +18,47 @@
 var sizes = []int{18, 300, 3000}
 
 func BenchmarkApply(b *testing.B) {
-	for _, n := range sizes {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			d := filled(n)
-			all := d.Snapshot(0)
-			b.ReportAllocs()
-			for i := 0; b.Loop(); i++ {
-				a := all[i%n].Announcement
-				a.Seq = uint64(i + 2)
-				d.Apply(a, time.Duration(i))
-			}
-		})
-	}
+	bySize(b, sizes, func(b *testing.B, n int) {
+		d := filled(n)
+		all := d.Snapshot(0)
+		b.ReportAllocs()
+		for i := 0; b.Loop(); i++ {
+			a := all[i%n].Announcement
+			a.Seq = uint64(i + 2)
+			d.Apply(a, time.Duration(i))
+		}
+	})
 }
 
 func BenchmarkExpire(b *testing.B) {
-	for _, n := range sizes {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			d := filled(n)
-			b.ReportAllocs()
-			for b.Loop() {
-				d.Expire(0)
-			}
-		})
-	}
+	bySize(b, sizes, func(b *testing.B, n int) {
+		d := filled(n)
+		b.ReportAllocs()
+		for b.Loop() {
+			d.Expire(0)
+		}
+	})
 }
 
 func BenchmarkChangedSince(b *testing.B) {
-	for _, n := range sizes {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			d := filled(n)
-			b.ReportAllocs()
-			for b.Loop() {
-				d.ChangedSince(uint64(n-10), 0)
-			}
-		})
-	}
+	bySize(b, sizes, func(b *testing.B, n int) {
+		d := filled(n)
+		b.ReportAllocs()
+		for b.Loop() {
+			d.ChangedSince(uint64(n-10), 0)
+		}
+	})
 }
 
 func BenchmarkNewerThan(b *testing.B) {
-	for _, n := range sizes {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			d := filled(n)
-			digest := d.Digest()
-			b.ReportAllocs()
-			for b.Loop() {
-				d.NewerThan(digest, 0)
-			}
-		})
-	}
+	bySize(b, sizes, func(b *testing.B, n int) {
+		d := filled(n)
+		digest := d.Digest()
+		b.ReportAllocs()
+		for b.Loop() {
+			d.NewerThan(digest, 0)
+		}
+	})
 }
 
 func TestApplyDoesNotAllocate(t *testing.T) {
@@ -84,19 +76,17 @@
 // BenchmarkState reports the bytes that one upstream with two replicas, six
 // adapters and five copies takes.
 func BenchmarkState(b *testing.B) {
-	for _, n := range sizes {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			for b.Loop() {
-				before := heap()
-				d := New(0)
-				for i := range n {
-					d.Apply(fullAnnouncement(i), 0)
-				}
-				b.ReportMetric(float64(heap()-before)/float64(n), "B/upstream")
-				runtime.KeepAlive(d)
+	bySize(b, sizes, func(b *testing.B, n int) {
+		for b.Loop() {
+			before := heap()
+			d := New(0)
+			for i := range n {
+				d.Apply(fullAnnouncement(i), 0)
 			}
-		})
-	}
+			b.ReportMetric(float64(heap()-before)/float64(n), "B/upstream")
+			runtime.KeepAlive(d)
+		}
+	})
 }
 
 // heap returns the bytes in use after a collection.
@@ -124,3 +114,10 @@
 	}
 	return a
 }
+
+// bySize runs a benchmark for each size.
+func bySize(b *testing.B, sizes []int, run func(b *testing.B, n int)) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) { run(b, n) })
+	}
+}
--- a/routing/bench_test.go
+++ b/routing/bench_test.go
@@ -39,33 +39,29 @@
 }
 
 func BenchmarkUpdate(b *testing.B) {
-	for _, n := range sizes {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			s := filled(n)
-			views := make([]directory.View, n)
-			for i := range views {
-				views[i] = engineView(i, "m", 1)
-			}
-			b.ReportAllocs()
-			for i := 0; b.Loop(); i++ {
-				v := &views[i%n]
-				v.Announcement.Seq++
-				s.Update(*v)
-			}
-		})
-	}
+	bySize(b, sizes, func(b *testing.B, n int) {
+		s := filled(n)
+		views := make([]directory.View, n)
+		for i := range views {
+			views[i] = engineView(i, "m", 1)
+		}
+		b.ReportAllocs()
+		for i := 0; b.Loop(); i++ {
+			v := &views[i%n]
+			v.Announcement.Seq++
+			s.Update(*v)
+		}
+	})
 }
 
 func BenchmarkPrefixMatch(b *testing.B) {
-	for _, blocks := range []int{64, 512, 4096} {
-		b.Run(fmt.Sprint(blocks), func(b *testing.B) {
-			x := filledIndex(1, blocks)
-			b.ReportAllocs()
-			for b.Loop() {
-				x.Match("u0", benchPrompt, 0)
-			}
-		})
-	}
+	bySize(b, []int{64, 512, 4096}, func(b *testing.B, blocks int) {
+		x := filledIndex(1, blocks)
+		b.ReportAllocs()
+		for b.Loop() {
+			x.Match("u0", benchPrompt, 0)
+		}
+	})
 }
 
 func BenchmarkHashPrompt(b *testing.B) {
@@ -93,20 +89,18 @@
 // BenchmarkState reports the bytes for one upstream, and for one block of the
 // prefix index.
 func BenchmarkState(b *testing.B) {
-	for _, n := range sizes {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			for b.Loop() {
-				before := heapInUse()
-				s := filled(n)
-				b.ReportMetric(float64(heapInUse()-before)/float64(n), "B/upstream")
-				runtime.KeepAlive(s)
-				before = heapInUse()
-				x := filledIndex(n, 100)
-				b.ReportMetric(float64(heapInUse()-before)/float64(100*n), "B/block")
-				runtime.KeepAlive(x)
-			}
-		})
-	}
+	bySize(b, sizes, func(b *testing.B, n int) {
+		for b.Loop() {
+			before := heapInUse()
+			s := filled(n)
+			b.ReportMetric(float64(heapInUse()-before)/float64(n), "B/upstream")
+			runtime.KeepAlive(s)
+			before = heapInUse()
+			x := filledIndex(n, 100)
+			b.ReportMetric(float64(heapInUse()-before)/float64(100*n), "B/block")
+			runtime.KeepAlive(x)
+		}
+	})
 }
 
 // heapInUse returns the bytes in use after a collection.
@@ -127,3 +121,10 @@
 		t.Errorf("%g allocations for each choice", allocs)
 	}
 }
+
+// bySize runs a benchmark for each size.
+func bySize(b *testing.B, sizes []int, run func(b *testing.B, n int)) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) { run(b, n) })
+	}
+}
