node: free the place of a caller that hung up before its first verdict

Cause: Admit posts the arrival to the control loop and gives up when its context ends. An arrival still in the queue was decided afterwards for nobody: a Run verdict held its place and its count of running calls for good, a Queued one waited and then did the same. Ruled out: checking the context inside the posted function alone, because the context may end between that check and the receipt. Fix: a second function is posted that cancels what the first one decided; the queue keeps their order. Conclusion: every arrival is either received or cancelled, once.

--- a/internal/node/admit.go
+++ b/internal/node/admit.go
@@ -47,7 +47,7 @@
 // Admit implements gateway.Admitter.
 func (a *admitter) Admit(ctx context.Context, c *gateway.Call) (gateway.Ticket, error) {
 	key := demandKey{Key: placement.Key{Customer: c.Customer(), Model: c.Model.Name}, Adapter: c.Adapter}
-	arr, ok := call(ctx, a.loop, func() arrival { return a.loop.arrive(c, key) })
+	arr, ok := a.arrive(ctx, c, key)
 	if !ok {
 		return nil, gateway.NewRefusal(gateway.ReasonDeadline, retryDefault, "the node did not decide in time")
 	}
@@ -61,6 +61,20 @@
 	}
 }
 
+// arrive gets the first verdict on a call. Where the caller gives up before it
+// comes, whatever place it gives is freed.
+func (a *admitter) arrive(ctx context.Context, c *gateway.Call, key demandKey) (arrival, bool) {
+	var decided arrival // belongs to the control loop
+	arr, ok := call(ctx, a.loop, func() arrival {
+		decided = a.loop.arrive(c, key)
+		return decided
+	})
+	if !ok {
+		a.loop.post(context.Background(), func() { a.loop.cancel(decided.id, key) })
+	}
+	return arr, ok
+}
+
 // wait waits for the final verdict on a queued call.
 func (a *admitter) wait(ctx context.Context, arr arrival, key demandKey) (gateway.Ticket, error) {
 	select {
--- /dev/null
+++ b/internal/node/admit_test.go
@@ -0,0 +1,54 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/agateslip/agateslip/contract"
+	"github.com/agateslip/agateslip/control"
+	"github.com/agateslip/agateslip/internal/config"
+	"github.com/agateslip/agateslip/internal/gateway"
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+)
+
+// newIdleNode returns a node whose parts do not run.
+func newIdleNode() *Node {
+	n := &Node{
+		cfg: config.Config{Node: "n"}, log: logrus.New(), start: time.Now(), seed: rand.Uint64(),
+		store: newStore(), members: newMemberNodes(), draining: make(chan struct{}),
+	}
+	n.group = &group{node: "n", members: n.members}
+	n.loop = newLoop(n)
+	return n
+}
+
+// TestCallerGoneBeforeTheVerdictHoldsNoPlace has a caller hang up while the
+// control loop is busy, so that its arrival is decided after it is gone.
+func TestCallerGoneBeforeTheVerdictHoldsNoPlace(t *testing.T) {
+	is := is.New(t)
+	n := newIdleNode()
+	c := &gateway.Call{Contract: &contract.Contract{Customer: "c"}, Model: contract.Model{Name: "m"}, Deadline: time.Now().Add(time.Hour)}
+	c.Contract.Capacity = contract.Capacity{Concurrency: 1, Rate: 1, Burst: 1, Queue: 4}
+	n.loop.takeContracts(&view{contracts: []control.Versioned{{Contract: *c.Contract}}})
+	ctx, cancel := context.WithCancel(context.Background())
+	gone := make(chan error)
+	go func() {
+		_, err := (&admitter{loop: n.loop}).Admit(ctx, c)
+		gone <- err
+	}()
+	arrive := <-n.loop.posts
+	cancel()
+	is.True(<-gone != nil)
+	arrive()
+	is.Equal(len(n.loop.waiters), 1) // decided for a caller that is gone
+	for len(n.loop.posts) > 0 {
+		(<-n.loop.posts)()
+	}
+	is.Equal(len(n.loop.waiters), 0)
+	for _, d := range n.loop.demands {
+		is.Equal(d.running, 0)
+	}
+}
