Revert "gateway: clear the write deadline that an earlier answer left"

The fault does not exist: net/http (server.go, conn.serve) clears the write deadline after each request by itself, whether or not WriteTimeout is set. The test of the reverted commit set the expired deadline inside the request, which no earlier answer can do. Conclusion: nothing to clear; the handler stays as it was.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -99,17 +99,7 @@
 	mux.HandleFunc("POST /v1/completions", g.authorized(g.completions))
 	mux.HandleFunc("/services/{service}/{path...}", g.authorized(g.service))
 	mux.HandleFunc("/", g.authorized(g.unknownPath))
-	return freshWriteDeadline(mux)
-}
-
-// freshWriteDeadline clears the write deadline that an earlier answer left on
-// the connection: net/http resets only those it set itself.
-func freshWriteDeadline(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		// A recorder in tests has no deadlines; a real connection always has.
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
-		next.ServeHTTP(w, r)
-	})
+	return mux
 }
 
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
