--- a/test/integration/control_test.go
+++ b/test/integration/control_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/agateslip/agateslip/control"
@@ -30,7 +31,7 @@
 	backward atomic.Pointer[string]
 }
 
-func watchRevisions(t *testing.T, c *cluster) *watcher {
+func watchRevisions(t *testing.T, c *cluster) {
 	t.Helper()
 	w := &watcher{stop: make(chan struct{})}
 	for _, n := range c.nodes {
@@ -44,7 +45,6 @@
 			t.Error(*fault)
 		}
 	})
-	return w
 }
 
 func (w *watcher) watch(n *node) {
@@ -97,16 +97,14 @@
 }
 
 // inForce waits until the nodes are ready with a revision.
-func inForce(t *testing.T, nodes []*node, revision uint64) time.Duration {
+func inForce(t *testing.T, nodes []*node, revision uint64) {
 	t.Helper()
-	start := time.Now()
 	for _, n := range nodes {
 		eventually(t, fmt.Sprintf("revision %d in force at %s", revision, n.name), func() bool {
 			s, ok := n.status()
 			return ok && s.Ready && s.Revision >= revision
 		})
 	}
-	return time.Since(start)
 }
 
 // checkHistory compares what every node holds: each accepted change once, in
@@ -141,7 +139,7 @@
 }
 
 func TestChangesSurviveKilledAndFrozenLeaders(t *testing.T) {
-	c := startMixed(t, 5, 3, direct)
+	c := startMixed(t, 5, direct)
 	watchRevisions(t, c)
 	var ch changes
 	ch.make(t, c.nodes)
@@ -165,7 +163,7 @@
 
 func TestFiveHundredChangesThenRestartOfEveryNode(t *testing.T) {
 	const count = 500
-	c := startMixed(t, 4, 3, direct)
+	c := startMixed(t, 4, direct)
 	var ch changes
 	var last control.ChangeResult
 	late := c.nodes[3]
@@ -214,7 +212,7 @@
 }
 
 func TestSecondVoterLostRightAfterARepair(t *testing.T) {
-	c := startMixed(t, 4, 3, direct)
+	c := startMixed(t, 4, direct)
 	watchRevisions(t, c)
 	var ch changes
 	for range 20 {
@@ -235,9 +233,18 @@
 	checkHistory(t, c.nodes, ch.version)
 }
 
+// exitCode is the exit status in a command's error; -1 if it has none.
+func exitCode(err error) int {
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return exit.ExitCode()
+	}
+	return -1
+}
+
 func TestMemberChangesThatEndTheMajorityAreRefused(t *testing.T) {
 	is := is.New(t)
-	c := startMixed(t, 3, 3, direct)
+	c := startMixed(t, 3, direct)
 	var ch changes
 	ch.make(t, c.nodes)
 	leader := c.leader(t)
@@ -246,11 +253,11 @@
 	alive := c.other(leader)[1]
 	out, err := exec.Command(programs.node, "member", "remove", fmt.Sprint(c.index(alive)+1), "--node", leader.operator, "--token", operatorToken).CombinedOutput()
 	is.True(err != nil) // one of two would remain reachable
-	is.Equal(err.(*exec.ExitError).ExitCode(), 3)
+	is.Equal(exitCode(err), 3)
 	t.Logf("%s", out)
 	out, err = exec.Command(programs.node, "member", "add", "99", "--node", leader.operator, "--token", operatorToken).CombinedOutput()
 	is.True(err != nil) // no node runs it
-	is.Equal(err.(*exec.ExitError).ExitCode(), 3)
+	is.Equal(exitCode(err), 3)
 	t.Logf("%s", out)
 	ch.make(t, []*node{leader, alive})
 }
--- a/test/integration/harness_test.go
+++ b/test/integration/harness_test.go
@@ -31,8 +31,8 @@
 	patience = 30 * time.Second
 	// pollEvery is the interval of looking whether it has happened.
 	pollEvery = 20 * time.Millisecond
-	// clusterSize is the number of nodes of a test cluster; each has a vote.
-	clusterSize = 3
+	// clusterVoters is the number of nodes of a test cluster that have a vote.
+	clusterVoters = 3
 	// operatorToken is the operators' token of every test cluster.
 	operatorToken = "integration-operator-token"
 	// callerKey is the bearer token of the test customer.
@@ -213,12 +213,12 @@
 // that link returns for the node's own.
 func startLinked(t *testing.T, link func(from, to int, addr string) string) *cluster {
 	t.Helper()
-	return startMixed(t, clusterSize, clusterSize, link)
+	return startMixed(t, clusterVoters, link)
 }
 
 // startMixed starts a group of which only the first nodes have a disk and a
 // vote.
-func startMixed(t *testing.T, size, voters int, link func(from, to int, addr string) string) *cluster {
+func startMixed(t *testing.T, size int, link func(from, to int, addr string) string) *cluster {
 	t.Helper()
 	dir := t.TempDir()
 	ports := freePorts(t, 4*size)
@@ -231,7 +231,7 @@
 				addr = link(i, j, addr)
 			}
 			vote := ""
-			if j < voters {
+			if j < clusterVoters {
 				vote = fmt.Sprintf(", voter: %d", j+1)
 			}
 			fmt.Fprintf(&peers, "  - {node: n%d, addr: %q, domain: d%d%s}\n", j+1, addr, j+1, vote)
@@ -243,7 +243,7 @@
 			operator:  ports[4*i+2],
 		}
 		n.settings = filepath.Join(dir, n.name+".yaml")
-		if i < voters {
+		if i < clusterVoters {
 			n.data = filepath.Join(dir, n.name)
 		}
 		settings := fmt.Sprintf(`group: integration
