--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -31,6 +31,8 @@
 // leadership is the soft state of the leader. It belongs to the control loop
 // and starts anew with each term.
 type leadership struct {
+	// peers are the names of all nodes.
+	peers     []string
 	term      uint64
 	since     time.Duration
 	limits    map[string]admission.Limits
@@ -38,12 +40,16 @@
 	nodes     map[string]presence
 	demand    map[string]*nodeDemand
 	forecasts map[placement.Key]placement.Forecast
+	// learned is the latest planner's experience, heard at learnedAt; nil where
+	// there has been none. It outlives the term.
+	learned   *placement.Experience
+	learnedAt time.Duration
 	// kick asks for a plan now.
 	kick chan struct{}
 }
 
-func newLeadership() *leadership {
-	return &leadership{limits: map[string]admission.Limits{}, kick: make(chan struct{}, 1)}
+func newLeadership(peers []string) *leadership {
+	return &leadership{peers: peers, limits: map[string]admission.Limits{}, kick: make(chan struct{}, 1)}
 }
 
 // begin starts the soft state of a term.
@@ -53,7 +59,7 @@
 	}
 	ld.term = term
 	ld.since = now
-	ld.allocator = admission.NewAllocator(admission.AllocatorConfig{Term: term, Since: now})
+	ld.allocator = admission.NewAllocator(admission.AllocatorConfig{Term: term, Since: now, Nodes: ld.peers})
 	for _, l := range ld.limits {
 		ld.allocator.SetLimits(l, now)
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -134,7 +134,11 @@
 		ended:     make(chan struct{}),
 	}
 	l.cache = newCacheEvents(l.selector)
-	l.lead = newLeadership()
+	var peers []string
+	for _, p := range n.cfg.Peers {
+		peers = append(peers, p.Node)
+	}
+	l.lead = newLeadership(peers)
 	return l
 }
 
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -22,6 +22,8 @@
 	methodMembers = "control.members"
 	// methodSync carries a node's report to the leader.
 	methodSync = "node.sync"
+	// methodLearned carries the planner's experience as a notification.
+	methodLearned = "placement.learned"
 	// methodLease carries an unasked admission.Grant as a notification.
 	methodLease = "node.lease"
 	// methodPush carries announcements as a notification.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -195,6 +195,7 @@
 	mux.Handle(methodTail, n.serveTail)
 	mux.Handle(methodMembers, n.serveMembers)
 	mux.Handle(methodSync, n.serveSync)
+	mux.Handle(methodLearned, n.serveLearned)
 	mux.Handle(methodLease, n.serveLease)
 	mux.Handle(methodPush, n.servePush)
 	mux.Handle(methodCache, n.serveCache)
--- a/internal/node/plan.go
+++ b/internal/node/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/agateslip/agateslip/control"
@@ -9,6 +10,7 @@
 	"github.com/agateslip/agateslip/internal/engine"
 	"github.com/agateslip/agateslip/ledger"
 	"github.com/agateslip/agateslip/placement"
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 )
@@ -19,6 +21,9 @@
 	maxPlanInterval = 250 * time.Millisecond
 	// orderDeadline bounds the sending of one order.
 	orderDeadline = 500 * time.Millisecond
+	// teachInterval is the cadence of passing the planner's experience on, for
+	// the next leader.
+	teachInterval = 10 * time.Second
 	// reapInterval is the cadence of looking for claims of ended processes.
 	reapInterval = time.Second
 )
@@ -32,6 +37,7 @@
 	core    *placement.Planner
 	pending []placement.Change
 	reaped  time.Duration
+	taught  time.Duration
 	addrs   map[string]string
 }
 
@@ -64,8 +70,9 @@
 		return maxPlanInterval
 	}
 	if p.core == nil || p.term != term {
-		p.begin(term)
+		p.begin(ctx, term)
 	}
+	p.teach(ctx)
 	in, ok := call(ctx, p.node.loop, func() planInput { return p.input(term) })
 	if !ok {
 		return maxPlanInterval
@@ -81,8 +88,9 @@
 	return min(max(plan.Next-p.node.now(), minPlanInterval), maxPlanInterval)
 }
 
-// begin starts the soft state of a term.
-func (p *planner) begin(term uint64) {
+// begin starts the soft state of a term. What the last leader learned about
+// recurring calls is taken over.
+func (p *planner) begin(ctx context.Context, term uint64) {
 	p.term = term
 	p.since = p.node.now()
 	p.pending = nil
@@ -90,6 +98,50 @@
 		Store:            placement.StoreLimits{Width: p.node.cfg.Store.Width, Rate: p.node.cfg.Store.Rate},
 		AdaptersInFlight: p.node.cfg.Store.AdapterWidth,
 	})
+	type lesson struct {
+		learned *placement.Experience
+		at      time.Duration
+	}
+	last, _ := call(ctx, p.node.loop, func() lesson {
+		return lesson{p.node.loop.lead.learned, p.node.loop.lead.learnedAt}
+	})
+	if last.learned != nil {
+		now := p.node.now()
+		p.core.Restore(now, now-last.at, *last.learned)
+	}
+}
+
+// teach passes the planner's experience to the other voters and keeps it here.
+func (p *planner) teach(ctx context.Context) {
+	now := p.node.now()
+	if now-p.taught < teachInterval {
+		return
+	}
+	p.taught = now
+	learned := p.core.Experience(now)
+	if len(learned.Models) == 0 {
+		return
+	}
+	for _, node := range p.node.voterNodes() {
+		p.node.mesh.Notify(node, methodLearned, learned)
+	}
+	p.node.loop.post(ctx, func() { p.node.loop.learn(learned) })
+}
+
+// learn keeps a planner's experience on the control loop.
+func (l *loop) learn(e placement.Experience) {
+	l.lead.learned = &e
+	l.lead.learnedAt = l.now()
+}
+
+// serveLearned takes the leader's experience.
+func (n *Node) serveLearned(ctx context.Context, _ string, params json.RawMessage) (any, error) {
+	var e placement.Experience
+	if err := json.Unmarshal(params, &e); err != nil {
+		return nil, errors.Wrap(err, "decode experience")
+	}
+	n.loop.post(ctx, func() { n.loop.learn(e) })
+	return nil, nil
 }
 
 // input runs on the control loop.
