raft: change the members of a divided group in a property test

The property of restarts becomes its sibling, TestInvariantsInNarrowSchedules/restarts, unchanged.

Not found by it: a change before the first commit of the term, and removals that leave no majority that answers; TestMembershipChangeRefusals finds both.

--- a/raft/property_test.go
+++ b/raft/property_test.go
@@ -185,19 +185,27 @@
 	})
 }
 
-// TestLeaseWithRestarts restarts voters of a divided group at short intervals,
-// where a forgotten promise or vote shows at once.
-func TestLeaseWithRestarts(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		n := newNetwork(3, rapid.Uint64().Draw(t, "seed"))
-		n.slowDisk = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "slow disk")
-		n.run(testElection * 3)
-		kinds := []int{actBounce, actBounce, actCutPair, actReconnect, actPropose}
-		for i, a := range drawActions(t, kinds, []int{1, 2, 3, 5, 9, 20, 50}) {
-			n.act(a, i)
-		}
-		n.heal()
-		n.run(settleTime)
-		n.checkConverged(n)
-	})
+// TestInvariantsInNarrowSchedules repeats a few kinds of actions at short
+// intervals in a group of three. Restarts of a divided group show a forgotten
+// promise or vote at once; divided changes of membership show majorities that
+// do not overlap.
+func TestInvariantsInNarrowSchedules(t *testing.T) {
+	for name, kinds := range map[string][]int{
+		"restarts": {actBounce, actBounce, actCutPair, actReconnect, actPropose},
+		"members":  {actAddLearner, actPromote, actRemove, actRemove, actCutPair, actCutPair, actReconnect, actTransfer},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				n := newNetwork(3, rapid.Uint64().Draw(t, "seed"))
+				n.slowDisk = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "slow disk")
+				n.run(testElection * 3)
+				for i, a := range drawActions(t, kinds, []int{1, 2, 3, 5, 9, 20, 50}) {
+					n.act(a, i)
+				}
+				n.heal()
+				n.run(settleTime)
+				n.checkConverged(n)
+			})
+		})
+	}
 }
