--- a/admission/allocator_test.go
+++ b/admission/allocator_test.go
@@ -146,3 +146,12 @@
 	whole("n2", 3, Usage{Serial: 3, Concurrency: 1, Running: 1})
 	is.Equal(whole("n1", 3, Usage{Waiting: 8})[0].Concurrency, 7)
 }
+
+func TestBucketGivesBackWhatDoesNotFit(t *testing.T) {
+	is := is.New(t)
+	b := bucket{level: 5, size: 5, rate: 2}
+	is.Equal(b.resize(3, 2), 2.0)
+	is.Equal(b.level, 3.0)
+	is.Equal(b.advance(time.Second), 2.0)
+	is.Equal(b.level, 3.0)
+}
--- a/admission/fairness_test.go
+++ b/admission/fairness_test.go
@@ -23,6 +23,7 @@
 	ends      map[time.Duration][]uint64 // running requests by end
 	nextID    uint64
 	reports   int
+	usages    int // customers in reports
 }
 
 // simulated is a customer with its load and what came of it.
@@ -114,6 +115,7 @@
 			if n.ReportDue(s.now) {
 				s.reports++
 				r := n.Report(s.now)
+				s.usages += len(r.Customers)
 				s.messages = append(s.messages, message{at: s.now + simLatency, report: &r, node: i})
 			}
 		}
@@ -260,6 +262,8 @@
 	is.True(waits.ValueAtPercentile(99) <= 25*simLatency.Microseconds())
 	perRequest := float64(s.reports) / float64(waits.TotalCount())
 	is.True(perRequest < 4)
+	t.Logf("%.2f reports and %.2f usages for each request", perRequest, float64(s.usages)/float64(waits.TotalCount()))
+	is.True(float64(s.usages) < 5*float64(waits.TotalCount()))
 }
 
 // TestSmallContractsAreUsable sends more than a contract's concurrency over all
