ledger: a claim that was given back is not reopened by its own late copy

Cause: a claim is sent again after a lost answer. A copy that was applied after the attempt had given its claim back (NotRun) made the record pending again. Its owner lives and waits for nothing, so no Finish and no AbandonClaims came: every repeat of the call heard "in progress" until that node restarted. Ruled out: ordering the copies at the leader; they may arrive over different links and under different leaders. Fix: only another attempt reopens a NotRun record. Before: TestLateCopyOfASettledClaim got Granted; after: Settled, and the next attempt is granted. Conclusion: a pending record always has an attempt that will settle it.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -170,7 +170,9 @@
 }
 
 // Claim grants a call to at most one attempt. Claiming again with the attempt
-// that already holds a pending claim is granted: the claimer lost the answer.
+// that already holds a pending claim is granted: the claimer lost the answer. An
+// attempt that gave its claim back gets none again: that is a late copy of its
+// message, which nobody would settle.
 func (l *Ledger) Claim(c Claim) ClaimResult {
 	r, ok := l.records[c.Key]
 	if !ok {
@@ -179,7 +181,7 @@
 	switch {
 	case r.Fingerprint != c.Fingerprint:
 		return ClaimResult{Verdict: Mismatch, Record: *r}
-	case r.State == NotRun:
+	case r.State == NotRun && r.Attempt != c.Attempt:
 		l.reopen(r, c)
 		return ClaimResult{Verdict: Granted, Record: *r}
 	case r.State == Pending && r.Attempt == c.Attempt:
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -54,6 +54,18 @@
 	is.Equal(l.Claim(claim("k", "a2", "f")).Verdict, Granted)
 }
 
+// TestLateCopyOfASettledClaim applies a claim again that was sent twice and
+// given back in between. Nobody would settle it a second time.
+func TestLateCopyOfASettledClaim(t *testing.T) {
+	is := is.New(t)
+	l := New()
+	l.Claim(claim("k", "a1", "f"))
+	l.Finish(Finish{Key: Key{"c", "k"}, Attempt: "a1", State: NotRun})
+	is.Equal(l.Claim(claim("k", "a1", "f")).Verdict, Settled)
+	is.Equal(len(l.Owners()), 0)
+	is.Equal(l.Claim(claim("k", "a2", "f")).Verdict, Granted)
+}
+
 func TestOldKeysAreRefused(t *testing.T) {
 	is := is.New(t)
 	l := New()
