replica: a new leader confirms only with what earlier leaders accepted

Cause: the lease is read from the core, the commit index from the status published after a flush, or from the feed of applied entries. Once a new leader's own first entry is committed the lease is valid, while status and feed still lack the entries of earlier leaders until the write and the applying end. Update and the answer to a report then called a node current that missed an accepted change, for up to two seconds. A voter's published log end lagged an acknowledgement in the same way, which askVoters counts on. Ruled out: refusing to confirm while commit is ahead of the feed, which starves followers under a steady load; they wait for the index anyway. Fix: Observe reads role, lease, commit index and log end at one instant; Update, the sync answer, the log end and the planner's leadership use it. A new leader plans only once it has applied all that it knows to be committed. Conclusion: a confirmed index covers everything accepted before the question.

--- a/internal/node/group.go
+++ b/internal/node/group.go
@@ -82,11 +82,16 @@
 	if g.replica == nil {
 		return 0, false
 	}
-	st := g.replica.Status()
-	if st.Role != raft.Leader || !g.replica.LeaseValid() {
-		return 0, false
-	}
-	return st.Term, g.replica.Status().Term == st.Term
+	st, leads := g.replica.Observe()
+	return st.Term, leads
+}
+
+// appliedAll says whether this voter has applied all that it knows to be
+// committed. A new leader plans from then on: before, it may lack grants of
+// earlier leaders.
+func (g *group) appliedAll(s *store) bool {
+	st, _ := g.replica.Observe()
+	return s.applied.Load() >= st.Commit
 }
 
 // propose has a command committed and returns its result. It sends the command
--- a/internal/node/plan.go
+++ b/internal/node/plan.go
@@ -64,6 +64,9 @@
 		return maxPlanInterval
 	}
 	if p.core == nil || p.term != term {
+		if !p.node.group.appliedAll(p.node.store) {
+			return minPlanInterval
+		}
 		p.begin(term)
 	}
 	in, ok := call(ctx, p.node.loop, func() planInput { return p.input(term) })
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -167,20 +167,19 @@
 	return n.answerSync(ctx, req)
 }
 
-// answerSync answers a report where this node leads under a valid lease. The
-// lease is looked at after the commit index was read, so that no later leader
-// can have accepted a change before the answer's commit index was read.
+// answerSync answers a report where this node leads under a valid lease. Lease
+// and commit index are read at one instant: a new leader has its lease before it
+// has applied what earlier leaders accepted.
 func (n *Node) answerSync(ctx context.Context, req syncRequest) (syncReply, error) {
-	term, ok := n.group.leads()
-	if !ok {
+	if n.group.replica == nil {
 		return syncReply{Leader: n.group.leader()}, nil
 	}
-	commit := max(n.store.applied.Load(), n.group.replica.Status().Commit)
-	if again, ok := n.group.leads(); !ok || again != term {
+	st, leads := n.group.replica.Observe()
+	if !leads {
 		return syncReply{Leader: n.group.leader()}, nil
 	}
 	reply, ok := call(ctx, n.loop, func() syncReply {
-		n.loop.lead.begin(term, n.now())
+		n.loop.lead.begin(st.Term, n.now())
 		reply := n.loop.lead.sync(req, n.now())
 		n.loop.pushLeases()
 		return reply
@@ -188,7 +187,7 @@
 	if !ok {
 		return syncReply{}, errors.New("the node stops")
 	}
-	reply.Commit = commit
+	reply.Commit = st.Commit
 	return reply, nil
 }
 
@@ -236,7 +235,7 @@
 }
 
 func (n *Node) tail() tailReply {
-	st := n.group.replica.Status()
+	st, _ := n.group.replica.Observe()
 	return tailReply{Member: st.ID, Last: st.LastIndex}
 }
 
--- a/internal/replica/feed.go
+++ b/internal/replica/feed.go
@@ -22,7 +22,8 @@
 type Update struct {
 	Snapshot *raft.Snapshot `json:"snapshot,omitempty"`
 	Entries  []raft.Entry   `json:"entries,omitempty"`
-	// Commit is the last entry that the answering member has applied.
+	// Commit is the last entry that the answering member has applied or, where it
+	// leads, knows to be committed.
 	Commit uint64 `json:"commit"`
 	// Confirmed says that the answering member led under a valid lease when it
 	// read Commit: nothing that was accepted before the request is missing.
@@ -141,8 +142,11 @@
 // and returns it with the word whether this member leads.
 func (r *Replica) Update(ctx context.Context, index uint64) Update {
 	r.feed.Wait(ctx, index)
-	confirmed := r.LeaseValid()
+	status, leads := r.Observe()
 	u := r.feed.Since(index)
-	u.Confirmed = confirmed
+	if leads {
+		u.Confirmed = true
+		u.Commit = max(u.Commit, status.Commit)
+	}
 	return u
 }
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -16,6 +16,18 @@
 // Status returns the member's status after the owner's last step.
 func (r *Replica) Status() raft.Status { return r.status.Load().status }
 
+// Observe returns the member's status at this instant, ahead of what is durable
+// or applied, and whether it may act alone as the leader. Everything accepted
+// before is within Commit where it may, and everything that it acknowledged to a
+// leader within LastIndex.
+func (r *Replica) Observe() (status raft.Status, leads bool) {
+	r.withCore(func(core *raft.Core, now raft.Instant) {
+		status = core.Status()
+		leads = core.LeaseValid(now)
+	})
+	return status, leads
+}
+
 // Changed returns the status and a channel that is closed when the member's
 // role, term or leader has changed from it.
 func (r *Replica) Changed() (raft.Status, <-chan struct{}) {
