gateway: an outage of the control group delays no refusal and loses no outcome

Three faults of calls that may run at most once, found by reading settle: 1. A claimed call that admission refused was answered only after the claim had been given back, up to 30 s after its deadline. It is now answered at once; the claim is given back in the background and a planned stop waits for that. 2. After 30 s the recording was given up while the process lived on. A claim of a living owner is never abandoned, so every repeat heard "in progress" until a restart. The recording, and the withdrawing of a claim whose making is in doubt, now go on until they succeed or the node stops; only the stop's waiting is bounded by 30 s. 3. A call whose answer was here but not yet recorded at its deadline was answered "unknown". It gets the answer. Ruled out: abandoning a pending claim by age; its call may still be running. Conclusion: refusals keep the contract's time whatever the control group does.

--- a/internal/gateway/runonce.go
+++ b/internal/gateway/runonce.go
@@ -23,7 +23,8 @@
 	claimBackoff = 100 * time.Millisecond
 	// runOnceLimit bounds a sent call whose caller may be gone.
 	runOnceLimit = 10 * time.Minute
-	// settleLimit bounds the recording of an outcome.
+	// settleLimit is how long a planned stop waits for the recording of an
+	// outcome. The recording itself goes on while the process lives.
 	settleLimit = 30 * time.Second
 )
 
@@ -55,7 +56,7 @@
 	}
 	ticket, err := g.admit(r.Context(), c)
 	if err != nil {
-		g.settle(c, claim, onceOutcome{state: ledger.NotRun})
+		g.inBackground(func() { g.settle(c, claim, onceOutcome{state: ledger.NotRun}) })
 		return err
 	}
 	return g.sendOnce(w, c, claim, ticket)
@@ -82,7 +83,7 @@
 		res, err := g.claims.Claim(ctx, claim)
 		if err != nil {
 			if !pause(ctx, claimBackoff) {
-				go g.withdraw(claim)
+				g.inBackground(func() { g.withdraw(claim) })
 				return false, refuse(ReasonClaim, "the call could not be claimed; this submission was not run, an earlier one may have").withRan(RanUnknown).afterMoment()
 			}
 			continue
@@ -115,25 +116,51 @@
 	}
 }
 
+// inBackground runs work that a planned stop waits for.
+func (g *Gateway) inBackground(work func()) {
+	g.running.Add(1)
+	go func() {
+		defer g.running.Add(-1)
+		work()
+	}()
+}
+
 // withdraw settles a claim that may or may not have been made. It claims again
 // with the same attempt until it knows, then gives the claim back.
 func (g *Gateway) withdraw(claim ledger.Claim) {
-	ctx, cancel := context.WithTimeout(context.Background(), settleLimit)
-	defer cancel()
-	for {
+	g.persist(func(ctx context.Context) bool {
 		res, err := g.claims.Claim(ctx, claim)
-		if err == nil && res.Verdict != ledger.Granted {
-			return
-		}
-		if err == nil && g.claims.Finish(ctx, ledger.Finish{Key: claim.Key, Attempt: claim.Attempt, State: ledger.NotRun}) == nil {
-			return
+		if err != nil {
+			return false
 		}
-		if !pause(ctx, claimBackoff) {
-			return
+		return res.Verdict != ledger.Granted ||
+			g.claims.Finish(ctx, ledger.Finish{Key: claim.Key, Attempt: claim.Attempt, State: ledger.NotRun}) == nil
+	})
+}
+
+// persist tries until it succeeds or the gateway is closed. It returns after
+// settleLimit at the latest; then the trying goes on in the background.
+func (g *Gateway) persist(try func(ctx context.Context) bool) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for !g.tryOnce(try) && pause(g.life, claimBackoff) {
 		}
+	}()
+	timer := time.NewTimer(g.settleLimit)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
 	}
 }
 
+func (g *Gateway) tryOnce(try func(ctx context.Context) bool) bool {
+	ctx, cancel := context.WithTimeout(g.life, g.settleLimit)
+	defer cancel()
+	return try(ctx)
+}
+
 // replay answers a repeat from the record of the first call.
 func (g *Gateway) replay(w http.ResponseWriter, rec ledger.Record) (bool, error) {
 	if rec.State != ledger.Done {
@@ -156,34 +183,39 @@
 }
 
 // sendOnce sends a claimed call. The sending goes on when the caller is gone or
-// its deadline passes, so that the outcome is recorded.
+// its deadline passes, so that the outcome is recorded. The caller hears the
+// outcome once it is recorded, or at the deadline.
 func (g *Gateway) sendOnce(w http.ResponseWriter, c *Call, claim ledger.Claim, ticket Ticket) error {
 	ctx, cancel := context.WithTimeout(context.Background(), runOnceLimit)
-	result := make(chan onceOutcome, 1)
-	g.running.Add(1)
-	go func() {
-		defer g.running.Add(-1)
+	known := make(chan onceOutcome, 1)
+	settled := make(chan struct{})
+	g.inBackground(func() {
 		defer ticket.Release()
 		out := g.sender.runOnce(ctx, c)
+		known <- out
 		g.settle(c, claim, out)
-		result <- out
-	}()
+		close(settled)
+	})
 	timer := time.NewTimer(time.Until(c.Deadline))
 	defer timer.Stop()
 	select {
-	case out := <-result:
+	case <-settled:
+	case <-timer.C:
+	}
+	select {
+	case out := <-known:
 		defer cancel()
 		return g.answerOnce(w, out)
-	case <-timer.C:
-		go dropLate(result, cancel)
+	default:
+		go dropLate(known, cancel)
 		return refuse(ReasonDeadline, "the call was sent and has not been answered in time").withRan(RanUnknown).afterMoment()
 	}
 }
 
 // dropLate ends an answer that nobody waits for any more.
-func dropLate(result <-chan onceOutcome, cancel context.CancelFunc) {
+func dropLate(known <-chan onceOutcome, cancel context.CancelFunc) {
 	defer cancel()
-	if out := <-result; out.resp != nil {
+	if out := <-known; out.resp != nil {
 		out.resp.close()
 	}
 }
@@ -214,25 +246,21 @@
 	return r
 }
 
-// settle records the outcome before the caller hears it. It keeps trying for a
-// while: an unsettled claim becomes unknown.
+// settle records the outcome before the caller hears it. Without an answer of
+// the control group it goes on trying in the background, because a claim left
+// pending would hold up every repeat of the call while this process lives.
 func (g *Gateway) settle(c *Call, claim ledger.Claim, out onceOutcome) {
 	if c.Key == "" {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), settleLimit)
-	defer cancel()
 	f := ledger.Finish{Key: claim.Key, Attempt: claim.Attempt, State: out.state, Answer: out.answer}
-	for {
+	g.persist(func(ctx context.Context) bool {
 		err := g.claims.Finish(ctx, f)
-		if err == nil {
-			return
-		}
-		if !pause(ctx, claimBackoff) {
-			g.log.WithError(err).WithField("request", c.ID).Error("outcome could not be recorded")
-			return
+		if err != nil {
+			g.log.WithError(err).WithField("request", c.ID).Warn("outcome is not recorded yet")
 		}
-	}
+		return err == nil
+	})
 }
 
 // runOnce sends the call to one upstream after another until one may have run
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -5,6 +5,7 @@
 package gateway
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
@@ -49,17 +50,26 @@
 	bodies atomic.Int64
 	// running is the number of requests in progress.
 	running atomic.Int64
+	// life ends when the gateway is closed.
+	life context.Context
+	end  context.CancelFunc
+	// settleLimit is how long a planned stop waits for one outcome.
+	settleLimit time.Duration
 }
 
 // New returns a gateway that is not ready until SetReady.
 func New(contracts Contracts, admitter Admitter, router Router, claims Claims, log logrus.FieldLogger, metrics *Metrics) *Gateway {
+	life, end := context.WithCancel(context.Background())
 	return &Gateway{
-		contracts: contracts,
-		admitter:  admitter,
-		claims:    claims,
-		sender:    newSender(router, claims, log, metrics),
-		log:       log,
-		metrics:   metrics,
+		contracts:   contracts,
+		admitter:    admitter,
+		claims:      claims,
+		sender:      newSender(router, claims, log, metrics),
+		log:         log,
+		metrics:     metrics,
+		life:        life,
+		end:         end,
+		settleLimit: settleLimit,
 	}
 }
 
@@ -75,8 +85,12 @@
 // Running is the number of requests in progress.
 func (g *Gateway) Running() int { return int(g.running.Load()) }
 
-// Close drops idle connections to upstreams.
-func (g *Gateway) Close() { g.sender.close() }
+// Close drops idle connections to upstreams and gives up outcomes that could
+// not be recorded.
+func (g *Gateway) Close() {
+	g.end()
+	g.sender.close()
+}
 
 // Server returns the HTTP server for callers, without an address.
 func (g *Gateway) Server() *http.Server {
