node: prove currency without a leader by the members in force only

Cause: askVoters took the longest log end of a majority of the voters applied here and counted the proof from the asking, once that entry was applied. The entries up to that end may change the members twice; a majority of the first voters then has nobody in common with one of the last, which may have accepted more before the asking. Example: voters 1 2 3; 2 answers with the entry that adds 4, 3 (removed since) with an older end, while 1 and 4 have removed 3 and accepted a contract. Ruled out: reading the members when the proof falls due; the answers were given for the earlier ones. Fix: only voters that hold nothing beyond what was applied at the asking count, and a majority of them is the proof, at that entry. The situation was not played through with whole nodes. Conclusion: a voter with an uncommitted entry no longer spoils the others' proof either.

--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -191,31 +191,41 @@
 	return reply, nil
 }
 
-// askVoters looks for proof without a leader: where a majority of voters holds
-// no entry beyond what is applied here, nothing newer was accepted. A change of
-// members that this node has not applied cannot hide one, because a majority
-// before and after each single change have a voter in common.
+// askVoters looks for proof without a leader in the ends of the voters' logs.
 func (n *Node) askVoters(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	asked := n.now()
+	// What is applied is read first: the members are then at least as new.
+	applied := n.store.applied.Load()
 	voters := n.knownMembers().Voters
-	tails := make(chan tailReply, len(voters))
+	answers := make(chan tailReply, len(voters))
 	for _, id := range voters {
-		go func() { tails <- n.tailOf(ctx, id) }()
+		go func() { answers <- n.tailOf(ctx, id) }()
 	}
-	answered, last := 0, uint64(0)
-	for range voters {
-		t := <-tails
-		if t.Member == 0 {
-			continue
-		}
-		answered++
-		last = max(last, t.Last)
+	tails := make([]tailReply, len(voters))
+	for i := range tails {
+		tails[i] = <-answers
+	}
+	if provedByTails(tails, applied) {
+		n.currency.offer(asked, applied)
 	}
-	if answered > len(voters)/2 {
-		n.currency.offer(asked, last)
+}
+
+// provedByTails says whether nothing beyond the applied entry was accepted when
+// the voters in force after it were asked: a majority of them holds no further
+// one. Any next entry is accepted by a majority of these voters, or of those one
+// single change later, and both have a voter in common with the majority that
+// answered. That does not hold for entries after a further one, so a longer log
+// proves nothing until its entries are applied and the voters asked again.
+func provedByTails(tails []tailReply, applied uint64) bool {
+	without := 0
+	for _, t := range tails {
+		if t.Member != 0 && t.Last <= applied {
+			without++
+		}
 	}
+	return without > len(tails)/2
 }
 
 // tailOf asks one voter for the end of its log; zero if it did not answer.
