node: keep idle callers' connections open during the balancer's lag

Cause: stop called SetKeepAlivesEnabled(false) when readiness failed, which closes idle connections at once. A request that the balancer was sending on one of them was lost, although the lag is there to serve it. Ruled out: leaving everything to Shutdown; the balancer would go on to reuse its connections until the end of the lag and lose a request then. Fix: while the node stops each answer carries Connection: close, and idle connections are closed after the lag by Shutdown. Leadership is handed over once more at the end, for a node that became leader while two nodes stop at once. The second hand-over has no test of its own. Conclusion: what is sent within the lag is served on any connection.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -76,7 +76,8 @@
 // SetReady sets what /readyz answers while the node does not stop.
 func (g *Gateway) SetReady(ready bool) { g.ready.Store(ready) }
 
-// Stop fails readiness. Requests are still served.
+// Stop fails readiness. Requests are still served, each as the last one on its
+// connection.
 func (g *Gateway) Stop() { g.stopping.Store(true) }
 
 // Stopping says whether Stop was called.
@@ -133,6 +134,9 @@
 		defer g.running.Add(-1)
 		id := uuid.NewString()
 		w.Header().Set(HeaderRequestID, id)
+		if g.Stopping() {
+			w.Header().Set("Connection", "close")
+		}
 		r = r.WithContext(withRequestID(r.Context(), id))
 		err := g.serve(w, r, next)
 		g.finish(w, r, err)
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -21,11 +21,11 @@
 // stop ends the node's work without cutting off a request. Readiness fails
 // first; what the balancer still sends in its lag is served; then leadership is
 // handed over and the requests in progress finish. The links, the group's member
-// and the reports go on meanwhile.
+// and the reports go on meanwhile. Idle connections stay open until the balancer
+// sends no more: closing one earlier could cut off a request on its way.
 func (n *Node) stop(callers *http.Server) {
 	n.log.Info("planned stop: readiness fails now")
 	n.gateway.Stop()
-	callers.SetKeepAlivesEnabled(false)
 	time.Sleep(time.Duration(n.cfg.Stop.BalancerLag))
 	n.handOver()
 	ctx, cancel := n.stopContext()
@@ -34,6 +34,8 @@
 		n.log.WithField("cut", n.gateway.Running()).Warn("stop.limit reached: requests in progress are cut off")
 	}
 	n.waitRunning(ctx)
+	// Another node that stops may have handed leadership to this one meanwhile.
+	n.handOver()
 	n.gateway.Close()
 }
 
