--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -5,6 +5,7 @@
 package gateway
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
@@ -49,24 +50,34 @@
 	bodies atomic.Int64
 	// running is the number of requests in progress.
 	running atomic.Int64
+	// life ends when the gateway is closed.
+	life context.Context
+	end  context.CancelFunc
+	// settleLimit is how long a planned stop waits for one outcome.
+	settleLimit time.Duration
 }
 
 // New returns a gateway that is not ready until SetReady.
 func New(contracts Contracts, admitter Admitter, router Router, claims Claims, log logrus.FieldLogger, metrics *Metrics) *Gateway {
+	life, end := context.WithCancel(context.Background())
 	return &Gateway{
-		contracts: contracts,
-		admitter:  admitter,
-		claims:    claims,
-		sender:    newSender(router, claims, log, metrics),
-		log:       log,
-		metrics:   metrics,
+		contracts:   contracts,
+		admitter:    admitter,
+		claims:      claims,
+		sender:      newSender(router, claims, log, metrics),
+		log:         log,
+		metrics:     metrics,
+		life:        life,
+		end:         end,
+		settleLimit: settleLimit,
 	}
 }
 
 // SetReady sets what /readyz answers while the node does not stop.
 func (g *Gateway) SetReady(ready bool) { g.ready.Store(ready) }
 
-// Stop fails readiness. Requests are still served.
+// Stop fails readiness. Requests are still served, each as the last one on its
+// connection.
 func (g *Gateway) Stop() { g.stopping.Store(true) }
 
 // Stopping says whether Stop was called.
@@ -75,8 +86,12 @@
 // Running is the number of requests in progress.
 func (g *Gateway) Running() int { return int(g.running.Load()) }
 
-// Close drops idle connections to upstreams.
-func (g *Gateway) Close() { g.sender.close() }
+// Close drops idle connections to upstreams and gives up outcomes that could
+// not be recorded.
+func (g *Gateway) Close() {
+	g.end()
+	g.sender.close()
+}
 
 // Server returns the HTTP server for callers, without an address.
 func (g *Gateway) Server() *http.Server {
@@ -119,6 +134,9 @@
 		defer g.running.Add(-1)
 		id := uuid.NewString()
 		w.Header().Set(HeaderRequestID, id)
+		if g.Stopping() {
+			w.Header().Set("Connection", "close")
+		}
 		r = r.WithContext(withRequestID(r.Context(), id))
 		err := g.serve(w, r, next)
 		g.finish(w, r, err)
--- a/internal/node/plan.go
+++ b/internal/node/plan.go
@@ -70,7 +70,10 @@
 		return maxPlanInterval
 	}
 	if p.core == nil || p.term != term {
-		p.begin(ctx, term)
+		if !p.node.group.appliedAll(p.node.store) {
+			return minPlanInterval
+		}
+		p.begin(term)
 	}
 	p.teach(ctx)
 	in, ok := call(ctx, p.node.loop, func() planInput { return p.input(term) })
