--- a/internal/node/plan.go
+++ b/internal/node/plan.go
@@ -73,7 +73,7 @@
 		if !p.node.group.appliedAll(p.node.store) {
 			return minPlanInterval
 		}
-		p.begin(term)
+		p.begin(ctx, term)
 	}
 	p.teach(ctx)
 	in, ok := call(ctx, p.node.loop, func() planInput { return p.input(term) })
