cli: exit status 4 where no answer came

A change of members was given up by the client after 10 s while the node works on it for up to 25 s, with the same status. Fix: the client marks a missing answer as ErrUnavailable, which exits with 4; a change of members waits 30 s. The pause between resends ends with its context. Before: TestExitStatus/no_node exited with 1; after: 4. The other 14 rows held already. Conclusion: status 1 now means a local failure only.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -26,7 +26,7 @@
 	// ExitConflict means that another change won, or that a rule forbids the
 	// change; nothing was changed.
 	ExitConflict = 3
-	// ExitUnavailable means that no node could decide; the change may or may not
+	// ExitUnavailable means that no node could decide or answer; the change may or may not
 	// have been accepted, and a resend with the same change id tells.
 	ExitUnavailable = 4
 )
@@ -119,6 +119,8 @@
 		return ExitInput
 	case errors.As(err, &api):
 		return apiStatus(api.Status)
+	case errors.Is(err, operator.ErrUnavailable):
+		return ExitUnavailable
 	default:
 		return ExitFailure
 	}
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,87 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const goodContract = `customer: c
+keys:
+  - {id: k, sha256: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa}
+wait: 6s
+capacity: {replicas: 1, concurrency: 4, rate: 20, burst: 10, queue: 10}
+models: [{name: m, memory: 14GiB}]
+`
+
+// nodeAnswering returns the operator address of a node that gives one answer.
+func nodeAnswering(t *testing.T, status int) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// deadNode returns an address that nobody listens on.
+func deadNode(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+func TestExitStatus(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name, body string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(body), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	good := file("good.yaml", goodContract)
+	bad := file("bad.yaml", strings.Replace(goodContract, "wait: 6s", "wait: soon", 1))
+	cases := []struct {
+		name string
+		argv string
+		want int
+		says string
+	}{
+		{"help", "--help", ExitOK, "Exit status"},
+		{"nothing", "", ExitInput, "Usage"},
+		{"unknown command", "explode", ExitInput, "explode"},
+		{"command without its part", "contract", ExitInput, "apply"},
+		{"unknown flag", "status --loud", ExitInput, "--loud"},
+		{"missing argument", "contract apply", ExitInput, "required"},
+		{"checked", "config check " + good, ExitOK, "ok"},
+		{"wrong contract", "config check " + bad, ExitInput, "wait"},
+		{"no such file", "config check " + dir + "/none", ExitInput, "none"},
+		{"no such settings", "serve --config " + dir + "/none", ExitInput, "none"},
+		{"wrong contract applied", "contract apply " + bad, ExitInput, "wait"},
+		{"wrong token", "status --node " + nodeAnswering(t, http.StatusUnauthorized), ExitInput, "Unauthorized"},
+		{"conflict", "contract apply --change-id 7 " + good + " --node " + nodeAnswering(t, http.StatusConflict), ExitConflict, "change id: 7"},
+		{"undecided", "member remove 3 --node " + nodeAnswering(t, http.StatusServiceUnavailable), ExitUnavailable, "Unavailable"},
+		{"no node", "contract remove c --change-id 7 --node " + deadNode(t), ExitUnavailable, "change id: 7"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var out, errOut bytes.Buffer
+			status := Run(context.Background(), strings.Fields(c.argv), &out, &errOut)
+			is.Equal(status, c.want)
+			is.True(strings.Contains(out.String()+errOut.String(), c.says))
+		})
+	}
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -17,6 +17,9 @@
 // Bounds of a resend after a lost answer.
 const (
 	clientTimeout = 10 * time.Second
+	// memberTimeout bounds a change of members, which waits for a new member to
+	// catch up. It is longer than a node's own bound, so that the answer tells.
+	memberTimeout = 30 * time.Second
 	clientTries   = 5
 	clientBackoff = 500 * time.Millisecond
 )
@@ -42,7 +45,7 @@
 
 // NewClient returns a client.
 func NewClient(addr, token, actor string) *Client {
-	return &Client{Addr: addr, Token: token, Actor: actor, http: http.Client{Timeout: clientTimeout}}
+	return &Client{Addr: addr, Token: token, Actor: actor}
 }
 
 // Status returns the node's view.
@@ -82,7 +85,7 @@
 	var err error
 	for n := range clientTries {
 		if n > 0 {
-			time.Sleep(clientBackoff)
+			pause(ctx, clientBackoff)
 		}
 		err = c.do(ctx, method, "/v1/contracts/"+url.PathEscape(customer), q, body, &res)
 		if err == nil || final(err) || ctx.Err() != nil {
@@ -92,6 +95,15 @@
 	return res, err
 }
 
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // final says whether a resend could not change the answer.
 func final(err error) bool {
 	var api *APIError
@@ -119,7 +131,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode member change")
 	}
-	return c.do(ctx, http.MethodPost, "/v1/members", nil, body, nil)
+	return c.send(ctx, memberTimeout, http.MethodPost, "/v1/members", nil, body, nil)
 }
 
 // Drain begins a planned stop of the node.
@@ -129,6 +141,13 @@
 }
 
 func (c *Client) do(ctx context.Context, method, path string, q url.Values, body []byte, out any) error {
+	return c.send(ctx, clientTimeout, method, path, q, body, out)
+}
+
+// send sends one request. Where no answer comes the error is ErrUnavailable.
+func (c *Client) send(ctx context.Context, limit time.Duration, method, path string, q url.Values, body []byte, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	u := url.URL{Scheme: "http", Host: c.Addr, Path: path, RawQuery: q.Encode()}
 	req, err := http.NewRequestWithContext(ctx, method, u.String(), bytes.NewReader(body))
 	if err != nil {
@@ -138,12 +157,12 @@
 	req.Header.Set(HeaderActor, c.Actor)
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return errors.Wrapf(err, "node %s", c.Addr)
+		return errors.Mark(errors.Wrapf(err, "node %s", c.Addr), ErrUnavailable)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return errors.Wrapf(err, "node %s", c.Addr)
+		return errors.Mark(errors.Wrapf(err, "node %s", c.Addr), ErrUnavailable)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return apiError(resp.StatusCode, data)
