operator: bound what a refused change leaves in the audit trail

The operator's name (up to net/http's 1 MB of header), the customer in the path and the text of a refusal went into it at any length. Fix: names are cut to 128 bytes, the reason to 2 KiB; a longer customer name is refused as a longer change id is. Conclusion: one refused request adds less than 4 KiB.

--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -22,6 +22,10 @@
 	maxContractBytes = 4 << 20
 	// maxAuditPage bounds the audit entries of one answer.
 	maxAuditPage = 1000
+	// maxNameBytes bounds a name that the audit trail keeps, and a change id.
+	maxNameBytes = 128
+	// maxDetailBytes bounds the reason of a refusal that the audit trail keeps.
+	maxDetailBytes = 2 << 10
 	// requestTimeout bounds one operator request.
 	requestTimeout = 30 * time.Second
 )
@@ -93,17 +97,25 @@
 
 func actor(r *http.Request) string {
 	if name := r.Header.Get(HeaderActor); name != "" {
-		return name
+		return shorten(name, maxNameBytes)
 	}
 	return "operator"
 }
 
+// shorten cuts s to at most limit bytes of valid UTF-8.
+func shorten(s string, limit int) string {
+	return strings.ToValidUTF8(s[:min(len(s), limit)], "")
+}
+
 // changeOf reads base version and change id from the query.
 func changeOf(r *http.Request) (Change, error) {
 	q := r.URL.Query()
 	ch := Change{Actor: actor(r), ChangeID: q.Get("change")}
-	if ch.ChangeID == "" || len(ch.ChangeID) > 128 {
-		return ch, errors.New("change: a change id of 1 to 128 characters is required")
+	if ch.ChangeID == "" || len(ch.ChangeID) > maxNameBytes {
+		return ch, errors.Newf("change: a change id of 1 to %d bytes is required", maxNameBytes)
+	}
+	if len(r.PathValue("customer")) > maxNameBytes {
+		return ch, errors.Newf("customer: the name is longer than %d bytes", maxNameBytes)
 	}
 	base, err := strconv.ParseUint(q.Get("base"), 10, 64)
 	if err != nil {
@@ -150,7 +162,7 @@
 
 // refuseChange answers a malformed change and audits it.
 func (s *server) refuseChange(w http.ResponseWriter, r *http.Request, action, subject string, err error) {
-	s.backend.NoteRefusal(r.Context(), actor(r), action, subject, err.Error())
+	s.backend.NoteRefusal(r.Context(), actor(r), action, shorten(subject, maxNameBytes), shorten(err.Error(), maxDetailBytes))
 	body := ErrorBody{Error: err.Error()}
 	errors.As(err, &body.Problems)
 	writeError(w, http.StatusBadRequest, body)
--- /dev/null
+++ b/internal/operator/server_test.go
@@ -0,0 +1,99 @@
+package operator
+
+import (
+	"context"
+
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/agateslip/agateslip/contract"
+	"github.com/agateslip/agateslip/control"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+const testToken = "an-operator-token"
+
+// recorder is a backend that counts what reaches it.
+type recorder struct {
+	changes int
+	notes   []control.Note
+	actors  []string
+	drained int
+}
+
+func (r *recorder) ApplyContract(context.Context, Change, contract.Contract) (control.ChangeResult, error) {
+	r.changes++
+	return control.ChangeResult{Outcome: control.Accepted}, nil
+}
+
+func (r *recorder) RemoveContract(context.Context, Change, string) (control.ChangeResult, error) {
+	r.changes++
+	return control.ChangeResult{}, errors.Mark(errors.New("no leader"), ErrUnavailable)
+}
+
+func (r *recorder) NoteRefusal(_ context.Context, actor, action, subject, detail string) {
+	r.actors = append(r.actors, actor)
+	r.notes = append(r.notes, control.Note{Action: action, Subject: subject, Detail: detail})
+}
+func (r *recorder) Contracts() []control.Versioned           { return nil }
+func (r *recorder) Audit(uint64, int) []control.AuditEntry   { return nil }
+func (r *recorder) Status() Status                           { return Status{} }
+func (r *recorder) Members(context.Context) (Members, error) { return Members{}, nil }
+func (r *recorder) Drain()                                   { r.drained++ }
+func (r *recorder) ChangeMembers(context.Context, string, MemberChange) error {
+	r.changes++
+	return errors.Mark(errors.New("unsafe"), ErrRefused)
+}
+
+const body = `customer: c
+keys: [{id: k, sha256: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa}]
+wait: 6s
+capacity: {replicas: 1, concurrency: 4, rate: 20, burst: 10, queue: 10}
+models: [{name: m, memory: 14GiB}]
+`
+
+func TestRequests(t *testing.T) {
+	long := strings.Repeat("x", 100<<10)
+	cases := []struct {
+		name, token, method, target, body string
+		status, changes, notes            int
+	}{
+		{"no token", "", "PUT", "/v1/contracts/c?base=0&change=1", body, 401, 0, 0},
+		{"other token", "other", "POST", "/v1/drain", "", 401, 0, 0},
+		{"profile without token", "", "GET", "/debug/pprof/heap", "", 401, 0, 0},
+		{"accepted", testToken, "PUT", "/v1/contracts/c?base=0&change=1", body, 200, 1, 0},
+		{"no change id", testToken, "PUT", "/v1/contracts/c?base=0", body, 400, 0, 1},
+		{"long change id", testToken, "DELETE", "/v1/contracts/c?base=0&change=" + long[:129], "", 400, 0, 1},
+		{"long customer", testToken, "DELETE", "/v1/contracts/" + long + "?base=0&change=1", "", 400, 0, 1},
+		{"no base", testToken, "PUT", "/v1/contracts/c?change=1", body, 400, 0, 1},
+		{"negative base", testToken, "PUT", "/v1/contracts/c?change=1&base=-1", body, 400, 0, 1},
+		{"other customer", testToken, "PUT", "/v1/contracts/d?base=0&change=1", body, 400, 0, 1},
+		{"not YAML", testToken, "PUT", "/v1/contracts/c?base=0&change=1", "{", 400, 0, 1},
+		{"unknown field", testToken, "PUT", "/v1/contracts/c?base=0&change=1", body + long + ": 1\n", 400, 0, 1},
+		{"oversized", testToken, "PUT", "/v1/contracts/c?base=0&change=1", "#" + strings.Repeat("x", maxContractBytes), 400, 0, 1},
+		{"undecided", testToken, "DELETE", "/v1/contracts/c?base=1&change=1", "", 503, 1, 0},
+		{"unsafe", testToken, "POST", "/v1/members", `{"action":"remove","id":1}`, 409, 1, 0},
+		{"unknown member field", testToken, "POST", "/v1/members", `{"action":"remove","di":1}`, 400, 0, 0},
+		{"other method", testToken, "PATCH", "/v1/contracts/c", "", 405, 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := &recorder{}
+			req := httptest.NewRequest(c.method, c.target, strings.NewReader(c.body))
+			req.Header.Set("Authorization", "Bearer "+c.token)
+			req.Header.Set(HeaderActor, long)
+			resp := httptest.NewRecorder()
+			NewServer(b, testToken).Handler.ServeHTTP(resp, req)
+			is.Equal(resp.Code, c.status)
+			is.Equal(b.changes, c.changes)
+			is.Equal(len(b.notes), c.notes)
+			is.Equal(b.drained, 0)
+			for i, n := range b.notes {
+				is.True(len(n.Detail)+len(n.Subject)+len(b.actors[i]) <= 4<<10) // it is kept for good
+			}
+		})
+	}
+}
