node: a restarted node's first claim is not taken for one of an ended process

Cause: the leader settled a claim as unknown as soon as its owner was another process than the one it had heard last from that node. A new process may claim a call before its first report arrives, and an old report may arrive late after a replaced link: the claims of a living process were then called unknown, and repeats were told that the outcome is lost while the call ran. Ruled out: ordering processes by start time; clocks may go back. Fix: the owner counts as ended once its node has gone on reporting as another process for 2 s, or after nodeSilence. Conclusion: at most once was never at risk, the outcome told to repeats was.

--- a/internal/gateway/cost_test.go
+++ b/internal/gateway/cost_test.go
@@ -25,8 +25,8 @@
 func (w *discardWriter) Flush()                           {}
 func (w *discardWriter) SetWriteDeadline(time.Time) error { return nil }
 
-// relayEvents relays a stream of n events that is in memory.
-func relayEvents(n int, events []byte) error {
+// relayEvents relays a stream of events that is in memory.
+func relayEvents(events []byte) error {
 	_, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
 	out := newRelay(&discardWriter{header: http.Header{}})
@@ -47,7 +47,7 @@
 	const bound = 2.0
 	stream := memoryStream(events)
 	total := testing.AllocsPerRun(5, func() {
-		if err := relayEvents(events, stream); err != nil {
+		if err := relayEvents(stream); err != nil {
 			t.Fatal(err)
 		}
 	})
@@ -59,7 +59,7 @@
 	stream := memoryStream(b.N)
 	b.ReportAllocs()
 	b.ResetTimer()
-	if err := relayEvents(b.N, stream); err != nil {
+	if err := relayEvents(stream); err != nil {
 		b.Fatal(err)
 	}
 }
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -12,6 +12,10 @@
 	// nodeSilence is how long a node may be silent before the calls that it
 	// claimed count as unknown.
 	nodeSilence = 10 * time.Second
+	// bootSettle is how long a node must go on reporting as another process before
+	// a claim's owner counts as ended: the reports of a restart may come after its
+	// first claim.
+	bootSettle = 2 * time.Second
 	// demandLife is how long a node's reported demand counts.
 	demandLife = 2 * time.Second
 )
@@ -36,6 +40,9 @@
 	limits    map[string]admission.Limits
 	allocator *admission.Allocator
 	nodes     map[string]presence
+	// suspects are the owners of claims whose node reports as another process,
+	// and since when.
+	suspects  map[ledger.Owner]time.Duration
 	demand    map[string]*nodeDemand
 	forecasts map[placement.Key]placement.Forecast
 	// kick asks for a plan now.
@@ -58,6 +65,7 @@
 		ld.allocator.SetLimits(l, now)
 	}
 	ld.nodes = map[string]presence{}
+	ld.suspects = nil
 	ld.demand = map[string]*nodeDemand{}
 	ld.forecasts = map[placement.Key]placement.Forecast{}
 }
@@ -157,16 +165,36 @@
 // heard for nodeSilence.
 func (ld *leadership) lost(owners []ledger.Owner, now time.Duration) []ledger.Owner {
 	var lost []ledger.Owner
+	suspects := map[ledger.Owner]time.Duration{}
 	for _, o := range owners {
 		p, heard := ld.nodes[o.Node]
-		switch {
-		case heard && p.boot != o.Boot:
-			lost = append(lost, o)
-		case heard && now-p.at > nodeSilence:
-			lost = append(lost, o)
-		case !heard && now-ld.since > nodeSilence:
+		if heard && p.boot != o.Boot {
+			suspects[o] = ld.suspectedSince(o, now)
+		}
+		if ld.ended(o, suspects, now) {
 			lost = append(lost, o)
 		}
 	}
+	ld.suspects = suspects
 	return lost
 }
+
+func (ld *leadership) suspectedSince(o ledger.Owner, now time.Duration) time.Duration {
+	if since, known := ld.suspects[o]; known {
+		return since
+	}
+	return now
+}
+
+func (ld *leadership) ended(o ledger.Owner, suspects map[ledger.Owner]time.Duration, now time.Duration) bool {
+	p, heard := ld.nodes[o.Node]
+	since, suspected := suspects[o]
+	switch {
+	case suspected:
+		return p.at-since >= bootSettle || now-since > nodeSilence
+	case heard:
+		return now-p.at > nodeSilence
+	default:
+		return now-ld.since > nodeSilence
+	}
+}
