gateway: start no attempt after the deadline

Cause: an upstream's refusal for want of room costs no retry, so the next upstream was asked at once, also when the refusal came after the call's deadline. A call that may run at most once was then sent although its caller had its refusal; a repeatable one was sent and cancelled in the same instant, which counted as a failure of that upstream. Ruled out: a check in the router's retry budget, which a refusal does not pass. Fix: the search for an upstream ends at the deadline unless a part of the answer is with the caller. Before: TestNothingIsSentAfterTheDeadline saw the second upstream run the call; after: it does not, and the call is recorded as not run. Conclusion: a call begins before its deadline or not at all.

--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -97,3 +97,27 @@
 	}
 	is.Fail() // repeats are held up by a claim that stays pending
 }
+
+// TestNothingIsSentAfterTheDeadline has an upstream refuse a call only after its
+// deadline. The caller has its refusal by then, so no other upstream is asked.
+func TestNothingIsSentAfterTheDeadline(t *testing.T) {
+	is := is.New(t)
+	var late atomic.Int32
+	asked := make(chan struct{})
+	g, f, url := newGateway(t, func(w http.ResponseWriter, _ *http.Request) {
+		<-asked
+		w.Header().Set(headerNotRun, "true")
+	}, func(http.ResponseWriter, *http.Request) { late.Add(1) })
+	f.contract.Wait = contract.Duration(100 * time.Millisecond)
+	resp, _ := pay(t, url)
+	is.Equal(resp.Header.Get(HeaderReason), string(ReasonDeadline))
+	close(asked)
+	for g.Running() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(late.Load(), int32(0))
+	f.contract.Wait = contract.Duration(10 * time.Second)
+	f.upstreams = f.upstreams[1:]
+	resp, _ = pay(t, url)
+	is.Equal(resp.StatusCode, http.StatusOK) // the first call is recorded as not run
+}
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -27,6 +27,8 @@
 	tried []string
 	// until is when the search ends.
 	until time.Time
+	// begun says that a part of the answer is with the caller.
+	begun bool
 	wait  time.Duration
 	// ran is what the attempts so far have proved.
 	ran Ran
@@ -39,9 +41,12 @@
 }
 
 // next chooses an upstream and waits for one with room. Upstreams tried before
-// are asked again after each wait.
+// are asked again after each wait. An answer that has not begun is not begun after the deadline.
 func (p *pursuit) next(ctx context.Context) (Route, error) {
 	for {
+		if !p.begun && time.Until(p.until) <= 0 {
+			return Route{}, refuse(ReasonDeadline, "the call could not start in time").afterMoment()
+		}
 		route, err := p.sender.router.Pick(p.call, p.tried)
 		if err == nil || !errors.Is(err, ErrBusy) {
 			return route, err
--- a/internal/gateway/repeatable.go
+++ b/internal/gateway/repeatable.go
@@ -60,6 +60,7 @@
 			return nil
 		}
 		p.failed(route.Upstream, err)
+		p.begun = out.started
 		if ctx.Err() != nil || errors.Is(err, errBroken) || (out.started && !route.Resumes) {
 			return giveUp(p, out, err)
 		}
