--- a/admission/allocator_test.go
+++ b/admission/allocator_test.go
@@ -141,10 +141,16 @@
 	part := usageReport("n2", 1, Usage{Concurrency: 6, Running: 1})
 	al.Report(part, time.Minute) // does not tell of all leases
 	is.Equal(whole("n1", 1, Usage{Waiting: 8})[0].Concurrency, 0)
+	is.Equal(whole("n1", 2, Usage{Waiting: 8})[0].Concurrency, 0)
+	late := testLimits
+	late.Customer = "b"
+	al.SetLimits(late, time.Minute) // after reports that may have told of it
 	whole("n2", 2, Usage{Concurrency: 6, Running: 1})
-	is.Equal(whole("n1", 2, Usage{Waiting: 8})[0].Concurrency, 2) // n2 may still use 6
-	whole("n2", 3, Usage{Serial: 3, Concurrency: 1, Running: 1})
-	is.Equal(whole("n1", 3, Usage{Waiting: 8})[0].Concurrency, 7)
+	is.Equal(whole("n1", 3, Usage{Waiting: 8})[0].Concurrency, 2) // n2 may still use 6
+	whole("n2", 3, Usage{Serial: 4, Concurrency: 1, Running: 1})
+	is.Equal(whole("n1", 4, Usage{Waiting: 8})[0].Concurrency, 7)
+	r := Report{Node: "n1", Term: 1, Seq: 5, Customers: []Usage{{Customer: "b", Waiting: 8}}}
+	is.Equal(al.Report(r, time.Minute).Leases[0].Concurrency, 0)
 }
 
 func TestBucketGivesBackWhatDoesNotFit(t *testing.T) {
@@ -155,3 +161,16 @@
 	is.Equal(b.advance(time.Second), 2.0)
 	is.Equal(b.level, 3.0)
 }
+
+func TestLeasedRateStaysChargedWhenTheContractChanges(t *testing.T) {
+	is := is.New(t)
+	al, now := settledAllocator()
+	l := testLimits
+	l.Burst, l.Rate = 1, 8
+	al.SetLimits(l, now)
+	is.Equal(al.Report(usageReport("n", 1, Usage{Waiting: 1, Backlog: 1}), now).Leases[0].Rate, 8.0)
+	l.Burst, l.Rate = 4, 5
+	al.SetLimits(l, now)
+	is.Equal(al.pools["a"].bucket.rate, 0.0)
+	is.Equal(al.Report(usageReport("m", 1, Usage{Waiting: 1, Backlog: 1}), now).Leases[0].Rate, 0.0)
+}
