integration: mend a test and the choice of ports

TestEntryKilledBeforeTheClaimRunsOnceElsewhere failed once in a loaded run: its premise was wrong. It froze the other nodes, but the kernel delivered the frozen nodes the killed leader's append when they went on, so the claim was made and its outcome rightly unknown (trace: 'claims of an ended process are unknown now'). It now loses everything that the entry node sends its peers and asks for the same: answered elsewhere, run exactly once. A second failure was 'address already in use': a port that was free was taken for an outgoing connection before the node started. Ports come from below the kernel's range now.

--- a/internal/node/lead_test.go
+++ b/internal/node/lead_test.go
@@ -14,7 +14,7 @@
 	is := is.New(t)
 	ended, living := ledger.Owner{Node: "n", Boot: "1"}, ledger.Owner{Node: "n", Boot: "2"}
 	owners := []ledger.Owner{ended, living}
-	ld := newLeadership()
+	ld := newLeadership(nil)
 	ld.begin(1, 0)
 	hear := func(boot string, at time.Duration) {
 		ld.sync(syncRequest{Node: "n", Boot: boot}, at)
--- a/test/integration/harness_test.go
+++ b/test/integration/harness_test.go
@@ -78,15 +78,30 @@
 	t.Fatalf("after %s: not yet %s", patience, what)
 }
 
-// freePorts asks the kernel for n loopback addresses that are free now.
+// Ports of the nodes lie below the range from which the kernel takes the local
+// ports of connections: one of those could take a node's port before it starts.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+// nextPort is the next port to try; another start for each process.
+var nextPort = firstPort + os.Getpid()%100*100
+
+// freePorts returns n loopback addresses that are free now.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
-	addrs := make([]string, n)
-	for i := range addrs {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		is.New(t).NoErr(err)
-		defer listener.Close()
-		addrs[i] = listener.Addr().String()
+	var addrs []string
+	for len(addrs) < n {
+		addr := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		nextPort++
+		if nextPort > lastPort {
+			nextPort = firstPort
+		}
+		if listener, err := net.Listen("tcp", addr); err == nil {
+			is.New(t).NoErr(listener.Close())
+			addrs = append(addrs, addr)
+		}
 	}
 	return addrs
 }
--- a/test/integration/once_test.go
+++ b/test/integration/once_test.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/agateslip/agateslip/internal/faultproxy"
 	"github.com/agateslip/agateslip/internal/gateway"
 	"github.com/agateslip/agateslip/internal/standin"
 )
@@ -54,21 +54,25 @@
 	eventually(t, "the call runs", func() bool { return runs(s.Journal(), "k") > 0 })
 }
 
+// TestEntryKilledBeforeTheClaimRunsOnceElsewhere loses what the entry node sends
+// its peers, so that nothing of its claim is ever delivered, not even after its
+// end.
 func TestEntryKilledBeforeTheClaimRunsOnceElsewhere(t *testing.T) {
 	is := is.New(t)
-	c, s := startOnce(t)
+	c, between := startProxied(t)
+	s := c.startService(t, "s1", nil)
+	c.apply(t, c.nodes[0], contractText("3s"), 0)
+	c.waitUpstreams(t, 1)
+	c.waitService(t)
 	entry, others := c.nodes[0], c.nodes[1:]
-	for _, n := range others {
-		n.signal(syscall.SIGSTOP) // without a majority no claim is made
+	for _, link := range between.of(0) {
+		link.SetAll(faultproxy.Silent())
 	}
 	replies := sendAside(t, entry, transfer("k", ""))
 	time.Sleep(300 * time.Millisecond)
 	is.Equal(runs(s.Journal(), "k"), 0)
 	entry.kill()
 	is.True((<-replies).err != nil)
-	for _, n := range others {
-		n.signal(syscall.SIGCONT)
-	}
 	is.True(sendUntilSettled(t, others, transfer("k", "")).answered())
 	is.Equal(runs(s.Journal(), "k"), 1)
 }
