--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,8 +40,8 @@
 	raftInflight  = 64
 )
 
-// Timers of the links between nodes: a silent link is found and replaced within
-// their sum.
+// Timers of the links between nodes: both ends notice a silent link within 2.5 s,
+// one heartbeat after the silence and one more for the answer.
 const (
 	linkHeartbeat = 500 * time.Millisecond
 	linkSilence   = 1500 * time.Millisecond
