--- a/internal/gateway/cost_test.go
+++ b/internal/gateway/cost_test.go
@@ -25,7 +25,7 @@
 func (w *discardWriter) Flush()                           {}
 func (w *discardWriter) SetWriteDeadline(time.Time) error { return nil }
 
-// relayEvents relays a stream that is in memory.
+// relayEvents relays a stream of events that is in memory.
 func relayEvents(events []byte) error {
 	_, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -12,6 +12,10 @@
 	// nodeSilence is how long a node may be silent before the calls that it
 	// claimed count as unknown.
 	nodeSilence = 10 * time.Second
+	// bootSettle is how long a node must go on reporting as another process before
+	// a claim's owner counts as ended: the reports of a restart may come after its
+	// first claim.
+	bootSettle = 2 * time.Second
 	// demandLife is how long a node's reported demand counts.
 	demandLife = 2 * time.Second
 )
@@ -31,19 +35,28 @@
 // leadership is the soft state of the leader. It belongs to the control loop
 // and starts anew with each term.
 type leadership struct {
+	// peers are the names of all nodes.
+	peers     []string
 	term      uint64
 	since     time.Duration
 	limits    map[string]admission.Limits
 	allocator *admission.Allocator
 	nodes     map[string]presence
+	// suspects are the owners of claims whose node reports as another process,
+	// and since when.
+	suspects  map[ledger.Owner]time.Duration
 	demand    map[string]*nodeDemand
 	forecasts map[placement.Key]placement.Forecast
+	// learned is the latest planner's experience, heard at learnedAt; nil where
+	// there has been none. It outlives the term.
+	learned   *placement.Experience
+	learnedAt time.Duration
 	// kick asks for a plan now.
 	kick chan struct{}
 }
 
-func newLeadership() *leadership {
-	return &leadership{limits: map[string]admission.Limits{}, kick: make(chan struct{}, 1)}
+func newLeadership(peers []string) *leadership {
+	return &leadership{peers: peers, limits: map[string]admission.Limits{}, kick: make(chan struct{}, 1)}
 }
 
 // begin starts the soft state of a term.
@@ -53,11 +66,12 @@
 	}
 	ld.term = term
 	ld.since = now
-	ld.allocator = admission.NewAllocator(admission.AllocatorConfig{Term: term, Since: now})
+	ld.allocator = admission.NewAllocator(admission.AllocatorConfig{Term: term, Since: now, Nodes: ld.peers})
 	for _, l := range ld.limits {
 		ld.allocator.SetLimits(l, now)
 	}
 	ld.nodes = map[string]presence{}
+	ld.suspects = nil
 	ld.demand = map[string]*nodeDemand{}
 	ld.forecasts = map[placement.Key]placement.Forecast{}
 }
@@ -157,16 +171,36 @@
 // heard for nodeSilence.
 func (ld *leadership) lost(owners []ledger.Owner, now time.Duration) []ledger.Owner {
 	var lost []ledger.Owner
+	suspects := map[ledger.Owner]time.Duration{}
 	for _, o := range owners {
 		p, heard := ld.nodes[o.Node]
-		switch {
-		case heard && p.boot != o.Boot:
-			lost = append(lost, o)
-		case heard && now-p.at > nodeSilence:
-			lost = append(lost, o)
-		case !heard && now-ld.since > nodeSilence:
+		if heard && p.boot != o.Boot {
+			suspects[o] = ld.suspectedSince(o, now)
+		}
+		if ld.ended(o, suspects, now) {
 			lost = append(lost, o)
 		}
 	}
+	ld.suspects = suspects
 	return lost
 }
+
+func (ld *leadership) suspectedSince(o ledger.Owner, now time.Duration) time.Duration {
+	if since, known := ld.suspects[o]; known {
+		return since
+	}
+	return now
+}
+
+func (ld *leadership) ended(o ledger.Owner, suspects map[ledger.Owner]time.Duration, now time.Duration) bool {
+	p, heard := ld.nodes[o.Node]
+	since, suspected := suspects[o]
+	switch {
+	case suspected:
+		return p.at-since >= bootSettle || now-since > nodeSilence
+	case heard:
+		return now-p.at > nodeSilence
+	default:
+		return now-ld.since > nodeSilence
+	}
+}
