gateway: refuse a call with two idempotency keys

Cause: the node claimed a call by its first Idempotency-Key and forwarded all of them, so an upstream could take another one than the claim holds. Fix: more than one is answered with 400 idempotency-key-malformed. Before: TestRawRequestsAreRefused/two_keys ran the call; after: refused, not run. Conclusion: claim and upstream see one key.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -371,6 +371,7 @@
 	cases := map[string]string{
 		"two lengths":        "POST /services/s/pay HTTP/1.1\r\n" + auth + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
 		"length and chunked": "POST /services/s/pay HTTP/1.1\r\n" + auth + "Content-Length: 9\r\nTransfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n",
+		"two keys":           "POST /services/s/pay HTTP/1.1\r\n" + auth + "Idempotency-Key: a\r\nIdempotency-Key: b\r\nContent-Length: 0\r\n\r\n",
 		"space before colon": "POST /services/s/pay HTTP/1.1\r\n" + auth + "Content-Length : 1\r\n\r\na",
 		"bad chunk":          "POST /services/s/pay HTTP/1.1\r\n" + auth + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
 	}
--- a/internal/gateway/repeatable.go
+++ b/internal/gateway/repeatable.go
@@ -23,6 +23,9 @@
 	if c.Key != "" && !validKey(c.Key) {
 		return refuse(ReasonKeyMalformed, "the idempotency key must be printable ASCII of at most %d bytes", maxKeyBytes)
 	}
+	if len(r.Header.Values(headerIdempotencyKey)) > 1 {
+		return refuse(ReasonKeyMalformed, "a call has at most one idempotency key")
+	}
 	if c.RunsOnce {
 		return g.runOnce(w, r, c)
 	}
