--- a/test/integration/cold_test.go
+++ b/test/integration/cold_test.go
@@ -124,6 +124,7 @@
 }
 
 func TestColdBurstAtEveryNodeLoadsEachModelOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, engines := startCold(t, 3, nil)
 	settleShares(t, c)
@@ -133,6 +134,7 @@
 }
 
 func TestLeaderKilledInTheMiddleOfLoads(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, engines := startCold(t, 3, func(config *standin.EngineConfig) { config.ChecksFencing = false })
 	settleShares(t, c)
@@ -147,6 +149,7 @@
 }
 
 func TestFrozenLeaderOrdersNothingWhenItGoesOn(t *testing.T) {
+	t.Parallel()
 	c, engines := startCold(t, 3, func(config *standin.EngineConfig) { config.ChecksFencing = false })
 	settleShares(t, c)
 	leader := c.leader(t)
@@ -175,6 +178,7 @@
 }
 
 func TestEngineThatDiedInALoadServesAfterItsRestart(t *testing.T) {
+	t.Parallel()
 	c, engines := startCold(t, 1, nil)
 	settleShares(t, c)
 	engines[0].SetFaults(standin.Faults{DieInLoad: true})
@@ -190,6 +194,7 @@
 }
 
 func TestModelOfALostEngineIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, engines := startCold(t, 2, nil)
 	settleShares(t, c)
@@ -214,6 +219,7 @@
 }
 
 func TestModelIsServedAfterAFailedLoad(t *testing.T) {
+	t.Parallel()
 	c, engines := startCold(t, 1, nil)
 	settleShares(t, c)
 	engines[0].SetFaults(standin.Faults{FailLoads: 1})
--- a/test/integration/control_test.go
+++ b/test/integration/control_test.go
@@ -139,6 +139,7 @@
 }
 
 func TestChangesSurviveKilledAndFrozenLeaders(t *testing.T) {
+	t.Parallel()
 	c := startMixed(t, 5, direct)
 	watchRevisions(t, c)
 	var ch changes
@@ -162,6 +163,7 @@
 }
 
 func TestFiveHundredChangesThenRestartOfEveryNode(t *testing.T) {
+	t.Parallel()
 	const count = 500
 	c := startMixed(t, 4, direct)
 	var ch changes
@@ -212,6 +214,7 @@
 }
 
 func TestSecondVoterLostRightAfterARepair(t *testing.T) {
+	t.Parallel()
 	c := startMixed(t, 4, direct)
 	watchRevisions(t, c)
 	var ch changes
@@ -243,6 +246,7 @@
 }
 
 func TestMemberChangesThatEndTheMajorityAreRefused(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startMixed(t, 3, direct)
 	var ch changes
--- a/test/integration/fault_test.go
+++ b/test/integration/fault_test.go
@@ -47,6 +47,7 @@
 }
 
 func TestRunOnceCallsOverFaultyConnections(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t)
 	listen, proxy := proxied(t)
 	s := c.startService(t, "s1", func(config *standin.ServiceConfig) {
@@ -100,6 +101,7 @@
 }
 
 func TestRepeatableCallsOverFaultyConnections(t *testing.T) {
+	t.Parallel()
 	c := startCluster(t)
 	listen, proxy := proxied(t)
 	faulty := c.startEngine(t, "e1", func(config *standin.EngineConfig) {
@@ -139,6 +141,7 @@
 }
 
 func TestSilentPooledConnectionsAreReplaced(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t)
 	listen, proxy := proxied(t)
@@ -159,6 +162,7 @@
 }
 
 func TestUnansweredOrdersLoadNothingTwice(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	var proxy *faultproxy.Proxy
 	c, engines := startCold(t, 1, func(config *standin.EngineConfig) {
--- a/test/integration/harness_test.go
+++ b/test/integration/harness_test.go
@@ -8,6 +8,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"net"
 	"os"
@@ -44,7 +45,14 @@
 	node, standin string
 }
 
+// clusters bounds the groups of nodes that run at once.
+const clusters = "4"
+
 func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("test.parallel", clusters); err != nil {
+		panic(err)
+	}
 	os.Exit(buildAndRun(m))
 }
 
@@ -85,18 +93,23 @@
 	lastPort  = 32000
 )
 
-// nextPort is the next port to try; another start for each process.
-var nextPort = firstPort + os.Getpid()%100*100
+// ports hands out ports, from another start in each process.
+var ports = struct {
+	sync.Mutex
+	next int
+}{next: firstPort + os.Getpid()%100*100}
 
 // freePorts returns n loopback addresses that are free now.
 func freePorts(t *testing.T, n int) []string {
 	t.Helper()
+	ports.Lock()
+	defer ports.Unlock()
 	var addrs []string
 	for len(addrs) < n {
-		addr := fmt.Sprintf("127.0.0.1:%d", nextPort)
-		nextPort++
-		if nextPort > lastPort {
-			nextPort = firstPort
+		addr := fmt.Sprintf("127.0.0.1:%d", ports.next)
+		ports.next++
+		if ports.next > lastPort {
+			ports.next = firstPort
 		}
 		if listener, err := net.Listen("tcp", addr); err == nil {
 			is.New(t).NoErr(listener.Close())
--- a/test/integration/input_test.go
+++ b/test/integration/input_test.go
@@ -43,6 +43,7 @@
 }
 
 func TestBrokenRequestsRunNothing(t *testing.T) {
+	t.Parallel()
 	c, s := startOnce(t)
 	valid := rawCall("valid", 1000)
 	cases := []struct {
@@ -79,6 +80,7 @@
 }
 
 func TestCallerThatGoesAwayLeavesOneRecordedRun(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, s := startOnce(t)
 	conn, err := net.Dial("tcp", c.nodes[0].callers)
@@ -98,6 +100,7 @@
 }
 
 func TestDrainByCommandFinishesWhatRuns(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, s := startOnce(t)
 	drained := c.nodes[0]
--- a/test/integration/once_test.go
+++ b/test/integration/once_test.go
@@ -58,6 +58,7 @@
 // its peers, so that nothing of its claim is ever delivered, not even after its
 // end.
 func TestEntryKilledBeforeTheClaimRunsOnceElsewhere(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, between := startProxied(t)
 	s := c.startService(t, "s1", nil)
@@ -78,6 +79,7 @@
 }
 
 func TestEntryKilledWhileTheCallRunsIsUnknownAndNotRunAgain(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, s := startOnce(t)
 	entry := c.nodes[0]
@@ -92,6 +94,7 @@
 }
 
 func TestEntryKilledAfterTheAnswerIsReplayedElsewhere(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, s := startOnce(t)
 	first := c.nodes[0].send(t.Context(), transfer("k", ""), nil)
@@ -105,6 +108,7 @@
 }
 
 func TestLeaderKilledWhileTheCallRunsLosesNoOutcome(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, s := startOnce(t)
 	leader := c.leader(t)
@@ -120,6 +124,7 @@
 }
 
 func TestUpstreamKilledWhileTheCallRunsIsUnknownAndNotRunAgain(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, s := startOnce(t)
 	replies := sendAside(t, c.nodes[0], transfer("k", slowWork))
@@ -140,6 +145,7 @@
 }
 
 func TestRefusedByOneUpstreamRunsOnceAtAnother(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, refusing := startOnce(t)
 	refusing.SetFaults(standin.Faults{Refuse: true})
@@ -155,6 +161,7 @@
 }
 
 func TestSameKeyAtOnceThroughEveryNodeRunsOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, s := startOnce(t)
 	const copies = 12
@@ -180,6 +187,7 @@
 }
 
 func TestCallsWhileTheLeaderIsKilledRunAtMostOnce(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, s := startOnce(t)
 	leader := c.leader(t)
--- a/test/integration/partition_test.go
+++ b/test/integration/partition_test.go
@@ -66,6 +66,7 @@
 }
 
 func TestSilentLinksBetweenNodesAreReplaced(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, between := startProxied(t)
 	s := c.startService(t, "s1", nil)
@@ -84,6 +85,7 @@
 }
 
 func TestIsolatedLeaderServesNoOldContract(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, between := startProxied(t)
 	s := c.startService(t, "s1", nil)
@@ -122,6 +124,7 @@
 }
 
 func TestFrozenLeaderServesNoOldContractWhenItGoesOn(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, s := startOnce(t)
 	frozen := c.leader(t)
@@ -148,6 +151,7 @@
 }
 
 func TestNodeRestartedAfterHundredsOfChangesServesTheNewest(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, s := startOnce(t)
 	restarted := c.nodes[2]
@@ -174,6 +178,7 @@
 }
 
 func TestSilentConnectionToAServiceIsFoundBeforeTheCallRuns(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t)
 	var proxy *faultproxy.Proxy
--- a/test/integration/path_test.go
+++ b/test/integration/path_test.go
@@ -12,6 +12,7 @@
 )
 
 func TestColdStreamedRequestThroughThreeNodes(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t)
 	_, store := startStandin(t, "store", "--scale", "0.05")
--- a/test/integration/stop_test.go
+++ b/test/integration/stop_test.go
@@ -13,6 +13,7 @@
 )
 
 func TestPlannedStopOfTwoNodesCutsOffNothing(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, _ := startPair(t, nil)
 	leader := c.leader(t)
@@ -66,6 +67,7 @@
 }
 
 func TestStoppingNodeServesLateArrivalsAndHandsOverClaims(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, s := startOnce(t)
 	leader := c.leader(t)
@@ -89,6 +91,7 @@
 }
 
 func TestLeavingUpstreamGetsNoWorkAfterTwoSeconds(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, leaving := startOnce(t)
 	staying := c.startService(t, "s2", nil)
--- a/test/integration/stream_test.go
+++ b/test/integration/stream_test.go
@@ -73,6 +73,7 @@
 }
 
 func TestStreamIsResumedWhenItsEngineDies(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, engines := startPair(t, nil)
 	begun, replies := streamAside(c.nodes[0], 60)
@@ -88,6 +89,7 @@
 }
 
 func TestStreamCutByItsEngineIsResumedAtTheNextToken(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, engines := startPair(t, nil)
 	engines[0].SetFaults(standin.Faults{CutAfter: 7})
@@ -100,6 +102,7 @@
 }
 
 func TestStreamOnASilentConnectionIsResumed(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	var proxies []*faultproxy.Proxy
 	c, engines := startPair(t, func(config *standin.EngineConfig) {
@@ -125,6 +128,7 @@
 }
 
 func TestLongQuietGenerationIsNotMistakenForSilence(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	// Longer than any link's silence limit, and than the contract's wait.
 	const quiet = 12 * time.Second
@@ -141,6 +145,7 @@
 }
 
 func TestEveryStreamOfADeadEngineIsResumed(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, engines := startPair(t, func(config *standin.EngineConfig) { config.Slots = 32 })
 	const streams = 24
@@ -166,6 +171,7 @@
 }
 
 func TestStreamCutWithASingleReplicaIsResumedThere(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t)
 	e := c.startEngine(t, "e1", nil)
@@ -180,6 +186,7 @@
 }
 
 func TestCallerThatGoesAwayFreesTheEngine(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, engines := startPair(t, nil)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -203,6 +210,7 @@
 }
 
 func TestCallersThatGoAwayTellNothingAgainstTheEngine(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := startCluster(t)
 	c.startEngine(t, "e1", nil)
@@ -224,6 +232,7 @@
 }
 
 func TestStreamOfAKilledNodeEndsVisiblyBroken(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, _ := startPair(t, nil)
 	begun, replies := streamAside(c.nodes[0], 500)
@@ -237,6 +246,7 @@
 }
 
 func TestCallsAtOnceGetTheirOwnAnswers(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c, _ := startPair(t, nil)
 	const calls = 24
