operator: write off an upstream that is lost for good

Cause: a reclaimed VM never announces a new incarnation, so its grants stayed charged for good and a model with one replica was blocked (reported from the cold start tests). Ruled out: freeing grants after a long silence, or where a connect is refused: neither proves that a cut-off engine has unloaded. Change: agateslip upstream gone ID INCARNATION, audited, refused for an upstream that still announces itself.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -37,6 +37,7 @@
 	Config   *configCmd   `arg:"subcommand:config" help:"check settings and contracts"`
 	Contract *contractCmd `arg:"subcommand:contract" help:"accept, change or read contracts"`
 	Member   *memberCmd   `arg:"subcommand:member" help:"read or repair the control group"`
+	Upstream *upstreamCmd `arg:"subcommand:upstream" help:"tell what became of an upstream"`
 	Status   *statusCmd   `arg:"subcommand:status" help:"show one node's view of the system"`
 	Audit    *auditCmd    `arg:"subcommand:audit" help:"print the audit trail"`
 	Drain    *drainCmd    `arg:"subcommand:drain" help:"begin a planned stop of one node"`
--- a/internal/cli/inspect.go
+++ b/internal/cli/inspect.go
@@ -85,12 +85,26 @@
 	fmt.Fprintf(w, "revision\t%d, proved %s ago\n", s.Revision, s.ProofAge)
 	fmt.Fprintf(w, "running\t%d\n", s.Running)
 	fmt.Fprintf(w, "grants\t%d\n", len(s.Grants))
-	fmt.Fprintln(w, "\nUPSTREAM\tDOMAIN\tKIND\tSTATE\tREPLICAS\tRUNNING")
+	fmt.Fprintln(w, "\nUPSTREAM\tDOMAIN\tKIND\tSTATE\tREPLICAS\tRUNNING\tINCARNATION")
 	for _, u := range s.Upstreams {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\n", u.ID, u.Domain, u.Kind, u.State, u.Replicas, u.Running)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\n", u.ID, u.Domain, u.Kind, u.State, u.Replicas, u.Running, u.Incarnation)
 	}
 }
 
+type upstreamCmd struct {
+	Gone *upstreamGoneCmd `arg:"subcommand:gone" help:"say that an upstream's process or VM has ended for good, which frees what it was granted"`
+}
+
+type upstreamGoneCmd struct {
+	target
+	ID          string `arg:"positional,required" help:"the upstream's name"`
+	Incarnation uint64 `arg:"positional,required" help:"the process that ended, as agateslip status shows it"`
+}
+
+func (c *upstreamGoneCmd) run(ctx context.Context, _, _ io.Writer) error {
+	return c.client().UpstreamGone(ctx, operator.Gone{Upstream: c.ID, Incarnation: c.Incarnation})
+}
+
 type drainCmd struct{ target }
 
 func (c *drainCmd) run(ctx context.Context, out, _ io.Writer) error {
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -13,6 +13,7 @@
 	"github.com/agateslip/agateslip/directory"
 	"github.com/agateslip/agateslip/internal/operator"
 	"github.com/agateslip/agateslip/internal/peer"
+	"github.com/agateslip/agateslip/placement"
 	"github.com/agateslip/agateslip/raft"
 	"github.com/cockroachdb/errors"
 )
@@ -115,7 +116,7 @@
 		state = "leaving"
 	}
 	a := v.Announcement
-	return operator.UpstreamStatus{ID: a.ID, Domain: a.Domain, Kind: string(a.Kind), State: state, Replicas: len(a.Replicas), Running: a.Load.Running}
+	return operator.UpstreamStatus{ID: a.ID, Domain: a.Domain, Kind: string(a.Kind), State: state, Replicas: len(a.Replicas), Running: a.Load.Running, Incarnation: a.Incarnation}
 }
 
 func (n *Node) stopping() bool {
@@ -127,6 +128,32 @@
 	}
 }
 
+// UpstreamGone implements operator.Backend. It refuses an upstream that this node
+// still hears, because its replicas are still loaded.
+func (b *backend) UpstreamGone(ctx context.Context, actor string, g operator.Gone) error {
+	n := b.node
+	heard, ok := call(ctx, n.loop, func() bool {
+		v, known := n.loop.dir.Get(g.Upstream, n.now())
+		return known && !v.Silent && v.Announcement.Incarnation == g.Incarnation
+	})
+	if !ok {
+		return errors.Mark(errors.New("the node stops"), operator.ErrUnavailable)
+	}
+	if heard {
+		return errors.Mark(errors.Newf("upstream %s still announces itself under incarnation %d", g.Upstream, g.Incarnation), operator.ErrRefused)
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	change := placement.Change{Kind: placement.Gone, Upstream: g.Upstream, Incarnation: g.Incarnation + 1}
+	// Ending grants again changes nothing, so the command may be sent again.
+	if _, err := n.group.propose(ctx, control.Command{Origin: n.origin(actor), Grants: []placement.Change{change}}); err != nil {
+		return errors.Mark(err, operator.ErrUnavailable)
+	}
+	note := control.Note{Action: "upstream.gone", Subject: g.Upstream, Outcome: string(control.Accepted), Detail: "incarnation " + strconv.FormatUint(g.Incarnation, 10)}
+	_, err := n.group.propose(ctx, control.Command{Origin: n.origin(actor), Note: &note})
+	return errors.Wrap(err, "audit")
+}
+
 // memberRequest asks the leader for the members, or to change them.
 type memberRequest struct {
 	Change *operator.MemberChange `json:"change,omitempty"`
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -64,6 +64,14 @@
 	State    string `json:"state"`
 	Replicas int    `json:"replicas"`
 	Running  int    `json:"running"`
+	// Incarnation identifies the upstream's process.
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Gone says that one incarnation of an upstream has ended for good.
+type Gone struct {
+	Upstream    string `json:"upstream"`
+	Incarnation uint64 `json:"incarnation"`
 }
 
 // Status is one node's view of the system.
@@ -119,6 +127,9 @@
 	Members(ctx context.Context) (Members, error)
 	// ChangeMembers changes the control group.
 	ChangeMembers(ctx context.Context, actor string, ch MemberChange) error
+	// UpstreamGone ends the grants of an incarnation that an operator knows to
+	// have ended.
+	UpstreamGone(ctx context.Context, actor string, g Gone) error
 	// Drain begins a planned stop.
 	Drain()
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -134,6 +134,15 @@
 	return c.send(ctx, memberTimeout, http.MethodPost, "/v1/members", nil, body, nil)
 }
 
+// UpstreamGone says that an incarnation of an upstream has ended for good.
+func (c *Client) UpstreamGone(ctx context.Context, g Gone) error {
+	body, err := json.Marshal(g)
+	if err != nil {
+		return errors.Wrap(err, "encode upstream")
+	}
+	return c.do(ctx, http.MethodPost, "/v1/upstreams/gone", nil, body, nil)
+}
+
 // Drain begins a planned stop of the node.
 func (c *Client) Drain(ctx context.Context) (Status, error) {
 	var s Status
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"context"
 	"crypto/subtle"
 	"encoding/json"
 	"expvar"
@@ -58,6 +59,7 @@
 	mux.Handle("GET /v1/audit", s.authorized(s.audit))
 	mux.Handle("GET /v1/members", s.authorized(s.members))
 	mux.Handle("POST /v1/members", s.authorized(s.changeMembers))
+	mux.Handle("POST /v1/upstreams/gone", s.authorized(s.upstreamGone))
 	mux.Handle("POST /v1/drain", s.authorized(s.drain))
 	return &http.Server{
 		Handler:           mux,
@@ -211,14 +213,23 @@
 }
 
 func (s *server) changeMembers(w http.ResponseWriter, r *http.Request) {
-	var ch MemberChange
+	act(w, r, s.backend.ChangeMembers)
+}
+
+func (s *server) upstreamGone(w http.ResponseWriter, r *http.Request) {
+	act(w, r, s.backend.UpstreamGone)
+}
+
+// act decodes a request strictly and has it carried out.
+func act[T any](w http.ResponseWriter, r *http.Request, do func(context.Context, string, T) error) {
+	var body T
 	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxContractBytes))
 	dec.DisallowUnknownFields()
-	if err := dec.Decode(&ch); err != nil {
+	if err := dec.Decode(&body); err != nil {
 		writeError(w, http.StatusBadRequest, ErrorBody{Error: err.Error()})
 		return
 	}
-	if err := s.backend.ChangeMembers(r.Context(), actor(r), ch); err != nil {
+	if err := do(r.Context(), actor(r), body); err != nil {
 		writeError(w, statusOf(err), ErrorBody{Error: err.Error()})
 		return
 	}
--- a/test/integration/cold_test.go
+++ b/test/integration/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os/exec"
 	"strings"
 	"sync"
 	"syscall"
@@ -218,6 +219,48 @@
 	checkMemory(t, engines)
 }
 
+// TestLostEngineIsWrittenOffByOperators tells the system of an engine that died
+// in the middle of a load, which frees its grant for the other engine.
+func TestLostEngineIsWrittenOffByOperators(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c, engines := startCold(t, 2, nil)
+	settleShares(t, c)
+	for _, e := range engines {
+		e.SetFaults(standin.Faults{DieInLoad: true})
+	}
+	is.Equal(c.nodes[0].send(t.Context(), chat("c1", true, 5), nil).ran, gateway.NotRun)
+	for _, e := range engines {
+		e.SetFaults(standin.Faults{})
+	}
+	gone := func(id string, incarnation uint64) int {
+		cmd := exec.Command(programs.node, "upstream", "gone", id, fmt.Sprint(incarnation), "--node", c.nodes[1].operator, "--token", operatorToken)
+		out, _ := cmd.CombinedOutput()
+		t.Logf("%s", out)
+		return cmd.ProcessState.ExitCode()
+	}
+	eventually(t, "the lost engine is silent", func() bool {
+		status, _ := c.nodes[1].status()
+		lost := false
+		for _, u := range status.Upstreams {
+			lost = lost || u.State == "silent"
+		}
+		return lost
+	})
+	status, _ := c.nodes[1].status()
+	for _, u := range status.Upstreams {
+		if u.State == "silent" {
+			is.Equal(gone(u.ID, u.Incarnation), 0)
+		} else {
+			is.Equal(gone(u.ID, u.Incarnation), 3) // it still holds what it holds
+		}
+	}
+	eventually(t, "the model is served by the other engine", func() bool {
+		return c.nodes[2].send(t.Context(), chat("c1", true, 5), nil).whole
+	})
+	checkMemory(t, engines)
+}
+
 func TestModelIsServedAfterAFailedLoad(t *testing.T) {
 	t.Parallel()
 	c, engines := startCold(t, 1, nil)
