One implementation of prefix hashes and header names; a steady dead address

Read-through: gateway and engine each hashed prompts and named headers; both use package engine now. The refusal reason node-stopping was never used and is gone. internal/cli's test of a dead node failed once (exit 2 for 4): its freed port was taken by another subtest's server.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -30,16 +29,9 @@
 	return s.Listener.Addr().String()
 }
 
-// deadNode returns an address that nobody listens on.
-func deadNode(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
-}
+// deadNode is an address that nobody listens on: the kernel hands out no such
+// port, so no other test can get it.
+const deadNode = "127.0.0.1:1"
 
 func TestExitStatus(t *testing.T) {
 	dir := t.TempDir()
@@ -72,7 +64,7 @@
 		{"wrong token", "status --node " + nodeAnswering(t, http.StatusUnauthorized), ExitInput, "Unauthorized"},
 		{"conflict", "contract apply --change-id 7 " + good + " --node " + nodeAnswering(t, http.StatusConflict), ExitConflict, "change id: 7"},
 		{"undecided", "member remove 3 --node " + nodeAnswering(t, http.StatusServiceUnavailable), ExitUnavailable, "Unavailable"},
-		{"no node", "contract remove c --change-id 7 --node " + deadNode(t), ExitUnavailable, "change id: 7"},
+		{"no node", "contract remove c --change-id 7 --node " + deadNode, ExitUnavailable, "change id: 7"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/engine/prefix.go
+++ b/internal/engine/prefix.go
@@ -12,23 +12,34 @@
 	PrefixBlock = 256
 	// MaxPrefixBlocks bounds the blocks of one prompt that are identified.
 	MaxPrefixBlocks = 32
+	// prefixBase is the base in which cache events write hashes.
+	prefixBase = 16
 )
 
 // PrefixHashes identifies the whole-block prefixes of a prompt, shortest first.
 // The prompt is the JSON text of the request's field messages, or else of its
 // field prompt, as it was sent.
-func PrefixHashes(prompt []byte) []string {
+func PrefixHashes(prompt []byte) []uint64 {
 	digest := xxhash.New()
-	var hashes []string
+	var hashes []uint64
 	for len(prompt) >= PrefixBlock && len(hashes) < MaxPrefixBlocks {
 		// Writes to a Digest never fail.
 		_, _ = digest.Write(prompt[:PrefixBlock])
 		prompt = prompt[PrefixBlock:]
-		hashes = append(hashes, strconv.FormatUint(digest.Sum64(), 16))
+		hashes = append(hashes, digest.Sum64())
 	}
 	return hashes
 }
 
+// FormatPrefix writes a hash as cache events carry it.
+func FormatPrefix(hash uint64) string { return strconv.FormatUint(hash, prefixBase) }
+
+// ParsePrefix reads a hash of a cache event; false if it is none.
+func ParsePrefix(s string) (uint64, bool) {
+	hash, err := strconv.ParseUint(s, prefixBase, 64)
+	return hash, err == nil
+}
+
 // Sequence follows the batch numbers of one upstream's cache events. The zero
 // value expects the first batch of any incarnation.
 type Sequence struct {
--- a/internal/gateway/header.go
+++ b/internal/gateway/header.go
@@ -6,11 +6,13 @@
 	"net/textproto"
 	"slices"
 	"strings"
+
+	"github.com/agateslip/agateslip/internal/engine"
 )
 
 // Headers of callers.
 const (
-	headerIdempotencyKey = "Idempotency-Key"
+	headerIdempotencyKey = engine.HeaderIdempotencyKey
 	// headerRunOnce marks a call that may run at most once.
 	headerRunOnce = "X-Agateslip-Run-Once"
 	// headerReplayed marks an answer that an earlier call with the same key got.
@@ -19,10 +21,10 @@
 
 // Headers between this node and upstreams.
 const (
-	headerAttempt  = "X-Attempt-Id"
-	headerResume   = "X-Resume-From"
-	headerNotRun   = "X-Not-Run"
-	headerPriority = "X-Priority"
+	headerAttempt  = engine.HeaderAttempt
+	headerResume   = engine.HeaderResumeFrom
+	headerNotRun   = engine.HeaderNotRun
+	headerPriority = engine.HeaderPriority
 )
 
 // maxKeyBytes bounds an idempotency key.
--- a/internal/gateway/prefix.go
+++ b/internal/gateway/prefix.go
@@ -1,29 +1,11 @@
 package gateway
 
-import "github.com/cespare/xxhash/v2"
+import "github.com/agateslip/agateslip/internal/engine"
 
-// Bounds of the prompt's block hashes.
-const (
-	// prefixBlockBytes is the prompt text that one block hash covers.
-	prefixBlockBytes = 256
-	// maxPrefixBlocks bounds the blocks that are hashed.
-	maxPrefixBlocks = 32
-)
-
-// promptPrefix hashes the prompt in blocks. Each hash covers everything before
-// it too, so that equal hashes mean equal prefixes.
+// promptPrefix identifies the prompt's whole-block prefixes, shortest first.
 func promptPrefix(req completionRequest) []uint64 {
-	text := []byte(req.Messages)
-	if len(text) == 0 {
-		text = req.Prompt
-	}
-	var hashes []uint64
-	digest := xxhash.New()
-	for len(text) >= prefixBlockBytes && len(hashes) < maxPrefixBlocks {
-		// The digest's Write never fails.
-		_, _ = digest.Write(text[:prefixBlockBytes])
-		hashes = append(hashes, digest.Sum64())
-		text = text[prefixBlockBytes:]
+	if len(req.Messages) > 0 {
+		return engine.PrefixHashes(req.Messages)
 	}
-	return hashes
+	return engine.PrefixHashes(req.Prompt)
 }
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/agateslip/agateslip/internal/engine"
 )
 
 // Ran says whether a request was run by an upstream.
@@ -29,7 +31,7 @@
 	// HeaderReason carries a Reason.
 	HeaderReason = "X-Agateslip-Reason"
 	// HeaderRequestID identifies the request in logs.
-	HeaderRequestID = "X-Request-Id"
+	HeaderRequestID = engine.HeaderRequest
 )
 
 // Reason is why a request was refused or failed.
@@ -52,7 +54,6 @@
 	ReasonNoUpstream     Reason = "no-upstream"
 	ReasonNotCurrent     Reason = "node-not-current"
 	ReasonNoShare        Reason = "node-without-share"
-	ReasonStopping       Reason = "node-stopping"
 	ReasonNoMemory       Reason = "node-memory"
 	ReasonUpstreamFailed Reason = "upstream-failed"
 	ReasonClaim          Reason = "claim-unavailable"
@@ -81,7 +82,6 @@
 	ReasonNoUpstream:     http.StatusServiceUnavailable,
 	ReasonNotCurrent:     http.StatusServiceUnavailable,
 	ReasonNoShare:        http.StatusServiceUnavailable,
-	ReasonStopping:       http.StatusServiceUnavailable,
 	ReasonNoMemory:       http.StatusServiceUnavailable,
 	ReasonUpstreamFailed: http.StatusBadGateway,
 	ReasonClaim:          http.StatusServiceUnavailable,
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sort"
-	"strconv"
 	"time"
 
 	"github.com/agateslip/agateslip/internal/engine"
@@ -131,7 +130,7 @@
 	}
 	var added, removed []routing.BlockHash
 	for _, e := range b.Events {
-		h, ok := parsePrefix(e.Prefix)
+		h, ok := engine.ParsePrefix(e.Prefix)
 		switch {
 		case !ok:
 		case e.Op == engine.CacheRemove:
@@ -164,9 +163,3 @@
 	})
 	return list
 }
-
-// parsePrefix reads the identity of a cached prefix.
-func parsePrefix(s string) (uint64, bool) {
-	h, err := strconv.ParseUint(s, 16, 64)
-	return h, err == nil
-}
--- a/internal/standin/cache.go
+++ b/internal/standin/cache.go
@@ -43,7 +43,8 @@
 	defer c.mu.Unlock()
 	var events []engine.CacheEvent
 	cached := 0
-	for i, hash := range engine.PrefixHashes(prompt) {
+	for i, block := range engine.PrefixHashes(prompt) {
+		hash := engine.FormatPrefix(block)
 		length := (i + 1) * engine.PrefixBlock
 		if c.held[hash] {
 			cached = length
