node: release a withdrawn grant that its upstream never got

The engine answers the unload order with unknown-grant and never announces such a replica, so with one replica allowed the model was blocked, over leader changes too. Ruled out: releasing on the first such answer (a load order may be on its way); making the stand-in announce it (engines need not). Change: two answers of the same incarnation at least 1.2 s apart (longest lease plus order deadline) are its own word that it holds nothing, and the grant is released. The audit table keeps each entry on one line.

--- a/internal/cli/contract.go
+++ b/internal/cli/contract.go
@@ -213,6 +213,6 @@
 	for _, e := range entries {
 		when := time.UnixMilli(e.Origin.UnixMillis).UTC().Format(time.RFC3339)
 		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\t%s\n", e.Seq, when, e.Origin.Actor, e.Origin.Node,
-			e.Action, e.Subject, e.From, e.To, e.Outcome, e.Detail)
+			e.Action, e.Subject, e.From, e.To, e.Outcome, strings.Join(strings.Fields(e.Detail), " "))
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -313,7 +313,7 @@
 		{Name: "peers", Run: n.mesh.Run},
 	}
 	if n.group.replica != nil {
-		plan := &planner{node: n, orders: &engine.Client{}}
+		plan := newPlanner(n)
 		parts = append(parts,
 			supervisor.Part{Name: "replica", Run: n.runReplica},
 			supervisor.Part{Name: "placement", Run: plan.run},
--- a/internal/node/plan.go
+++ b/internal/node/plan.go
@@ -24,6 +24,8 @@
 	// teachInterval is the cadence of passing the planner's experience on, for
 	// the next leader.
 	teachInterval = 10 * time.Second
+	// deniedQueue bounds the denied unload orders that wait for a round.
+	deniedQueue = 64
 	// reapInterval is the cadence of looking for claims of ended processes.
 	reapInterval = time.Second
 )
@@ -39,6 +41,14 @@
 	reaped  time.Duration
 	taught  time.Duration
 	addrs   map[string]string
+	// denied are unload orders whose upstream holds no such replica.
+	denied   chan placement.Order
+	absences *absences
+}
+
+// newPlanner returns the planning part of a node.
+func newPlanner(n *Node) *planner {
+	return &planner{node: n, orders: &engine.Client{}, denied: make(chan placement.Order, deniedQueue)}
 }
 
 // planInput is what the control loop contributes to a round.
@@ -81,6 +91,7 @@
 		return maxPlanInterval
 	}
 	p.reap(ctx, in.lost)
+	p.releaseDenied(ctx)
 	snapshot := p.snapshot(in)
 	plan := p.core.Plan(p.node.now(), snapshot)
 	p.node.loop.post(ctx, func() { p.node.loop.setForecasts(term, plan.Forecasts) })
@@ -97,6 +108,7 @@
 	p.term = term
 	p.since = p.node.now()
 	p.pending = nil
+	p.absences = newAbsences()
 	p.core = placement.NewPlanner(placement.Config{
 		Store:            placement.StoreLimits{Width: p.node.cfg.Store.Width, Rate: p.node.cfg.Store.Rate},
 		AdaptersInFlight: p.node.cfg.Store.AdapterWidth,
@@ -210,6 +222,25 @@
 	return true
 }
 
+// releaseDenied ends withdrawn grants whose upstream proved that it holds none.
+func (p *planner) releaseDenied(ctx context.Context) {
+	var changes []placement.Change
+	for {
+		select {
+		case o := <-p.denied:
+			if p.absences.deny(o.Grant, p.node.now()) {
+				changes = append(changes, release(o))
+			}
+			continue
+		default:
+		}
+		break
+	}
+	if len(changes) > 0 {
+		p.propose(ctx, changes)
+	}
+}
+
 func (p *planner) logGrant(c placement.Change, r control.GrantResult) {
 	log := p.node.log.WithFields(logrus.Fields{
 		"part":     "placement",
@@ -240,6 +271,12 @@
 	ctx, cancel := context.WithTimeout(ctx, orderDeadline)
 	defer cancel()
 	res := p.orders.Send(ctx, addr, engineOrder(o))
+	if o.Kind == placement.UnloadModel && res.Outcome == engine.Refused && res.Reason == engine.UnknownGrant {
+		select {
+		case p.denied <- o:
+		default: // the order is sent again
+		}
+	}
 	p.node.log.WithFields(logrus.Fields{
 		"part":     "placement",
 		"upstream": o.Upstream,
