--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -108,10 +109,12 @@
 		<-asked
 		w.Header().Set(headerNotRun, "true")
 	}, func(http.ResponseWriter, *http.Request) { late.Add(1) })
+	release := sync.OnceFunc(func() { close(asked) })
+	t.Cleanup(release) // the upstream ends only without a blocked handler
 	f.contract.Wait = contract.Duration(100 * time.Millisecond)
 	resp, _ := pay(t, url)
 	is.Equal(resp.Header.Get(HeaderReason), string(ReasonDeadline))
-	close(asked)
+	release()
 	for g.Running() > 0 {
 		time.Sleep(time.Millisecond)
 	}
