--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -6,9 +6,7 @@
 	"time"
 
 	"github.com/agateslip/agateslip/admission"
-	"github.com/agateslip/agateslip/contract"
 	"github.com/agateslip/agateslip/directory"
-	"github.com/agateslip/agateslip/internal/gateway"
 	"github.com/agateslip/agateslip/placement"
 	"github.com/agateslip/agateslip/routing"
 	"github.com/sirupsen/logrus"
@@ -19,40 +17,13 @@
 	tickInterval = 100 * time.Millisecond
 	// minWake bounds the cadence of looking for due verdicts.
 	minWake = time.Millisecond
-	// forecastLife is how long a forecast of the leader counts.
-	forecastLife = 2 * time.Second
 	// refreshEvery is when targets are set again although nothing changed, for
 	// forecasts that have aged.
 	refreshEvery = 500 * time.Millisecond
 	// postQueue bounds the events that wait for the control loop.
 	postQueue = 1024
-	// adapterAllowance is added to a forecast for a request that also needs an
-	// adapter.
-	adapterAllowance = 250 * time.Millisecond
 )
 
-// targetKey is what admission and routing know a model's calls by. Replicas are
-// held for one customer.
-func targetKey(customer, model, adapter string) string {
-	key := customer + "/" + model
-	if adapter != "" {
-		key += "#" + adapter
-	}
-	return key
-}
-
-// demandKey names one row of demand.
-type demandKey struct {
-	placement.Key
-	Adapter string
-}
-
-// demand is what one model or adapter has on this node.
-type demand struct {
-	running  int
-	arrivals int
-}
-
 // waiter is a call that waits for admission.
 type waiter struct {
 	key      demandKey
@@ -60,12 +31,6 @@
 	decided  chan admission.Decision
 }
 
-// forecast is the leader's forecast of one model, with the time it came.
-type forecast struct {
-	placement.Forecast
-	at time.Duration
-}
-
 // loop owns the node's control state. Everything in it is touched by its own
 // goroutine only; others post functions.
 type loop struct {
@@ -265,99 +230,6 @@
 	l.lead.kickPlan()
 }
 
-// granted is the view of an upstream that routing may use: only replicas that
-// are granted and not withdrawn, each under its customer's target.
-func (l *loop) granted(v directory.View) directory.View {
-	var replicas []directory.Replica
-	for _, r := range v.Announcement.Replicas {
-		g, ok := l.grants.Find(r.Grant)
-		if !ok || g.State == placement.Withdrawn || g.Incarnation != v.Announcement.Incarnation {
-			continue
-		}
-		r.Model = targetKey(g.Customer, g.Model, "")
-		replicas = append(replicas, r)
-	}
-	v.Announcement.Replicas = replicas
-	return v
-}
-
-// setTargets tells admission which models, adapters and services serve.
-func (l *loop) setTargets(views []directory.View, now time.Duration) {
-	ready := l.readySlots(views)
-	for i := range l.node.store.view.Load().contracts {
-		c := &l.node.store.view.Load().contracts[i].Contract
-		for _, m := range c.Models {
-			l.setModel(c.Customer, m, "", ready, now)
-			for _, a := range m.Adapters {
-				l.setModel(c.Customer, m, a, ready, now)
-			}
-		}
-		for _, s := range c.Services {
-			name := gateway.ServiceTarget(s.Name)
-			l.throttler.SetTarget(name, serviceState(ready[name]), now)
-		}
-	}
-}
-
-// serviceState is the state of a plain service: the system loads none, so one
-// that nobody serves is gone until it announces itself.
-func serviceState(slots int) admission.TargetState {
-	if slots == 0 {
-		return admission.TargetState{Readiness: admission.Gone, RetryAfter: time.Second}
-	}
-	return admission.TargetState{Readiness: admission.Ready, Slots: slots}
-}
-
-func (l *loop) setModel(customer string, m contract.Model, adapter string, ready map[string]int, now time.Duration) {
-	key := targetKey(customer, m.Name, adapter)
-	if slots := ready[key]; slots > 0 {
-		l.throttler.SetTarget(key, admission.TargetState{Readiness: admission.Ready, Slots: slots}, now)
-		return
-	}
-	f, ok := l.forecasts[placement.Key{Customer: customer, Model: m.Name}]
-	l.throttler.SetTarget(key, forecastState(f, ok, adapter != "", now), now)
-}
-
-// forecastState is the state of a model that no replica serves now.
-func forecastState(f forecast, known, adapter bool, now time.Duration) admission.TargetState {
-	switch {
-	case !known || now-f.at > forecastLife:
-		return admission.TargetState{Readiness: admission.Unknown}
-	case f.Readiness == placement.Blocked:
-		return admission.TargetState{Readiness: admission.Gone, RetryAfter: f.RetryAfter}
-	}
-	at := f.at + f.ReadyIn
-	if adapter {
-		at += adapterAllowance
-	}
-	return admission.TargetState{Readiness: admission.Expected, ReadyAt: at, RetryAfter: f.RetryAfter}
-}
-
-// readySlots sums the slots of each target over the upstreams that take work.
-func (l *loop) readySlots(views []directory.View) map[string]int {
-	slots := map[string]int{}
-	for _, v := range views {
-		if !v.Takes() {
-			continue
-		}
-		a := &v.Announcement
-		if a.Kind == directory.Service {
-			slots[gateway.ServiceTarget(a.Service)] += max(a.Slots, 1)
-			continue
-		}
-		for _, r := range l.granted(v).Announcement.Replicas {
-			if r.State != directory.Ready {
-				continue
-			}
-			slots[r.Model] += max(a.Slots, 1)
-			for _, adapter := range r.Adapters {
-				slots[r.Model+"#"+adapter] += max(a.Slots, 1)
-			}
-		}
-	}
-	return slots
-}
-
 // decide hands out the verdicts that have become due.
 func (l *loop) decide() {
 	for _, d := range l.throttler.Poll(l.now()) {
@@ -387,45 +259,3 @@
 	default:
 	}
 }
-
-func (l *loop) demandOf(k demandKey) *demand {
-	d, ok := l.demands[k]
-	if !ok {
-		d = &demand{}
-		l.demands[k] = d
-	}
-	return d
-}
-
-// takeDemand returns this node's demand and starts a new count of arrivals.
-func (l *loop) takeDemand() []placement.Demand {
-	now := l.now()
-	rows := map[demandKey]*placement.Demand{}
-	for k, d := range l.demands {
-		if d.running == 0 && d.arrivals == 0 {
-			delete(l.demands, k)
-		}
-		rows[k] = &placement.Demand{Key: k.Key, Adapter: k.Adapter, Node: l.node.cfg.Node, Running: d.running, Arrivals: d.arrivals}
-		d.arrivals = 0
-	}
-	for _, w := range l.waiters {
-		row, ok := rows[w.key]
-		if !ok {
-			row = &placement.Demand{Key: w.key.Key, Adapter: w.key.Adapter, Node: l.node.cfg.Node}
-			rows[w.key] = row
-		}
-		left := w.deadline - now
-		if row.Waiting == 0 || left < row.Remaining {
-			row.Remaining = left
-		}
-		row.Waiting++
-	}
-	return sortedDemand(rows)
-}
-
-// returnDemand counts arrivals again whose report was lost.
-func (l *loop) returnDemand(rows []placement.Demand) {
-	for _, r := range rows {
-		l.demandOf(demandKey{Key: r.Key, Adapter: r.Adapter}).arrivals += r.Arrivals
-	}
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"expvar"
 	"math/rand/v2"
 	"net"
@@ -16,7 +15,6 @@
 	"github.com/agateslip/agateslip/contract"
 	"github.com/agateslip/agateslip/control"
 	"github.com/agateslip/agateslip/internal/config"
-	"github.com/agateslip/agateslip/internal/engine"
 	"github.com/agateslip/agateslip/internal/gateway"
 	"github.com/agateslip/agateslip/internal/operator"
 	"github.com/agateslip/agateslip/internal/peer"
@@ -295,17 +293,6 @@
 	}
 }
 
-// upstreamTimeout bounds one announcement.
-const upstreamTimeout = 5 * time.Second
-
-func (n *Node) upstreamServer() *http.Server {
-	handler := engine.Handler(&announcements{loop: n.loop})
-	if n.cfg.UpstreamToken != "" {
-		handler = requireToken(n.cfg.UpstreamToken, handler)
-	}
-	return &http.Server{Handler: handler, ReadTimeout: upstreamTimeout, IdleTimeout: 2 * upstreamTimeout}
-}
-
 // tree lists the node's parts in starting order. They stop in reverse.
 func (n *Node) tree(s servers) supervisor.Tree {
 	parts := []supervisor.Part{
@@ -340,20 +327,6 @@
 	return nil
 }
 
-// serve runs an HTTP server until ctx ends.
-func serve(s *http.Server, ln net.Listener) func(context.Context) error {
-	return func(ctx context.Context) error {
-		stopped := context.AfterFunc(ctx, func() { _ = s.Close() })
-		defer stopped()
-		err := s.Serve(ln)
-		if errors.Is(err, http.ErrServerClosed) {
-			<-ctx.Done()
-			return nil
-		}
-		return supervisor.Permanent(err)
-	}
-}
-
 // contracts implements gateway.Contracts.
 type contracts struct{ node *Node }
 
@@ -376,55 +349,3 @@
 func (n *Node) proofAge() (time.Duration, bool) {
 	return n.currency.age(n.now(), n.store.applied.Load())
 }
-
-// InitVoter prepares the data folder of a founding member.
-func InitVoter(cfg config.Config) (raft.MemberID, error) {
-	var voters []raft.MemberID
-	for _, p := range cfg.Peers {
-		if p.Voter != 0 {
-			voters = append(voters, raft.MemberID(p.Voter))
-		}
-	}
-	restored, err := replica.Founding(voters, newStore())
-	if err != nil {
-		return 0, err
-	}
-	return create(cfg, raft.MemberID(cfg.Self().Voter), restored)
-}
-
-// InitRejoin prepares the data folder of a member that takes the place of a
-// lost one. It has a new identity and no vote until operators give it one.
-func InitRejoin(cfg config.Config) (raft.MemberID, error) {
-	raw := uuid.New()
-	id := raft.MemberID(0)
-	for _, b := range raw[:rejoinIDBytes] {
-		id = id<<8 | raft.MemberID(b)
-	}
-	return create(cfg, id, raft.Restored{})
-}
-
-// rejoinIDBytes keeps drawn member ids exact in JSON numbers.
-const rejoinIDBytes = 6
-
-func create(cfg config.Config, id raft.MemberID, restored raft.Restored) (raft.MemberID, error) {
-	if cfg.Data == "" {
-		return 0, errors.New("data: this node has no data folder")
-	}
-	disk, err := storage.Create(storage.Options{Dir: cfg.Data, Identity: storage.Identity{Group: cfg.Group, Member: id}}, restored)
-	if err != nil {
-		return 0, err
-	}
-	return id, disk.Close()
-}
-
-// requireToken refuses announcements without the upstreams' token.
-func requireToken(token string, next http.Handler) http.Handler {
-	want := sha256.Sum256([]byte("Bearer " + token))
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if sha256.Sum256([]byte(r.Header.Get("Authorization"))) != want {
-			http.Error(w, "an upstream token is required", http.StatusUnauthorized)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
 	"github.com/agateslip/agateslip/internal/engine"
 	"github.com/agateslip/agateslip/internal/gateway"
-	"github.com/agateslip/agateslip/placement"
 	"github.com/agateslip/agateslip/routing"
 	"github.com/cockroachdb/errors"
 )
@@ -147,19 +145,3 @@
 	}
 	return false
 }
-
-func sortedDemand(rows map[demandKey]*placement.Demand) []placement.Demand {
-	list := make([]placement.Demand, 0, len(rows))
-	for _, r := range rows {
-		if r.Model != "" {
-			list = append(list, *r)
-		}
-	}
-	sort.Slice(list, func(i, j int) bool {
-		if list[i].Key != list[j].Key {
-			return list[i].Less(list[j].Key)
-		}
-		return list[i].Adapter < list[j].Adapter
-	})
-	return list
-}
--- /dev/null
+++ b/internal/node/serve.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"context"
+	"crypto/sha256"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/agateslip/agateslip/internal/engine"
+	"github.com/agateslip/agateslip/internal/supervisor"
+	"github.com/cockroachdb/errors"
+)
+
+// upstreamTimeout bounds one announcement.
+const upstreamTimeout = 5 * time.Second
+
+func (n *Node) upstreamServer() *http.Server {
+	handler := engine.Handler(&announcements{loop: n.loop})
+	if n.cfg.UpstreamToken != "" {
+		handler = requireToken(n.cfg.UpstreamToken, handler)
+	}
+	return &http.Server{Handler: handler, ReadTimeout: upstreamTimeout, IdleTimeout: 2 * upstreamTimeout}
+}
+
+// serve runs an HTTP server until ctx ends.
+func serve(s *http.Server, ln net.Listener) func(context.Context) error {
+	return func(ctx context.Context) error {
+		stopped := context.AfterFunc(ctx, func() { _ = s.Close() })
+		defer stopped()
+		err := s.Serve(ln)
+		if errors.Is(err, http.ErrServerClosed) {
+			<-ctx.Done()
+			return nil
+		}
+		return supervisor.Permanent(err)
+	}
+}
+
+// requireToken refuses announcements without the upstreams' token.
+func requireToken(token string, next http.Handler) http.Handler {
+	want := sha256.Sum256([]byte("Bearer " + token))
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if sha256.Sum256([]byte(r.Header.Get("Authorization"))) != want {
+			http.Error(w, "an upstream token is required", http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- a/placement/ledger.go
+++ b/placement/ledger.go
@@ -67,7 +67,7 @@
 	// UpstreamMemory is, for Add, the accelerator memory in bytes that the
 	// upstream announced.
 	UpstreamMemory int64 `json:"upstreamMemory,omitempty"`
-	// ID names the grant of Withdraw, Renew and Release.
+	// ID names the grant of Withdraw and Release.
 	ID uint64 `json:"id,omitempty"`
 	// Upstream is the upstream of Release and Gone.
 	Upstream string `json:"upstream,omitempty"`
