--- a/test/integration/control_test.go
+++ b/test/integration/control_test.go
@@ -99,12 +99,14 @@
 // inForce waits until the nodes are ready with a revision.
 func inForce(t *testing.T, nodes []*node, revision uint64) {
 	t.Helper()
+	start := time.Now()
 	for _, n := range nodes {
 		eventually(t, fmt.Sprintf("revision %d in force at %s", revision, n.name), func() bool {
 			s, ok := n.status()
 			return ok && s.Ready && s.Revision >= revision
 		})
 	}
+	t.Logf("revision %d in force at %d nodes after %s", revision, len(nodes), time.Since(start).Round(time.Millisecond))
 }
 
 // checkHistory compares what every node holds: each accepted change once, in
