integration: a test that only the proof of currency can pass

A mutation trial (scratch copy, proofs good for an hour) passed both tests that were meant to catch it: an isolated node also runs out of its share of the capacity. The new test lists models, which needs no share. It fails with the mutation (33 s, not refused) and passes without (5 s).

--- a/test/integration/partition_test.go
+++ b/test/integration/partition_test.go
@@ -123,6 +123,32 @@
 	})
 }
 
+// TestIsolatedNodeListsNoOldContract asks for the models of the contract, which
+// needs no share of capacity: only the node's proof of its contracts can refuse.
+func TestIsolatedNodeListsNoOldContract(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c, between := startProxied(t)
+	c.apply(t, c.nodes[0], contractText("3s"), 0)
+	isolated := c.nodes[2]
+	rest := c.nodes[:2]
+	models := call{method: http.MethodGet, path: "/v1/models"}
+	is.True(isolated.send(t.Context(), models, nil).answered())
+	for _, proxy := range between.of(2) {
+		proxy.SetAll(faultproxy.Silent())
+	}
+	majority := &cluster{nodes: rest}
+	eventually(t, "a leader of the majority", func() bool {
+		status, ok := rest[0].status()
+		return ok && status.Leader != "" && status.Leader != isolated.name && status.Ready
+	})
+	majority.apply(t, rest[0], revoked(), 1)
+	eventually(t, "the isolated node refuses", func() bool {
+		got := isolated.send(t.Context(), models, nil)
+		return got.ran == gateway.NotRun && got.reason == string(gateway.ReasonNotCurrent)
+	})
+}
+
 func TestFrozenLeaderServesNoOldContractWhenItGoesOn(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
