gateway: a stream resumes only where the engine says that it does

Cause: the token that a resumed answer begins at was asked for and not checked. An engine that ignores X-Resume-From would have repeated tokens to the caller; docs/ PROTOCOLS.md has it repeat the header where it resumes. Such an answer now ends the stream visibly broken. Ruled out: dropping the first tokens here (a second run need not produce the same ones). TestEngineThatIgnoresTheResumeBreaksTheStream fails before and passes after.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -130,6 +130,9 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		from, _ := strconv.Atoi(r.Header.Get(headerResume))
 		w.Header().Set("Content-Type", "text/event-stream")
+		if from > 0 {
+			w.Header().Set(headerResume, strconv.Itoa(from))
+		}
 		for i := from; i < total; i++ {
 			if cut > 0 && i == cut {
 				_, _ = fmt.Fprintf(w, "data: half of %d", i)
@@ -167,6 +170,18 @@
 	is.True(!strings.Contains(body, "half"))
 }
 
+// TestEngineThatIgnoresTheResumeBreaksTheStream starts again at the first token.
+func TestEngineThatIgnoresTheResumeBreaksTheStream(t *testing.T) {
+	is := is.New(t)
+	_, _, url := newGateway(t, tokens(10, 4), func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Del(headerResume)
+		tokens(10, 0)(w, r)
+	})
+	_, body, err := answerOf(t, "POST", url+"/v1/chat/completions", streamBody)
+	is.True(err != nil)
+	is.Equal(strings.Count(body, "data: 0\n"), 1) // no token twice
+}
+
 func TestSilentStreamContinuesOnAnotherConnection(t *testing.T) {
 	is := is.New(t)
 	var calls atomic.Int32
--- a/internal/gateway/repeatable.go
+++ b/internal/gateway/repeatable.go
@@ -144,6 +144,11 @@
 		return err
 	}
 	defer resp.close()
+	if !resumesAt(resp, a.resumeFrom) {
+		err := errors.Mark(errors.Newf("upstream %s did not resume at token %d", a.route.Upstream, a.resumeFrom), errBroken)
+		a.route.Done(AttemptInterrupted)
+		return err
+	}
 	out.dog = a.dog
 	err = s.relayAnswer(resp, out, stopTimer, stall)
 	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
@@ -153,6 +158,12 @@
 	return err
 }
 
+// resumesAt says whether an answer begins at the token that was asked for. One
+// that begins elsewhere would repeat or skip tokens.
+func resumesAt(resp *answer, token int) bool {
+	return token == 0 || resp.header.Get(headerResume) == strconv.Itoa(token)
+}
+
 // endOf is how an attempt ended whose answer had begun.
 func endOf(caller context.Context, err error, progressed bool) AttemptResult {
 	switch {
