A managed deployment: entry and control nodes behind the platform adapter

Cause: the product formed groups from a full list of peers and spoke its own protocols only. Added: routes, fleet, dispatch, residency and confstate as pure packages; entry and control nodes that find each other from seeds; a pool of upstream connections that never sends a call again; platform/, which translates. Leases of the consensus member can count suspended time (a test fails without it).

--- /dev/null
+++ b/confstate/confstate_test.go
@@ -0,0 +1,50 @@
+package confstate_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/confstate"
+)
+
+func configure(version uint64, text string) confstate.Command {
+	return confstate.Command{Configure: &confstate.Configure{Version: version, Document: []byte(text)}}
+}
+
+func TestTheHighestVersionIsInForce(t *testing.T) {
+	is := is.New(t)
+	s := confstate.New()
+	is.Equal(s.Apply(1, configure(7, "a")), confstate.Accepted)
+	is.Equal(s.Apply(2, configure(7, "a")), confstate.Repeated)
+	is.Equal(s.Apply(3, configure(7, "b")), confstate.Conflict)
+	is.Equal(s.Apply(4, configure(3, "c")), confstate.Overtaken)
+	is.Equal(string(s.Document), "a")
+	is.Equal(s.Apply(5, configure(9, "d")), confstate.Accepted)
+	is.Equal(s.Version, uint64(9))
+}
+
+func TestFencesGrow(t *testing.T) {
+	is := is.New(t)
+	s := confstate.New()
+	one, two := "one", "two"
+	s.Apply(4, confstate.Command{Order: &one})
+	first := s.Orderer
+	s.Apply(9, confstate.Command{Order: &two})
+	is.True(s.Orderer.Fence > first.Fence)
+	is.Equal(s.Orderer.Node, "two")
+}
+
+func TestAMemberWithoutItsDiskReplacesItsOldIdentity(t *testing.T) {
+	is := is.New(t)
+	s := confstate.New(confstate.Member{ID: 1, Link: "a:1"}, confstate.Member{ID: 2, Link: "b:1"})
+	s.Apply(1, confstate.Command{Join: &confstate.Member{ID: 77, Link: "a:1"}})
+	data, err := s.Marshal()
+	is.NoErr(err)
+	got, err := confstate.Unmarshal(data)
+	is.NoErr(err)
+	_, old := got.Members[1]
+	is.True(!old)
+	is.Equal(got.Members[77].Link, "a:1")
+	is.Equal(len(got.Members), 2)
+}
--- /dev/null
+++ b/fleet/registry_test.go
@@ -0,0 +1,93 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/fleet"
+)
+
+const second = time.Second
+
+func newRegistry() *fleet.Registry {
+	return fleet.NewRegistry(fleet.Bounds{Silence: 6 * second, Tombstone: 60 * second})
+}
+
+func upstream(id, addr string, born int64, seq uint64) fleet.Upstream {
+	return fleet.Upstream{ID: id, Addr: addr, Born: born, Seq: seq, Service: "s"}
+}
+
+func TestLateAnnouncementsChangeNothing(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry()
+	leaving := upstream("u", "a:1", 5, 9)
+	leaving.Leaving = true
+	is.Equal(r.Announce(leaving, 0), fleet.Taken)
+	is.Equal(r.Announce(upstream("u", "a:1", 5, 8), second), fleet.Stale)  // sent before
+	is.Equal(r.Announce(upstream("u", "a:1", 4, 50), second), fleet.Stale) // an earlier start
+	got, ok := r.Get("u")
+	is.True(ok && got.Leaving)
+	is.Equal(r.Announce(upstream("u", "a:1", 6, 1), second), fleet.Taken) // started again
+	got, _ = r.Get("u")
+	is.True(!got.Leaving)
+}
+
+func TestAnAddressBelongsToTheYoungerUpstream(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry()
+	r.Announce(upstream("old", "a:1", 5, 3), 0)
+	is.Equal(r.Announce(upstream("new", "a:1", 7, 1), second), fleet.Taken)
+	_, ok := r.Get("old")
+	is.True(!ok)
+	is.Equal(r.Announce(upstream("old", "a:1", 5, 4), 2*second), fleet.Stale) // held up on its way
+	_, ok = r.Get("new")
+	is.True(ok)
+}
+
+func TestOneThatLeftStaysGoneOneThatFellSilentComesBack(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry()
+	r.Announce(upstream("left", "a:1", 1, 1), 0)
+	r.Announce(upstream("silent", "a:2", 1, 1), 0)
+	is.Equal(r.Leave("left", 1, second), fleet.Taken)
+	is.Equal(r.Announce(upstream("left", "a:1", 1, 2), second), fleet.Stale)
+	is.Equal(r.Expire(7*second), []string{"silent"})
+	is.Equal(len(r.Live()), 0)
+	is.Equal(r.Announce(upstream("silent", "a:2", 1, 2), 8*second), fleet.Taken)
+	is.Equal(len(r.Live()), 1)
+}
+
+func TestLeavingBeforeAnythingWasAnnouncedIsRemembered(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry()
+	r.Leave("u", 3, 0)
+	is.Equal(r.Announce(upstream("u", "a:1", 3, 2), second), fleet.Stale)
+	is.Equal(r.Announce(upstream("u", "a:1", 4, 1), second), fleet.Taken)
+}
+
+func TestOnlyChangesAreNumbered(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry()
+	r.Announce(upstream("u", "a:1", 1, 1), 0)
+	at := r.Revision()
+	r.Announce(upstream("u", "a:1", 1, 2), second)
+	is.Equal(r.Revision(), at)
+	is.Equal(len(r.Since(at)), 0)
+	u := upstream("u", "a:1", 1, 3)
+	u.Residents = []fleet.Resident{{Model: "m"}}
+	r.Announce(u, second)
+	is.Equal(len(r.Since(at)), 1)
+}
+
+func TestANewLeaderMergesWhatItHadHeard(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry()
+	gone := upstream("g", "a:1", 1, 4)
+	gone.Gone = true
+	r.Merge([]fleet.Upstream{gone, upstream("u", "a:2", 1, 4)}, 0)
+	is.Equal(r.Announce(upstream("g", "a:1", 1, 5), second), fleet.Stale)
+	is.Equal(r.Announce(upstream("u", "a:2", 1, 3), second), fleet.Stale)
+	is.Equal(len(r.Live()), 1)
+}
--- /dev/null
+++ b/internal/controller/controller.go
@@ -0,0 +1,185 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/agateslip/agateslip/confstate"
+	"github.com/agateslip/agateslip/fleet"
+	"github.com/agateslip/agateslip/internal/boottime"
+	"github.com/agateslip/agateslip/internal/config"
+	"github.com/agateslip/agateslip/internal/eventlog"
+	"github.com/agateslip/agateslip/internal/owner"
+	"github.com/agateslip/agateslip/internal/peer"
+	"github.com/agateslip/agateslip/internal/replica"
+	"github.com/agateslip/agateslip/internal/storage"
+	"github.com/agateslip/agateslip/internal/supervisor"
+	"github.com/agateslip/agateslip/raft"
+	"github.com/agateslip/agateslip/residency"
+	"github.com/agateslip/agateslip/routes"
+)
+
+const (
+	// raftHeartbeat to raftLease: a leader that is lost is replaced within about
+	// two seconds, one that is held up for half a second is not.
+	raftHeartbeat = 150 * time.Millisecond
+	raftElection  = 900 * time.Millisecond
+	raftLease     = 700 * time.Millisecond
+	// raftBatch and raftInflight bound what is on its way to a member.
+	raftBatch    = 1 << 20
+	raftInflight = 16
+	// linkHeartbeat and linkSilence find a silent connection within two seconds.
+	linkHeartbeat = 400 * time.Millisecond
+	linkSilence   = 1200 * time.Millisecond
+	// silentHeartbeats is how many announcements an upstream may miss.
+	silentHeartbeats = 5
+	// tombstone is how long an ended upstream is remembered; messages held up by
+	// a partition arrive within it.
+	tombstone = 60 * time.Second
+)
+
+// Orders sends orders and questions to engines.
+type Orders interface {
+	// Order sends an order in the name of a holder with its fencing token.
+	Order(ctx context.Context, u fleet.Upstream, o residency.Order, holder string, fence uint64) residency.Answer
+	// Report asks an engine what it holds.
+	Report(ctx context.Context, u fleet.Upstream) (*residency.Report, error)
+}
+
+// Decoder decodes a configuration from the operators' encoding.
+type Decoder func(document []byte) (*routes.Configuration, error)
+
+// Controller is one control node.
+type Controller struct {
+	cfg    config.Managed
+	log    *eventlog.Log
+	orders Orders
+	store  *store
+	disk   *storage.Store
+	mesh   *peer.Mesh
+	member raft.MemberID
+	rep    *replica.Replica
+	links  *addressBook
+	seeds  []string
+	loop   *owner.Loop
+	news   *broadcast
+
+	// The rest belongs to the loop.
+	registry *fleet.Registry
+	planner  *residency.Planner
+	// planned is the configuration version that the planner knows.
+	planned uint64
+	// term is the term in which this node leads; zero while it does not.
+	term  uint64
+	led   time.Duration
+	fence uint64
+	// ordering is when orders may be sent.
+	ordering time.Duration
+	// claiming says that the right to send orders is being claimed.
+	claiming bool
+	entries  map[string]time.Duration
+	lost     map[raft.MemberID]time.Duration
+	changing bool
+}
+
+// New makes a control node from its data folder.
+func New(cfg config.Managed, log *eventlog.Log, decode Decoder, orders Orders) (*Controller, error) {
+	seeds, err := cfg.SeedLinks()
+	if err != nil {
+		return nil, err
+	}
+	c := &Controller{
+		cfg: cfg, log: log, orders: orders, seeds: seeds,
+		loop:    owner.New(),
+		news:    newBroadcast(),
+		entries: map[string]time.Duration{},
+		lost:    map[raft.MemberID]time.Duration{},
+	}
+	c.store = newStore(decode, log, c.news.wake)
+	c.registry = fleet.NewRegistry(fleet.Bounds{
+		Silence: silentHeartbeats * time.Duration(cfg.Heartbeat), Tombstone: tombstone,
+	})
+	restored, err := c.openDisk()
+	if err != nil {
+		return nil, err
+	}
+	c.links = newAddressBook(c.store, foundingMembers(cfg, seeds))
+	mux := peer.NewMux()
+	c.handle(mux)
+	c.mesh, err = peer.New(peer.Options{
+		Self: cfg.Listen.Links, Addr: cfg.Listen.Links, Secret: cfg.Secret, AcceptUnlisted: true, Mux: mux,
+		Log:    log.Logger().WithField("part", "links"),
+		Timing: peer.Timing{Heartbeat: linkHeartbeat, Silence: linkSilence},
+		Seed:   uint64(c.member),
+	})
+	if err != nil {
+		return nil, err
+	}
+	c.rep, err = replica.New(replica.Config{
+		Raft: raft.Config{
+			ID: c.member, Heartbeat: raftHeartbeat, ElectionTimeout: raftElection, Lease: raftLease,
+			MaxBatchBytes: raftBatch, MaxInflight: raftInflight, Seed: uint64(c.member),
+		},
+		Restored: restored, Store: c.disk, Machine: c.store,
+		Transport: replica.MeshTransport{Mesh: c.mesh, Directory: c.links},
+		Clock:     boottime.Now,
+		Log:       log.Logger().WithField("part", "replica"),
+	})
+	if err != nil {
+		return nil, err
+	}
+	replica.HandleMessages(mux, c.links, c.rep.Deliver)
+	return c, nil
+}
+
+// Run runs the node until the context ends, then hands leadership over.
+func (c *Controller) Run(ctx context.Context, parts ...supervisor.Part) error {
+	defer c.disk.Close()
+	tree := supervisor.Tree{
+		Log: c.log.Logger(),
+		Parts: append([]supervisor.Part{
+			{Name: "state", Run: c.loop.Run},
+			{Name: "links", Run: c.mesh.Run},
+			{Name: "replica", Run: func(ctx context.Context) error { return supervisor.Permanent(c.rep.Run(ctx)) }},
+			{Name: "membership", Run: c.keepMembership},
+			{Name: "registry copy", Run: c.follow},
+			{Name: "lead", Run: c.lead},
+			{Name: "hand over", Run: c.handOver},
+		}, parts...),
+	}
+	return tree.Run(ctx)
+}
+
+// handOverTime bounds handing over leadership at a planned stop.
+const handOverTime = time.Second
+
+// handOver gives leadership away when the node stops, while all else still runs.
+func (c *Controller) handOver(ctx context.Context) error {
+	<-ctx.Done()
+	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), handOverTime)
+	defer cancel()
+	if err := c.rep.Transfer(bounded); err != nil && !errors.Is(err, replica.ErrNoTarget) {
+		c.log.Event("leadership not handed over", eventlog.Fields{"error": err.Error()})
+	}
+	return nil
+}
+
+// Leader returns the link address of the leader, if it is known.
+func (c *Controller) leader() string {
+	link, _ := c.links.NodeOf(c.rep.Status().Leader)
+	return link
+}
+
+// operatorsOf returns the operators' address of a member.
+func (c *Controller) operatorsOf(id raft.MemberID) string {
+	return c.store.members()[uint64(id)].Operators
+}
+
+// self is this node as a member.
+func (c *Controller) self() confstate.Member {
+	return confstate.Member{
+		ID: uint64(c.member), Node: c.cfg.Node, Link: c.cfg.Listen.Links, Operators: c.cfg.Listen.Operators,
+	}
+}
--- /dev/null
+++ b/internal/controller/follow.go
@@ -0,0 +1,76 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/agateslip/agateslip/fleet"
+	"github.com/agateslip/agateslip/internal/boottime"
+	"github.com/agateslip/agateslip/internal/nodelink"
+)
+
+const (
+	// copyWait is how long the leader may hold an answer back for lack of news.
+	copyWait = time.Second
+	// copyTime bounds a question for news.
+	copyTime = copyWait + time.Second
+	// copyPause is the pause after a failed one.
+	copyPause = 100 * time.Millisecond
+)
+
+// follow keeps a copy of the leader's registry, so that this node knows what was
+// acknowledged if it leads next.
+func (c *Controller) follow(ctx context.Context) error {
+	var term, revision uint64
+	for ctx.Err() == nil {
+		leader := c.leader()
+		if leader == "" || leader == c.cfg.Listen.Links {
+			pause(ctx, copyPause)
+			continue
+		}
+		answer, err := c.askNews(ctx, leader, term, revision)
+		if err != nil {
+			pause(ctx, copyPause)
+			continue
+		}
+		err = c.loop.Do(ctx, func() {
+			if c.term == 0 {
+				c.copyNews(answer)
+			}
+		})
+		if err != nil {
+			return err
+		}
+		term, revision = answer.Term, answer.Revision
+	}
+	return nil
+}
+
+func (c *Controller) askNews(ctx context.Context, leader string, term, revision uint64) (nodelink.WatchAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, copyTime)
+	defer cancel()
+	var answer nodelink.WatchAnswer
+	err := c.mesh.Call(ctx, leader, nodelink.Watch, nodelink.WatchRequest{
+		Version: c.store.version(), Term: term, Revision: revision, WaitMillis: copyWait.Milliseconds(),
+	}, &answer)
+	return answer, err
+}
+
+// copyNews takes the leader's news into this node's registry.
+func (c *Controller) copyNews(answer nodelink.WatchAnswer) {
+	if answer.Whole {
+		c.registry = fleet.NewRegistry(fleet.Bounds{
+			Silence: silentHeartbeats * time.Duration(c.cfg.Heartbeat), Tombstone: tombstone,
+		})
+	}
+	c.registry.Replace(answer.Upstreams, boottime.Now())
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/controller/links.go
@@ -0,0 +1,76 @@
+package controller
+
+import (
+	"sync"
+
+	"github.com/agateslip/agateslip/confstate"
+	"github.com/agateslip/agateslip/raft"
+)
+
+// addressBook finds members by their identity: those of the replicated state,
+// and until that is known those that others told.
+type addressBook struct {
+	store *store
+
+	mu   sync.Mutex
+	told map[raft.MemberID]string
+}
+
+func newAddressBook(s *store, founders []confstate.Member) *addressBook {
+	b := &addressBook{store: s, told: map[raft.MemberID]string{}}
+	b.tell(founders)
+	return b
+}
+
+// tell takes members that another node named.
+func (b *addressBook) tell(members []confstate.Member) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, m := range members {
+		b.told[raft.MemberID(m.ID)] = m.Link
+	}
+}
+
+// NodeOf implements replica.Directory; nodes are named by their link address.
+func (b *addressBook) NodeOf(id raft.MemberID) (string, bool) {
+	if m, ok := b.store.members()[uint64(id)]; ok {
+		return m.Link, true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	link, ok := b.told[id]
+	return link, ok
+}
+
+// broadcast wakes everybody who waits for news.
+type broadcast struct {
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+func newBroadcast() *broadcast { return &broadcast{changed: make(chan struct{})} }
+
+func (b *broadcast) wake() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	close(b.changed)
+	b.changed = make(chan struct{})
+}
+
+// next returns a channel that is closed at the next news.
+func (b *broadcast) next() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.changed
+}
+
+// all returns the addresses that others told.
+func (b *addressBook) all() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	links := make([]string, 0, len(b.told))
+	for _, link := range b.told {
+		links = append(links, link)
+	}
+	return links
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/agateslip/agateslip/contract"
 	"github.com/agateslip/agateslip/control"
+	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/config"
 	"github.com/agateslip/agateslip/internal/gateway"
 	"github.com/agateslip/agateslip/internal/operator"
@@ -165,6 +166,7 @@
 		Store:     disk,
 		Machine:   n.store,
 		Transport: replica.MeshTransport{Mesh: n.mesh, Directory: n.members},
+		Clock:     boottime.Now,
 		Log:       n.log.WithField("part", "replica"),
 	})
 	if err != nil {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -68,6 +68,9 @@
 	Peers []Peer
 	// Secret is shared by all nodes.
 	Secret string
+	// AcceptUnlisted lets nodes that are not among Peers connect; they must know
+	// the secret all the same.
+	AcceptUnlisted bool
 	// Mux answers the peers' requests.
 	Mux *Mux
 	// Log receives connects and disconnects.
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -103,11 +103,11 @@
 }
 
 // addInbound makes this the peer's link and closes an older one. It refuses
-// nodes that are not listed.
+// nodes that are not listed unless the options accept them.
 func (m *Mesh) addInbound(from string, l *link) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.dialers[from] == nil {
+	if m.dialers[from] == nil && !m.opts.AcceptUnlisted {
 		m.counters.rejected.Add(1)
 		return false
 	}
--- a/internal/replica/config.go
+++ b/internal/replica/config.go
@@ -63,6 +63,18 @@
 	Transport Transport
 	// Log receives changes of role and failures.
 	Log logrus.FieldLogger
+	// Clock never goes back; its origin does not matter. Leases hold across a
+	// suspended VM only on one that counts suspended time, as that of package
+	// boottime. Nil means the steady clock, which does not.
+	Clock func() time.Duration
+}
+
+func (c *Config) clock() func() time.Duration {
+	if c.Clock != nil {
+		return c.Clock
+	}
+	start := time.Now()
+	return func() time.Duration { return time.Since(start) }
 }
 
 // Founding returns the state that each founding voter of a new group starts
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -15,7 +15,8 @@
 // goroutine while Run runs.
 type Replica struct {
 	cfg   Config
-	start time.Time
+	clock func() time.Duration
+	start time.Duration
 	feed  *Feed
 
 	// mu guards core, which the owner uses and LeaseValid reads. It is not held
@@ -45,7 +46,7 @@
 func New(cfg Config) (*Replica, error) {
 	r := &Replica{
 		cfg:       cfg,
-		start:     time.Now(),
+		clock:     cfg.clock(),
 		feed:      newFeed(cfg.Restored.Snapshot),
 		proposals: make(chan *proposal, maxQueuedProposals),
 		inbox:     make(chan []raft.Message, maxQueuedMessages),
@@ -56,6 +57,7 @@
 
 		regressions: map[raft.MemberID]int{},
 	}
+	r.start = r.clock()
 	core, err := raft.New(cfg.Raft, cfg.Restored, r.now())
 	if err != nil {
 		return nil, errors.Wrap(err, "start from durable state")
@@ -71,8 +73,9 @@
 	return r, nil
 }
 
-// now is the monotonic time since the replica was made.
-func (r *Replica) now() raft.Instant { return time.Since(r.start) }
+// now is the time since the replica was made, also that for which the VM was
+// suspended.
+func (r *Replica) now() raft.Instant { return r.clock() - r.start }
 
 // Run drives the replica until the context ends or storage fails, in which
 // case the process must stop.
--- /dev/null
+++ b/internal/replica/suspend_test.go
@@ -0,0 +1,53 @@
+package replica_test
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"github.com/agateslip/agateslip/internal/replica"
+	"github.com/agateslip/agateslip/raft"
+)
+
+type freeStore struct{}
+
+func (freeStore) Compact(raft.Snapshot) error { return nil }
+func (freeStore) Save(raft.Output) error      { return nil }
+
+// TestLeaseDoesNotOutliveASuspension wakes a leader after its VM was suspended
+// for longer than the lease; the steady clock did not count that time.
+func TestLeaseDoesNotOutliveASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		machine := newRegisters()
+		restored, err := replica.Founding([]raft.MemberID{1}, machine)
+		is.NoErr(err)
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		var suspended atomic.Int64
+		start := time.Now()
+		r, err := replica.New(replica.Config{
+			Raft: raft.Config{ID: 1, Heartbeat: 100 * time.Millisecond, ElectionTimeout: time.Second, Lease: 700 * time.Millisecond,
+				MaxBatchBytes: 1 << 20, MaxInflight: 64, Seed: 1},
+			Restored: restored, Store: freeStore{}, Machine: machine, Transport: noTransport{}, Log: log,
+			Clock: func() time.Duration { return time.Since(start) + time.Duration(suspended.Load()) },
+		})
+		is.NoErr(err)
+		ctx, stop := context.WithCancel(context.Background())
+		ended := make(chan error)
+		go func() { ended <- r.Run(ctx) }()
+		for !r.LeaseValid() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		suspended.Store(int64(5 * time.Second))
+		is.True(!r.LeaseValid())
+		stop()
+		is.NoErr(<-ended)
+	})
+}
--- /dev/null
+++ b/internal/upstreamconn/conn_test.go
@@ -0,0 +1,202 @@
+package upstreamconn_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/internal/upstreamconn"
+)
+
+// serve runs a raw upstream: each connection's calls are answered by the given
+// function, which returns what is written.
+func serve(t *testing.T, answer func(conn, call int, r *http.Request) string) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				for call := 0; ; call++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						return
+					}
+					text := answer(n, call, r)
+					if text == "" {
+						return
+					}
+					if _, err := io.WriteString(conn, text); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func ok(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nKeep-Alive: timeout=5\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func call(pool *upstreamconn.Pool, addr, id string) (string, error) {
+	c, err := pool.Get(context.Background(), addr, false)
+	if err != nil {
+		return "", err
+	}
+	if err := c.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		return "", err
+	}
+	if err := c.Send(&upstreamconn.Request{Method: "GET", URI: "/x?y=%2f", Host: "h", Header: http.Header{"Id": {id}}}); err != nil {
+		c.Close()
+		return "", err
+	}
+	resp, err := c.Receive(func(h http.Header) bool { return h.Get("Id") == id })
+	if err != nil {
+		c.Close()
+		return "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.Close()
+		return "", err
+	}
+	c.Release()
+	return string(body), nil
+}
+
+func TestConnectionsAreReused(t *testing.T) {
+	is := is.New(t)
+	addr := serve(t, func(conn, n int, r *http.Request) string {
+		return ok(r.Header.Get("Id"), fmt.Sprint(conn, n, r.RequestURI))
+	})
+	pool := upstreamconn.NewPool(time.Second)
+	for n := range 3 {
+		body, err := call(pool, addr, fmt.Sprint("c", n))
+		is.NoErr(err)
+		is.Equal(body, fmt.Sprint(0, n, "/x?y=%2f"))
+	}
+	is.Equal(pool.Stats(), upstreamconn.Stats{Opened: 1, Reused: 2})
+}
+
+func TestALateAnswerToAnotherCallIsDropped(t *testing.T) {
+	is := is.New(t)
+	addr := serve(t, func(_, _ int, r *http.Request) string {
+		return ok("another", "not yours") + ok(r.Header.Get("Id"), "yours")
+	})
+	body, err := call(upstreamconn.NewPool(time.Second), addr, "mine")
+	is.NoErr(err)
+	is.Equal(body, "yours")
+}
+
+func TestBytesBeyondTheAnswerEndTheConnection(t *testing.T) {
+	is := is.New(t)
+	addr := serve(t, func(conn, _ int, r *http.Request) string {
+		return ok(r.Header.Get("Id"), fmt.Sprint(conn)) + "HTTP/1.1 200 OK\r\nId: stray\r\nContent-Length: 2\r\n\r\nno"
+	})
+	pool := upstreamconn.NewPool(time.Second)
+	for n := range 3 {
+		body, err := call(pool, addr, fmt.Sprint("c", n))
+		is.NoErr(err)
+		is.Equal(body, fmt.Sprint(n))
+	}
+}
+
+func TestAShortAnswerIsAnError(t *testing.T) {
+	is := is.New(t)
+	addr := serve(t, func(_, n int, r *http.Request) string {
+		if n > 0 {
+			return ""
+		}
+		return "HTTP/1.1 200 OK\r\nId: " + r.Header.Get("Id") + "\r\nContent-Length: 10\r\n\r\nshort"
+	})
+	pool := upstreamconn.NewPool(time.Second)
+	c, err := pool.Get(context.Background(), addr, false)
+	is.NoErr(err)
+	is.NoErr(c.SetDeadline(time.Now().Add(300 * time.Millisecond)))
+	is.NoErr(c.Send(&upstreamconn.Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{"Id": {"a"}}}))
+	resp, err := c.Receive(func(http.Header) bool { return true })
+	is.NoErr(err)
+	_, err = io.ReadAll(resp.Body)
+	is.True(err != nil)
+	c.Close()
+}
+
+func TestLimitsAndRefusedConnectionsAreNotSent(t *testing.T) {
+	is := is.New(t)
+	addr := serve(t, func(_, _ int, r *http.Request) string { return ok(r.Header.Get("Id"), "") })
+	pool := upstreamconn.NewPool(time.Second)
+	pool.SetLimit(addr, 1)
+	c, err := pool.Get(context.Background(), addr, false)
+	is.NoErr(err)
+	_, err = pool.Get(context.Background(), addr, false)
+	is.True(errors.Is(err, upstreamconn.ErrNotSent) && errors.Is(err, upstreamconn.ErrFull))
+	c.Close()
+	_, err = call(pool, addr, "a")
+	is.NoErr(err)
+
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	closed.Close()
+	_, err = call(pool, closed.Addr().String(), "b")
+	is.True(errors.Is(err, upstreamconn.ErrNotSent))
+}
+
+// TestAnAnswerBeforeALongBodyIsRead answers without reading: what is left of the
+// body must not be followed by another call.
+func TestAnAnswerBeforeALongBodyIsRead(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			if _, err := http.ReadRequest(bufio.NewReaderSize(conn, 16)); err != nil {
+				return
+			}
+			if _, err := io.WriteString(conn, ok("a", "early")); err != nil {
+				return
+			}
+		}
+	}()
+	pool := upstreamconn.NewPool(time.Second)
+	c, err := pool.Get(context.Background(), listener.Addr().String(), false)
+	is.NoErr(err)
+	is.NoErr(c.SetDeadline(time.Now().Add(5 * time.Second)))
+	is.NoErr(c.Send(&upstreamconn.Request{Method: "POST", URI: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 32<<20)}))
+	resp, err := c.Receive(func(http.Header) bool { return true })
+	is.NoErr(err)
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(body), "early")
+	c.Release()
+	_, err = pool.Get(context.Background(), listener.Addr().String(), false)
+	is.NoErr(err)
+	is.Equal(pool.Stats().Reused, uint64(0))
+}
--- /dev/null
+++ b/residency/demand.go
@@ -0,0 +1,235 @@
+package residency
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/agateslip/agateslip/dispatch"
+)
+
+const (
+	// rateMemory is the time constant of the arrival rates: demand that moves to
+	// another model shows within a few calls.
+	rateMemory = 5 * time.Second
+	// silentNode is after how long a node's report counts no more.
+	silentNode = 2 * time.Second
+	// unseenRate is the rate, in calls a second, that a model is expected to have
+	// before any call was seen; replicaRate is added for each engine that holds it
+	// before traffic begins, because busy models are placed widely.
+	unseenRate  = 0.02
+	replicaRate = 0.3
+)
+
+// NodeReport is what one entry node knows of demand.
+type NodeReport struct {
+	// Waiting are the calls that wait for a model.
+	Waiting []dispatch.Demand `json:"waiting,omitempty"`
+	// Arrivals counts the calls for each model since the node started.
+	Arrivals []Count `json:"arrivals,omitempty"`
+	// Running counts the calls at each upstream.
+	Running []Count `json:"running,omitempty"`
+}
+
+// Count is a number of calls for a model or adapter.
+type Count struct {
+	Service  string `json:"s"`
+	Upstream string `json:"u,omitempty"`
+	Model    string `json:"m"`
+	Adapter  string `json:"a,omitempty"`
+	Calls    uint64 `json:"n"`
+}
+
+type modelKey struct{ service, model string }
+
+// rate is an exponentially weighted arrival rate.
+type rate struct {
+	// perSecond is the rate at the time at.
+	perSecond float64
+	at        time.Duration
+}
+
+func (r *rate) add(calls float64, now time.Duration) {
+	r.perSecond = r.value(now) + calls/rateMemory.Seconds()
+	r.at = now
+}
+
+func (r *rate) value(now time.Duration) float64 {
+	return r.perSecond * math.Exp(-float64(now-r.at)/float64(rateMemory))
+}
+
+// demandBook holds the reports of all nodes.
+type demandBook struct {
+	byNode map[string]*nodeDemand
+	rates  map[modelKey]*rate
+	// total counts all calls seen.
+	total uint64
+}
+
+type nodeDemand struct {
+	heard   time.Duration
+	waiting []dispatch.Demand
+	// counts are the arrivals that were reported before.
+	counts  map[Count]uint64
+	running []Count
+}
+
+func newDemandBook() demandBook {
+	return demandBook{byNode: map[string]*nodeDemand{}, rates: map[modelKey]*rate{}}
+}
+
+// SetDemand takes the report of an entry node, which replaces its earlier one.
+func (p *Planner) SetDemand(from string, r NodeReport, now time.Duration) {
+	b := &p.demand
+	known := b.byNode[from]
+	if known == nil {
+		known = &nodeDemand{counts: map[Count]uint64{}}
+		b.byNode[from] = known
+	}
+	known.heard = now
+	known.waiting = r.Waiting
+	known.running = r.Running
+	for _, c := range r.Arrivals {
+		b.arrived(known, c, now)
+	}
+	p.countRunning(now)
+}
+
+// arrived adds the calls that came since the node's last report.
+func (b *demandBook) arrived(n *nodeDemand, c Count, now time.Duration) {
+	key := c
+	key.Calls = 0
+	before, ok := n.counts[key]
+	n.counts[key] = c.Calls
+	if !ok && b.total == 0 || c.Calls < before {
+		before = 0
+	}
+	if c.Calls <= before {
+		return
+	}
+	fresh := c.Calls - before
+	b.total += fresh
+	m := modelKey{c.Service, c.Model}
+	if b.rates[m] == nil {
+		b.rates[m] = &rate{at: now}
+	}
+	b.rates[m].add(float64(fresh), now)
+}
+
+// countRunning adds up what runs at each engine.
+func (p *Planner) countRunning(now time.Duration) {
+	for _, n := range p.nodes {
+		clear(n.running)
+	}
+	for _, d := range p.demand.byNode {
+		for _, c := range d.running {
+			n := p.nodes[c.Upstream]
+			if n == nil {
+				continue
+			}
+			n.running[c.Model] += int(c.Calls)
+			if c.Adapter != "" {
+				name := c.Model + "/" + c.Adapter
+				n.running[name] += int(c.Calls)
+				n.used[name] = now
+			}
+		}
+	}
+}
+
+// age drops the reports of nodes that fell silent.
+func (b *demandBook) age(now time.Duration) {
+	for _, d := range b.byNode {
+		if now-d.heard > silentNode {
+			d.waiting, d.running = nil, nil
+		}
+	}
+}
+
+// rate is the expected calls a second for a model.
+func (p *Planner) rate(service, model string, now time.Duration) float64 {
+	measured := unseenRate
+	if r := p.demand.rates[modelKey{service, model}]; r != nil {
+		measured = max(measured, r.value(now))
+	}
+	if p.demand.total > 0 {
+		return measured
+	}
+	for _, n := range p.nodes {
+		if n.desc.Service == service && n.desc.Holds(model, "") {
+			measured += replicaRate
+		}
+	}
+	return measured
+}
+
+// queue is the calls that wait for one model.
+type queue struct {
+	calls int
+	// slacks are the times until they are late, one for each group of calls.
+	slacks []slack
+	// adapters are the calls that wait for an adapter.
+	adapters map[string]int
+}
+
+type slack struct {
+	calls int
+	left  time.Duration
+}
+
+// queues adds up the waiting calls of all nodes by model.
+func (p *Planner) queues(now time.Duration) map[modelKey]*queue {
+	all := map[modelKey]*queue{}
+	for _, d := range p.demand.byNode {
+		for _, w := range d.waiting {
+			key := modelKey{w.Service, w.Model}
+			q := all[key]
+			if q == nil {
+				q = &queue{adapters: map[string]int{}}
+				all[key] = q
+			}
+			q.calls += w.Waiting
+			q.slacks = append(q.slacks, slack{w.Waiting, w.Slack - (now - d.heard)})
+			if w.Adapter != "" {
+				q.adapters[w.Adapter] += w.Waiting
+			}
+		}
+	}
+	return all
+}
+
+// lateWorth is what a call that will be late counts against one that can be on
+// time; routes pay about a third for a late answer.
+const lateWorth = 0.35
+
+// worth is what loading the model within the given time is worth to those who
+// wait, in calls.
+func (q *queue) worth(within time.Duration) float64 {
+	if q == nil {
+		return 0
+	}
+	total := 0.0
+	for _, s := range q.slacks {
+		share := lateWorth
+		if s.left > within {
+			share = 1
+		}
+		total += share * float64(s.calls)
+	}
+	return total
+}
+
+// waitingAdapters returns the adapters asked for, the most wanted first.
+func (q *queue) waitingAdapters() []string {
+	names := make([]string, 0, len(q.adapters))
+	for a := range q.adapters {
+		names = append(names, a)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		if q.adapters[a] != q.adapters[b] {
+			return q.adapters[b] - q.adapters[a]
+		}
+		return compareStrings(a, b)
+	})
+	return names
+}
--- /dev/null
+++ b/residency/planner.go
@@ -0,0 +1,292 @@
+package residency
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/agateslip/agateslip/fleet"
+	"github.com/agateslip/agateslip/routes"
+)
+
+// Limits are the planner's thresholds.
+type Limits struct {
+	// StoreWidth is how many loads run from the weight store at once.
+	StoreWidth int
+	// AdapterWidth is how many adapters are on their way at once, over all
+	// engines.
+	AdapterWidth int
+	// CloseGrace is how long before an unload nodes are told to send no more
+	// calls; it covers the way of the message.
+	CloseGrace time.Duration
+	// MinStay is how long a loaded model stays at least, so that the calls that
+	// waited for it can start.
+	MinStay time.Duration
+	// Horizon is the time over which expected calls count.
+	Horizon time.Duration
+	// Overdue is how long beyond its expected time an order may take before the
+	// engine is asked.
+	Overdue time.Duration
+	// ReportPause is the least time between two questions to an engine, whose
+	// answers lag by some hundred milliseconds.
+	ReportPause time.Duration
+	// CallTime is how long a call takes, for estimates.
+	CallTime time.Duration
+}
+
+// DefaultLimits returns the limits of the deployments at hand.
+func DefaultLimits() Limits {
+	return Limits{
+		StoreWidth:   4,
+		AdapterWidth: 24,
+		CloseGrace:   25 * time.Millisecond,
+		MinStay:      700 * time.Millisecond,
+		Horizon:      3 * time.Second,
+		Overdue:      1500 * time.Millisecond,
+		ReportPause:  500 * time.Millisecond,
+		CallTime:     2 * time.Second,
+	}
+}
+
+// Planner holds what is known of the engines of all services.
+type Planner struct {
+	limits  Limits
+	engines map[string]*routes.Engine
+	nodes   map[string]*node
+	demand  demandBook
+	// storeStarts are when loads from the weight store began, of each service.
+	storeStarts map[string][]time.Duration
+	changed     map[string]bool
+}
+
+// node is one engine.
+type node struct {
+	desc fleet.Upstream
+	spec *routes.Engine
+	// counted says that orders is known.
+	counted bool
+	// orders is how many orders the engine has accepted.
+	orders uint64
+	// asking says that a report was asked for, asked when the latest one was.
+	asking bool
+	asked  time.Duration
+	// unclear says that the engine must be asked before its next order.
+	unclear bool
+	// sent is the order that has no answer yet.
+	sent *Order
+	// work is the order that the engine carries out.
+	work *work
+	job  *job
+	// since is when each model was first seen here.
+	since map[string]time.Duration
+	// loaded are the adapters that were ordered here, with when they are there.
+	loaded map[string]time.Duration
+	// used is when each adapter last ran.
+	used map[string]time.Duration
+	// running counts the calls here by model, adapters by MODEL/ADAPTER.
+	running map[string]int
+	// closing is since when a model gets no new calls.
+	closing map[string]time.Duration
+	// adaptersHeld is until when no adapter is ordered.
+	adaptersHeld time.Duration
+}
+
+// work is a model order that was accepted.
+type work struct {
+	order Order
+	began time.Duration
+	due   time.Duration
+}
+
+// job is a load with the unloads that make room for it.
+type job struct {
+	model string
+	tier  Tier
+	evict []string
+	began time.Duration
+}
+
+// New returns a planner that knows nothing.
+func New(l Limits) *Planner {
+	return &Planner{
+		limits:      l,
+		engines:     map[string]*routes.Engine{},
+		nodes:       map[string]*node{},
+		demand:      newDemandBook(),
+		storeStarts: map[string][]time.Duration{},
+		changed:     map[string]bool{},
+	}
+}
+
+// SetServices takes the services of the configuration in force.
+func (p *Planner) SetServices(services []routes.Service) {
+	clear(p.engines)
+	for i := range services {
+		if e := services[i].Engine; e != nil {
+			p.engines[services[i].Name] = e
+		}
+	}
+	for _, n := range p.nodes {
+		n.spec = p.engines[n.desc.Service]
+	}
+}
+
+// SetUpstream takes what an upstream says of itself.
+func (p *Planner) SetUpstream(u fleet.Upstream, now time.Duration) {
+	n := p.nodes[u.ID]
+	if n == nil || n.desc.Born != u.Born {
+		n = &node{
+			unclear: true,
+			since:   map[string]time.Duration{},
+			loaded:  map[string]time.Duration{},
+			used:    map[string]time.Duration{},
+			running: map[string]int{},
+			closing: map[string]time.Duration{},
+		}
+		p.nodes[u.ID] = n
+	}
+	n.desc = u
+	n.desc.Closing = nil
+	n.spec = p.engines[u.Service]
+	n.settle(now)
+	p.changed[u.ID] = true
+}
+
+// Remove forgets an upstream that has ended.
+func (p *Planner) Remove(id string) { delete(p.nodes, id) }
+
+// settle compares what the engine holds with what was ordered.
+func (n *node) settle(now time.Duration) {
+	held := map[string]bool{}
+	for _, r := range n.desc.Residents {
+		held[r.Model] = true
+		if _, ok := n.since[r.Model]; !ok {
+			n.since[r.Model] = now
+		}
+	}
+	maps.DeleteFunc(n.since, func(m string, _ time.Duration) bool { return !held[m] })
+	maps.DeleteFunc(n.loaded, func(_ string, at time.Duration) bool { return now-at > adapterMemory })
+	w := n.work
+	if w == nil {
+		return
+	}
+	if w.order.Load == held[w.order.Model] {
+		n.work = nil
+		n.closed(w.order)
+	}
+}
+
+// adapterMemory is for how long an ordered adapter counts as held although the
+// engine's announcements, which may be a heartbeat old, do not show it.
+const adapterMemory = 3 * time.Second
+
+// closed takes note that an order was carried out.
+func (n *node) closed(o Order) {
+	if o.Load {
+		if n.job != nil && n.job.model == o.Model {
+			n.job = nil
+		}
+		return
+	}
+	delete(n.closing, o.Model)
+	if n.job != nil {
+		n.job.evict = slices.DeleteFunc(n.job.evict, func(m string) bool { return m == o.Model })
+	}
+}
+
+// View is what nodes that send calls should know of an upstream's models.
+func (p *Planner) View(id string, now time.Duration) (residents []fleet.Resident, closing []string, ok bool) {
+	n := p.nodes[id]
+	if n == nil {
+		return nil, nil, false
+	}
+	residents = slices.Clone(n.desc.Residents)
+	for i := range residents {
+		r := &residents[i]
+		r.Adapters = slices.Clone(r.Adapters)
+		for name, at := range n.loaded {
+			model, adapter, _ := cutAdapter(name)
+			if model == r.Model && at <= now && !slices.Contains(r.Adapters, adapter) {
+				r.Adapters = append(r.Adapters, adapter)
+			}
+		}
+		slices.Sort(r.Adapters)
+	}
+	return residents, slices.Sorted(maps.Keys(n.closing)), true
+}
+
+// Changed returns the upstreams whose View may have changed since the last call.
+func (p *Planner) Changed() []string {
+	ids := slices.Sorted(maps.Keys(p.changed))
+	clear(p.changed)
+	return ids
+}
+
+// sorted returns the nodes in a fixed order.
+func (p *Planner) sorted() []*node {
+	return slices.SortedFunc(maps.Values(p.nodes), func(a, b *node) int { return cmp.Compare(a.desc.ID, b.desc.ID) })
+}
+
+// Plan returns what is to be sent now.
+func (p *Planner) Plan(now time.Duration) []Step {
+	p.demand.age(now)
+	p.choose(now)
+	var steps []Step
+	for _, n := range p.sorted() {
+		if n.spec == nil || n.sent != nil || n.asking {
+			continue
+		}
+		if step, ok := p.next(n, now); ok {
+			steps = append(steps, step)
+		}
+	}
+	return steps
+}
+
+// next returns the next step at one engine.
+func (p *Planner) next(n *node, now time.Duration) (Step, bool) {
+	if n.work != nil && now > n.work.due+p.limits.Overdue {
+		n.unclear = true
+	}
+	if n.unclear {
+		if n.asked != 0 && now-n.asked < p.limits.ReportPause {
+			return Step{}, false
+		}
+		n.asking, n.asked = true, now
+		return Step{Upstream: n.desc, Report: true}, true
+	}
+	if step, ok := p.adapterStep(n, now); ok {
+		return step, true
+	}
+	if n.work != nil || n.job == nil {
+		return Step{}, false
+	}
+	return p.jobStep(n, now)
+}
+
+// jobStep returns the next order of a job: unloads, then the load.
+func (p *Planner) jobStep(n *node, now time.Duration) (Step, bool) {
+	j := n.job
+	if len(j.evict) > 0 {
+		victim := j.evict[0]
+		if now-n.closing[victim] < p.limits.CloseGrace {
+			return Step{}, false
+		}
+		return n.order(Order{Model: victim}), true
+	}
+	if j.tier == Store {
+		if !p.storeRoom(n, now) {
+			return Step{}, false
+		}
+		p.storeStarts[n.desc.Service] = append(p.storeStarts[n.desc.Service], now)
+	}
+	return n.order(Order{Load: true, Model: j.model}), true
+}
+
+// order makes the step that sends an order.
+func (n *node) order(o Order) Step {
+	o.Accepted = n.orders
+	n.sent = &o
+	return Step{Upstream: n.desc, Order: &o}
+}
