--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -149,7 +149,7 @@
 // hintOf is the leader that a node named in its refusal.
 func hintOf(err error) string {
 	var remote *peer.RemoteError
-	if errors.As(err, &remote) {
+	if errors.As(err, &remote) && remote.Code == nodelink.CodeNotLeader {
 		return remote.Message
 	}
 	return ""
@@ -169,3 +169,9 @@
 	}
 	return false, true
 }
+
+// Members counts the members of the control group as this node knows them.
+func (c *Controller) Members() (voters, learners int) {
+	members := c.rep.Status().Members
+	return len(members.Voters), len(members.Learners)
+}
--- /dev/null
+++ b/internal/controller/cluster_test.go
@@ -0,0 +1,256 @@
+package controller_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/confstate"
+	"github.com/agateslip/agateslip/contract"
+	"github.com/agateslip/agateslip/fleet"
+	"github.com/agateslip/agateslip/internal/config"
+	"github.com/agateslip/agateslip/internal/controller"
+	"github.com/agateslip/agateslip/internal/eventlog"
+	"github.com/agateslip/agateslip/residency"
+	"github.com/agateslip/agateslip/routes"
+)
+
+// patience bounds what a test waits for; a healthy group needs about a second.
+const patience = 30 * time.Second
+
+// cluster is a group of control nodes on loopback addresses, each in a domain of
+// its own, with ports that no other test of this package uses.
+type cluster struct {
+	t     *testing.T
+	port  int
+	nodes []*testNode
+}
+
+type testNode struct {
+	cfg  config.Managed
+	node *controller.Controller
+	stop func()
+	log  *lockedBuffer
+}
+
+// lockedBuffer keeps a node's log for when the test fails.
+type lockedBuffer struct {
+	mu sync.Mutex
+	bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Buffer.Write(p)
+}
+
+func (b *lockedBuffer) tail(n int) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	text := b.String()
+	return text[max(0, len(text)-n):]
+}
+
+// fakeOrders is engines that accept nothing.
+type fakeOrders struct{}
+
+func (fakeOrders) Order(context.Context, fleet.Upstream, residency.Order, string, uint64) residency.Answer {
+	return residency.Refused
+}
+
+func (fakeOrders) Report(context.Context, fleet.Upstream) (*residency.Report, error) {
+	return &residency.Report{}, nil
+}
+
+func decode(document []byte) (*routes.Configuration, error) {
+	return &routes.Configuration{Version: uint64(len(document)), Services: []routes.Service{{Name: "s"}}}, nil
+}
+
+// newCluster prepares the settings of n nodes; the first three are seeds.
+func newCluster(t *testing.T, port, n int) *cluster {
+	c := &cluster{t: t, port: port}
+	dir := t.TempDir()
+	for i := range n {
+		c.nodes = append(c.nodes, &testNode{cfg: c.settings(i, filepath.Join(dir, fmt.Sprint(i))), log: &lockedBuffer{}})
+	}
+	t.Cleanup(func() {
+		for i := range c.nodes {
+			c.kill(i)
+			if t.Failed() {
+				t.Logf("node %d:\n%s", i, c.nodes[i].log.tail(3000))
+			}
+		}
+	})
+	return c
+}
+
+func (c *cluster) settings(i int, data string) config.Managed {
+	host := func(i int) string { return fmt.Sprintf("127.0.7.%d", i+1) }
+	return config.Managed{
+		Node: fmt.Sprint("core-", i), Domain: fmt.Sprint("d", i), FirstStart: true, Data: data, Losses: 2,
+		Secret: "0123456789abcdef", Heartbeat: contract.Duration(time.Second), Stop: contract.Duration(5 * time.Second),
+		Seeds: []string{fmt.Sprintf("%s:%d", host(0), c.port), fmt.Sprintf("%s:%d", host(1), c.port), fmt.Sprintf("%s:%d", host(2), c.port)},
+		Listen: config.ManagedListen{
+			Operators: fmt.Sprintf("%s:%d", host(i), c.port), Links: fmt.Sprintf("%s:%d", host(i), c.port+1),
+		},
+		Store: config.Store{Width: 4, AdapterWidth: 30}, MemoryMB: 200,
+	}
+}
+
+// start runs a node from whatever its folder holds.
+func (c *cluster) start(indices ...int) {
+	c.t.Helper()
+	for _, i := range indices {
+		n := c.nodes[i]
+		var out io.Writer = n.log
+		log := eventlog.New(out, eventlog.Fields{"node": n.cfg.Node})
+		node, err := controller.New(n.cfg, log, decode, fakeOrders{})
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			if err := node.Run(ctx); err != nil {
+				c.t.Logf("node %d: %v", i, err)
+			}
+		}()
+		n.node = node
+		n.stop = func() {
+			cancel()
+			<-done
+			log.Close(time.Second)
+		}
+		n.cfg.FirstStart = false
+	}
+}
+
+// kill ends a node; what it promised is on its disk.
+func (c *cluster) kill(indices ...int) {
+	for _, i := range indices {
+		if n := c.nodes[i]; n.stop != nil {
+			n.stop()
+			n.stop, n.node = nil, nil
+		}
+	}
+}
+
+// wipe empties a node's disk.
+func (c *cluster) wipe(i int) {
+	c.t.Helper()
+	if err := os.RemoveAll(c.nodes[i].cfg.Data); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// configure sends a configuration to a node until it is decided.
+func (c *cluster) configure(i int, version uint64, document string) confstate.Result {
+	c.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		result, err := c.nodes[i].node.Configure(context.Background(), version, []byte(document))
+		if err == nil {
+			return result
+		}
+	}
+	c.t.Fatalf("version %d was not decided", version)
+	return 0
+}
+
+// read reads the configuration from a node until it can show it.
+func (c *cluster) read(i int) (document string, version uint64) {
+	c.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		document, version, err := c.nodes[i].node.Configuration(context.Background())
+		if err == nil {
+			return string(document), version
+		}
+	}
+	c.t.Fatalf("node %d cannot read", i)
+	return "", 0
+}
+
+// settled waits until a node has n voters and no learner.
+func (c *cluster) settled(i, n int) {
+	c.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		voters, learners := c.nodes[i].node.Members()
+		if voters == n && learners == 0 {
+			return
+		}
+	}
+	c.t.Fatalf("node %d has not %d voters", i, n)
+}
+
+func TestSeedsFoundAGroupThatOthersJoin(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 17310, 5)
+	c.start(4, 1, 0, 3, 2)
+	is.Equal(c.configure(4, 7, "seven"), confstate.Accepted)
+	is.Equal(c.configure(1, 7, "seven"), confstate.Repeated)
+	is.Equal(c.configure(2, 7, "other"), confstate.Conflict)
+	is.Equal(c.configure(3, 5, "five"), confstate.Overtaken)
+	for i := range 5 {
+		document, version := c.read(i)
+		is.Equal(document, "seven")
+		is.Equal(version, uint64(7))
+		c.settled(i, 5)
+	}
+}
+
+// TestTwoWipedDisksAndAPowerLoss is the worst that a group of five must bear: one
+// disk was lost before, so that its members are not the founders.
+func TestTwoWipedDisksAndAPowerLoss(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 17320, 5)
+	c.start(0, 1, 2, 3, 4)
+	c.settled(0, 5)
+	c.kill(4)
+	c.wipe(4)
+	c.start(4)
+	is.Equal(c.configure(4, 1, "one"), confstate.Accepted)
+	c.settled(4, 5)
+	// Two members start again after the change of members and must find a leader
+	// that they know from their log only.
+	c.kill(0, 3)
+	is.Equal(c.configure(1, 2, "two"), confstate.Accepted)
+	c.start(0, 3)
+	c.settled(0, 5)
+	is.Equal(c.configure(0, 3, "three"), confstate.Accepted)
+	c.kill(0, 1, 2, 3, 4)
+	c.wipe(2)
+	c.wipe(4)
+	c.start(0, 1, 2, 3, 4)
+	for i := range 5 {
+		document, _ := c.read(i)
+		is.Equal(document, "three")
+	}
+}
+
+// TestAReplacedMachineTakesAnEmptyPlace removes a member for good and adds one at
+// another address.
+func TestAReplacedMachineTakesAnEmptyPlace(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 17330, 6)
+	c.start(0, 1, 2, 3, 4)
+	is.Equal(c.configure(0, 1, "one"), confstate.Accepted)
+	c.settled(0, 5)
+	c.kill(1)
+	c.nodes[5].cfg.FirstStart = false
+	c.start(5)
+	document, _ := c.read(5)
+	is.Equal(document, "one")
+	c.settled(5, 5)
+	// The group of five bears two more losses.
+	c.kill(0, 2)
+	is.Equal(c.configure(5, 2, "two"), confstate.Accepted)
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -106,6 +106,7 @@
 		return nil, err
 	}
 	c.links = newAddressBook(c.store, foundingMembers(cfg, seeds))
+	c.links.tell(joinedIn(restored.Entries))
 	mux := peer.NewMux()
 	c.handle(mux)
 	c.mesh, err = peer.New(peer.Options{
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -81,7 +81,8 @@
 	for _, m := range c.store.memberList() {
 		links = append(links, m.Link)
 	}
-	if len(links) == 0 || !slices.Contains(links, c.cfg.Listen.Links) {
+	if c.rep.Status().Leader == 0 || len(links) == 0 {
+		// What this member has applied may be long out of date.
 		links = append(links, c.seeds...)
 		links = append(links, c.links.all()...)
 	}
@@ -98,18 +99,17 @@
 // join asks one control node after the other for membership.
 func (c *Controller) join(ctx context.Context, turn int, fresh bool) error {
 	target := c.leader()
-	if peers := c.peerList(); target == "" || target == c.cfg.Listen.Links {
+	if target == "" || target == c.cfg.Listen.Links {
+		peers := c.peerList()
 		if len(peers) == 0 {
 			return nil
 		}
 		target = peers[turn%len(peers)].Name
 	}
 	answer, err := c.askJoin(ctx, target, fresh)
-	if hint := hintOf(err); err != nil && hint != "" && hint != target {
-		answer, err = c.askJoin(ctx, hint, fresh)
-	}
 	if err != nil {
-		c.log.Event("join not answered", eventlog.Fields{"asked": target, "error": err.Error()})
+		c.links.hint(hintOf(err))
+		c.log.Event("join not answered", eventlog.Fields{"asked": target, "hint": hintOf(err), "error": err.Error()})
 		return nil
 	}
 	c.links.tell(answer.Members)
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/creachadair/jrpc2"
@@ -46,7 +47,9 @@
 }
 
 // Error implements error.
-func (e *RemoteError) Error() string { return fmt.Sprintf("%s (code %d)", e.Message, e.Code) }
+func (e *RemoteError) Error() string { return e.Message + codeSuffix(e.Code) }
+
+func codeSuffix(c Code) string { return fmt.Sprintf(" (code %d)", c) }
 
 // ErrCode implements jrpc2.ErrCoder.
 func (e *RemoteError) ErrCode() jrpc2.Code { return jrpc2.Code(e.Code) }
@@ -67,7 +70,8 @@
 	case jrpc2.Cancelled, jrpc2.DeadlineExceeded, jrpc2.InternalError:
 		return errors.Wrapf(ErrUnknown, "%s", e.Message)
 	default:
-		return &RemoteError{Code: Code(e.Code), Message: e.Message}
+		// The library sends Error's text, which names the code a second time.
+		return &RemoteError{Code: Code(e.Code), Message: strings.TrimSuffix(e.Message, codeSuffix(Code(e.Code)))}
 	}
 }
 
