--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"slices"
 	"time"
 
@@ -64,8 +65,9 @@
 	others   int
 	observed time.Duration
 	slots    int
-	// failing is the recent share of calls that failed, 0 to 1.
-	failing float64
+	// failing was the share of calls that failed, 0 to 1, at the time failedAt.
+	failing  float64
+	failedAt time.Duration
 	// streak counts failures to reach it, one after the other.
 	streak int
 	// closed is until when it gets no calls, and absent until when it gets none
@@ -82,6 +84,10 @@
 // ten calls decide.
 const failureWeight = 0.1
 
+// failureMemory is the time constant with which failures fade; a restart takes
+// about as long.
+const failureMemory = 4 * time.Second
+
 // firstWeight is the weight of the latest call in the time to the first byte.
 const firstWeight = 0.2
 
@@ -117,7 +123,14 @@
 		pause := l.Backoff << min(u.streak-1, 8)
 		u.closed = max(u.closed, now+min(pause, l.MaxBackoff))
 	}
-	u.failing += (failed - u.failing) * failureWeight
+	recent := u.failures(now)
+	u.failing, u.failedAt = recent+(failed-recent)*failureWeight, now
+}
+
+// failures is the recent share of calls that failed. It fades with time, so that
+// an upstream that gets no calls any more is tried again.
+func (u *upstream) failures(now time.Duration) float64 {
+	return u.failing * math.Exp(-float64(now-u.failedAt)/float64(failureMemory))
 }
 
 // room is the number of slots.
@@ -187,7 +200,7 @@
 		if u.closed > now || load >= float64(u.room()) {
 			continue
 		}
-		cost := d.cost(u, c, load)
+		cost := d.cost(u, c, load, now)
 		if best == nil || cost < bestCost {
 			best, bestCost, outcome = u, cost, chosen
 		}
@@ -195,9 +208,14 @@
 	return best, outcome
 }
 
+// evenShare spreads calls over upstreams of equal load, in shares of their slots:
+// less than one call counts.
+const evenShare = 0.01
+
 // cost compares upstreams that have room, in shares of their slots.
-func (d *Dispatcher) cost(u *upstream, c *Call, load float64) float64 {
-	cost := load/float64(u.room()) + u.failing*d.limits.FailurePenalty
+func (d *Dispatcher) cost(u *upstream, c *Call, load float64, now time.Duration) float64 {
+	cost := load/float64(u.room()) + u.failures(now)*d.limits.FailurePenalty
+	cost += evenShare * affinity(uint64(c.Token), u.desc.ID)
 	if u.desc.Domain != d.domain {
 		cost += d.limits.RemotePenalty
 	}
--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,204 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/dispatch"
+	"github.com/agateslip/agateslip/fleet"
+)
+
+const (
+	ms     = time.Millisecond
+	second = time.Second
+)
+
+func engine(id string, slots int, models ...string) fleet.Upstream {
+	u := fleet.Upstream{ID: id, Service: "llm", Addr: id + ":1", Domain: "d", Slots: slots}
+	for _, m := range models {
+		u.Residents = append(u.Residents, fleet.Resident{Model: m})
+	}
+	return u
+}
+
+func newDispatcher(upstreams ...fleet.Upstream) *dispatch.Dispatcher {
+	d := dispatch.New(dispatch.DefaultLimits(), "d")
+	d.Update(upstreams, 0)
+	return d
+}
+
+// call arrives at now, is due in half a second and given up after ten.
+func call(token int, model string, priority int, now time.Duration) dispatch.Call {
+	return dispatch.Call{
+		Token: dispatch.Token(token), Service: "llm", Model: model, Priority: priority,
+		Arrived: now, Target: now + 500*ms, Deadline: now + 10*second, Run: second,
+	}
+}
+
+func started(verdicts []dispatch.Verdict) map[dispatch.Token]string {
+	at := map[dispatch.Token]string{}
+	for _, v := range verdicts {
+		if v.Action == dispatch.Start {
+			at[v.Token] = v.Upstream.ID
+		}
+	}
+	return at
+}
+
+func TestCallsSpreadByLoad(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("a", 4, "m"), engine("b", 4, "m"))
+	count := map[string]int{}
+	for i := range 8 {
+		for _, id := range started(d.Submit(call(i, "m", 1, 0), 0)) {
+			count[id]++
+		}
+	}
+	is.Equal(count, map[string]int{"a": 4, "b": 4})
+	is.Equal(len(d.Submit(call(9, "m", 1, 0), 0)), 0) // full: it waits
+	is.Equal(d.Waiting(), 1)
+	is.Equal(started(d.Finish(0, dispatch.Served, second))[9] != "", true)
+}
+
+// TestUrgentCallsGoFirst replays a queue at full engines: what is urgent starts
+// first, then what is due first.
+func TestUrgentCallsGoFirst(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("a", 1, "m"))
+	d.Submit(call(1, "m", 1, 0), 0)
+	d.Submit(call(2, "m", 2, 0), 0)
+	d.Submit(call(3, "m", 0, 20*ms), 20*ms)
+	d.Submit(call(4, "m", 0, 10*ms), 20*ms)
+	is.Equal(started(d.Finish(1, dispatch.Served, 30*ms)), map[dispatch.Token]string{4: "a"})
+	is.Equal(started(d.Finish(4, dispatch.Served, 40*ms)), map[dispatch.Token]string{3: "a"})
+	is.Equal(started(d.Finish(3, dispatch.Served, 50*ms)), map[dispatch.Token]string{2: "a"})
+}
+
+func TestACallWaitsForItsModelAndCountsAsDemand(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("a", 4, "other"))
+	is.Equal(len(d.Submit(call(1, "m", 1, 0), 0)), 0)
+	demand := d.Demand(100 * ms)
+	is.Equal(len(demand), 1)
+	is.Equal(demand[0].Waiting, 1)
+	is.Equal(demand[0].Slack, 400*ms)
+	is.Equal(started(d.Update([]fleet.Upstream{engine("a", 4, "other", "m")}, second)), map[dispatch.Token]string{1: "a"})
+	is.Equal(len(d.Demand(second)), 0)
+}
+
+// TestAForecastBeyondTheDeadlineRefusesAtOnce replays a model that the store
+// cannot bring in time: the call is told when to come back instead of waiting.
+func TestAForecastBeyondTheDeadlineRefusesAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("a", 4, "other"))
+	d.Submit(call(1, "m", 1, 0), 0)
+	d.Forecast(dispatch.Key{Service: "llm", Model: "m"}, 12*second, 20*ms)
+	verdicts := d.Tick(20 * ms)
+	is.Equal(len(verdicts), 1)
+	is.Equal(verdicts[0].Action, dispatch.Refuse)
+	is.Equal(verdicts[0].Reason, dispatch.NoModel)
+	is.Equal(verdicts[0].RetryAfter, 12*second)
+}
+
+func TestACallIsNotHeldToItsDeadline(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("a", 4, "other"))
+	d.Submit(call(1, "m", 1, 0), 0)
+	is.Equal(len(d.Tick(3*second)), 0)
+	verdicts := d.Tick(4 * second)
+	is.Equal(len(verdicts), 1)
+	is.Equal(verdicts[0].Action, dispatch.Refuse)
+}
+
+// TestAModelThatClosesGetsNoCalls keeps calls away from a model that is about to
+// be unloaded.
+func TestAModelThatClosesGetsNoCalls(t *testing.T) {
+	is := is.New(t)
+	a := engine("a", 4, "m")
+	a.Closing = []string{"m"}
+	d := newDispatcher(a, engine("b", 1, "m"))
+	is.Equal(started(d.Submit(call(1, "m", 1, 0), 0)), map[dispatch.Token]string{1: "b"})
+	is.Equal(len(d.Submit(call(2, "m", 1, 0), 0)), 0)
+}
+
+func TestLeavingAndGoneUpstreamsGetNoCalls(t *testing.T) {
+	is := is.New(t)
+	a, b := engine("a", 4, "m"), engine("b", 4, "m")
+	d := newDispatcher(a, b)
+	a.Leaving = true
+	b.Gone = true
+	d.Update([]fleet.Upstream{a, b}, 0)
+	is.Equal(len(d.Submit(call(1, "m", 1, 0), 0)), 0)
+}
+
+// TestAnUpstreamThatLosesCallsIsLeftAloneAndTriedAgain replays an upstream that is
+// dark for a while.
+func TestAnUpstreamThatLosesCallsIsLeftAloneAndTriedAgain(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("a", 9, "m"), engine("b", 9, "m"))
+	token, lost := 0, 0
+	submit := func(now time.Duration, dark bool) {
+		token++
+		at := started(d.Submit(call(token, "m", 1, now), now))[dispatch.Token(token)]
+		if at == "a" && dark {
+			lost++
+			d.Finish(dispatch.Token(token), dispatch.Lost, now)
+			return
+		}
+		d.Finish(dispatch.Token(token), dispatch.Served, now)
+	}
+	for i := range 100 {
+		submit(time.Duration(i)*50*ms, true)
+	}
+	is.True(lost <= 6) // pauses of 0.2, 0.4, 0.8, 1.6 and 3 s within 5 s
+	served := 0
+	for i := range 400 {
+		now := 20*second + time.Duration(i)*50*ms
+		token++
+		if started(d.Submit(call(token, "m", 1, now), now))[dispatch.Token(token)] == "a" {
+			served++
+		}
+		d.Finish(dispatch.Token(token), dispatch.Served, now)
+	}
+	is.True(served > 50) // it is back
+}
+
+// TestStatedLoadCountsTheCallsOfOtherNodes replays a node that sees a tenth of the
+// traffic: what an upstream states steers it.
+func TestStatedLoadCountsTheCallsOfOtherNodes(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("a", 10, "m"), engine("b", 10, "m"))
+	first := started(d.Submit(call(1, "m", 1, 0), 0))[1]
+	d.Observe(1, dispatch.Load{Running: 9, Waiting: 0, Slots: 10}, 10*ms)
+	for i := 2; i < 8; i++ {
+		at := started(d.Submit(call(i, "m", 1, 20*ms), 20*ms))[dispatch.Token(i)]
+		is.True(at != first)
+	}
+}
+
+func TestCallsThatShareAPromptMeet(t *testing.T) {
+	is := is.New(t)
+	places := map[string]int{}
+	for node := range 5 {
+		d := newDispatcher(engine("a", 64, "m"), engine("b", 64, "m"), engine("c", 64, "m"))
+		c := call(node, "m", 1, 0)
+		c.Affinity = 4711
+		places[started(d.Submit(c, 0))[dispatch.Token(node)]]++
+	}
+	is.Equal(len(places), 1)
+}
+
+func BenchmarkSubmitOverManyUpstreams(b *testing.B) {
+	var upstreams []fleet.Upstream
+	for i := range 60 {
+		upstreams = append(upstreams, engine(fmt.Sprint("e", i), 1<<30, fmt.Sprint("m", i%20)))
+	}
+	d := newDispatcher(upstreams...)
+	for i := 0; b.Loop(); i++ {
+		d.Submit(call(i, "m3", 1, 0), 0)
+		d.Finish(dispatch.Token(i), dispatch.Served, 0)
+	}
+}
--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -22,11 +22,10 @@
 )
 
 // adapterStep returns the next adapter order at an engine.
-func (p *Planner) adapterStep(n *node, now time.Duration) (Step, bool) {
+func (p *Planner) adapterStep(n *node, queues map[modelKey]*queue, now time.Duration) (Step, bool) {
 	if now < n.adaptersHeld || !n.counted || n.desc.Leaving || n.coming(now) >= adaptersPerEngine || p.coming(now) >= p.limits.AdapterWidth {
 		return Step{}, false
 	}
-	queues := p.queues(now)
 	for _, r := range n.desc.Residents {
 		if _, closing := n.closing[r.Model]; closing {
 			continue
--- a/residency/choose.go
+++ b/residency/choose.go
@@ -49,15 +49,24 @@
 
 // choose gives jobs to engines that have none, the most useful first.
 func (p *Planner) choose(now time.Duration) {
-	queues := p.queues(now)
+	var free []*node
+	for _, n := range p.sorted() {
+		if n.free() {
+			free = append(free, n)
+		}
+	}
+	if len(free) == 0 {
+		return
+	}
+	models := p.survey(now)
 	for {
 		best := candidate{}
-		for _, n := range p.sorted() {
-			if !n.free(now) {
+		for _, n := range free {
+			if n.job != nil {
 				continue
 			}
 			for i := range n.spec.Models {
-				c, ok := p.consider(n, &n.spec.Models[i], queues, now)
+				c, ok := p.consider(n, &n.spec.Models[i], models, now)
 				if ok && c.score > best.score {
 					best = c
 				}
@@ -67,11 +76,12 @@
 			return
 		}
 		p.assign(best, now)
+		models.assigned(best)
 	}
 }
 
 // free reports whether an engine can take a job.
-func (n *node) free(time.Duration) bool {
+func (n *node) free() bool {
 	return n.spec != nil && !n.desc.Leaving && !n.unclear && n.work == nil && n.job == nil && n.counted
 }
 
@@ -85,21 +95,18 @@
 }
 
 // consider weighs loading a model at an engine.
-func (p *Planner) consider(n *node, m *routes.Model, queues map[modelKey]*queue, now time.Duration) (candidate, bool) {
-	if n.desc.Holds(m.Name, "") {
-		return candidate{}, false
-	}
+func (p *Planner) consider(n *node, m *routes.Model, models survey, now time.Duration) (candidate, bool) {
+	state := models.of(n.desc.Service, m.Name)
 	c := candidate{node: n, model: m, tier: n.tier(m.Name)}
 	took := loadTime(m, c.tier)
-	q := queues[modelKey{n.desc.Service, m.Name}]
-	gain := p.gain(n.desc.Service, m.Name, q, took, now)
-	if gain <= 0 {
+	gain := state.gain(took, p.limits.Horizon)
+	if gain <= 0 || n.desc.Holds(m.Name, "") {
 		return candidate{}, false
 	}
-	if c.tier == Store && (!p.storeRoom(n, now) || p.copyNear(n.desc.Service, m.Name, now)) {
+	if c.tier == Store && (state.copyNear || !p.storeRoom(n, now)) {
 		return candidate{}, false
 	}
-	evict, loss, wait, ok := p.makeRoom(n, m, now)
+	evict, loss, wait, ok := p.makeRoom(n, m, models, now)
 	if !ok || gain <= loss*margin {
 		return candidate{}, false
 	}
@@ -108,52 +115,96 @@
 	return c, true
 }
 
-// gain is what holding a model at one more engine is worth, in calls.
-func (p *Planner) gain(service, model string, q *queue, within, now time.Duration) float64 {
-	holders, coming := p.holders(service, model)
-	if coming > 0 {
-		return 0
+// modelState is what decides about one model of a service.
+type modelState struct {
+	queue *queue
+	rate  float64
+	// holders is how many engines hold the model, coming how many will.
+	holders, coming int
+	// spare says that one of the holders has slots to spare.
+	spare bool
+	// copyNear says that an engine has a copy and will be free before long.
+	copyNear bool
+}
+
+// survey is the state of all models, made once for a round of choices.
+type survey map[modelKey]*modelState
+
+func (s survey) of(service, model string) *modelState {
+	state := s[modelKey{service, model}]
+	if state == nil {
+		state = &modelState{}
+		s[modelKey{service, model}] = state
 	}
-	waiting := q.worth(within)
-	if holders > 0 {
-		// Those that hold it are full, or calls wait for one of its adapters.
-		if p.spare(service, model) {
-			return 0
-		}
-		return waiting
+	return state
+}
+
+// assigned takes note of a job.
+func (s survey) assigned(c candidate) {
+	service := c.node.desc.Service
+	s.of(service, c.model.Name).coming++
+	for _, v := range c.evict {
+		s.of(service, v).holders--
 	}
-	return waiting + p.rate(service, model, now)*p.limits.Horizon.Seconds()
 }
 
-// holders counts the engines that hold a model, and those that will.
-func (p *Planner) holders(service, model string) (holders, coming int) {
-	for _, n := range p.nodes {
-		if n.desc.Service != service || n.desc.Leaving {
-			continue
+// survey looks at all engines and reports.
+func (p *Planner) survey(now time.Duration) survey {
+	s := survey{}
+	for service, e := range p.engines {
+		for i := range e.Models {
+			s.of(service, e.Models[i].Name).rate = p.measured(service, e.Models[i].Name, now)
 		}
-		_, closing := n.closing[model]
-		switch {
-		case n.job != nil && n.job.model == model:
-			coming++
-		case n.desc.Holds(model, "") && !closing:
-			holders++
+	}
+	for key, q := range p.queues(now) {
+		s.of(key.service, key.model).queue = q
+	}
+	for _, n := range p.nodes {
+		if n.spec != nil && !n.desc.Leaving {
+			p.surveyNode(s, n, now)
 		}
 	}
-	return holders, coming
+	return s
 }
 
-// spare reports whether an engine that holds a model has slots to spare.
-func (p *Planner) spare(service, model string) bool {
-	for _, n := range p.nodes {
-		_, closing := n.closing[model]
-		if n.desc.Service != service || n.desc.Leaving || closing || !n.desc.Holds(model, "") {
+func (p *Planner) surveyNode(s survey, n *node, now time.Duration) {
+	service := n.desc.Service
+	if n.job != nil {
+		s.of(service, n.job.model).coming++
+	}
+	room := float64(n.busy()) < fullShare*float64(n.desc.Slots)
+	for _, r := range n.desc.Residents {
+		if _, closing := n.closing[r.Model]; closing {
 			continue
 		}
-		if float64(n.busy()) < fullShare*float64(n.desc.Slots) {
-			return true
+		state := s.of(service, r.Model)
+		state.holders++
+		state.spare = state.spare || room
+		if p.demand.total == 0 {
+			state.rate += replicaRate
+		}
+	}
+	if n.work != nil && n.work.due-now >= storeWait {
+		return
+	}
+	for _, copies := range [][]string{n.desc.InMemory, n.desc.OnDisk} {
+		for _, m := range copies {
+			s.of(service, m).copyNear = true
 		}
 	}
-	return false
+}
+
+// gain is what holding a model at one more engine is worth, in calls.
+func (m *modelState) gain(within, horizon time.Duration) float64 {
+	if m.coming > 0 || m.holders > 0 && m.spare {
+		return 0
+	}
+	waiting := m.queue.worth(within)
+	if m.holders > 0 {
+		// Those that hold it are full.
+		return waiting
+	}
+	return waiting + m.rate*horizon.Seconds()
 }
 
 // busy is how many calls run at the engine.
@@ -167,20 +218,6 @@
 	return total
 }
 
-// copyNear reports whether an engine has a copy of a model and will be free
-// before long.
-func (p *Planner) copyNear(service, model string, now time.Duration) bool {
-	for _, n := range p.nodes {
-		if n.desc.Service != service || n.desc.Leaving || n.spec == nil || n.tier(model) == Store {
-			continue
-		}
-		if n.work == nil || n.work.due-now < storeWait {
-			return true
-		}
-	}
-	return false
-}
-
 // victim is a model that could make room.
 type victim struct {
 	name string
@@ -190,7 +227,7 @@
 }
 
 // makeRoom chooses what an engine gives up for a model: the least loss first.
-func (p *Planner) makeRoom(n *node, m *routes.Model, now time.Duration) (evict []string, loss float64, wait time.Duration, ok bool) {
+func (p *Planner) makeRoom(n *node, m *routes.Model, models survey, now time.Duration) (evict []string, loss float64, wait time.Duration, ok bool) {
 	free := n.spec.WeightsMB - n.reserved()
 	var victims []victim
 	for _, r := range n.desc.Residents {
@@ -202,7 +239,7 @@
 		if now-n.since[r.Model] < p.limits.MinStay {
 			continue
 		}
-		victims = append(victims, p.victim(n, spec, now))
+		victims = append(victims, p.victim(n, spec, models.of(n.desc.Service, r.Model)))
 	}
 	if free >= m.SizeMB {
 		return nil, 0, 0, true
@@ -215,14 +252,14 @@
 		loss += v.loss
 		wait = max(wait, v.wait)
 		if free += v.size; free >= m.SizeMB {
-			return p.needed(evict, victims, free-m.SizeMB), loss, wait + p.limits.CloseGrace, true
+			return needed(evict, victims, free-m.SizeMB), loss, wait + p.limits.CloseGrace, true
 		}
 	}
 	return nil, 0, 0, false
 }
 
 // needed drops victims that turned out not to be needed for the room.
-func (p *Planner) needed(evict []string, victims []victim, over float64) []string {
+func needed(evict []string, victims []victim, over float64) []string {
 	kept := evict[:0:0]
 	for _, name := range evict {
 		i := slices.IndexFunc(victims, func(v victim) bool { return v.name == name })
@@ -236,18 +273,12 @@
 }
 
 // victim says what the loss of a model at an engine would cost.
-func (p *Planner) victim(n *node, m *routes.Model, now time.Duration) victim {
+func (p *Planner) victim(n *node, m *routes.Model, state *modelState) victim {
 	v := victim{name: m.Name, size: m.SizeMB}
-	rate := p.rate(n.desc.Service, m.Name, now)
-	expected := rate * p.limits.Horizon.Seconds()
-	others := -1 // this one
-	for _, o := range p.nodes {
-		if _, closing := o.closing[m.Name]; o.desc.Service == n.desc.Service && !o.desc.Leaving && !closing && o.desc.Holds(m.Name, "") {
-			others++
-		}
-	}
+	expected := state.rate * p.limits.Horizon.Seconds()
+	others := state.holders - 1
 	v.loss = expected
-	if room := float64(others*n.desc.Slots) * fullShare; others > 0 && rate*p.limits.CallTime.Seconds() < room/2 {
+	if room := float64(others*n.desc.Slots) * fullShare; others > 0 && state.rate*p.limits.CallTime.Seconds() < room/2 {
 		v.loss = expected * spareLoss
 	}
 	if n.running[m.Name] > 0 {
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -146,21 +146,12 @@
 	}
 }
 
-// rate is the expected calls a second for a model.
-func (p *Planner) rate(service, model string, now time.Duration) float64 {
-	measured := unseenRate
+// measured is the expected calls a second for a model.
+func (p *Planner) measured(service, model string, now time.Duration) float64 {
 	if r := p.demand.rates[modelKey{service, model}]; r != nil {
-		measured = max(measured, r.value(now))
+		return max(unseenRate, r.value(now))
 	}
-	if p.demand.total > 0 {
-		return measured
-	}
-	for _, n := range p.nodes {
-		if n.desc.Service == service && n.desc.Holds(model, "") {
-			measured += replicaRate
-		}
-	}
-	return measured
+	return unseenRate
 }
 
 // queue is the calls that wait for one model.
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -232,12 +232,13 @@
 func (p *Planner) Plan(now time.Duration) []Step {
 	p.demand.age(now)
 	p.choose(now)
+	queues := p.queues(now)
 	var steps []Step
 	for _, n := range p.sorted() {
 		if n.spec == nil || n.sent != nil || n.asking {
 			continue
 		}
-		if step, ok := p.next(n, now); ok {
+		if step, ok := p.next(n, queues, now); ok {
 			steps = append(steps, step)
 		}
 	}
@@ -245,7 +246,7 @@
 }
 
 // next returns the next step at one engine.
-func (p *Planner) next(n *node, now time.Duration) (Step, bool) {
+func (p *Planner) next(n *node, queues map[modelKey]*queue, now time.Duration) (Step, bool) {
 	if n.work != nil && now > n.work.due+p.limits.Overdue {
 		n.unclear = true
 	}
@@ -256,7 +257,7 @@
 		n.asking, n.asked = true, now
 		return Step{Upstream: n.desc, Report: true}, true
 	}
-	if step, ok := p.adapterStep(n, now); ok {
+	if step, ok := p.adapterStep(n, queues, now); ok {
 		return step, true
 	}
 	if n.work != nil || n.job == nil {
--- /dev/null
+++ b/residency/residency_test.go
@@ -0,0 +1,373 @@
+package residency_test
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/dispatch"
+	"github.com/agateslip/agateslip/fleet"
+	"github.com/agateslip/agateslip/residency"
+	"github.com/agateslip/agateslip/routes"
+)
+
+const (
+	ms     = time.Millisecond
+	second = time.Second
+	// tick is the cadence of planning in the tests.
+	tick = 10 * ms
+)
+
+// world is engines that carry out orders, in virtual time.
+type world struct {
+	t       *testing.T
+	now     time.Duration
+	planner *residency.Planner
+	spec    *routes.Engine
+	engines map[string]*engine
+	// storeStarts are when loads from the weight store began.
+	storeStarts []time.Duration
+	// lateOrders answers no order and carries each out after this time.
+	lateOrders time.Duration
+	late       []lateOrder
+	asks       map[string]*ask
+	arrivals   map[string]uint64
+}
+
+type lateOrder struct {
+	at     time.Duration
+	engine string
+	order  residency.Order
+}
+
+type engine struct {
+	desc     fleet.Upstream
+	accepted uint64
+	busy     bool
+	done     time.Duration
+	order    residency.Order
+}
+
+// newWorld has n engines that hold two of the models each; all models are of the
+// same size. copies says whether every engine has all models on its disk.
+func newWorld(t *testing.T, n, models int, copies bool) *world {
+	w := &world{t: t, engines: map[string]*engine{}, asks: map[string]*ask{}, arrivals: map[string]uint64{}, spec: &routes.Engine{
+		Slots: 8, WeightsMB: 25, AdapterPlaces: 2, StoreLoadsPerSecond: 4,
+	}}
+	var names []string
+	for i := range models {
+		name := fmt.Sprint("m", i)
+		names = append(names, name)
+		w.spec.Models = append(w.spec.Models, routes.Model{
+			Name: name, SizeMB: 10, StoreLoad: 6 * second, DiskLoad: 700 * ms, MemoryLoad: 400 * ms, Adapters: 4, AdapterMB: 1,
+		})
+	}
+	w.planner = residency.New(residency.DefaultLimits())
+	w.planner.SetServices([]routes.Service{{Name: "llm", Engine: w.spec}})
+	for i := range n {
+		e := &engine{desc: fleet.Upstream{ID: fmt.Sprint("e", i), Born: 1, Service: "llm", Slots: 8}}
+		for j := range 2 {
+			e.desc.Residents = append(e.desc.Residents, fleet.Resident{Model: names[(2*i+j)%models]})
+		}
+		if copies {
+			e.desc.OnDisk = names
+		} else {
+			e.desc.OnDisk = modelsOf(e.desc)
+		}
+		w.engines[e.desc.ID] = e
+		w.planner.SetUpstream(e.desc, 0)
+	}
+	return w
+}
+
+func modelsOf(u fleet.Upstream) []string {
+	var names []string
+	for _, r := range u.Residents {
+		names = append(names, r.Model)
+	}
+	return names
+}
+
+// run lets time pass.
+func (w *world) run(d time.Duration) {
+	w.t.Helper()
+	for end := w.now + d; w.now < end; w.now += tick {
+		w.finishOrders()
+		if w.now%(200*ms) == 0 {
+			w.report()
+		}
+		for _, step := range w.planner.Plan(w.now) {
+			w.carryOut(step)
+		}
+	}
+}
+
+func (w *world) finishOrders() {
+	for _, l := range w.late {
+		if l.at == w.now {
+			w.accept(w.engines[l.engine], l.order)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(w.engines)) {
+		e := w.engines[id]
+		if !e.busy || w.now < e.done {
+			continue
+		}
+		e.busy = false
+		if e.order.Load {
+			e.desc.Residents = append(slices.Clone(e.desc.Residents), fleet.Resident{Model: e.order.Model})
+		} else {
+			e.desc.Residents = slices.DeleteFunc(slices.Clone(e.desc.Residents), func(r fleet.Resident) bool { return r.Model == e.order.Model })
+		}
+		e.desc.Seq++
+		w.planner.SetUpstream(e.desc, w.now)
+	}
+}
+
+func (w *world) carryOut(step residency.Step) {
+	e := w.engines[step.Upstream.ID]
+	if step.Report {
+		w.planner.Reported(e.desc.ID, e.desc.Born, &residency.Report{Accepted: e.accepted, Busy: e.busy, Residents: e.desc.Residents}, w.now)
+		return
+	}
+	if w.lateOrders > 0 {
+		w.late = append(w.late, lateOrder{w.now + w.lateOrders, e.desc.ID, *step.Order})
+		w.planner.Answered(e.desc.ID, e.desc.Born, residency.Unanswered, w.now)
+		return
+	}
+	w.planner.Answered(e.desc.ID, e.desc.Born, w.accept(e, *step.Order), w.now)
+}
+
+// accept is an engine's check of an order. An engine told to hold more than fits
+// crashes; the test fails instead.
+func (w *world) accept(e *engine, o residency.Order) residency.Answer {
+	w.t.Helper()
+	if e.busy || o.Accepted != e.accepted {
+		return residency.Refused
+	}
+	e.accepted++
+	if o.Adapter != "" {
+		w.adapter(e, o)
+		return residency.Accepted
+	}
+	took := 50 * ms
+	if o.Load {
+		if float64(len(e.desc.Residents)+1)*10 > w.spec.WeightsMB {
+			w.t.Fatalf("%v: %s is ordered to load more than it holds", w.now, e.desc.ID)
+		}
+		took = 700 * ms
+		if !slices.Contains(e.desc.OnDisk, o.Model) {
+			took = 6 * second
+			w.storeStarts = append(w.storeStarts, w.now)
+			e.desc.OnDisk = append(slices.Clone(e.desc.OnDisk), o.Model)
+		}
+	}
+	e.busy, e.order, e.done = true, o, w.now+took
+	return residency.Accepted
+}
+
+func (w *world) adapter(e *engine, o residency.Order) {
+	e.desc.Residents = slices.Clone(e.desc.Residents)
+	count := 0
+	for i := range e.desc.Residents {
+		r := &e.desc.Residents[i]
+		if r.Model == o.Model && o.Load {
+			r.Adapters = append(slices.Clone(r.Adapters), o.Adapter)
+		}
+		if r.Model == o.Model && !o.Load {
+			r.Adapters = slices.DeleteFunc(slices.Clone(r.Adapters), func(a string) bool { return a == o.Adapter })
+		}
+		count += len(r.Adapters)
+	}
+	if count > w.spec.AdapterPlaces {
+		w.t.Fatalf("%v: %s is ordered to hold %d adapters", w.now, e.desc.ID, count)
+	}
+}
+
+// ask has calls wait for a model at a node until they can run.
+func (w *world) ask(node, model, adapter string, calls int) {
+	w.arrivals[model] += uint64(calls)
+	w.asks[node] = &ask{
+		demand: dispatch.Demand{Service: "llm", Model: model, Adapter: adapter, Waiting: calls},
+		due:    w.now + 2*second,
+	}
+	w.report()
+}
+
+// ask is what waits at a node.
+type ask struct {
+	demand dispatch.Demand
+	due    time.Duration
+}
+
+// report has each node say what waits there.
+func (w *world) report() {
+	for _, node := range slices.Sorted(maps.Keys(w.asks)) {
+		a := w.asks[node]
+		a.demand.Slack = a.due - w.now
+		r := residency.NodeReport{Waiting: []dispatch.Demand{a.demand}}
+		if w.offers(a.demand.Model, a.demand.Adapter) {
+			r.Waiting = nil
+		}
+		for model, calls := range w.arrivals {
+			r.Arrivals = append(r.Arrivals, residency.Count{Service: "llm", Model: model, Calls: calls})
+		}
+		w.planner.SetDemand("nodes", residency.NodeReport{Arrivals: r.Arrivals}, w.now)
+		w.planner.SetDemand(node, residency.NodeReport{Waiting: r.Waiting}, w.now)
+	}
+}
+
+func (w *world) offers(model, adapter string) bool {
+	for _, e := range w.engines {
+		if e.desc.Holds(model, adapter) {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) holds(model string) bool { return w.offers(model, "") }
+
+// TestARareModelIsSwappedInFromACopy replays a call for a model that nobody holds:
+// an engine with a copy makes room, well within a target of 2.5 s.
+func TestARareModelIsSwappedInFromACopy(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3, 8, true)
+	w.run(second)
+	w.ask("n", "m7", "", 1)
+	w.run(2 * second)
+	is.True(w.holds("m7"))
+	is.Equal(len(w.storeStarts), 0)
+}
+
+// TestTurnsOfManyModels replays calls for all models in turn, more than fit: each
+// is loaded while its calls wait, and no engine is overfilled.
+func TestTurnsOfManyModels(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3, 12, true)
+	w.run(second)
+	for round := range 24 {
+		model := fmt.Sprint("m", round*5%12)
+		w.ask("n", model, "", 2)
+		w.run(2 * second)
+		is.True(w.holds(model))
+	}
+}
+
+// TestTheStoreIsNeverAskedForMoreThanItAllows replays demand for many models
+// without a copy anywhere.
+func TestTheStoreIsNeverAskedForMoreThanItAllows(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 8, 40, false)
+	for i := range 24 {
+		w.ask(fmt.Sprint("n", i), fmt.Sprint("m", 16+i), "", 3)
+	}
+	w.run(30 * second)
+	is.True(len(w.storeStarts) > 8)
+	for i, at := range w.storeStarts {
+		running := 0
+		for _, other := range w.storeStarts[:i+1] {
+			if at-other < 6*second {
+				running++
+			}
+		}
+		is.True(running <= residency.DefaultLimits().StoreWidth)
+	}
+}
+
+// TestLateOrdersNeverOverfillAnEngine replays engines that answer no order and
+// carry each out seconds later, after newer ones.
+func TestLateOrdersNeverOverfillAnEngine(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3, 12, true)
+	w.run(second)
+	w.lateOrders = 3 * second
+	for round := range 6 {
+		w.ask("n", fmt.Sprint("m", 6+round), "", 2)
+		w.run(1500 * ms)
+	}
+	w.lateOrders = 0
+	w.ask("n", "m11", "", 2)
+	w.run(8 * second)
+	w.ask("n", "m11", "", 2)
+	w.run(3 * second)
+	is.True(w.holds("m11"))
+}
+
+func TestAdaptersComeAndGoWithinTheirPlaces(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 2, true)
+	w.run(second)
+	for round := range 8 {
+		adapter := fmt.Sprint("a", round%4+1)
+		w.ask("n", "m0", adapter, 1)
+		w.run(1500 * ms)
+		residents, _, ok := w.planner.View("e0", w.now)
+		is.True(ok)
+		at := slices.IndexFunc(residents, func(r fleet.Resident) bool { return r.Model == "m0" })
+		is.True(slices.Contains(residents[at].Adapters, adapter))
+	}
+}
+
+func TestAModelOfManyCallsIsNotGivenUpForOneThatFew(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 3, true)
+	for i := range 400 { // m0 has ten calls a second, m1 none
+		w.planner.SetDemand("n", residency.NodeReport{
+			Arrivals: []residency.Count{{Service: "llm", Model: "m0", Calls: uint64(i)}},
+		}, w.now)
+		w.run(100 * ms)
+		if i == 300 {
+			w.ask("o", "m2", "", 1)
+		}
+	}
+	is.True(w.holds("m0"))
+	is.True(w.holds("m2"))
+	is.True(!w.holds("m1"))
+}
+
+func TestARestartedEngineIsAskedBeforeItGetsOrders(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 3, true)
+	w.run(second)
+	e := w.engines["e0"]
+	e.desc.Born, e.accepted, e.desc.Residents = 2, 0, nil
+	w.planner.SetUpstream(e.desc, w.now)
+	steps := w.planner.Plan(w.now)
+	is.Equal(len(steps), 1)
+	is.True(steps[0].Report)
+}
+
+func BenchmarkPlanAtSixtyEngines(b *testing.B) {
+	spec := &routes.Engine{Slots: 48, WeightsMB: 200, AdapterPlaces: 8, StoreLoadsPerSecond: 26}
+	for i := range 215 {
+		spec.Models = append(spec.Models, routes.Model{Name: fmt.Sprint("m", i), SizeMB: 60, StoreLoad: 13 * second, DiskLoad: second})
+	}
+	p := residency.New(residency.DefaultLimits())
+	p.SetServices([]routes.Service{{Name: "llm", Engine: spec}})
+	for i := range 60 {
+		u := fleet.Upstream{ID: fmt.Sprint("e", i), Service: "llm", Slots: 48}
+		for j := range 3 {
+			u.Residents = append(u.Residents, fleet.Resident{Model: fmt.Sprint("m", (3*i+j)%215)})
+			u.OnDisk = append(u.OnDisk, fmt.Sprint("m", (3*i+j)%215))
+		}
+		p.SetUpstream(u, 0)
+	}
+	for _, s := range p.Plan(0) {
+		p.Reported(s.Upstream.ID, 0, &residency.Report{Residents: s.Upstream.Residents}, 0)
+	}
+	var waiting []dispatch.Demand
+	for i := range 30 {
+		waiting = append(waiting, dispatch.Demand{Service: "llm", Model: fmt.Sprint("m", i*7), Waiting: 1, Slack: cmp.Or(time.Second, 0)})
+	}
+	for i := 0; b.Loop(); i++ {
+		now := time.Duration(i) * tick
+		p.SetDemand("n", residency.NodeReport{Waiting: waiting}, now)
+		p.Plan(now)
+	}
+}
