--- a/internal/cli/managed.go
+++ b/internal/cli/managed.go
@@ -61,7 +61,7 @@
 func (c *controlCmd) run(ctx context.Context, out, _ io.Writer) error {
 	return runManaged(ctx, c.Config, out, "control", func(ctx context.Context, cfg config.Managed, log *eventlog.Log) error {
 		engines := platform.Engines{Pool: upstreamconn.NewPool(engineDial)}
-		node, err := controller.New(cfg, log, platform.DecodeConfiguration, engines)
+		node, err := controller.New(ctx, cfg, log, platform.DecodeConfiguration, engines)
 		if err != nil {
 			return err
 		}
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -113,7 +113,7 @@
 		n := c.nodes[i]
 		var out io.Writer = n.log
 		log := eventlog.New(out, eventlog.Fields{"node": n.cfg.Node})
-		node, err := controller.New(n.cfg, log, decode, fakeOrders{})
+		node, err := controller.New(context.Background(), n.cfg, log, decode, fakeOrders{})
 		if err != nil {
 			c.t.Fatal(err)
 		}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -84,8 +84,8 @@
 	changing bool
 }
 
-// New makes a control node from its data folder.
-func New(cfg config.Managed, log *eventlog.Log, decode Decoder, orders Orders) (*Controller, error) {
+// New makes a control node from its data folder. It waits while the disk is full.
+func New(ctx context.Context, cfg config.Managed, log *eventlog.Log, decode Decoder, orders Orders) (*Controller, error) {
 	seeds, err := cfg.SeedLinks()
 	if err != nil {
 		return nil, err
@@ -101,7 +101,7 @@
 	c.registry = fleet.NewRegistry(fleet.Bounds{
 		Silence: silentHeartbeats * time.Duration(cfg.Heartbeat), Tombstone: tombstone,
 	})
-	restored, err := c.openDisk()
+	restored, err := c.waitForDisk(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/controller/disk.go
+++ b/internal/controller/disk.go
@@ -1,8 +1,11 @@
 package controller
 
 import (
+	"context"
 	"os"
 	"path/filepath"
+	"syscall"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -60,6 +63,26 @@
 	return false
 }
 
+// fullDiskPause is how often a full disk is tried again.
+const fullDiskPause = 300 * time.Millisecond
+
+// waitForDisk opens the member's folder as soon as its disk takes writes again;
+// ending the process would only start it anew.
+func (c *Controller) waitForDisk(ctx context.Context) (raft.Restored, error) {
+	for {
+		restored, err := c.openDisk()
+		if !errors.Is(err, syscall.ENOSPC) {
+			return restored, err
+		}
+		c.log.Event("disk is full", eventlog.Fields{"folder": c.cfg.Data, "error": err.Error()})
+		select {
+		case <-time.After(fullDiskPause):
+		case <-ctx.Done():
+			return raft.Restored{}, ctx.Err()
+		}
+	}
+}
+
 // openDisk opens the member's folder. An empty folder becomes a founder's at the
 // first start of the deployment, and otherwise that of a new member: it never
 // takes up an identity whose votes may be forgotten.
