residency: calls that slow each other down decide how many engines hold a model

The planner now learns from finished streams how lateness grows with the calls a second at an engine, and weighs one more holder against a rare model by it. Orders for adapters are no longer sent to an engine that carries out one for a model, which refused half of them.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -43,6 +43,11 @@
 	fallback *wholeAnswer
 	// begun says that the caller has got the header of a stream.
 	begun bool
+	// first is how long the caller waited for the first event of a stream, pause the
+	// longest time between two.
+	first, pause time.Duration
+	// passed is when the latest event was passed on.
+	passed time.Duration
 	// lastEvent is the id of the last event that the caller got.
 	lastEvent string
 }
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -40,7 +40,7 @@
 			return nil //nolint:nilerr // the node stops
 		}
 		// An empty report after a full one says that nothing waits or runs any more.
-		empty := len(report.Waiting)+len(report.Arrivals)+len(report.Running) == 0
+		empty := len(report.Waiting)+len(report.Arrivals)+len(report.Running)+len(report.Quality) == 0
 		if !empty || !quiet {
 			e.sendReport(ctx, report)
 		}
@@ -65,6 +65,11 @@
 			})
 		}
 	}
+	for id, q := range e.quality {
+		if e.judged[id] != q {
+			report.Quality = append(report.Quality, q)
+		}
+	}
 	for id, byKey := range e.dispatcher.Running() {
 		for key, calls := range byKey {
 			report.Running = append(report.Running, residency.Count{
@@ -89,12 +94,26 @@
 		for _, c := range report.Arrivals {
 			e.reported[dispatch.Key{Service: c.Service, Model: c.Model, Adapter: c.Adapter}] = c.Calls
 		}
+		for _, q := range report.Quality {
+			e.judged[q.Upstream] = q
+		}
 		for _, f := range answer.Forecasts {
 			e.dispatcher.Forecast(dispatch.Key{Service: f.Service, Model: f.Model}, f.In, now)
 		}
 	})
 }
 
+// judge takes note of a finished stream. It runs on the loop.
+func (e *Edge) judge(upstream string, paused bool) {
+	q := e.quality[upstream]
+	q.Upstream = upstream
+	q.Streams++
+	if paused {
+		q.Paused++
+	}
+	e.quality[upstream] = q
+}
+
 // stir wakes the reporter.
 func (e *Edge) stir() {
 	select {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -27,6 +27,7 @@
 	"github.com/agateslip/agateslip/internal/peer"
 	"github.com/agateslip/agateslip/internal/supervisor"
 	"github.com/agateslip/agateslip/internal/upstreamconn"
+	"github.com/agateslip/agateslip/residency"
 	"github.com/agateslip/agateslip/routes"
 )
 
@@ -75,6 +76,8 @@
 	budgets    map[string]*retryBudget
 	upstreams  map[string]known
 	reported   map[dispatch.Key]uint64
+	quality    map[string]residency.Quality
+	judged     map[string]residency.Quality
 }
 
 // known is an upstream as this node last heard of it.
@@ -102,6 +105,8 @@
 		budgets:    map[string]*retryBudget{},
 		upstreams:  map[string]known{},
 		reported:   map[dispatch.Key]uint64{},
+		quality:    map[string]residency.Quality{},
+		judged:     map[string]residency.Quality{},
 	}
 	e.entries.Store(1)
 	e.mesh, err = peer.New(peer.Options{
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -133,7 +133,6 @@
 func (c *call) relayStream(u *fleet.Upstream, conn *upstreamconn.Conn, resp *http.Response) (dispatch.Result, ending) {
 	if !c.begun {
 		c.begun = true
-		c.edge.metrics.observe("first byte", boottime.Now()-c.arrived)
 		c.writeHeader(resp)
 		c.flush()
 	}
@@ -171,6 +170,7 @@
 		return false
 	}
 	c.flush()
+	c.timeEvent(boottime.Now())
 	for line := range bytes.Lines(event) {
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			c.lastEvent = string(bytes.TrimSpace(id))
@@ -179,6 +179,17 @@
 	return true
 }
 
+// timeEvent takes note of when an event was passed on.
+func (c *call) timeEvent(now time.Duration) {
+	if c.passed == 0 {
+		c.first = now - c.arrived
+		c.edge.metrics.observe("first event", c.first)
+	} else {
+		c.pause = max(c.pause, now-c.passed)
+	}
+	c.passed = now
+}
+
 func (c *call) flush() {
 	if err := http.NewResponseController(c.w).Flush(); err != nil {
 		c.log("flush failed", eventlog.Fields{"error": err.Error()})
@@ -190,5 +201,14 @@
 	took := boottime.Now() - c.arrived
 	c.edge.metrics.count("answered")
 	c.edge.metrics.observe("answer", took)
-	c.log("answered", eventlog.Fields{"upstream": u.ID, "status": status, "attempts": c.sends})
+	fields := eventlog.Fields{"upstream": u.ID, "status": status, "attempts": c.sends}
+	if c.begun {
+		fields["first"], fields["pause"] = c.first.Milliseconds(), c.pause.Milliseconds()
+		c.edge.metrics.observe("longest pause", c.pause)
+		if c.route.PauseTarget > 0 && c.sends == 1 {
+			paused := c.pause > c.route.PauseTarget
+			c.edge.loop.Post(func() { c.edge.judge(u.ID, paused) })
+		}
+	}
+	c.log("answered", fields)
 }
--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -23,7 +23,8 @@
 
 // adapterStep returns the next adapter order at an engine.
 func (p *Planner) adapterStep(n *node, queues map[modelKey]*queue, now time.Duration) (Step, bool) {
-	if now < n.adaptersHeld || !n.counted || n.desc.Leaving || n.coming(now) >= adaptersPerEngine || p.coming(now) >= p.limits.AdapterWidth {
+	// An engine that carries out an order for a model refuses those for adapters.
+	if n.work != nil || now < n.adaptersHeld || !n.counted || n.desc.Leaving || n.coming(now) >= adaptersPerEngine || p.coming(now) >= p.limits.AdapterWidth {
 		return Step{}, false
 	}
 	for _, r := range n.desc.Residents {
@@ -73,8 +74,8 @@
 }
 
 // wanted reports whether the adapter belongs at this engine: no engine has it,
-// and among those that hold the model this one comes first in an order that
-// differs for each adapter.
+// and among those that hold the model and take orders this one comes first in an
+// order that differs for each adapter.
 func (p *Planner) wanted(n *node, model, adapter string, now time.Duration) bool {
 	var best *node
 	var bestScore uint64
@@ -88,6 +89,9 @@
 		if o.holdsAdapter(model, adapter) {
 			return false
 		}
+		if o.work != nil {
+			continue
+		}
 		if score := xxhash.Sum64String(model + "/" + adapter + "@" + o.desc.ID); best == nil || score > bestScore {
 			best, bestScore = o, score
 		}
--- a/residency/choose.go
+++ b/residency/choose.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// spareLoss is the share of a model's expected calls that is lost with one of
-	// several engines that hold it, while the others have room.
-	spareLoss = 0.1
+	// runningLoss is what a call that runs counts against making room: an unload
+	// waits for it.
+	runningLoss = 0.1
 	// fullShare is the share of an engine's slots up to which the other holders of
 	// a model can take its calls.
 	fullShare = 0.6
@@ -99,13 +99,19 @@
 	state := models.of(n.desc.Service, m.Name)
 	c := candidate{node: n, model: m, tier: n.tier(m.Name)}
 	took := loadTime(m, c.tier)
-	gain := state.gain(took, p.limits.Horizon)
-	if gain <= 0 || n.desc.Holds(m.Name, "") {
+	if state.coming > 0 || n.desc.Holds(m.Name, "") {
+		return candidate{}, false
+	}
+	gain := p.gain(n, state, took, c.tier)
+	if gain <= 0 {
 		return candidate{}, false
 	}
 	if c.tier == Store && (state.copyNear || !p.storeRoom(n, now)) {
 		return candidate{}, false
 	}
+	if c.tier == Store {
+		gain -= p.adapterDelay(n, models, took)
+	}
 	evict, loss, wait, ok := p.makeRoom(n, m, models, now)
 	if !ok || gain <= loss*margin {
 		return candidate{}, false
@@ -119,12 +125,14 @@
 type modelState struct {
 	queue *queue
 	rate  float64
-	// holders is how many engines hold the model, coming how many will.
-	holders, coming int
+	// holders are the engines that hold the model, coming is how many will.
+	holders []*node
+	coming  int
+	// copied says that an engine has a copy, copyNear that one will be free before
+	// long.
+	copied, copyNear bool
 	// spare says that one of the holders has slots to spare.
 	spare bool
-	// copyNear says that an engine has a copy and will be free before long.
-	copyNear bool
 }
 
 // survey is the state of all models, made once for a round of choices.
@@ -144,7 +152,24 @@
 	service := c.node.desc.Service
 	s.of(service, c.model.Name).coming++
 	for _, v := range c.evict {
-		s.of(service, v).holders--
+		state := s.of(service, v)
+		state.holders = slices.DeleteFunc(state.holders, func(n *node) bool { return n == c.node })
+	}
+	s.spread()
+}
+
+// spread works out the calls a second at each engine, of which each holder of a
+// model gets the same share.
+func (s survey) spread() {
+	for _, state := range s {
+		for _, n := range state.holders {
+			n.rate = 0
+		}
+	}
+	for _, state := range s {
+		for _, n := range state.holders {
+			n.rate += state.rate / float64(len(state.holders))
+		}
 	}
 }
 
@@ -164,6 +189,7 @@
 			p.surveyNode(s, n, now)
 		}
 	}
+	s.spread()
 	return s
 }
 
@@ -178,33 +204,79 @@
 			continue
 		}
 		state := s.of(service, r.Model)
-		state.holders++
+		state.holders = append(state.holders, n)
 		state.spare = state.spare || room
 		if p.demand.total == 0 {
 			state.rate += replicaRate
 		}
 	}
-	if n.work != nil && n.work.due-now >= storeWait {
-		return
-	}
+	near := n.work == nil || n.work.due-now < storeWait
 	for _, copies := range [][]string{n.desc.InMemory, n.desc.OnDisk} {
 		for _, m := range copies {
-			s.of(service, m).copyNear = true
+			state := s.of(service, m)
+			state.copied = true
+			state.copyNear = state.copyNear || near
 		}
 	}
 }
 
 // gain is what holding a model at one more engine is worth, in calls.
-func (m *modelState) gain(within, horizon time.Duration) float64 {
-	if m.coming > 0 || m.holders > 0 && m.spare {
-		return 0
+func (p *Planner) gain(n *node, m *modelState, within time.Duration, t Tier) float64 {
+	horizon := p.limits.Horizon.Seconds()
+	if len(m.holders) > 0 {
+		relief := p.relief(n, m) * horizon
+		if !m.spare {
+			// Those that hold it are full.
+			relief += m.queue.worth(within)
+		}
+		return relief
+	}
+	if t == Store && !m.copied {
+		horizon = p.limits.CopyHorizon.Seconds()
 	}
-	waiting := m.queue.worth(within)
-	if m.holders > 0 {
-		// Those that hold it are full.
-		return waiting
+	crowding := p.pace.lost(n.rate+m.rate) - p.pace.lost(n.rate)
+	return m.queue.worth(within) + m.rate*horizon - crowding*p.limits.Horizon.Seconds()
+}
+
+// adapterMisses is the share of the calls for a model with adapters that ask for
+// one that is not at hand.
+const adapterMisses = 0.1
+
+// adapterDelay is how many calls wait for an adapter because their engine is busy
+// with a load for that long.
+func (p *Planner) adapterDelay(n *node, models survey, busy time.Duration) float64 {
+	delayed := 0.0
+	for _, r := range n.desc.Residents {
+		spec := n.spec.Model(r.Model)
+		if state := models.of(n.desc.Service, r.Model); spec != nil && spec.Adapters > 0 && len(state.holders) > 0 {
+			delayed += state.rate / float64(len(state.holders)) * adapterMisses * busy.Seconds()
+		}
+	}
+	return delayed
+}
+
+// relief is how many calls a second fewer are late if one more engine shares the
+// calls for a model with those that hold it.
+func (p *Planner) relief(n *node, m *modelState) float64 {
+	before, after := m.rate/float64(len(m.holders)), m.rate/float64(len(m.holders)+1)
+	relief := p.pace.lost(n.rate) - p.pace.lost(n.rate+after)
+	for _, h := range m.holders {
+		relief += p.pace.lost(h.rate) - p.pace.lost(h.rate-before+after)
+	}
+	return relief
+}
+
+// burden is how many calls a second more are late if an engine no longer shares
+// the calls for a model with the others that hold it.
+func (p *Planner) burden(n *node, m *modelState) float64 {
+	before, after := m.rate/float64(len(m.holders)), m.rate/float64(len(m.holders)-1)
+	burden := p.pace.lost(n.rate-before) - p.pace.lost(n.rate)
+	for _, h := range m.holders {
+		if h != n {
+			burden += p.pace.lost(h.rate-before+after) - p.pace.lost(h.rate)
+		}
 	}
-	return waiting + m.rate*horizon.Seconds()
+	return burden
 }
 
 // busy is how many calls run at the engine.
@@ -275,16 +347,14 @@
 // victim says what the loss of a model at an engine would cost.
 func (p *Planner) victim(n *node, m *routes.Model, state *modelState) victim {
 	v := victim{name: m.Name, size: m.SizeMB}
-	expected := state.rate * p.limits.Horizon.Seconds()
-	others := state.holders - 1
-	v.loss = expected
-	if room := float64(others*n.desc.Slots) * fullShare; others > 0 && state.rate*p.limits.CallTime.Seconds() < room/2 {
-		v.loss = expected * spareLoss
+	if len(state.holders) > 1 {
+		v.loss = max(0, p.burden(n, state)*p.limits.Horizon.Seconds())
+	} else {
+		v.loss = state.rate * p.limits.Horizon.Seconds()
 	}
 	if n.running[m.Name] > 0 {
-		// An unload waits for the calls that run.
 		v.wait = p.limits.CallTime
-		v.loss += float64(n.running[m.Name]) * spareLoss
+		v.loss += float64(n.running[m.Name]) * runningLoss
 	}
 	return v
 }
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -17,8 +17,8 @@
 	// unseenRate is the rate, in calls a second, that a model is expected to have
 	// before any call was seen; replicaRate is added for each engine that holds it
 	// before traffic begins, because busy models are placed widely.
-	unseenRate  = 0.02
-	replicaRate = 0.3
+	unseenRate  = 0.03
+	replicaRate = 1
 )
 
 // NodeReport is what one entry node knows of demand.
@@ -29,6 +29,17 @@
 	Arrivals []Count `json:"arrivals,omitempty"`
 	// Running counts the calls at each upstream.
 	Running []Count `json:"running,omitempty"`
+	// Quality counts the streams that upstreams have finished since the node
+	// started.
+	Quality []Quality `json:"quality,omitempty"`
+}
+
+// Quality is how many streams an upstream finished, and how many of them paused
+// for longer than their route's target.
+type Quality struct {
+	Upstream string `json:"u"`
+	Streams  uint64 `json:"n"`
+	Paused   uint64 `json:"p"`
 }
 
 // Count is a number of calls for a model or adapter.
@@ -72,6 +83,7 @@
 	// counts are the arrivals that were reported before.
 	counts  map[Count]uint64
 	running []Count
+	quality map[string]Quality
 }
 
 func newDemandBook() demandBook {
@@ -83,7 +95,7 @@
 	b := &p.demand
 	known := b.byNode[from]
 	if known == nil {
-		known = &nodeDemand{counts: map[Count]uint64{}}
+		known = &nodeDemand{counts: map[Count]uint64{}, quality: map[string]Quality{}}
 		b.byNode[from] = known
 	}
 	known.heard = now
@@ -92,9 +104,24 @@
 	for _, c := range r.Arrivals {
 		b.arrived(known, c, now)
 	}
+	for _, q := range r.Quality {
+		p.judge(known, q)
+	}
 	p.countRunning(now)
 }
 
+// judge learns from streams that finished how calls at an engine slow each other
+// down.
+func (p *Planner) judge(n *nodeDemand, q Quality) {
+	before := n.quality[q.Upstream]
+	n.quality[q.Upstream] = q
+	at := p.nodes[q.Upstream]
+	if at == nil || q.Streams < before.Streams || q.Paused < before.Paused {
+		return
+	}
+	p.pace.learn(at.rate, float64(q.Streams-before.Streams), float64(q.Paused-before.Paused))
+}
+
 // arrived adds the calls that came since the node's last report.
 func (b *demandBook) arrived(n *nodeDemand, c Count, now time.Duration) {
 	key := c
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -23,8 +23,9 @@
 	// MinStay is how long a loaded model stays at least, so that the calls that
 	// waited for it can start.
 	MinStay time.Duration
-	// Horizon is the time over which expected calls count.
-	Horizon time.Duration
+	// Horizon is the time over which expected calls count for what an engine holds;
+	// CopyHorizon that for a first copy of a model, which stays on a disk.
+	Horizon, CopyHorizon time.Duration
 	// Overdue is how long beyond its expected time an order may take before the
 	// engine is asked.
 	Overdue time.Duration
@@ -43,6 +44,7 @@
 		CloseGrace:   25 * time.Millisecond,
 		MinStay:      700 * time.Millisecond,
 		Horizon:      3 * time.Second,
+		CopyHorizon:  15 * time.Second,
 		Overdue:      1500 * time.Millisecond,
 		ReportPause:  500 * time.Millisecond,
 		CallTime:     2 * time.Second,
@@ -55,6 +57,7 @@
 	engines map[string]*routes.Engine
 	nodes   map[string]*node
 	demand  demandBook
+	pace    pace
 	// storeStarts are when loads from the weight store began, of each service.
 	storeStarts map[string][]time.Duration
 	changed     map[string]bool
@@ -84,6 +87,8 @@
 	loaded map[string]time.Duration
 	// used is when each adapter last ran.
 	used map[string]time.Duration
+	// rate is the calls a second that are expected here.
+	rate float64
 	// running counts the calls here by model, adapters by MODEL/ADAPTER.
 	running map[string]int
 	// closing is since when a model gets no new calls.
@@ -114,6 +119,7 @@
 		engines:     map[string]*routes.Engine{},
 		nodes:       map[string]*node{},
 		demand:      newDemandBook(),
+		pace:        newPace(),
 		storeStarts: map[string][]time.Duration{},
 		changed:     map[string]bool{},
 	}
