A stream's first event is waited for as long as its callers wait

They are now turned away when a forecast says so, with the time at which the model can run, and loads that come too late for those who wait count less.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -33,8 +33,8 @@
 	// FailurePenalty is how much of an upstream's slots a certain failure is
 	// worth.
 	FailurePenalty float64
-	// Hold is the share of the time until a call's deadline for which it waits
-	// without a forecast.
+	// Hold is the share of the time until a call must have started for which it
+	// waits without a forecast.
 	Hold float64
 	// RetryAfter is the pause asked of callers where nothing better is known.
 	RetryAfter time.Duration
@@ -51,7 +51,7 @@
 		RemotePenalty:  0.02,
 		AffinityBonus:  0.05,
 		FailurePenalty: 2,
-		Hold:           0.35,
+		Hold:           0.5,
 		RetryAfter:     500 * time.Millisecond,
 	}
 }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -17,11 +17,11 @@
 	Model, Adapter string
 	// Priority is the rank of the call; zero is the most urgent.
 	Priority int
-	// Arrived is when the call came, Target when its answer is due to be on time,
-	// Deadline when it is given up.
-	Arrived, Target, Deadline time.Duration
-	// Run is about how long the call takes once it runs.
-	Run time.Duration
+	// Arrived is when the call came, Target when its answer is due to be on time.
+	Arrived, Target time.Duration
+	// Latest is when the call must start at the latest for its caller to get a
+	// whole answer.
+	Latest time.Duration
 	// Affinity is the hash of what the call shares with others; zero if nothing.
 	Affinity uint64
 	// Avoid are upstreams on which this call may have run.
@@ -99,10 +99,12 @@
 	Adapter string `json:"a,omitempty"`
 	// Waiting is how many calls wait.
 	Waiting int `json:"w"`
-	// Urgent is how many of them have the most urgent priority among them.
+	// Priority is the most urgent one among them.
 	Priority int `json:"p"`
-	// Slack is the time until the first of them is late; negative once it is.
-	Slack time.Duration `json:"sl"`
+	// Slack is the time until the first of them is late, Patience until the last of
+	// them must have started; negative once it is over.
+	Slack    time.Duration `json:"sl"`
+	Patience time.Duration `json:"pa"`
 }
 
 // Key names a model, or one of its adapters, of a service.
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -68,7 +68,6 @@
 // refuse decides whether a call waits on in vain.
 func (d *Dispatcher) refuse(w *waiting, now time.Duration) (Verdict, bool) {
 	c := &w.call
-	latest := c.Deadline - c.Run
 	v := Verdict{Token: c.Token, Action: Refuse, Reason: NoSlot, RetryAfter: d.limits.RetryAfter}
 	if w.why == none {
 		v.Reason = NoUpstream
@@ -77,11 +76,10 @@
 		v.Reason = NoModel
 		if f, ok := d.forecasts[Key{c.Service, c.Model, ""}]; ok && now < f.until {
 			v.RetryAfter = max(d.limits.RetryAfter, f.at-now)
-			return v, f.at > latest || now > latest
+			return v, max(f.at, now) > c.Latest
 		}
 	}
-	hold := c.Arrived + time.Duration(float64(c.Deadline-c.Arrived)*d.limits.Hold)
-	return v, now > min(hold, latest)
+	return v, now > c.Arrived+time.Duration(float64(c.Latest-c.Arrived)*d.limits.Hold)
 }
 
 // Demand returns the calls that wait for something that no upstream offers.
@@ -100,10 +98,12 @@
 			at[key] = i
 			demand = append(demand, Demand{
 				Service: c.Service, Model: c.Model, Adapter: c.Adapter, Priority: c.Priority, Slack: c.Target - now,
+				Patience: c.Latest - now,
 			})
 		}
 		demand[i].Waiting++
 		demand[i].Slack = min(demand[i].Slack, c.Target-now)
+		demand[i].Patience = max(demand[i].Patience, c.Latest-now)
 	}
 	return demand
 }
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -127,11 +127,14 @@
 		Priority: c.route.Priority,
 		Arrived:  c.arrived,
 		Target:   c.arrived + c.route.Target,
-		Deadline: c.deadline,
+		Latest:   c.deadline - answerReserve,
 	}
 	if s := c.view.table.Service(service); s != nil && s.Engine != nil {
 		c.wants.Model, c.wants.Adapter = c.caller.Model, c.caller.Adapter
-		c.wants.Run = runTime(c.route, &c.caller, c.deadline-c.arrived)
+		c.wants.Latest = c.deadline - runTime(c.route, &c.caller, c.deadline-c.arrived)
+		if c.route.StartPatience > 0 {
+			c.wants.Latest = min(c.wants.Latest, c.arrived+c.route.StartPatience-startReserve)
+		}
 		if c.route.Affinity {
 			c.wants.Affinity = c.caller.Affinity
 		}
@@ -144,6 +147,11 @@
 	tokenTime = 11 * time.Millisecond
 	// usualOutput is the share of the most tokens that calls generate on average.
 	usualOutput = 0.5
+	// answerReserve is about how long a short call takes.
+	answerReserve = 100 * time.Millisecond
+	// startReserve is how long an engine that is not crowded takes to the first
+	// event.
+	startReserve = 250 * time.Millisecond
 	// runShare bounds the estimate by a share of the whole time.
 	runShare = 0.5
 )
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -184,15 +184,16 @@
 // queue is the calls that wait for one model.
 type queue struct {
 	calls int
-	// slacks are the times until they are late, one for each group of calls.
+	// slacks are their times, one for each group of calls.
 	slacks []slack
 	// adapters are the calls that wait for an adapter.
 	adapters map[string]int
 }
 
+// slack is the time until calls are late, and until they are given up.
 type slack struct {
-	calls int
-	left  time.Duration
+	calls       int
+	late, given time.Duration
 }
 
 // queues adds up the waiting calls of all nodes by model.
@@ -207,7 +208,8 @@
 				all[key] = q
 			}
 			q.calls += w.Waiting
-			q.slacks = append(q.slacks, slack{w.Waiting, w.Slack - (now - d.heard)})
+			since := now - d.heard
+			q.slacks = append(q.slacks, slack{w.Waiting, w.Slack - since, w.Patience - since})
 			if w.Adapter != "" {
 				q.adapters[w.Adapter] += w.Waiting
 			}
@@ -216,9 +218,14 @@
 	return all
 }
 
-// lateWorth is what a call that will be late counts against one that can be on
-// time; routes pay about a third for a late answer.
-const lateWorth = 0.35
+const (
+	// lateWorth is what a call that will be late counts against one that can be on
+	// time; routes pay about a third for a late answer.
+	lateWorth = 0.35
+	// againWorth is what a call counts that will have been turned away by then: its
+	// caller may come back.
+	againWorth = 0.15
+)
 
 // worth is what loading the model within the given time is worth to those who
 // wait, in calls.
@@ -228,9 +235,12 @@
 	}
 	total := 0.0
 	for _, s := range q.slacks {
-		share := lateWorth
-		if s.left > within {
+		share := againWorth
+		switch {
+		case s.late > within:
 			share = 1
+		case s.given > within:
+			share = lateWorth
 		}
 		total += share * float64(s.calls)
 	}
--- a/routes/configuration.go
+++ b/routes/configuration.go
@@ -58,6 +58,9 @@
 	// Target is the time within which an answer, or a stream's first event, is
 	// on time.
 	Target time.Duration
+	// StartPatience is how long callers wait for the first event of a stream; zero
+	// where they wait for as long as the whole answer may take.
+	StartPatience time.Duration
 	// PauseTarget is the longest pause between two events of a stream that is on
 	// time; zero where the route states none.
 	PauseTarget time.Duration
