residency: a late announcement frees no room; edge: a stopping node turns calls away

Holdings now only shrink by an unload of the planner's own or by an answer to a question. Ruled out: two orders carried out at one count. The replay of late announcements overfilled an engine before. It now turns away, three seconds after the signal, what has not started; the callers' next node can serve them.

--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -121,6 +121,12 @@
 			since = 0
 		}
 		answer.Upstreams = c.registry.Since(since)
+		if r.Entry {
+			// Copies of weights concern the planner only.
+			for i := range answer.Upstreams {
+				answer.Upstreams[i].InMemory, answer.Upstreams[i].OnDisk = nil, nil
+			}
+		}
 		answer.Entries = len(c.entries)
 	})
 	if doErr != nil {
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -15,8 +15,12 @@
 	"github.com/agateslip/agateslip/routes"
 )
 
-// retryLater is the pause asked of callers where nothing better is known.
-const retryLater = 500 * time.Millisecond
+const (
+	// retryLater is the pause asked of callers where nothing better is known.
+	retryLater = 500 * time.Millisecond
+	// retryElsewhere is the pause asked of callers whom another node can serve.
+	retryElsewhere = 20 * time.Millisecond
+)
 
 // call is one request of a caller on its way.
 type call struct {
@@ -164,6 +168,9 @@
 	case <-timer.C:
 		c.withdraw(wants.Token, verdicts)
 		c.giveUp("time is up", retryLater)
+	case <-e.closing:
+		c.withdraw(wants.Token, verdicts)
+		c.giveUp("node stops", retryElsewhere)
 	case <-c.r.Context().Done():
 		c.withdraw(wants.Token, verdicts)
 		c.log("caller left", eventlog.Fields{"while": "waiting"})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -65,6 +65,9 @@
 	// stopping says that the node was told to stop.
 	stopping atomic.Bool
 	active   atomic.Int64
+	// closing ends when calls that wait are turned away, because the node will not
+	// be there for their answers.
+	closing chan struct{}
 	// waitingCalls is how many calls have no verdict yet.
 	waitingCalls atomic.Int64
 	// stirred wakes the reporter of demand.
@@ -100,6 +103,7 @@
 		loop:       owner.New(),
 		leader:     newLeaderFinder(seeds),
 		stirred:    make(chan struct{}, 1),
+		closing:    make(chan struct{}),
 		dispatcher: dispatch.New(dispatch.DefaultLimits(), cfg.Domain),
 		waiters:    map[dispatch.Token]chan dispatch.Verdict{},
 		budgets:    map[string]*retryBudget{},
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -182,6 +182,8 @@
 	}
 	if u.Gone {
 		delete(e.upstreams, u.ID)
+		delete(e.quality, u.ID)
+		delete(e.judged, u.ID)
 		e.pool.Forget(u.Addr)
 		return ok
 	}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -24,7 +24,7 @@
 	bodyBytes = 4 << 20
 	// balancerLag is for how long after readiness failed the balancer may still
 	// send new connections: it asks once a second and believes two answers.
-	balancerLag = 3500 * time.Millisecond
+	balancerLag = 3 * time.Second
 	// stopReserve is what is kept of the time to stop for the last answers.
 	stopReserve = 300 * time.Millisecond
 	// patience is assumed of callers that state none.
@@ -48,14 +48,15 @@
 	return <-failed
 }
 
-// drain waits until no caller is left that may still be answered.
+// drain serves on for as long as the balancer may send connections, then turns
+// away what has not started, and waits until no caller is left that may still be
+// answered.
 func (e *Edge) drain() {
 	start := time.Now()
+	time.Sleep(balancerLag)
+	close(e.closing)
 	last := time.Duration(e.cfg.Stop) - stopReserve
-	for time.Since(start) < last {
-		if time.Since(start) > balancerLag && e.active.Load() == 0 {
-			break
-		}
+	for time.Since(start) < last && e.active.Load() > 0 {
 		time.Sleep(tickInterval)
 	}
 	e.log.Event("drained", eventlog.Fields{"left": e.active.Load(), "millis": time.Since(start).Milliseconds()})
@@ -88,10 +89,24 @@
 	if !c.readBody(limits.BodyBytes) {
 		return
 	}
+	if e.isClosing() {
+		c.refuse(http.StatusServiceUnavailable, "node stops", retryElsewhere)
+		return
+	}
 	c.prepare()
 	c.run()
 }
 
+// isClosing reports whether calls that have not started are turned away.
+func (e *Edge) isClosing() bool {
+	select {
+	case <-e.closing:
+		return true
+	default:
+		return false
+	}
+}
+
 // readBody reads the whole body, so that it can be sent again and an upstream is
 // never held up by a slow caller.
 func (c *call) readBody(limit int64) bool {
--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -27,19 +28,16 @@
 	if n.work != nil || now < n.adaptersHeld || !n.counted || n.desc.Leaving || n.coming(now) >= adaptersPerEngine || p.coming(now) >= p.limits.AdapterWidth {
 		return Step{}, false
 	}
-	for _, r := range n.desc.Residents {
-		if _, closing := n.closing[r.Model]; closing {
-			continue
-		}
-		q := queues[modelKey{n.desc.Service, r.Model}]
-		if q == nil {
+	for _, model := range n.held.sortedModels() {
+		q := queues[modelKey{n.desc.Service, model}]
+		if q == nil || !n.serves(model) {
 			continue
 		}
 		for _, a := range q.waitingAdapters() {
-			if !p.wanted(n, r.Model, a, now) {
+			if !p.wanted(n, model, a, now) {
 				continue
 			}
-			return p.placeAdapter(n, r.Model, a, now)
+			return p.placeAdapter(n, model, a, now)
 		}
 	}
 	return Step{}, false
@@ -48,7 +46,7 @@
 // coming counts the adapters on their way to an engine.
 func (n *node) coming(now time.Duration) int {
 	count := 0
-	for _, at := range n.loaded {
+	for _, at := range n.held.adapters {
 		if at > now {
 			count++
 		}
@@ -69,8 +67,14 @@
 	if _, closing := n.closing[model+"/"+adapter]; closing {
 		return false
 	}
-	_, ordered := n.loaded[model+"/"+adapter]
-	return ordered || n.desc.Holds(model, adapter)
+	_, held := n.held.adapters[model+"/"+adapter]
+	return held
+}
+
+// serves reports whether the engine serves a model and goes on doing so.
+func (n *node) serves(model string) bool {
+	_, closing := n.closing[model]
+	return !closing && n.held.offers(model)
 }
 
 // wanted reports whether the adapter belongs at this engine: no engine has it,
@@ -80,10 +84,7 @@
 	var best *node
 	var bestScore uint64
 	for _, o := range p.sorted() {
-		if o.desc.Service != n.desc.Service || o.desc.Leaving || !o.desc.Holds(model, "") || now < o.adaptersHeld {
-			continue
-		}
-		if _, closing := o.closing[model]; closing {
+		if o.desc.Service != n.desc.Service || o.desc.Leaving || !o.serves(model) || now < o.adaptersHeld {
 			continue
 		}
 		if o.holdsAdapter(model, adapter) {
@@ -101,8 +102,8 @@
 
 // placeAdapter orders an adapter, or the unload of one that makes room.
 func (p *Planner) placeAdapter(n *node, model, adapter string, now time.Duration) (Step, bool) {
-	if names := n.adapters(); len(names) >= n.spec.AdapterPlaces {
-		name, ok := n.idleAdapter(names, now)
+	if len(n.held.adapters) >= n.spec.AdapterPlaces {
+		name, ok := n.idleAdapter(slices.Collect(maps.Keys(n.held.adapters)), now)
 		if !ok {
 			n.adaptersHeld = now + adapterPause
 			return Step{}, false
@@ -115,28 +116,11 @@
 	return n.order(Order{Load: true, Model: model, Adapter: adapter}), true
 }
 
-// adapters are all adapters at the engine or on their way, as MODEL/ADAPTER.
-func (n *node) adapters() []string {
-	var names []string
-	for _, r := range n.desc.Residents {
-		for _, a := range r.Adapters {
-			names = append(names, r.Model+"/"+a)
-		}
-	}
-	for name := range n.loaded {
-		if !slices.Contains(names, name) {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
 // idleAdapter is the adapter that ran least recently and not just now.
 func (n *node) idleAdapter(names []string, now time.Duration) (string, bool) {
 	slices.SortFunc(names, func(a, b string) int { return cmp.Or(cmp.Compare(n.used[a], n.used[b]), cmp.Compare(a, b)) })
 	for _, name := range names {
-		ordered, recent := n.loaded[name]
-		if n.running[name] == 0 && now-n.used[name] > adapterIdle && (!recent || now-ordered > adapterIdle) {
+		if n.running[name] == 0 && now-max(n.used[name], n.held.adapters[name]) > adapterIdle {
 			return name, true
 		}
 	}
@@ -166,13 +150,8 @@
 func (n *node) adapterDone(o Order, now, in time.Duration) {
 	name := o.Model + "/" + o.Adapter
 	if o.Load {
-		n.loaded[name] = now + in
+		n.held.loadsAdapter(name, now+in)
 		return
 	}
-	delete(n.loaded, name)
-	for i := range n.desc.Residents {
-		if r := &n.desc.Residents[i]; r.Model == o.Model {
-			r.Adapters = slices.DeleteFunc(slices.Clone(r.Adapters), func(a string) bool { return a == o.Adapter })
-		}
-	}
+	n.held.dropAdapter(name, now)
 }
--- a/residency/choose.go
+++ b/residency/choose.go
@@ -65,8 +65,9 @@
 			if n.job != nil {
 				continue
 			}
+			r := p.room(n, models, now)
 			for i := range n.spec.Models {
-				c, ok := p.consider(n, &n.spec.Models[i], models, now)
+				c, ok := p.consider(n, &n.spec.Models[i], models, &r, now)
 				if ok && c.score > best.score {
 					best = c
 				}
@@ -95,11 +96,11 @@
 }
 
 // consider weighs loading a model at an engine.
-func (p *Planner) consider(n *node, m *routes.Model, models survey, now time.Duration) (candidate, bool) {
+func (p *Planner) consider(n *node, m *routes.Model, models survey, r *room, now time.Duration) (candidate, bool) {
 	state := models.of(n.desc.Service, m.Name)
 	c := candidate{node: n, model: m, tier: n.tier(m.Name)}
 	took := loadTime(m, c.tier)
-	if state.coming > 0 || n.desc.Holds(m.Name, "") {
+	if state.coming > 0 || n.held.models[m.Name] {
 		return candidate{}, false
 	}
 	gain := p.gain(n, state, took, c.tier)
@@ -112,12 +113,12 @@
 	if c.tier == Store {
 		gain -= p.adapterDelay(n, models, took)
 	}
-	evict, loss, wait, ok := p.makeRoom(n, m, models, now)
+	evict, loss, wait, ok := r.give(m.SizeMB)
 	if !ok || gain <= loss*margin {
 		return candidate{}, false
 	}
 	c.evict = evict
-	c.score = (gain - loss) / (took + wait).Seconds()
+	c.score = (gain - loss) / (took + wait + p.limits.CloseGrace).Seconds()
 	return c, true
 }
 
@@ -199,11 +200,11 @@
 		s.of(service, n.job.model).coming++
 	}
 	room := float64(n.busy()) < fullShare*float64(n.desc.Slots)
-	for _, r := range n.desc.Residents {
-		if _, closing := n.closing[r.Model]; closing {
+	for model := range n.held.offered {
+		if !n.serves(model) {
 			continue
 		}
-		state := s.of(service, r.Model)
+		state := s.of(service, model)
 		state.holders = append(state.holders, n)
 		state.spare = state.spare || room
 		if p.demand.total == 0 {
@@ -246,9 +247,9 @@
 // with a load for that long.
 func (p *Planner) adapterDelay(n *node, models survey, busy time.Duration) float64 {
 	delayed := 0.0
-	for _, r := range n.desc.Residents {
-		spec := n.spec.Model(r.Model)
-		if state := models.of(n.desc.Service, r.Model); spec != nil && spec.Adapters > 0 && len(state.holders) > 0 {
+	for model := range n.held.offered {
+		spec := n.spec.Model(model)
+		if state := models.of(n.desc.Service, model); spec != nil && spec.Adapters > 0 && len(state.holders) > 0 {
 			delayed += state.rate / float64(len(state.holders)) * adapterMisses * busy.Seconds()
 		}
 	}
@@ -298,33 +299,45 @@
 	wait time.Duration
 }
 
-// makeRoom chooses what an engine gives up for a model: the least loss first.
-func (p *Planner) makeRoom(n *node, m *routes.Model, models survey, now time.Duration) (evict []string, loss float64, wait time.Duration, ok bool) {
-	free := n.spec.WeightsMB - n.reserved()
-	var victims []victim
-	for _, r := range n.desc.Residents {
-		spec := n.spec.Model(r.Model)
+// room is what an engine has free, and what it could give up, the least loss
+// first.
+type room struct {
+	free    float64
+	victims []victim
+}
+
+// room looks at one engine.
+func (p *Planner) room(n *node, models survey, now time.Duration) room {
+	r := room{free: n.spec.WeightsMB - n.reserved()}
+	for _, model := range n.held.sortedModels() {
+		spec := n.spec.Model(model)
 		if spec == nil {
 			continue
 		}
-		free -= spec.SizeMB
-		if now-n.since[r.Model] < p.limits.MinStay {
+		r.free -= spec.SizeMB
+		if since, offered := n.held.offered[model]; !offered || now-since < p.limits.MinStay {
 			continue
 		}
-		victims = append(victims, p.victim(n, spec, models.of(n.desc.Service, r.Model)))
-	}
-	if free >= m.SizeMB {
-		return nil, 0, 0, true
+		r.victims = append(r.victims, p.victim(n, spec, models.of(n.desc.Service, model)))
 	}
-	slices.SortFunc(victims, func(a, b victim) int {
+	slices.SortFunc(r.victims, func(a, b victim) int {
 		return cmp.Or(cmp.Compare(a.loss+a.wait.Seconds(), b.loss+b.wait.Seconds()), compareStrings(a.name, b.name))
 	})
-	for _, v := range victims {
+	return r
+}
+
+// give chooses what is given up for a model of a size.
+func (r *room) give(size float64) (evict []string, loss float64, wait time.Duration, ok bool) {
+	free := r.free
+	if free >= size {
+		return nil, 0, 0, true
+	}
+	for _, v := range r.victims {
 		evict = append(evict, v.name)
 		loss += v.loss
 		wait = max(wait, v.wait)
-		if free += v.size; free >= m.SizeMB {
-			return needed(evict, victims, free-m.SizeMB), loss, wait + p.limits.CloseGrace, true
+		if free += v.size; free >= size {
+			return needed(evict, r.victims, free-size), loss, wait, true
 		}
 	}
 	return nil, 0, 0, false
--- a/residency/orders.go
+++ b/residency/orders.go
@@ -77,9 +77,12 @@
 	case Accepted:
 		n.orders++
 		n.work = &work{order: o, began: now, due: now + p.expected(n, o)}
+		if o.Load {
+			n.held.loadsModel(o.Model)
+		}
 		n.settle(now)
 	case Held:
-		n.closed(o)
+		n.closed(o, now)
 		n.unclear = true
 	case Refused, Unanswered:
 		n.unclear = true
@@ -124,8 +127,6 @@
 		return
 	}
 	n.orders, n.counted = r.Accepted, true
-	n.desc.Residents = r.Residents
-	n.settle(now)
 	if r.Busy {
 		if n.work == nil {
 			// Another holder's order, or one that went unanswered, is under way.
@@ -135,6 +136,9 @@
 		n.unclear = false
 		return
 	}
+	n.desc.Residents = r.Residents
+	n.held.exact(r, now)
+	n.settle(now)
 	n.unclear = false
 	if n.work != nil {
 		// It ended without the expected state.
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -81,10 +81,7 @@
 	// work is the order that the engine carries out.
 	work *work
 	job  *job
-	// since is when each model was first seen here.
-	since map[string]time.Duration
-	// loaded are the adapters that were ordered here, with when they are there.
-	loaded map[string]time.Duration
+	held holdings
 	// used is when each adapter last ran.
 	used map[string]time.Duration
 	// rate is the calls a second that are expected here.
@@ -144,8 +141,7 @@
 	if n == nil || n.desc.Born != u.Born {
 		n = &node{
 			unclear: true,
-			since:   map[string]time.Duration{},
-			loaded:  map[string]time.Duration{},
+			held:    newHoldings(),
 			used:    map[string]time.Duration{},
 			running: map[string]int{},
 			closing: map[string]time.Duration{},
@@ -155,6 +151,7 @@
 	n.desc = u
 	n.desc.Closing = nil
 	n.spec = p.engines[u.Service]
+	n.held.announced(u.Residents, now)
 	n.settle(now)
 	p.changed[u.ID] = true
 }
@@ -162,39 +159,25 @@
 // Remove forgets an upstream that has ended.
 func (p *Planner) Remove(id string) { delete(p.nodes, id) }
 
-// settle compares what the engine holds with what was ordered.
+// settle compares what the engine says that it serves with what was ordered.
 func (n *node) settle(now time.Duration) {
-	held := map[string]bool{}
-	for _, r := range n.desc.Residents {
-		held[r.Model] = true
-		if _, ok := n.since[r.Model]; !ok {
-			n.since[r.Model] = now
-		}
-	}
-	maps.DeleteFunc(n.since, func(m string, _ time.Duration) bool { return !held[m] })
-	maps.DeleteFunc(n.loaded, func(_ string, at time.Duration) bool { return now-at > adapterMemory })
 	w := n.work
-	if w == nil {
+	if w == nil || w.order.Load != n.held.offers(w.order.Model) {
 		return
 	}
-	if w.order.Load == held[w.order.Model] {
-		n.work = nil
-		n.closed(w.order)
-	}
+	n.work = nil
+	n.closed(w.order, now)
 }
 
-// adapterMemory is for how long an ordered adapter counts as held although the
-// engine's announcements, which may be a heartbeat old, do not show it.
-const adapterMemory = 3 * time.Second
-
 // closed takes note that an order was carried out.
-func (n *node) closed(o Order) {
+func (n *node) closed(o Order, now time.Duration) {
 	if o.Load {
 		if n.job != nil && n.job.model == o.Model {
 			n.job = nil
 		}
 		return
 	}
+	n.held.dropModel(o.Model, now)
 	delete(n.closing, o.Model)
 	if n.job != nil {
 		n.job.evict = slices.DeleteFunc(n.job.evict, func(m string) bool { return m == o.Model })
@@ -207,18 +190,7 @@
 	if n == nil {
 		return nil, nil, false
 	}
-	residents = slices.Clone(n.desc.Residents)
-	for i := range residents {
-		r := &residents[i]
-		r.Adapters = slices.Clone(r.Adapters)
-		for name, at := range n.loaded {
-			model, adapter, _ := cutAdapter(name)
-			if model == r.Model && at <= now && !slices.Contains(r.Adapters, adapter) {
-				r.Adapters = append(r.Adapters, adapter)
-			}
-		}
-		slices.Sort(r.Adapters)
-	}
+	residents = n.held.residents(n.desc.Residents, now)
 	return residents, slices.Sorted(maps.Keys(n.closing)), true
 }
 
--- a/residency/residency_test.go
+++ b/residency/residency_test.go
@@ -35,8 +35,17 @@
 	// lateOrders answers no order and carries each out after this time.
 	lateOrders time.Duration
 	late       []lateOrder
-	asks       map[string]*ask
-	arrivals   map[string]uint64
+	// beatDelay is how late announcements arrive.
+	beatDelay time.Duration
+	beats     []beat
+	asks      map[string]*ask
+	arrivals  map[string]uint64
+}
+
+// beat is an announcement on its way.
+type beat struct {
+	at   time.Duration
+	desc fleet.Upstream
 }
 
 type lateOrder struct {
@@ -101,6 +110,11 @@
 		if w.now%(200*ms) == 0 {
 			w.report()
 		}
+		if w.now%second == 0 {
+			for _, id := range slices.Sorted(maps.Keys(w.engines)) {
+				w.announce(w.engines[id])
+			}
+		}
 		for _, step := range w.planner.Plan(w.now) {
 			w.carryOut(step)
 		}
@@ -124,8 +138,17 @@
 		} else {
 			e.desc.Residents = slices.DeleteFunc(slices.Clone(e.desc.Residents), func(r fleet.Resident) bool { return r.Model == e.order.Model })
 		}
-		e.desc.Seq++
-		w.planner.SetUpstream(e.desc, w.now)
+		w.announce(e)
+	}
+}
+
+// announce has an engine say what it holds.
+func (w *world) announce(e *engine) {
+	e.desc.Seq++
+	w.beats = append(w.beats, beat{w.now + w.beatDelay, e.desc})
+	for len(w.beats) > 0 && w.beats[0].at <= w.now {
+		w.planner.SetUpstream(w.beats[0].desc, w.now)
+		w.beats = w.beats[1:]
 	}
 }
 
@@ -299,6 +322,26 @@
 	is.True(w.holds("m11"))
 }
 
+// TestLateAnnouncementsNeverOverfillAnEngine replays announcements that arrive
+// three seconds late and show what an engine held before the latest orders.
+func TestLateAnnouncementsNeverOverfillAnEngine(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2, 8, true)
+	w.run(second)
+	w.beatDelay = 3 * second
+	for round := range 20 {
+		model := fmt.Sprint("m", round*3%8)
+		w.ask("n", model, fmt.Sprint("a", round%4+1), 1)
+		w.ask("o", "m0", fmt.Sprint("a", round%3+1), 1)
+		w.run(1700 * ms)
+	}
+	w.beatDelay = 0
+	w.run(8 * second)
+	w.ask("n", "m7", "", 2)
+	w.run(3 * second)
+	is.True(w.holds("m7"))
+}
+
 func TestAdaptersComeAndGoWithinTheirPlaces(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 1, 2, true)
--- a/residency/store.go
+++ b/residency/store.go
@@ -47,7 +47,7 @@
 	if m == nil {
 		return 0, false
 	}
-	if _, closing := n.closing[model]; n.desc.Holds(model, "") && !closing {
+	if n.serves(model) {
 		return 0, true
 	}
 	if n.job != nil && n.job.model == model {
