dispatch: one call at a time tries an upstream that could not be reached

One call at a time now tries it; a single lost answer no longer closes an upstream, which would gate the only holder of a model. A connection may take 0.3 s.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -68,8 +68,12 @@
 	// failing was the share of calls that failed, 0 to 1, at the time failedAt.
 	failing  float64
 	failedAt time.Duration
-	// streak counts failures to reach it, one after the other.
-	streak int
+	// streak counts lost calls, unreached failures to connect, since its latest
+	// answer.
+	streak, unreached int
+	// trial says that a call tries whether it answers again; others wait for its
+	// outcome.
+	trial bool
 	// closed is until when it gets no calls, and absent until when it gets none
 	// for a model that it turned out not to hold.
 	closed time.Duration
@@ -92,7 +96,7 @@
 const firstWeight = 0.2
 
 func (u *upstream) answered(took time.Duration) {
-	u.streak = 0
+	u.streak, u.unreached, u.trial = 0, 0, false
 	if u.first == 0 {
 		u.first = took
 		return
@@ -103,9 +107,12 @@
 // settle takes the outcome of a call.
 func (u *upstream) settle(l *Limits, c *Call, result Result, now time.Duration) {
 	failed := 0.0
+	u.trial = false
 	switch result {
-	case Served, Abandoned:
-		u.streak = 0
+	case Served:
+		u.streak, u.unreached = 0, 0
+	case Abandoned:
+		return
 	case Rejected:
 		u.closed = max(u.closed, now+l.FullPause)
 		return
@@ -117,16 +124,30 @@
 		return
 	case Failed:
 		failed = 1
-	case Lost, Unreachable:
+	case Lost:
 		failed = 1
 		u.streak++
-		pause := l.Backoff << min(u.streak-1, 8)
-		u.closed = max(u.closed, now+min(pause, l.MaxBackoff))
+		if u.streak >= lossesInARow {
+			u.pause(l, u.streak-lossesInARow, now)
+		}
+	case Unreachable:
+		failed = 1
+		u.unreached++
+		u.pause(l, u.unreached-1, now)
 	}
 	recent := u.failures(now)
 	u.failing, u.failedAt = recent+(failed-recent)*failureWeight, now
 }
 
+// lossesInARow is after how many lost calls, with no answer between, an upstream
+// is left alone; one alone may be the call's own misfortune.
+const lossesInARow = 2
+
+// pause leaves the upstream alone, for longer each time.
+func (u *upstream) pause(l *Limits, times int, now time.Duration) {
+	u.closed = max(u.closed, now+min(l.Backoff<<min(times, 8), l.MaxBackoff))
+}
+
 // failures is the recent share of calls that failed. It fades with time, so that
 // an upstream that gets no calls any more is tried again.
 func (u *upstream) failures(now time.Duration) float64 {
@@ -197,7 +218,7 @@
 			outcome = full
 		}
 		load := u.load(&d.limits, now)
-		if u.closed > now || load >= float64(u.room()) {
+		if u.closed > now || u.trial || load >= float64(u.room()) {
 			continue
 		}
 		cost := d.cost(u, c, load, now)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -166,6 +166,24 @@
 	is.True(served > 50) // it is back
 }
 
+// TestOneCallTriesAnUpstreamThatWasLost replays a dark upstream to which each
+// connection takes a while to fail: calls that come meanwhile go elsewhere.
+func TestOneCallTriesAnUpstreamThatWasLost(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("a", 9, "m"))
+	d.Submit(call(1, "m", 1, 0), 0)
+	d.Finish(1, dispatch.Unreachable, 100*ms)
+	d.Update([]fleet.Upstream{engine("b", 9, "m")}, 200*ms)
+	tried := 0
+	for i := 2; i < 14; i++ {
+		if started(d.Submit(call(i, "m", 1, second), second))[dispatch.Token(i)] == "a" {
+			tried++
+		}
+	}
+	is.True(tried <= 1)
+	is.Equal(d.Waiting(), 12-9-tried)
+}
+
 // TestStatedLoadCountsTheCallsOfOtherNodes replays a node that sees a tenth of the
 // traffic: what an upstream states steers it.
 func TestStatedLoadCountsTheCallsOfOtherNodes(t *testing.T) {
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -60,6 +60,7 @@
 
 func (d *Dispatcher) start(w *waiting, u *upstream, now time.Duration) Verdict {
 	u.own++
+	u.trial = u.unreached > 0
 	d.running[w.call.Token] = &run{call: w.call, upstream: u, started: now}
 	desc := *u.desc
 	return Verdict{Token: w.call.Token, Action: Start, Upstream: &desc}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -34,7 +34,7 @@
 const (
 	// dialTime bounds a new connection to an upstream. Within a region it takes a
 	// few milliseconds, and a lost opening packet costs a second.
-	dialTime = 400 * time.Millisecond
+	dialTime = 300 * time.Millisecond
 	// tickInterval is the cadence of decisions while calls wait.
 	tickInterval = 20 * time.Millisecond
 	// tidyInterval is the cadence of closing idle connections.
