--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -197,6 +197,19 @@
 	}
 }
 
+// TestTheCallsOfAllNodesSteerANodeThatSeesFew replays a node among many, which has
+// had no answer from a crowded engine.
+func TestTheCallsOfAllNodesSteerANodeThatSeesFew(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("a", 48, "m"), engine("b", 48, "m"))
+	d.ObserveAll(map[string]int{"a": 30, "b": 12}, 0)
+	for i := range 10 {
+		is.Equal(started(d.Submit(call(i, "m", 1, 0), 0))[dispatch.Token(i)], "b")
+	}
+	d.ObserveAll(map[string]int{"b": 40}, 100*ms)
+	is.Equal(started(d.Submit(call(11, "m", 1, 100*ms), 100*ms))[11], "a")
+}
+
 func TestCallsThatShareAPromptMeet(t *testing.T) {
 	is := is.New(t)
 	places := map[string]int{}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -111,6 +111,16 @@
 	u.slots = l.Slots
 }
 
+// ObserveAll takes the calls of all nodes at each engine, as the planner counts
+// them, to choose between engines: a node that sees a small part of the traffic
+// hears from an engine too seldom to know its load from answers alone. Whether an
+// engine has room it says itself.
+func (d *Dispatcher) ObserveAll(running map[string]int, now time.Duration) {
+	for id, u := range d.upstreams {
+		u.counted, u.countedAt = max(0, running[id]-u.own), now
+	}
+}
+
 // FirstByte takes note that a call's answer has begun.
 func (d *Dispatcher) FirstByte(t Token, now time.Duration) {
 	if r := d.running[t]; r != nil {
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -159,6 +159,7 @@
 		now := boottime.Now()
 		c.planner.SetDemand(from, r.Report, now)
 		c.plan(now)
+		answer.Running = c.planner.Running()
 		asked := map[nodelink.Forecast]bool{}
 		for _, w := range r.Report.Waiting {
 			f := nodelink.Forecast{Service: w.Service, Model: w.Model}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -305,6 +305,10 @@
 		c.log("caller left", eventlog.Fields{"while": "running", "upstream": u.ID})
 		return dispatch.Abandoned, left
 	}
+	if c.begun && c.sends == 1 && c.route.PauseTarget > 0 && boottime.Now() >= c.deadline {
+		// It was too slow to end in time.
+		c.edge.loop.Post(func() { c.edge.judge(u.ID, true) })
+	}
 	c.log("lost", eventlog.Fields{"upstream": u.ID, "error": err.Error(), "lastEvent": c.lastEvent})
 	return dispatch.Lost, unknown
 }
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -94,6 +94,7 @@
 		for _, c := range report.Arrivals {
 			e.reported[dispatch.Key{Service: c.Service, Model: c.Model, Adapter: c.Adapter}] = c.Calls
 		}
+		e.dispatcher.ObserveAll(answer.Running, now)
 		for _, q := range report.Quality {
 			e.judged[q.Upstream] = q
 		}
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -71,6 +71,8 @@
 // DemandAnswer is when the models that are waited for can run.
 type DemandAnswer struct {
 	Forecasts []Forecast `json:"forecasts,omitempty"`
+	// Running counts the calls of all nodes at each engine that has any.
+	Running map[string]int `json:"running,omitempty"`
 }
 
 // Forecast is when a model can run.
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -164,6 +164,17 @@
 	}
 }
 
+// Running counts the calls of all nodes at each engine that has any.
+func (p *Planner) Running() map[string]int {
+	running := map[string]int{}
+	for id, n := range p.nodes {
+		if calls := n.busy(); calls > 0 {
+			running[id] = calls
+		}
+	}
+	return running
+}
+
 // age drops the reports of nodes that fell silent.
 func (b *demandBook) age(now time.Duration) {
 	for _, d := range b.byNode {
