--- a/internal/cli/inspect.go
+++ b/internal/cli/inspect.go
@@ -22,7 +22,7 @@
 }
 
 type checkCmd struct {
-	Files []string `arg:"positional,required" help:"YAML files; a file with the field customer is a contract, any other one node settings"`
+	Files []string `arg:"positional,required" help:"YAML files; a file with the field customer is a contract, one with the field seeds the settings of a managed process, any other one node settings"`
 }
 
 func (c *checkCmd) run(_ context.Context, out, _ io.Writer) error {
@@ -50,17 +50,21 @@
 	if err != nil {
 		return errors.Wrap(err, "read file")
 	}
-	if isContract(data) {
+	switch {
+	case hasField(data, "customer"):
 		_, err = contract.Decode(file, data)
-		return err
+	case hasField(data, "seeds"):
+		_, err = config.DecodeManaged(file, data)
+	default:
+		_, err = config.Decode(file, data)
 	}
-	_, err = config.Decode(file, data)
 	return err
 }
 
-func isContract(data []byte) bool {
+// hasField reports whether a file has a field at its top level.
+func hasField(data []byte, field string) bool {
 	for line := range strings.Lines(string(data)) {
-		if strings.HasPrefix(line, "customer:") {
+		if strings.HasPrefix(line, field+":") {
 			return true
 		}
 	}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -166,9 +166,8 @@
 	usualOutput = 0.5
 	// answerReserve is about how long a short call takes.
 	answerReserve = 100 * time.Millisecond
-	// startReserve is how long an engine that is not crowded takes to the first
-	// event.
-	startReserve = 250 * time.Millisecond
+	// startReserve is how long a busy engine takes to the first event.
+	startReserve = 400 * time.Millisecond
 	// runShare bounds the estimate by a share of the whole time.
 	runShare = 0.5
 )
