--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -81,8 +81,6 @@
 	// for a model that it turned out not to hold.
 	closed time.Duration
 	absent map[Key]time.Duration
-	// first is the recent time to the first byte.
-	first time.Duration
 }
 
 func byID(a, b *upstream) int { return cmp.Compare(a.desc.ID, b.desc.ID) }
@@ -95,17 +93,8 @@
 // about as long.
 const failureMemory = 4 * time.Second
 
-// firstWeight is the weight of the latest call in the time to the first byte.
-const firstWeight = 0.2
-
-func (u *upstream) answered(took time.Duration) {
-	u.streak, u.unreached, u.trial = 0, 0, false
-	if u.first == 0 {
-		u.first = took
-		return
-	}
-	u.first += time.Duration(float64(took-u.first) * firstWeight)
-}
+// answered takes note that a call's answer has begun.
+func (u *upstream) answered() { u.streak, u.unreached, u.trial = 0, 0, false }
 
 // settle takes the outcome of a call.
 func (u *upstream) settle(l *Limits, c *Call, result Result, now time.Duration) {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -25,7 +25,6 @@
 type run struct {
 	call     Call
 	upstream *upstream
-	started  time.Duration
 }
 
 // forecast is when a model can run, as the planner expects.
@@ -122,9 +121,9 @@
 }
 
 // FirstByte takes note that a call's answer has begun.
-func (d *Dispatcher) FirstByte(t Token, now time.Duration) {
+func (d *Dispatcher) FirstByte(t Token) {
 	if r := d.running[t]; r != nil {
-		r.upstream.answered(now - r.started)
+		r.upstream.answered()
 	}
 }
 
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -99,8 +99,6 @@
 	Adapter string `json:"a,omitempty"`
 	// Waiting is how many calls wait.
 	Waiting int `json:"w"`
-	// Priority is the most urgent one among them.
-	Priority int `json:"p"`
 	// Slack is the time until the first of them is late, Patience until the last of
 	// them must have started; negative once it is over.
 	Slack    time.Duration `json:"sl"`
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -42,7 +42,7 @@
 			u, why = d.choose(&w.call, now)
 		}
 		if u != nil {
-			verdicts = append(verdicts, d.start(w, u, now))
+			verdicts = append(verdicts, d.start(w, u))
 			continue
 		}
 		blocked[key] = why
@@ -58,10 +58,10 @@
 	return verdicts
 }
 
-func (d *Dispatcher) start(w *waiting, u *upstream, now time.Duration) Verdict {
+func (d *Dispatcher) start(w *waiting, u *upstream) Verdict {
 	u.own++
 	u.trial = u.unreached > 0
-	d.running[w.call.Token] = &run{call: w.call, upstream: u, started: now}
+	d.running[w.call.Token] = &run{call: w.call, upstream: u}
 	desc := *u.desc
 	return Verdict{Token: w.call.Token, Action: Start, Upstream: &desc}
 }
@@ -98,8 +98,7 @@
 			i = len(demand)
 			at[key] = i
 			demand = append(demand, Demand{
-				Service: c.Service, Model: c.Model, Adapter: c.Adapter, Priority: c.Priority, Slack: c.Target - now,
-				Patience: c.Latest - now,
+				Service: c.Service, Model: c.Model, Adapter: c.Adapter, Slack: c.Target - now, Patience: c.Latest - now,
 			})
 		}
 		demand[i].Waiting++
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -1,13 +1,10 @@
 package controller_test
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"os"
 	"path/filepath"
-	"sync"
 	"testing"
 	"time"
 
@@ -19,6 +16,7 @@
 	"github.com/agateslip/agateslip/internal/config"
 	"github.com/agateslip/agateslip/internal/controller"
 	"github.com/agateslip/agateslip/internal/eventlog"
+	"github.com/agateslip/agateslip/internal/testutil"
 	"github.com/agateslip/agateslip/residency"
 	"github.com/agateslip/agateslip/routes"
 )
@@ -38,26 +36,7 @@
 	cfg  config.Managed
 	node *controller.Controller
 	stop func()
-	log  *lockedBuffer
-}
-
-// lockedBuffer keeps a node's log for when the test fails.
-type lockedBuffer struct {
-	mu sync.Mutex
-	bytes.Buffer
-}
-
-func (b *lockedBuffer) Write(p []byte) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.Buffer.Write(p)
-}
-
-func (b *lockedBuffer) tail(n int) string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	text := b.String()
-	return text[max(0, len(text)-n):]
+	log  *testutil.LogBuffer
 }
 
 // fakeOrders is engines that accept nothing.
@@ -80,13 +59,13 @@
 	c := &cluster{t: t, port: port}
 	dir := t.TempDir()
 	for i := range n {
-		c.nodes = append(c.nodes, &testNode{cfg: c.settings(i, filepath.Join(dir, fmt.Sprint(i))), log: &lockedBuffer{}})
+		c.nodes = append(c.nodes, &testNode{cfg: c.settings(i, filepath.Join(dir, fmt.Sprint(i))), log: &testutil.LogBuffer{}})
 	}
 	t.Cleanup(func() {
 		for i := range c.nodes {
 			c.kill(i)
 			if t.Failed() {
-				t.Logf("node %d:\n%s", i, c.nodes[i].log.tail(3000))
+				t.Logf("node %d:\n%s", i, c.nodes[i].log.Tail(3000))
 			}
 		}
 	})
@@ -111,8 +90,7 @@
 	c.t.Helper()
 	for _, i := range indices {
 		n := c.nodes[i]
-		var out io.Writer = n.log
-		log := eventlog.New(out, eventlog.Fields{"node": n.cfg.Node})
+		log := eventlog.New(n.log, eventlog.Fields{"node": n.cfg.Node})
 		node, err := controller.New(context.Background(), n.cfg, log, decode, fakeOrders{})
 		if err != nil {
 			c.t.Fatal(err)
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -40,7 +40,7 @@
 	var peers []peer.Peer
 	heard := boottime.Now()
 	for ask := 0; ; ask++ {
-		if next := c.peerList(); !sameMembers(peers, next) {
+		if next := c.peerList(); !slices.Equal(peers, next) {
 			peers = next
 			c.mesh.SetPeers(peers)
 		}
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -326,6 +325,3 @@
 		}
 	}
 }
-
-// sameMembers reports whether two lists name the same links.
-func sameMembers(a, b []peer.Peer) bool { return slices.Equal(a, b) }
--- /dev/null
+++ b/internal/edge/budget_test.go
@@ -0,0 +1,62 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/contract"
+	"github.com/agateslip/agateslip/internal/config"
+)
+
+// TestAllNodesTogetherStayWithinTheBudget replays an upstream that loses every call
+// while callers repeat: second sends of all nodes stay within the deployment's
+// bound in every window.
+func TestAllNodesTogetherStayWithinTheBudget(t *testing.T) {
+	is := is.New(t)
+	c := config.RetryBudget{Ratio: 0.2, Extra: 58, Window: contract.Duration(10 * time.Second)}
+	const (
+		nodes = 9
+		// perNode is the calls of each node a second.
+		perNode = 20
+		seconds = 60
+	)
+	budgets := make([]retryBudget, nodes)
+	var sends []time.Duration
+	step := time.Second / perNode
+	for now := time.Duration(0); now < seconds*time.Second; now += step {
+		for i := range budgets {
+			budgets[i].earn(&c, nodes, now)
+			if budgets[i].spend(&c, nodes, now) {
+				sends = append(sends, now)
+			}
+		}
+	}
+	window := time.Duration(c.Window)
+	allowed := c.Ratio*nodes*perNode*window.Seconds() + c.Extra
+	for i, first := range sends {
+		count := 0
+		for _, at := range sends[i:] {
+			if at-first < window {
+				count++
+			}
+		}
+		is.True(float64(count) <= allowed)
+	}
+	// What the calls earn is used: no less than half of the ratio.
+	is.True(float64(len(sends)) > c.Ratio/2*nodes*perNode*seconds)
+}
+
+func TestAnIdleNodeMaySendAgainALittle(t *testing.T) {
+	is := is.New(t)
+	c := config.RetryBudget{Ratio: 0.2, Extra: 58, Window: contract.Duration(10 * time.Second)}
+	var b retryBudget
+	spent := 0
+	for range 100 {
+		if b.spend(&c, 9, time.Minute) {
+			spent++
+		}
+	}
+	is.True(spent >= 1 && float64(spent) <= c.Extra/9)
+}
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -36,8 +36,8 @@
 		case <-timer.C:
 		}
 		var report residency.NodeReport
-		if err := e.loop.Do(ctx, func() { report = e.demandReport() }); err != nil {
-			return nil //nolint:nilerr // the node stops
+		if e.loop.Do(ctx, func() { report = e.demandReport() }) != nil {
+			return nil // the node stops
 		}
 		// An empty report after a full one says that nothing waits or runs any more.
 		empty := len(report.Waiting)+len(report.Arrivals)+len(report.Running)+len(report.Quality) == 0
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -45,7 +45,6 @@
 type view struct {
 	version uint64
 	table   *routes.Table
-	taken   time.Duration
 }
 
 // Edge is one entry node.
@@ -210,7 +209,7 @@
 	if err == nil {
 		var conf *routes.Configuration
 		if conf, err = e.decode(text); err == nil {
-			e.view.Store(&view{version: c.Version, table: routes.NewTable(conf), taken: boottime.Now()})
+			e.view.Store(&view{version: c.Version, table: routes.NewTable(conf)})
 			e.log.Event("configuration in force", eventlog.Fields{"version": c.Version, "routes": len(conf.Routes)})
 			return
 		}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -97,8 +97,9 @@
 		if answer.Entries > 0 {
 			e.entries.Store(int64(answer.Entries))
 		}
-		if err := e.loop.Do(ctx, func() { e.takeNews(answer) }); err != nil {
-			return nil //nolint:nilerr // the node stops
+		// An error means that the node stops, which ends this loop.
+		if e.loop.Do(ctx, func() { e.takeNews(answer) }) != nil {
+			continue
 		}
 		request.Term, request.Revision = answer.Term, answer.Revision
 	}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -36,7 +36,7 @@
 	answer := c.edge.dialect.Answer(resp.StatusCode, resp.Header)
 	c.edge.loop.Post(func() {
 		c.edge.dispatcher.Observe(c.token, answer.Load, now)
-		c.edge.dispatcher.FirstByte(c.token, now)
+		c.edge.dispatcher.FirstByte(c.token)
 	})
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	switch {
--- a/residency/choose.go
+++ b/residency/choose.go
@@ -24,8 +24,6 @@
 	storeWait = 2 * time.Second
 )
 
-func compareStrings(a, b string) int { return strings.Compare(a, b) }
-
 // loadTime is how long a load takes.
 func loadTime(m *routes.Model, t Tier) time.Duration {
 	switch {
@@ -88,7 +86,7 @@
 
 // assign begins a job.
 func (p *Planner) assign(c candidate, now time.Duration) {
-	c.node.job = &job{model: c.model.Name, tier: c.tier, evict: c.evict, began: now}
+	c.node.job = &job{model: c.model.Name, tier: c.tier, evict: c.evict}
 	for _, v := range c.evict {
 		c.node.closing[v] = now
 	}
@@ -321,7 +319,7 @@
 		r.victims = append(r.victims, p.victim(n, spec, models.of(n.desc.Service, model)))
 	}
 	slices.SortFunc(r.victims, func(a, b victim) int {
-		return cmp.Or(cmp.Compare(a.loss+a.wait.Seconds(), b.loss+b.wait.Seconds()), compareStrings(a.name, b.name))
+		return cmp.Or(cmp.Compare(a.loss+a.wait.Seconds(), b.loss+b.wait.Seconds()), strings.Compare(a.name, b.name))
 	})
 	return r
 }
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/agateslip/agateslip/dispatch"
@@ -268,7 +269,7 @@
 		if q.adapters[a] != q.adapters[b] {
 			return q.adapters[b] - q.adapters[a]
 		}
-		return compareStrings(a, b)
+		return strings.Compare(a, b)
 	})
 	return names
 }
--- a/residency/orders.go
+++ b/residency/orders.go
@@ -76,7 +76,7 @@
 	switch a {
 	case Accepted:
 		n.orders++
-		n.work = &work{order: o, began: now, due: now + p.expected(n, o)}
+		n.work = &work{order: o, due: now + p.expected(n, o)}
 		if o.Load {
 			n.held.loadsModel(o.Model)
 		}
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -97,7 +97,6 @@
 // work is a model order that was accepted.
 type work struct {
 	order Order
-	began time.Duration
 	due   time.Duration
 }
 
@@ -106,7 +105,6 @@
 	model string
 	tier  Tier
 	evict []string
-	began time.Duration
 }
 
 // New returns a planner that knows nothing.
