--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -235,3 +235,18 @@
 	c.kill(0, 2)
 	is.Equal(c.configure(5, 2, "two"), confstate.Accepted)
 }
+
+// TestTwoDisksAreTooFewForAnAcknowledgement has a majority of a group of three,
+// whose disks could both be lost at once.
+func TestTwoDisksAreTooFewForAnAcknowledgement(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 17340, 3)
+	c.start(0, 1)
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); {
+		_, err := c.nodes[0].node.Configure(context.Background(), 1, []byte("one"))
+		is.True(err != nil)
+	}
+	c.start(2)
+	result := c.configure(1, 1, "one")
+	is.True(result == confstate.Accepted || result == confstate.Repeated)
+}
--- a/internal/upstreamconn/conn_test.go
+++ b/internal/upstreamconn/conn_test.go
@@ -200,3 +200,49 @@
 	is.NoErr(err)
 	is.Equal(pool.Stats().Reused, uint64(0))
 }
+
+// TestAConnectionThatIsNotQuietIsNotReused has the upstream send more, or close,
+// while the connection is idle.
+func TestAConnectionThatIsNotQuietIsNotReused(t *testing.T) {
+	for name, disturb := range map[string]func(conn net.Conn) error{
+		"stray answer": func(conn net.Conn) error {
+			_, err := io.WriteString(conn, ok("stray", "no"))
+			return err
+		},
+		"closed": func(conn net.Conn) error { return conn.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer listener.Close()
+			disturbed := make(chan error, 2)
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					r, err := http.ReadRequest(bufio.NewReader(conn))
+					if err != nil {
+						return
+					}
+					if _, err := io.WriteString(conn, ok(r.Header.Get("Id"), "fine")); err != nil {
+						return
+					}
+					time.Sleep(50 * time.Millisecond)
+					disturbed <- disturb(conn)
+				}
+			}()
+			pool := upstreamconn.NewPool(time.Second)
+			for _, id := range []string{"a", "b"} {
+				body, err := call(pool, listener.Addr().String(), id)
+				is.NoErr(err)
+				is.Equal(body, "fine")
+				is.NoErr(<-disturbed)
+				time.Sleep(20 * time.Millisecond) // what was sent arrives
+			}
+			is.Equal(pool.Stats(), upstreamconn.Stats{Opened: 2})
+		})
+	}
+}
