--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -78,6 +78,10 @@
 	fence uint64
 	// ordering is when orders may be sent.
 	ordering time.Duration
+	// planAgain is when the next round of planning may begin, planWaits that one is
+	// due then.
+	planAgain time.Duration
+	planWaits bool
 	// claiming says that the right to send orders is being claimed.
 	claiming bool
 	entries  map[string]time.Duration
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -15,6 +15,12 @@
 const (
 	// planInterval is the cadence of planning without events.
 	planInterval = 50 * time.Millisecond
+	// planPause is the least time between two rounds of planning, so that reports
+	// that come together are weighed together.
+	planPause = 4 * time.Millisecond
+	// planShare is how many times as long as a round of planning took the next one
+	// waits, so that news and announcements have most of the loop's time at any size.
+	planShare = 4
 	// orderTime bounds an order; its answer comes at once from a sound engine.
 	orderTime = 700 * time.Millisecond
 	// claimTime bounds the claim of the right to send orders.
@@ -133,6 +139,14 @@
 	if c.fence == 0 || now < c.ordering {
 		return
 	}
+	if now < c.planAgain {
+		c.planLater(c.planAgain - now)
+		return
+	}
+	defer func() {
+		ended := boottime.Now()
+		c.planAgain = ended + max(planPause, planShare*(ended-now))
+	}()
 	before := c.registry.Revision()
 	for _, step := range c.planner.Plan(now) {
 		go c.carryOut(step, c.term, c.fence)
@@ -143,6 +157,20 @@
 	}
 }
 
+// planLater plans after a pause.
+func (c *Controller) planLater(pause time.Duration) {
+	if c.planWaits {
+		return
+	}
+	c.planWaits = true
+	time.AfterFunc(pause, func() {
+		c.loop.Post(func() {
+			c.planWaits = false
+			c.plan(boottime.Now())
+		})
+	})
+}
+
 // carryOut sends one order or question and hands the answer to the planner of
 // the same term.
 func (c *Controller) carryOut(step residency.Step, term, fence uint64) {
