--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -106,6 +106,11 @@
 
 // watch collects the news for a node and reports whether there are any.
 func (c *Controller) watch(ctx context.Context, from string, r nodelink.WatchRequest) (answer nodelink.WatchAnswer, fresh bool, err error) {
+	if v := c.store.view.Load(); r.Entry && v != nil && v.configure.Version > r.Version {
+		// A configuration does not wait for the loop, which may be busy with upstreams.
+		// Control nodes have it from the log.
+		return nodelink.WatchAnswer{Term: r.Term, Revision: r.Revision, Configuration: &v.configure}, true, nil
+	}
 	leading := false
 	doErr := c.loop.Do(ctx, func() {
 		if leading = c.term != 0; !leading {
@@ -135,10 +140,6 @@
 		return answer, false, c.notLeader()
 	}
 	fresh = answer.Whole || len(answer.Upstreams) > 0
-	if v := c.store.view.Load(); v != nil && v.configure.Version > r.Version {
-		answer.Configuration = &v.configure
-		fresh = true
-	}
 	for _, m := range c.store.memberList() {
 		answer.Members = append(answer.Members, m.Link)
 	}
