Tests hold the ports that they give to programs

Ruled out: another test of the process (the counter is shared and never hands a port out twice), another package (integration runs by itself), a connection in TIME_WAIT (Go's listeners set SO_REUSEADDR).

A reserved port now stays bound, without listening, until the test ends. Programs may still listen on it; the kernel gives it to no connection and no listener without a port.

--- a/test/integration/fault_test.go
+++ b/test/integration/fault_test.go
@@ -12,6 +12,7 @@
 	"github.com/agateslip/agateslip/internal/faultproxy"
 	"github.com/agateslip/agateslip/internal/gateway"
 	"github.com/agateslip/agateslip/internal/standin"
+	"github.com/agateslip/agateslip/internal/testutil"
 )
 
 // connectionFaults are faults of the way between a node and an upstream. Silent
@@ -39,7 +40,7 @@
 // it returns.
 func proxied(t *testing.T) (listen string, proxy *faultproxy.Proxy) {
 	t.Helper()
-	listen = freePorts(t, 1)[0]
+	listen = testutil.ReservePorts(t, host, 1)[0]
 	proxy, err := faultproxy.New(listen)
 	is.New(t).NoErr(err)
 	t.Cleanup(proxy.Close)
--- a/test/integration/harness_test.go
+++ b/test/integration/harness_test.go
@@ -10,7 +10,6 @@
 	"encoding/json"
 	"flag"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -25,6 +24,7 @@
 	"github.com/agateslip/agateslip/directory"
 	"github.com/agateslip/agateslip/internal/operator"
 	"github.com/agateslip/agateslip/internal/standin"
+	"github.com/agateslip/agateslip/internal/testutil"
 )
 
 const (
@@ -86,38 +86,8 @@
 	t.Fatalf("after %s: not yet %s", patience, what)
 }
 
-// Ports of the nodes lie below the range from which the kernel takes the local
-// ports of connections: one of those could take a node's port before it starts.
-const (
-	firstPort = 20000
-	lastPort  = 32000
-)
-
-// ports hands out ports, from another start in each process.
-var ports = struct {
-	sync.Mutex
-	next int
-}{next: firstPort + os.Getpid()%100*100}
-
-// freePorts returns n loopback addresses that are free now.
-func freePorts(t *testing.T, n int) []string {
-	t.Helper()
-	ports.Lock()
-	defer ports.Unlock()
-	var addrs []string
-	for len(addrs) < n {
-		addr := fmt.Sprintf("127.0.0.1:%d", ports.next)
-		ports.next++
-		if ports.next > lastPort {
-			ports.next = firstPort
-		}
-		if listener, err := net.Listen("tcp", addr); err == nil {
-			is.New(t).NoErr(listener.Close())
-			addrs = append(addrs, addr)
-		}
-	}
-	return addrs
-}
+// host is the loopback host of all programs of the tests.
+const host = "127.0.0.1"
 
 // process is a process that a test started.
 type process struct {
@@ -249,7 +219,7 @@
 func startMixed(t *testing.T, size int, link func(from, to int, addr string) string) *cluster {
 	t.Helper()
 	dir := t.TempDir()
-	ports := freePorts(t, 4*size)
+	ports := testutil.ReservePorts(t, host, 4*size)
 	c := &cluster{}
 	for i := range size {
 		var peers strings.Builder
--- a/test/integration/partition_test.go
+++ b/test/integration/partition_test.go
@@ -13,6 +13,7 @@
 	"github.com/agateslip/agateslip/internal/faultproxy"
 	"github.com/agateslip/agateslip/internal/gateway"
 	"github.com/agateslip/agateslip/internal/standin"
+	"github.com/agateslip/agateslip/internal/testutil"
 )
 
 // links are the proxies between nodes, by the node at each end.
@@ -209,7 +210,7 @@
 	c := startCluster(t)
 	var proxy *faultproxy.Proxy
 	s := c.startService(t, "s1", func(config *standin.ServiceConfig) {
-		config.Listen = freePorts(t, 1)[0]
+		config.Listen = testutil.ReservePorts(t, host, 1)[0]
 		var err error
 		proxy, err = faultproxy.New(config.Listen)
 		is.NoErr(err)
--- a/test/integration/stream_test.go
+++ b/test/integration/stream_test.go
@@ -12,6 +12,7 @@
 	"github.com/agateslip/agateslip/internal/engine"
 	"github.com/agateslip/agateslip/internal/faultproxy"
 	"github.com/agateslip/agateslip/internal/standin"
+	"github.com/agateslip/agateslip/internal/testutil"
 )
 
 // startPair starts three nodes and two engines that each have one replica of
@@ -106,7 +107,7 @@
 	is := is.New(t)
 	var proxies []*faultproxy.Proxy
 	c, engines := startPair(t, func(config *standin.EngineConfig) {
-		config.Listen = freePorts(t, 1)[0]
+		config.Listen = testutil.ReservePorts(t, host, 1)[0]
 		proxy, err := faultproxy.New(config.Listen)
 		is.NoErr(err)
 		t.Cleanup(proxy.Close)
