metrics: both roles count and time what they decide; outcomes by name in logs

internal/metrics holds what internal/edge had for itself. Control nodes count announcements, departures, configurations, reads, orders, terms; they time announcements, configurations, reads, orders and rounds of planning. Answers, results and outcomes are logged by name.

--- a/confstate/confstate.go
+++ b/confstate/confstate.go
@@ -69,6 +69,16 @@
 	Conflict
 )
 
+var resultNames = [...]string{"undecided", "accepted", "repeated", "overtaken", "conflict"}
+
+// String names the result for logs and metrics. The zero value is no decision.
+func (r Result) String() string {
+	if int(r) >= len(resultNames) {
+		r = 0
+	}
+	return resultNames[r]
+}
+
 // State is the replicated state. Only the log's owner changes it.
 type State struct {
 	Version  uint64            `json:"version"`
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -18,6 +18,14 @@
 	Stale
 )
 
+// String names the outcome for logs and metrics.
+func (o Outcome) String() string {
+	if o == Taken {
+		return "taken"
+	}
+	return "stale"
+}
+
 // Bounds are the registry's times.
 type Bounds struct {
 	// Silence is how long an upstream may say nothing before it counts as gone.
--- a/internal/cli/managed.go
+++ b/internal/cli/managed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"io"
 	"net"
 	"net/http"
@@ -18,6 +17,7 @@
 	"github.com/agateslip/agateslip/internal/controller"
 	"github.com/agateslip/agateslip/internal/edge"
 	"github.com/agateslip/agateslip/internal/eventlog"
+	"github.com/agateslip/agateslip/internal/metrics"
 	"github.com/agateslip/agateslip/internal/supervisor"
 	"github.com/agateslip/agateslip/internal/upstreamconn"
 	"github.com/agateslip/agateslip/platform"
@@ -89,7 +89,7 @@
 	})
 	if cfg.Listen.Metrics != "" {
 		go func() {
-			if err := serveHTTP(ctx, cfg.Listen.Metrics, expvar.Handler()); err != nil {
+			if err := serveHTTP(ctx, cfg.Listen.Metrics, metrics.Handler()); err != nil {
 				log.Event("metrics not served", eventlog.Fields{"error": err.Error()})
 			}
 		}()
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -43,12 +43,15 @@
 func (c *Controller) passAnnouncement(ctx context.Context, r nodelink.AnnounceRequest) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
+	start := time.Now()
 	var answer nodelink.AnnounceAnswer
 	err := c.ask(ctx, nodelink.Announce, r, &answer, func() (err error) {
 		answer, err = c.announce(ctx, r)
 		return err
 	})
+	c.metrics.Observe("announcement", time.Since(start))
 	if err != nil {
+		c.metrics.Count("announcement: not acknowledged")
 		c.log.Event("announcement not acknowledged", eventlog.Fields{"upstream": r.Upstream.ID, "error": err.Error()})
 		return "", err
 	}
@@ -72,8 +75,11 @@
 		answer.Result, err = c.configure(ctx, r)
 		return err
 	})
+	took := time.Since(start)
+	c.metrics.Observe("configuration", took)
+	c.metrics.Count("configuration: " + answer.Result.String())
 	fields := eventlog.Fields{
-		"version": version, "bytes": len(document), "result": answer.Result, "millis": time.Since(start).Milliseconds(),
+		"version": version, "bytes": len(document), "result": answer.Result.String(), "millis": took.Milliseconds(),
 	}
 	if err != nil {
 		fields["error"] = err.Error()
@@ -88,6 +94,7 @@
 func (c *Controller) Configuration(ctx context.Context) (document []byte, version uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
+	start := time.Now()
 	var answer nodelink.ReadAnswer
 	err = c.ask(ctx, nodelink.Read, struct{}{}, &answer, func() (err error) {
 		answer.Index, err = c.rep.ReadBarrier(ctx)
@@ -96,10 +103,13 @@
 	if err == nil {
 		err = c.rep.WaitApplied(ctx, answer.Index)
 	}
+	c.metrics.Observe("read", time.Since(start))
 	if err != nil {
+		c.metrics.Count("read: refused")
 		c.log.Event("read refused", eventlog.Fields{"error": err.Error()})
 		return nil, 0, errors.Mark(err, ErrUnavailable)
 	}
+	c.metrics.Count("read: served")
 	v := c.store.view.Load()
 	if v == nil {
 		return nil, 0, nil
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -11,6 +11,7 @@
 	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/config"
 	"github.com/agateslip/agateslip/internal/eventlog"
+	"github.com/agateslip/agateslip/internal/metrics"
 	"github.com/agateslip/agateslip/internal/owner"
 	"github.com/agateslip/agateslip/internal/peer"
 	"github.com/agateslip/agateslip/internal/replica"
@@ -54,18 +55,19 @@
 
 // Controller is one control node.
 type Controller struct {
-	cfg    config.Managed
-	log    *eventlog.Log
-	orders Orders
-	store  *store
-	disk   *storage.Store
-	mesh   *peer.Mesh
-	member raft.MemberID
-	rep    *replica.Replica
-	links  *addressBook
-	seeds  []string
-	loop   *owner.Loop
-	news   *broadcast
+	cfg     config.Managed
+	log     *eventlog.Log
+	metrics *metrics.Set
+	orders  Orders
+	store   *store
+	disk    *storage.Store
+	mesh    *peer.Mesh
+	member  raft.MemberID
+	rep     *replica.Replica
+	links   *addressBook
+	seeds   []string
+	loop    *owner.Loop
+	news    *broadcast
 
 	// The rest belongs to the loop.
 	registry *fleet.Registry
@@ -96,6 +98,7 @@
 	}
 	c := &Controller{
 		cfg: cfg, log: log, orders: orders, seeds: seeds,
+		metrics: metrics.New("control." + cfg.Node),
 		loop:    owner.New(),
 		news:    newBroadcast(),
 		entries: map[string]time.Duration{},
@@ -136,9 +139,26 @@
 		return nil, err
 	}
 	replica.HandleMessages(mux, c.links, c.rep.Deliver)
+	c.publishGauges()
 	return c, nil
 }
 
+// publishGauges publishes what the node holds at present.
+func (c *Controller) publishGauges() {
+	c.metrics.Gauge("leads", func() int64 {
+		if c.rep.Status().Role == raft.Leader {
+			return 1
+		}
+		return 0
+	})
+	c.metrics.Gauge("term", func() int64 { return int64(c.rep.Status().Term) })
+	c.metrics.Gauge("commitIndex", func() int64 { return int64(c.rep.Status().Commit) })
+	c.metrics.Gauge("appliedIndex", func() int64 { return int64(c.rep.Status().Applied) })
+	c.metrics.Gauge("voters", func() int64 { return int64(len(c.rep.Status().Members.Voters)) })
+	c.metrics.Gauge("learners", func() int64 { return int64(len(c.rep.Status().Members.Learners)) })
+	c.metrics.Gauge("configurationVersion", func() int64 { return int64(c.store.version()) })
+}
+
 // Run runs the node until the context ends, then hands leadership over.
 func (c *Controller) Run(ctx context.Context, parts ...supervisor.Part) error {
 	defer c.disk.Close()
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -63,6 +63,7 @@
 	before := c.registry.Revision()
 	for _, id := range c.registry.Expire(now) {
 		c.planner.Remove(id)
+		c.metrics.Count("upstream fell silent")
 		c.log.Event("upstream fell silent", eventlog.Fields{"upstream": id})
 	}
 	c.keepEntries(now)
@@ -87,6 +88,7 @@
 		c.planner.SetUpstream(u, now)
 	}
 	c.term, c.led, c.fence, c.ordering = term, now, 0, 0
+	c.metrics.Count("terms led")
 	c.log.Event("leading", eventlog.Fields{"term": term, "upstreams": len(known)})
 	c.news.wake()
 }
@@ -145,6 +147,7 @@
 	}
 	defer func() {
 		ended := boottime.Now()
+		c.metrics.Observe("planning", ended-now)
 		c.planAgain = ended + max(planPause, planShare*(ended-now))
 	}()
 	before := c.registry.Revision()
@@ -189,6 +192,7 @@
 	}
 	if step.Report {
 		report, err := c.orders.Report(ctx, u)
+		c.metrics.Count("engine asked")
 		fields := eventlog.Fields{"upstream": u.ID, "addr": u.Addr}
 		if err != nil {
 			fields["error"] = err.Error()
@@ -200,10 +204,13 @@
 		return
 	}
 	o := *step.Order
+	sent := time.Now()
 	answer := c.orders.Order(ctx, u, o, c.cfg.Node, fence)
+	c.metrics.Observe("order", time.Since(sent))
+	c.metrics.Count("order: " + answer.String())
 	c.log.Event("order sent", eventlog.Fields{
 		"upstream": u.ID, "load": o.Load, "model": o.Model, "adapter": o.Adapter,
-		"accepted": o.Accepted, "fence": fence, "answer": answer,
+		"accepted": o.Accepted, "fence": fence, "answer": answer.String(),
 	})
 	if answer == residency.Fenced {
 		// Another node was the last to send orders; this one claims anew.
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -201,8 +201,9 @@
 	u := r.Upstream
 	if r.Leave {
 		outcome := c.registry.Leave(u.ID, u.Born, now)
+		c.metrics.Count("departure: " + outcome.String())
 		c.planner.Remove(u.ID)
-		c.log.Event("upstream left", eventlog.Fields{"upstream": u.ID, "born": u.Born, "outcome": outcome})
+		c.log.Event("upstream left", eventlog.Fields{"upstream": u.ID, "born": u.Born, "outcome": outcome.String()})
 	} else {
 		c.takeState(u, now)
 	}
@@ -217,6 +218,7 @@
 		u.Closing = known.Closing
 	}
 	outcome := c.registry.Announce(u, now)
+	c.metrics.Count("announcement: " + outcome.String())
 	if outcome != fleet.Taken {
 		c.log.Event("announcement dropped", eventlog.Fields{"upstream": u.ID, "born": u.Born, "seq": u.Seq})
 		return
--- a/internal/controller/store.go
+++ b/internal/controller/store.go
@@ -67,7 +67,7 @@
 	out.result = s.state.Apply(e.Index, c)
 	s.mu.Unlock()
 	s.log.Event("change applied", eventlog.Fields{
-		"index": e.Index, "result": out.result, "version": s.version(), "kind": commandKind(c),
+		"index": e.Index, "result": out.result.String(), "version": s.version(), "kind": commandKind(c),
 	})
 	s.publish()
 	return out
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -131,7 +131,7 @@
 	case c.begun:
 		// The caller must see that its stream is not complete.
 		c.log("broken off", eventlog.Fields{"why": why, "lastEvent": c.lastEvent})
-		c.edge.metrics.count("broken off: " + why)
+		c.edge.metrics.Count("broken off: " + why)
 		panic(http.ErrAbortHandler)
 	case c.fallback != nil:
 		c.write(*c.fallback)
@@ -180,7 +180,7 @@
 
 // decided logs a verdict.
 func (c *call) decided(v dispatch.Verdict) dispatch.Verdict {
-	c.edge.metrics.observe("wait", boottime.Now()-c.arrived)
+	c.edge.metrics.Observe("wait", boottime.Now()-c.arrived)
 	if v.Action == dispatch.Start {
 		c.log("sent", eventlog.Fields{
 			"upstream": v.Upstream.ID, "addr": v.Upstream.Addr, "revision": v.Upstream.Revision, "attempt": c.sends + 1,
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -23,6 +23,7 @@
 	"github.com/agateslip/agateslip/internal/config"
 	"github.com/agateslip/agateslip/internal/controller"
 	"github.com/agateslip/agateslip/internal/eventlog"
+	"github.com/agateslip/agateslip/internal/metrics"
 	"github.com/agateslip/agateslip/internal/owner"
 	"github.com/agateslip/agateslip/internal/peer"
 	"github.com/agateslip/agateslip/internal/supervisor"
@@ -53,7 +54,7 @@
 	log     *eventlog.Log
 	dialect Dialect
 	decode  controller.Decoder
-	metrics *metrics
+	metrics *metrics.Set
 	mesh    *peer.Mesh
 	pool    *upstreamconn.Pool
 	loop    *owner.Loop
@@ -97,7 +98,7 @@
 	}
 	e := &Edge{
 		cfg: cfg, log: log, dialect: dialect, decode: decode,
-		metrics:    newMetrics(cfg.Node),
+		metrics:    metrics.New("entry." + cfg.Node),
 		pool:       upstreamconn.NewPool(dialTime),
 		loop:       owner.New(),
 		leader:     newLeaderFinder(seeds),
@@ -112,6 +113,7 @@
 		judged:     map[string]residency.Quality{},
 	}
 	e.entries.Store(1)
+	e.publishGauges()
 	e.mesh, err = peer.New(peer.Options{
 		Self: cfg.Node, Addr: cfg.Listen.Links, Secret: cfg.Secret, Mux: peer.NewMux(),
 		Log:    log.Logger().WithField("part", "links"),
@@ -123,6 +125,20 @@
 	return e, nil
 }
 
+// publishGauges publishes what the node holds at present.
+func (e *Edge) publishGauges() {
+	e.metrics.Gauge("callsActive", e.active.Load)
+	e.metrics.Gauge("callsWaiting", e.waitingCalls.Load)
+	e.metrics.Gauge("entryNodes", e.entries.Load)
+	e.metrics.Gauge("configurationVersion", func() int64 {
+		if v := e.view.Load(); v != nil {
+			return int64(v.version)
+		}
+		return 0
+	})
+	e.metrics.Gauge("upstreamConnectionsOpened", func() int64 { return int64(e.pool.Stats().Opened) })
+}
+
 // Run runs the node until the context ends and its callers are served.
 func (e *Edge) Run(ctx context.Context) error {
 	tree := supervisor.Tree{
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -183,7 +183,7 @@
 func (c *call) timeEvent(now time.Duration) {
 	if c.passed == 0 {
 		c.first = now - c.arrived
-		c.edge.metrics.observe("first event", c.first)
+		c.edge.metrics.Observe("first event", c.first)
 	} else {
 		c.pause = max(c.pause, now-c.passed)
 	}
@@ -199,12 +199,12 @@
 // finished logs a call that has its answer.
 func (c *call) finished(u *fleet.Upstream, status int) {
 	took := boottime.Now() - c.arrived
-	c.edge.metrics.count("answered")
-	c.edge.metrics.observe("answer", took)
+	c.edge.metrics.Count("answered")
+	c.edge.metrics.Observe("answer", took)
 	fields := eventlog.Fields{"upstream": u.ID, "status": status, "attempts": c.sends}
 	if c.begun {
 		fields["first"], fields["pause"] = c.first.Milliseconds(), c.pause.Milliseconds()
-		c.edge.metrics.observe("longest pause", c.pause)
+		c.edge.metrics.Observe("longest pause", c.pause)
 		if c.route.PauseTarget > 0 && c.sends == 1 {
 			paused := c.pause > c.route.PauseTarget
 			c.edge.loop.Post(func() { c.edge.judge(u.ID, paused) })
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -185,13 +185,13 @@
 func (c *call) refuse(status int, why string, after time.Duration) {
 	c.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	c.log("refused", eventlog.Fields{"status": status, "why": why, "retryAfter": after.Seconds()})
-	c.edge.metrics.count("refused: " + why)
+	c.edge.metrics.Count("refused: " + why)
 	c.w.WriteHeader(status)
 }
 
 // fail ends a call for which nothing is promised.
 func (c *call) fail(status int, why string) {
 	c.log("failed", eventlog.Fields{"status": status, "why": why})
-	c.edge.metrics.count("failed: " + why)
+	c.edge.metrics.Count("failed: " + why)
 	c.w.WriteHeader(status)
 }
--- a/residency/orders.go
+++ b/residency/orders.go
@@ -49,6 +49,18 @@
 	Unanswered
 )
 
+var answerNames = [...]string{
+	"unknown", "accepted", "held already", "refused", "fenced", "another upstream", "impossible", "unanswered",
+}
+
+// String names the answer for logs and metrics.
+func (a Answer) String() string {
+	if int(a) >= len(answerNames) {
+		a = 0
+	}
+	return answerNames[a]
+}
+
 // Report is an engine's answer to a question.
 type Report struct {
 	// Accepted is how many orders it has accepted since it started.
