Operators' reads cover every change that was accepted before them

Cause: `contract list`, `contract get`, `contract history`, `audit` and `status` of the product's own nodes answered from the node's copy without any proof.

`--stale` (`?stale=true`) shows what the node knows, with the age of its last proof.

Ruled out: answering from a proof of less than two seconds, which is what new work is admitted under; it is older than a change accepted just before the read.

The harness and the demonstration poll nodes that are not ready yet, so they ask for stale answers; tests of histories and contracts read proved ones.

--- a/internal/cli/contract.go
+++ b/internal/cli/contract.go
@@ -27,6 +27,29 @@
 	JSON  bool   `arg:"--json" help:"print JSON for scripts"`
 }
 
+// readTarget says which node to read from.
+type readTarget struct {
+	target
+	Stale bool `arg:"--stale" help:"show what the node knows even if it cannot prove that it is current"`
+}
+
+// reader returns a client for reads, which says on errOut how old a stale answer
+// may be.
+func (t readTarget) reader(errOut io.Writer) *operator.Client {
+	c := t.client()
+	if !t.Stale {
+		return c
+	}
+	c.Stale = func(age time.Duration, proved bool) {
+		if !proved {
+			fmt.Fprintln(errOut, "agateslip: may be out of date; this node never proved that it was current")
+			return
+		}
+		fmt.Fprintf(errOut, "agateslip: may be out of date by up to %s\n", age.Round(time.Millisecond))
+	}
+	return c
+}
+
 func (t target) client() *operator.Client {
 	return operator.NewClient(t.Node, t.Token, t.actor())
 }
@@ -117,12 +140,12 @@
 }
 
 type getCmd struct {
-	target
+	readTarget
 	Customer string `arg:"positional,required"`
 }
 
-func (c *getCmd) run(ctx context.Context, out, _ io.Writer) error {
-	v, err := c.client().Contract(ctx, c.Customer)
+func (c *getCmd) run(ctx context.Context, out, errOut io.Writer) error {
+	v, err := c.reader(errOut).Contract(ctx, c.Customer)
 	if err != nil {
 		return err
 	}
@@ -137,10 +160,10 @@
 	return errors.Wrap(err, "print")
 }
 
-type listCmd struct{ target }
+type listCmd struct{ readTarget }
 
-func (c *listCmd) run(ctx context.Context, out, _ io.Writer) error {
-	list, err := c.client().Contracts(ctx)
+func (c *listCmd) run(ctx context.Context, out, errOut io.Writer) error {
+	list, err := c.reader(errOut).Contracts(ctx)
 	if err != nil {
 		return err
 	}
@@ -155,12 +178,12 @@
 }
 
 type historyCmd struct {
-	target
+	readTarget
 	Customer string `arg:"positional,required"`
 }
 
-func (c *historyCmd) run(ctx context.Context, out, _ io.Writer) error {
-	all, err := readAudit(ctx, c.client(), 0)
+func (c *historyCmd) run(ctx context.Context, out, errOut io.Writer) error {
+	all, err := readAudit(ctx, c.reader(errOut), 0)
 	if err != nil {
 		return err
 	}
@@ -174,13 +197,13 @@
 }
 
 type auditCmd struct {
-	target
+	readTarget
 	Since  uint64 `arg:"--since" default:"0" placeholder:"SEQ" help:"print entries after this sequence number"`
 	Verify bool   `arg:"--verify" help:"check the chain of digests and fail on the first break"`
 }
 
-func (c *auditCmd) run(ctx context.Context, out, _ io.Writer) error {
-	entries, err := readAudit(ctx, c.client(), c.Since)
+func (c *auditCmd) run(ctx context.Context, out, errOut io.Writer) error {
+	entries, err := readAudit(ctx, c.reader(errOut), c.Since)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/inspect.go
+++ b/internal/cli/inspect.go
@@ -71,10 +71,10 @@
 	return false
 }
 
-type statusCmd struct{ target }
+type statusCmd struct{ readTarget }
 
-func (c *statusCmd) run(ctx context.Context, out, _ io.Writer) error {
-	s, err := c.client().Status(ctx)
+func (c *statusCmd) run(ctx context.Context, out, errOut io.Writer) error {
+	s, err := c.reader(errOut).Status(ctx)
 	if err != nil {
 		return err
 	}
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -156,7 +156,10 @@
 
 // operatorClient talks to one node as an operator.
 func (c *cluster) operatorClient(i int) *operator.Client {
-	return operator.NewClient(c.nodes[i].OperatorsAddr(), operatorToken, "demo")
+	client := operator.NewClient(c.nodes[i].OperatorsAddr(), operatorToken, "demo")
+	// The demonstration looks at the nodes until they are ready.
+	client.Stale = func(time.Duration, bool) {}
+	return client
 }
 
 // waitReady waits until every node takes requests and knows the upstreams.
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -20,6 +20,8 @@
 	methodTail = "control.tail"
 	// methodMembers asks the leader for, or to change, the members.
 	methodMembers = "control.members"
+	// methodBarrier asks the leader for an index that covers every accepted change.
+	methodBarrier = "control.barrier"
 	// methodSync carries a node's report to the leader.
 	methodSync = "node.sync"
 	// methodLearned carries the planner's experience as a notification.
@@ -74,6 +76,14 @@
 	Result    control.Result `json:"result"`
 }
 
+// barrierReply is an index that covers every change accepted before the question,
+// or names the leader.
+type barrierReply struct {
+	Leads  bool   `json:"leads"`
+	Leader string `json:"leader,omitempty"`
+	Index  uint64 `json:"index,omitempty"`
+}
+
 // entriesRequest asks for the entries after an index, waiting for some.
 type entriesRequest struct {
 	After uint64 `json:"after"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -194,6 +194,7 @@
 	mux.Handle(methodEntries, n.serveEntries)
 	mux.Handle(methodTail, n.serveTail)
 	mux.Handle(methodMembers, n.serveMembers)
+	mux.Handle(methodBarrier, n.serveBarrier)
 	mux.Handle(methodSync, n.serveSync)
 	mux.Handle(methodLearned, n.serveLearned)
 	mux.Handle(methodLease, n.serveLease)
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -71,6 +71,14 @@
 	}
 }
 
+// Confirm implements operator.Backend.
+func (b *backend) Confirm(ctx context.Context) error {
+	return errors.Mark(b.node.confirm(ctx), operator.ErrUnavailable)
+}
+
+// ProofAge implements operator.Backend.
+func (b *backend) ProofAge() (time.Duration, bool) { return b.node.proofAge() }
+
 // Contracts implements operator.Backend.
 func (b *backend) Contracts() []control.Versioned { return b.node.store.view.Load().contracts }
 
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/agateslip/agateslip/contract"
 	"github.com/agateslip/agateslip/control"
@@ -15,6 +16,14 @@
 // HeaderActor names the operator in the audit trail.
 const HeaderActor = "X-Operator"
 
+const (
+	// HeaderProofAge marks the answer to a read that was not proved to be current.
+	// It holds the age of the node's last proof, or "never".
+	HeaderProofAge = "X-Agateslip-Proof-Age"
+	// queryStale asks for such an answer.
+	queryStale = "stale"
+)
+
 // Change is a change of one contract.
 type Change struct {
 	// Actor is the operator.
@@ -117,6 +126,12 @@
 	RemoveContract(ctx context.Context, ch Change, customer string) (control.ChangeResult, error)
 	// NoteRefusal puts a refused change into the audit trail.
 	NoteRefusal(ctx context.Context, actor, action, subject, detail string)
+	// Confirm waits until the node has applied every change that was accepted
+	// before the call. The error is ErrUnavailable.
+	Confirm(ctx context.Context) error
+	// ProofAge is the age of the last proof that the node's state is current;
+	// proved is false where there was none.
+	ProofAge() (age time.Duration, proved bool)
 	// Contracts lists the contracts in force on this node.
 	Contracts() []control.Versioned
 	// Audit returns at most limit entries after since.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -40,6 +40,10 @@
 	Token string
 	// Actor names the operator in the audit trail.
 	Actor string
+	// Stale, where set, asks for what the node knows in place of a read that is
+	// proved to be current, and is told the age of the node's last proof; proved is
+	// false where it never had one.
+	Stale func(proofAge time.Duration, proved bool)
 	http  http.Client
 }
 
@@ -51,19 +55,19 @@
 // Status returns the node's view.
 func (c *Client) Status(ctx context.Context) (Status, error) {
 	var s Status
-	return s, c.do(ctx, http.MethodGet, "/v1/status", nil, nil, &s)
+	return s, c.read(ctx, "/v1/status", nil, &s)
 }
 
 // Contracts lists the contracts in force on the node.
 func (c *Client) Contracts(ctx context.Context) ([]control.Versioned, error) {
 	var list []control.Versioned
-	return list, c.do(ctx, http.MethodGet, "/v1/contracts", nil, nil, &list)
+	return list, c.read(ctx, "/v1/contracts", nil, &list)
 }
 
 // Contract returns one customer's contract in force on the node.
 func (c *Client) Contract(ctx context.Context, customer string) (control.Versioned, error) {
 	var v control.Versioned
-	return v, c.do(ctx, http.MethodGet, "/v1/contracts/"+url.PathEscape(customer), nil, nil, &v)
+	return v, c.read(ctx, "/v1/contracts/"+url.PathEscape(customer), nil, &v)
 }
 
 // Apply creates or replaces a contract. It resends the change after a lost
@@ -116,7 +120,7 @@
 	q.Set("since", strconv.FormatUint(since, 10))
 	q.Set("limit", strconv.Itoa(limit))
 	var list []control.AuditEntry
-	return list, c.do(ctx, http.MethodGet, "/v1/audit", q, nil, &list)
+	return list, c.read(ctx, "/v1/audit", q, &list)
 }
 
 // Members lists the control group.
@@ -149,6 +153,18 @@
 	return s, c.do(ctx, http.MethodPost, "/v1/drain", nil, nil, &s)
 }
 
+// read asks for replicated state.
+func (c *Client) read(ctx context.Context, path string, q url.Values, out any) error {
+	if c.Stale == nil {
+		return c.do(ctx, http.MethodGet, path, q, nil, out)
+	}
+	if q == nil {
+		q = url.Values{}
+	}
+	q.Set(queryStale, "true")
+	return c.do(ctx, http.MethodGet, path, q, nil, out)
+}
+
 func (c *Client) do(ctx context.Context, method, path string, q url.Values, body []byte, out any) error {
 	return c.send(ctx, clientTimeout, method, path, q, body, out)
 }
@@ -176,6 +192,10 @@
 	if resp.StatusCode != http.StatusOK {
 		return apiError(resp.StatusCode, data)
 	}
+	if c.Stale != nil && resp.Header.Get(HeaderProofAge) != "" {
+		age, err := time.ParseDuration(resp.Header.Get(HeaderProofAge))
+		c.Stale(age, err == nil)
+	}
 	if out == nil {
 		return nil
 	}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -51,12 +51,12 @@
 	mux.Handle("GET /debug/vars", s.authorized(expvar.Handler().ServeHTTP))
 	mux.Handle("GET /debug/pprof/", s.authorized(pprof.Index))
 	mux.Handle("GET /debug/pprof/profile", s.authorized(pprof.Profile))
-	mux.Handle("GET /v1/status", s.authorized(s.status))
-	mux.Handle("GET /v1/contracts", s.authorized(s.contracts))
-	mux.Handle("GET /v1/contracts/{customer}", s.authorized(s.contract))
+	mux.Handle("GET /v1/status", s.authorized(s.current(s.status)))
+	mux.Handle("GET /v1/contracts", s.authorized(s.current(s.contracts)))
+	mux.Handle("GET /v1/contracts/{customer}", s.authorized(s.current(s.contract)))
 	mux.Handle("PUT /v1/contracts/{customer}", s.authorized(s.apply))
 	mux.Handle("DELETE /v1/contracts/{customer}", s.authorized(s.remove))
-	mux.Handle("GET /v1/audit", s.authorized(s.audit))
+	mux.Handle("GET /v1/audit", s.authorized(s.current(s.audit)))
 	mux.Handle("GET /v1/members", s.authorized(s.members))
 	mux.Handle("POST /v1/members", s.authorized(s.changeMembers))
 	mux.Handle("POST /v1/upstreams/gone", s.authorized(s.upstreamGone))
@@ -80,6 +80,28 @@
 	})
 }
 
+// current answers a read with state that covers every change accepted before the
+// read came, or says that it cannot. Who asks for a stale answer gets what the
+// node knows, marked with the age of its last proof.
+func (s *server) current(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get(queryStale) == "true" {
+			age := "never"
+			if d, proved := s.backend.ProofAge(); proved {
+				age = d.String()
+			}
+			w.Header().Set(HeaderProofAge, age)
+			next(w, r)
+			return
+		}
+		if err := s.backend.Confirm(r.Context()); err != nil {
+			writeError(w, statusOf(err), ErrorBody{Error: "not proved to be current: " + err.Error()})
+			return
+		}
+		next(w, r)
+	}
+}
+
 func (s *server) status(w http.ResponseWriter, _ *http.Request) { writeOK(w, s.backend.Status()) }
 
 func (s *server) contracts(w http.ResponseWriter, _ *http.Request) {
--- a/test/integration/harness_test.go
+++ b/test/integration/harness_test.go
@@ -180,6 +180,8 @@
 	// data is the data folder; empty without a vote.
 	data   string
 	client *operator.Client
+	// view shows what the node knows, proved to be current or not.
+	view *operator.Client
 }
 
 // start starts the node's process, again after an end.
@@ -192,7 +194,7 @@
 func (n *node) status() (operator.Status, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	status, err := n.client.Status(ctx)
+	status, err := n.view.Status(ctx)
 	return status, err == nil
 }
 
@@ -259,6 +261,8 @@
 		}
 		is.New(t).NoErr(os.WriteFile(n.settings, []byte(settings), 0o600))
 		n.client = operator.NewClient(n.operator, operatorToken, "integration")
+		n.view = operator.NewClient(n.operator, operatorToken, "integration")
+		n.view.Stale = func(time.Duration, bool) {}
 		n.start(t, "--init")
 		c.nodes = append(c.nodes, n)
 	}
