node: a proof of currency does not outlive a suspended VM

Cause: Node.now counted on the steady clock of package time, which stands still while the VM is suspended.

TestProofDoesNotOutliveASuspension fails with the steady clock and passes with CLOCK_BOOTTIME.

--- a/internal/node/admit_test.go
+++ b/internal/node/admit_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/agateslip/agateslip/contract"
 	"github.com/agateslip/agateslip/control"
+	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/config"
 	"github.com/agateslip/agateslip/internal/gateway"
 	"github.com/matryer/is"
@@ -17,7 +18,7 @@
 // newIdleNode returns a node whose parts do not run.
 func newIdleNode() *Node {
 	n := &Node{
-		cfg: config.Config{Node: "n"}, log: logrus.New(), start: time.Now(), seed: rand.Uint64(),
+		cfg: config.Config{Node: "n"}, log: logrus.New(), clock: boottime.Now, start: boottime.Now(), seed: rand.Uint64(),
 		store: newStore(), members: newMemberNodes(), draining: make(chan struct{}),
 	}
 	n.group = &group{node: "n", members: n.members}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,9 +48,12 @@
 
 // Node is one entry node.
 type Node struct {
-	cfg      config.Config
-	log      logrus.FieldLogger
-	start    time.Time
+	cfg config.Config
+	log logrus.FieldLogger
+	// clock goes on while the VM is suspended, so that no proof outlives that.
+	clock func() time.Duration
+	// start is the clock's time at which the process started.
+	start    time.Duration
 	boot     string
 	seed     uint64
 	memberID raft.MemberID
@@ -80,7 +83,8 @@
 	n := &Node{
 		cfg:      cfg,
 		log:      log.WithFields(logrus.Fields{"node": cfg.Node, "domain": cfg.Domain}),
-		start:    time.Now(),
+		clock:    boottime.Now,
+		start:    boottime.Now(),
 		boot:     uuid.NewString(),
 		seed:     rand.Uint64(),
 		store:    newStore(),
@@ -247,8 +251,8 @@
 // OperatorsAddr is the address that takes operators' commands.
 func (n *Node) OperatorsAddr() string { return n.operators.Addr().String() }
 
-// now is the monotonic time since the node started.
-func (n *Node) now() time.Duration { return time.Since(n.start) }
+// now is the time since the node started, suspended time included.
+func (n *Node) now() time.Duration { return n.clock() - n.start }
 
 func (n *Node) origin(actor string) control.Origin {
 	return control.Origin{Actor: actor, Node: n.cfg.Node, UnixMillis: time.Now().UnixMilli()}
--- a/internal/node/proof_test.go
+++ b/internal/node/proof_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/internal/boottime"
 )
 
 // TestProofWithoutALeader checks what the ends of the voters' logs prove to a
@@ -26,3 +29,17 @@
 		is.New(t).Equal(provedByTails(c.tails, applied), c.proved) // c.name
 	}
 }
+
+// TestProofDoesNotOutliveASuspension has the VM suspended for longer than a proof
+// counts: the steady clock of package time stands still then.
+func TestProofDoesNotOutliveASuspension(t *testing.T) {
+	is := is.New(t)
+	n := newIdleNode()
+	suspended := time.Duration(0)
+	n.clock = func() time.Duration { return boottime.Now() + suspended }
+	n.currency.offer(n.now(), 0)
+	current := &contracts{node: n}
+	is.NoErr(current.Current())
+	suspended = freshFor + time.Second
+	is.True(current.Current() != nil)
+}
