controller: a new member always connects to the leader

Cause: TestTwoWipedDisksAndAPowerLoss failed in two of some forty runs (whole package, "node 4 cannot read" after 30 s). The node's log said "join not answered: no peer named 127.0.7.4:17321", the address of the leader, for as long as the test waited. A member that lost its disk applies the log from its beginning. Where the part that it had applied named members but not yet the leader, who had joined later, it connected to those members only, could not answer the leader's entries, and so never heard of the rest.

The leader's address, as other nodes told it, is now always among the links.

--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -77,18 +77,12 @@
 // peerList is the other control nodes: members, and the seeds until the members
 // are known.
 func (c *Controller) peerList() []peer.Peer {
-	var links []string
+	var members []string
 	for _, m := range c.store.memberList() {
-		links = append(links, m.Link)
+		members = append(members, m.Link)
 	}
-	if c.rep.Status().Leader == 0 || len(links) == 0 {
-		// What this member has applied may be long out of date.
-		links = append(links, c.seeds...)
-		links = append(links, c.links.all()...)
-	}
-	slices.Sort(links)
 	var peers []peer.Peer
-	for _, link := range slices.Compact(links) {
+	for _, link := range linksToKeep(members, c.leader(), slices.Concat(c.seeds, c.links.all())) {
 		if link != c.cfg.Listen.Links {
 			peers = append(peers, peer.Peer{Name: link, Addr: link})
 		}
@@ -96,6 +90,22 @@
 	return peers
 }
 
+// linksToKeep are the addresses to be connected to: the members that this node has
+// applied, and the leader, who may be none of them: a new member applies the log
+// from its beginning and must answer the leader to hear the rest. Where one of the
+// two is unknown, any address may help.
+func linksToKeep(members []string, leader string, others []string) []string {
+	links := slices.Clone(members)
+	if leader != "" {
+		links = append(links, leader)
+	}
+	if leader == "" || len(members) == 0 {
+		links = append(links, others...)
+	}
+	slices.Sort(links)
+	return slices.Compact(links)
+}
+
 // join asks one control node after the other for membership.
 func (c *Controller) join(ctx context.Context, turn int, fresh bool) error {
 	target := c.leader()
