fleet: the registry's cost follows what changes

Cause: with 3,000 upstreams each announcement looked through all of them for another one at its address, and each node that asked for news did so again.

--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -1,10 +1,11 @@
 package fleet
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/agateslip/agateslip/internal/changelog"
 )
 
 // Outcome says what became of an announcement.
@@ -43,14 +44,16 @@
 
 // Registry is the set of upstreams. One goroutine uses it.
 type Registry struct {
-	bounds   Bounds
-	byID     map[string]*entry
-	revision uint64
+	bounds Bounds
+	byID   map[string]*entry
+	// byAddr is the upstream at each address that has not ended.
+	byAddr  map[string]*entry
+	changes *changelog.Log
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry(b Bounds) *Registry {
-	return &Registry{bounds: b, byID: map[string]*entry{}}
+	return &Registry{bounds: b, byID: map[string]*entry{}, byAddr: map[string]*entry{}, changes: changelog.New()}
 }
 
 // Announce takes note of what an upstream said of itself, which arrived at now.
@@ -84,10 +87,8 @@
 
 // holderOf is the upstream other than id that has an address.
 func (r *Registry) holderOf(addr, id string) *entry {
-	for _, e := range r.byID {
-		if e.Addr == addr && e.ID != id && !e.Gone {
-			return e
-		}
+	if e := r.byAddr[addr]; e != nil && e.ID != id {
+		return e
 	}
 	return nil
 }
@@ -115,26 +116,34 @@
 }
 
 func (r *Registry) put(e *entry) {
-	r.revision++
-	e.Revision = r.revision
+	if known := r.byID[e.ID]; known != nil && r.byAddr[known.Addr] == known {
+		delete(r.byAddr, known.Addr)
+	}
+	e.Revision = r.changes.Note(e.ID)
 	r.byID[e.ID] = e
+	if !e.Gone {
+		r.byAddr[e.Addr] = e
+	}
 }
 
 // Expire ends the upstreams that fell silent, which it returns, and forgets
 // those that ended long ago.
 func (r *Registry) Expire(now time.Duration) []string {
 	var silent []string
-	for _, id := range slices.Sorted(maps.Keys(r.byID)) {
-		e := r.byID[id]
+	for id, e := range r.byID {
 		switch age := now - e.heard; {
 		case e.Gone && age > r.bounds.Tombstone:
 			delete(r.byID, id)
+			r.changes.Forget(id)
 		case !e.Gone && age > r.bounds.Silence:
-			r.end(e, now)
-			r.byID[id].Silent = true
 			silent = append(silent, id)
 		}
 	}
+	slices.Sort(silent)
+	for _, id := range silent {
+		r.end(r.byID[id], now)
+		r.byID[id].Silent = true
+	}
 	return silent
 }
 
@@ -158,18 +167,13 @@
 }
 
 // Revision is the number of the latest change.
-func (r *Registry) Revision() uint64 { return r.revision }
+func (r *Registry) Revision() uint64 { return r.changes.Revision() }
 
 // Since returns the upstreams that changed after a revision, ended ones
 // included, in the order of their changes.
 func (r *Registry) Since(revision uint64) []Upstream {
 	var changed []Upstream
-	for _, e := range r.byID {
-		if e.Revision > revision {
-			changed = append(changed, e.Upstream)
-		}
-	}
-	slices.SortFunc(changed, func(a, b Upstream) int { return cmp.Compare(a.Revision, b.Revision) })
+	r.changes.Since(revision, func(id string) { changed = append(changed, r.byID[id].Upstream) })
 	return changed
 }
 
