control: the leader's cost follows what changes, not what there is

A profile at 100 entry nodes and 1,000 upstreams: 61 % in residency.Planner.choose, which weighed every free engine with every model again for each job that it gave out, 13 % in reports of demand, each of which recounted all calls and answered with the load of every engine. At 300 and 3,000: a third in encoding each node's own list of news, and garbage collection near the memory limit.

- Planning weighs each engine once a round and again when its turn has come; models that no engine could gain from are left out by a bound; sums over the holders of a model are made once.
- Running calls are counted by difference; nodes hear of an engine's load when it has changed by a sixteenth of its slots.
- News go out in rounds, whose pause grows with the number of nodes; what nodes ask for alike is looked up and encoded once, and compressed where it is long.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -64,10 +64,9 @@
 	// others is how many calls of other nodes it had when it last stated its load.
 	others   int
 	observed time.Duration
-	// counted is how many calls of other nodes the planner counted at countedAt.
-	counted   int
-	countedAt time.Duration
-	slots     int
+	// counted is how many calls of other nodes the planner counted.
+	counted int
+	slots   int
 	// failing was the share of calls that failed, 0 to 1, at the time failedAt.
 	failing  float64
 	failedAt time.Duration
@@ -165,8 +164,8 @@
 }
 
 // crowd is about how many calls the upstream has, by all that is known.
-func (u *upstream) crowd(l *Limits, now time.Duration, load float64) float64 {
-	if u.counted == 0 || now-u.countedAt >= l.LoadAge {
+func (d *Dispatcher) crowd(u *upstream, load float64, now time.Duration) float64 {
+	if u.counted == 0 || now-d.countedAt >= d.limits.LoadAge {
 		return load
 	}
 	return max(load, float64(u.own+u.counted))
@@ -235,7 +234,7 @@
 
 // cost compares upstreams that have room, in shares of their slots.
 func (d *Dispatcher) cost(u *upstream, c *Call, load float64, now time.Duration) float64 {
-	cost := u.crowd(&d.limits, now, load)/float64(u.room()) + u.failures(now)*d.limits.FailurePenalty
+	cost := d.crowd(u, load, now)/float64(u.room()) + u.failures(now)*d.limits.FailurePenalty
 	cost += evenShare * affinity(uint64(c.Token), u.desc.ID)
 	if u.desc.Domain != d.domain {
 		cost += d.limits.RemotePenalty
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -202,12 +202,15 @@
 func TestTheCallsOfAllNodesSteerANodeThatSeesFew(t *testing.T) {
 	is := is.New(t)
 	d := newDispatcher(engine("a", 48, "m"), engine("b", 48, "m"))
-	d.ObserveAll(map[string]int{"a": 30, "b": 12}, 0)
+	d.ObserveAll(map[string]int{"a": 30, "b": 12}, true, 0)
 	for i := range 10 {
 		is.Equal(started(d.Submit(call(i, "m", 1, 0), 0))[dispatch.Token(i)], "b")
 	}
-	d.ObserveAll(map[string]int{"b": 40}, 100*ms)
+	d.ObserveAll(map[string]int{"b": 40}, true, 100*ms)
 	is.Equal(started(d.Submit(call(11, "m", 1, 100*ms), 100*ms))[11], "a")
+	// The count of b, which is not named, has not changed.
+	d.ObserveAll(map[string]int{"a": 45}, false, 200*ms)
+	is.Equal(started(d.Submit(call(12, "m", 1, 200*ms), 200*ms))[12], "b")
 }
 
 func TestCallsThatShareAPromptMeet(t *testing.T) {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -19,6 +19,8 @@
 	forecasts map[Key]forecast
 	// arrivals counts the calls for each model since the start.
 	arrivals map[Key]uint64
+	// countedAt is when the planner's counts of calls were last confirmed.
+	countedAt time.Duration
 }
 
 // run is a call at an upstream.
@@ -110,14 +112,23 @@
 	u.slots = l.Slots
 }
 
-// ObserveAll takes the calls of all nodes at each engine, as the planner counts
-// them, to choose between engines: a node that sees a small part of the traffic
-// hears from an engine too seldom to know its load from answers alone. Whether an
-// engine has room it says itself.
-func (d *Dispatcher) ObserveAll(running map[string]int, now time.Duration) {
-	for id, u := range d.upstreams {
-		u.counted, u.countedAt = max(0, running[id]-u.own), now
+// ObserveAll takes the calls of all nodes at each engine whose count has changed,
+// as the planner counts them, to choose between engines: a node that sees a small
+// part of the traffic hears from an engine too seldom to know its load from answers
+// alone. Whether an engine has room it says itself. whole says that engines that are
+// not named have no calls.
+func (d *Dispatcher) ObserveAll(running map[string]int, whole bool, now time.Duration) {
+	if whole {
+		for _, u := range d.upstreams {
+			u.counted = 0
+		}
+	}
+	for id, calls := range running {
+		if u := d.upstreams[id]; u != nil {
+			u.counted = max(0, calls-u.own)
+		}
 	}
+	d.countedAt = now
 }
 
 // FirstByte takes note that a call's answer has begun.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -71,6 +71,7 @@
 
 	// The rest belongs to the loop.
 	registry *fleet.Registry
+	lists    newsBook
 	planner  *residency.Planner
 	// planned is the configuration version that the planner knows.
 	planned uint64
@@ -100,10 +101,12 @@
 		cfg: cfg, log: log, orders: orders, seeds: seeds,
 		metrics: metrics.New("control." + cfg.Node),
 		loop:    owner.New(),
-		news:    newBroadcast(),
 		entries: map[string]time.Duration{},
 		lost:    map[raft.MemberID]time.Duration{},
 	}
+	c.news = newBroadcast(func() {
+		c.loop.Post(func() { c.lists.begin(c.registry.Revision()) })
+	})
 	c.store = newStore(decode, log, c.news.wake)
 	c.registry = fleet.NewRegistry(fleet.Bounds{
 		Silence: silentHeartbeats * time.Duration(cfg.Heartbeat), Tombstone: tombstone,
--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -6,6 +6,7 @@
 
 	"github.com/agateslip/agateslip/fleet"
 	"github.com/agateslip/agateslip/internal/boottime"
+	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/internal/nodelink"
 )
 
@@ -33,9 +34,15 @@
 			pause(ctx, copyPause)
 			continue
 		}
+		upstreams, err := answer.Upstreams.Decode()
+		if err != nil {
+			c.log.Event("news unreadable", eventlog.Fields{"asked": leader, "error": err.Error()})
+			pause(ctx, copyPause)
+			continue
+		}
 		err = c.loop.Do(ctx, func() {
 			if c.term == 0 {
-				c.copyNews(answer)
+				c.copyNews(answer.Whole, upstreams)
 			}
 		})
 		if err != nil {
@@ -57,13 +64,13 @@
 }
 
 // copyNews takes the leader's news into this node's registry.
-func (c *Controller) copyNews(answer nodelink.WatchAnswer) {
-	if answer.Whole {
+func (c *Controller) copyNews(whole bool, upstreams []fleet.Upstream) {
+	if whole {
 		c.registry = fleet.NewRegistry(fleet.Bounds{
 			Silence: silentHeartbeats * time.Duration(c.cfg.Heartbeat), Tombstone: tombstone,
 		})
 	}
-	c.registry.Replace(answer.Upstreams, boottime.Now())
+	c.registry.Replace(upstreams, boottime.Now())
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -80,6 +80,7 @@
 		Silence: silentHeartbeats * time.Duration(c.cfg.Heartbeat), Tombstone: tombstone,
 	})
 	c.registry.Merge(known, now)
+	c.lists.begin(c.registry.Revision())
 	limits := residency.DefaultLimits()
 	limits.StoreWidth, limits.AdapterWidth = c.cfg.Store.Width, min(c.cfg.Store.AdapterWidth, limits.AdapterWidth)
 	c.planner = residency.New(limits)
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -47,28 +47,6 @@
 	return link, ok
 }
 
-// broadcast wakes everybody who waits for news.
-type broadcast struct {
-	mu      sync.Mutex
-	changed chan struct{}
-}
-
-func newBroadcast() *broadcast { return &broadcast{changed: make(chan struct{})} }
-
-func (b *broadcast) wake() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	close(b.changed)
-	b.changed = make(chan struct{})
-}
-
-// next returns a channel that is closed at the next news.
-func (b *broadcast) next() <-chan struct{} {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.changed
-}
-
 // all returns the addresses that others told.
 func (b *addressBook) all() []string {
 	b.mu.Lock()
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -16,9 +16,6 @@
 )
 
 const (
-	// gather is how long news wait for more, so that a series of changes makes one
-	// answer.
-	gather = 3 * time.Millisecond
 	// entryMemory is for how long an entry node counts that no longer asks.
 	entryMemory = 5 * time.Second
 )
@@ -95,7 +92,6 @@
 		}
 		select {
 		case <-next:
-			time.Sleep(gather)
 		case <-end.C:
 			return answer, nil
 		case <-ctx.Done():
@@ -112,6 +108,7 @@
 		return nodelink.WatchAnswer{Term: r.Term, Revision: r.Revision, Configuration: &v.configure}, true, nil
 	}
 	leading := false
+	var news *newsList
 	doErr := c.loop.Do(ctx, func() {
 		if leading = c.term != 0; !leading {
 			return
@@ -119,18 +116,12 @@
 		if r.Entry {
 			c.entries[from] = boottime.Now()
 		}
-		answer.Term, answer.Revision = c.term, c.registry.Revision()
+		answer.Term, answer.Revision = c.term, c.lists.revision
 		since := r.Revision
 		if answer.Whole = r.Term != c.term; answer.Whole {
 			since = 0
 		}
-		answer.Upstreams = c.registry.Since(since)
-		if r.Entry {
-			// Copies of weights concern the planner only.
-			for i := range answer.Upstreams {
-				answer.Upstreams[i].InMemory, answer.Upstreams[i].OnDisk = nil, nil
-			}
-		}
+		news = c.lists.since(c.registry, newsKey{since, r.Entry})
 		answer.Entries = len(c.entries)
 	})
 	if doErr != nil {
@@ -139,7 +130,10 @@
 	if !leading {
 		return answer, false, c.notLeader()
 	}
-	fresh = answer.Whole || len(answer.Upstreams) > 0
+	fresh = answer.Whole || len(news.upstreams) > 0
+	if answer.Upstreams, err = news.encode(); err != nil {
+		return answer, false, err
+	}
 	for _, m := range c.store.memberList() {
 		answer.Members = append(answer.Members, m.Link)
 	}
@@ -159,7 +153,12 @@
 		now := boottime.Now()
 		c.planner.SetDemand(from, r.Report, now)
 		c.plan(now)
-		answer.Running = c.planner.Running()
+		known := r.Loads
+		if answer.Whole = r.Term != c.term; answer.Whole {
+			known = 0
+		}
+		answer.Term = c.term
+		answer.Running, answer.Loads = c.planner.Running(known)
 		asked := map[nodelink.Forecast]bool{}
 		for _, w := range r.Report.Waiting {
 			f := nodelink.Forecast{Service: w.Service, Model: w.Model}
@@ -327,4 +326,5 @@
 			delete(c.entries, name)
 		}
 	}
+	c.news.setFollowers(len(c.entries))
 }
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -85,16 +85,22 @@
 	defer cancel()
 	var answer nodelink.DemandAnswer
 	target := e.leader.current()
-	if err := e.mesh.Call(ctx, target, nodelink.Demand, nodelink.DemandRequest{Report: report}, &answer); err != nil {
+	request := nodelink.DemandRequest{Report: report, Term: e.loads.term, Loads: e.loads.revision}
+	if err := e.mesh.Call(ctx, target, nodelink.Demand, request, &answer); err != nil {
 		e.log.Event("demand not reported", eventlog.Fields{"asked": target, "error": err.Error()})
 		return
 	}
+	if answer.Term != 0 {
+		e.loads = loadsKnown{answer.Term, answer.Loads}
+	}
 	e.loop.Post(func() {
 		now := boottime.Now()
 		for _, c := range report.Arrivals {
 			e.reported[dispatch.Key{Service: c.Service, Model: c.Model, Adapter: c.Adapter}] = c.Calls
 		}
-		e.dispatcher.ObserveAll(answer.Running, now)
+		if answer.Term != 0 {
+			e.dispatcher.ObserveAll(answer.Running, answer.Whole, now)
+		}
 		for _, q := range report.Quality {
 			e.judged[q.Upstream] = q
 		}
@@ -104,6 +110,9 @@
 	})
 }
 
+// loadsKnown says which of a leader's counts of calls this node has.
+type loadsKnown struct{ term, revision uint64 }
+
 // judge takes note of a finished stream. It runs on the loop.
 func (e *Edge) judge(upstream string, paused bool) {
 	q := e.quality[upstream]
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -72,6 +72,8 @@
 	waitingCalls atomic.Int64
 	// stirred wakes the reporter of demand.
 	stirred chan struct{}
+	// loads belongs to the reporter of demand.
+	loads loadsKnown
 
 	// The rest belongs to the loop.
 	dispatcher *dispatch.Dispatcher
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -97,8 +97,13 @@
 		if answer.Entries > 0 {
 			e.entries.Store(int64(answer.Entries))
 		}
+		upstreams, err := answer.Upstreams.Decode()
+		if err != nil {
+			e.lookElsewhere(ctx, target, err)
+			continue
+		}
 		// An error means that the node stops, which ends this loop.
-		if e.loop.Do(ctx, func() { e.takeNews(answer) }) != nil {
+		if e.loop.Do(ctx, func() { e.takeNews(answer.Whole, upstreams) }) != nil {
 			continue
 		}
 		request.Term, request.Revision = answer.Term, answer.Revision
@@ -150,19 +155,22 @@
 }
 
 // takeNews takes changed upstreams.
-func (e *Edge) takeNews(answer nodelink.WatchAnswer) {
+func (e *Edge) takeNews(whole bool, upstreams []fleet.Upstream) {
 	now := boottime.Now()
-	if answer.Whole {
+	if whole {
+		listed := make(map[string]bool, len(upstreams))
+		for i := range upstreams {
+			listed[upstreams[i].ID] = true
+		}
 		for id, k := range e.upstreams {
-			listed := slices.ContainsFunc(answer.Upstreams, func(u fleet.Upstream) bool { return u.ID == id })
-			if !listed && k.doubted == 0 {
+			if !listed[id] && k.doubted == 0 {
 				k.doubted = now
 				e.upstreams[id] = k
 			}
 		}
 	}
 	var changed []fleet.Upstream
-	for _, u := range answer.Upstreams {
+	for _, u := range upstreams {
 		if e.takeUpstream(&u) {
 			changed = append(changed, u)
 		}
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -53,8 +53,8 @@
 	Term     uint64 `json:"term"`
 	Revision uint64 `json:"revision"`
 	// Whole says that Upstreams are all there are, not those that changed.
-	Whole     bool             `json:"whole,omitempty"`
-	Upstreams []fleet.Upstream `json:"upstreams,omitempty"`
+	Whole     bool         `json:"whole,omitempty"`
+	Upstreams UpstreamList `json:"upstreams"`
 	// Configuration is set where the asking node's is older.
 	Configuration *confstate.Configure `json:"configuration,omitempty"`
 	// Members are the link addresses of the control nodes.
@@ -66,13 +66,21 @@
 // DemandRequest is an entry node's report.
 type DemandRequest struct {
 	Report residency.NodeReport `json:"report"`
+	// Term and Loads are those of the latest answer.
+	Term  uint64 `json:"term,omitempty"`
+	Loads uint64 `json:"loads,omitempty"`
 }
 
 // DemandAnswer is when the models that are waited for can run.
 type DemandAnswer struct {
 	Forecasts []Forecast `json:"forecasts,omitempty"`
-	// Running counts the calls of all nodes at each engine that has any.
+	// Term is the leader's; Loads is the revision of its counts of calls.
+	Term  uint64 `json:"term"`
+	Loads uint64 `json:"loads"`
+	// Running counts the calls of all nodes at each engine whose count has changed,
+	// or at all that have any where Whole is set.
 	Running map[string]int `json:"running,omitempty"`
+	Whole   bool           `json:"whole,omitempty"`
 }
 
 // Forecast is when a model can run.
--- a/internal/testutil/ports.go
+++ b/internal/testutil/ports.go
@@ -30,7 +30,7 @@
 // the test starts may listen. Until the test ends, the kernel gives these ports
 // to no connection and no listener that names no port: a port that was merely
 // found free may be taken before the program listens on it.
-func ReservePorts(t *testing.T, host string, n int) []string {
+func ReservePorts(t testing.TB, host string, n int) []string {
 	t.Helper()
 	ports.Lock()
 	defer ports.Unlock()
@@ -54,7 +54,7 @@
 // reserve binds a socket to the port without listening. SO_REUSEADDR lets a
 // listener with the same option, which Go's all have, bind it too; it reports
 // false if somebody listens there already.
-func reserve(t *testing.T, host string, port int) bool {
+func reserve(t testing.TB, host string, port int) bool {
 	t.Helper()
 	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -23,26 +23,61 @@
 )
 
 // adapterStep returns the next adapter order at an engine.
-func (p *Planner) adapterStep(n *node, queues map[modelKey]*queue, now time.Duration) (Step, bool) {
+func (p *Planner) adapterStep(n *node, r *round) (Step, bool) {
 	// An engine that carries out an order for a model refuses those for adapters.
-	if n.work != nil || now < n.adaptersHeld || !n.counted || n.desc.Leaving || n.coming(now) >= adaptersPerEngine || p.coming(now) >= p.limits.AdapterWidth {
+	if n.work != nil || r.now < n.adaptersHeld || !n.counted || n.desc.Leaving || r.coming >= p.limits.AdapterWidth {
 		return Step{}, false
 	}
-	for _, model := range n.held.sortedModels() {
-		q := queues[modelKey{n.desc.Service, model}]
-		if q == nil || !n.serves(model) {
-			continue
-		}
-		for _, a := range q.waitingAdapters() {
-			if !p.wanted(n, model, a, now) {
+	for _, model := range n.askedModels(r) {
+		key := modelKey{n.desc.Service, model}
+		for _, a := range r.queues[key].waitingAdapters() {
+			if !wanted(n, r.servers[key], model, a, r.now) {
 				continue
 			}
-			return p.placeAdapter(n, model, a, now)
+			step, ok := p.placeAdapter(n, model, a, r.now)
+			if ok && step.Order.Load {
+				r.coming++
+			}
+			return step, ok
 		}
 	}
 	return Step{}, false
 }
 
+// askedModels are the models of an engine for whose adapters calls wait, in a fixed order.
+func (n *node) askedModels(r *round) []string {
+	var models []string
+	if len(r.servers) == 0 || n.coming(r.now) >= adaptersPerEngine {
+		return nil
+	}
+	for model := range n.held.offered {
+		if r.servers[modelKey{n.desc.Service, model}] != nil && n.serves(model) {
+			models = append(models, model)
+		}
+	}
+	slices.Sort(models)
+	return models
+}
+
+// findAdapters looks up the engines that could serve the adapters that calls wait
+// for.
+func (p *Planner) findAdapters(r *round) {
+	for key, q := range r.queues {
+		if len(q.adapters) == 0 {
+			continue
+		}
+		if r.servers == nil {
+			r.servers = map[modelKey][]*node{}
+			r.coming = p.coming(r.now)
+		}
+		for _, n := range p.order {
+			if n.desc.Service == key.service && !n.desc.Leaving && n.serves(key.model) {
+				r.servers[key] = append(r.servers[key], n)
+			}
+		}
+	}
+}
+
 // coming counts the adapters on their way to an engine.
 func (n *node) coming(now time.Duration) int {
 	count := 0
@@ -80,11 +115,11 @@
 // wanted reports whether the adapter belongs at this engine: no engine has it,
 // and among those that hold the model and take orders this one comes first in an
 // order that differs for each adapter.
-func (p *Planner) wanted(n *node, model, adapter string, now time.Duration) bool {
+func wanted(n *node, servers []*node, model, adapter string, now time.Duration) bool {
 	var best *node
 	var bestScore uint64
-	for _, o := range p.sorted() {
-		if o.desc.Service != n.desc.Service || o.desc.Leaving || !o.serves(model) || now < o.adaptersHeld {
+	for _, o := range servers {
+		if now < o.adaptersHeld {
 			continue
 		}
 		if o.holdsAdapter(model, adapter) {
@@ -102,7 +137,7 @@
 
 // placeAdapter orders an adapter, or the unload of one that makes room.
 func (p *Planner) placeAdapter(n *node, model, adapter string, now time.Duration) (Step, bool) {
-	if len(n.held.adapters) >= n.spec.AdapterPlaces {
+	if len(n.held.adapters) >= n.spec().AdapterPlaces {
 		name, ok := n.idleAdapter(slices.Collect(maps.Keys(n.held.adapters)), now)
 		if !ok {
 			n.adaptersHeld = now + adapterPause
@@ -120,7 +155,7 @@
 func (n *node) idleAdapter(names []string, now time.Duration) (string, bool) {
 	slices.SortFunc(names, func(a, b string) int { return cmp.Or(cmp.Compare(n.used[a], n.used[b]), cmp.Compare(a, b)) })
 	for _, name := range names {
-		if n.running[name] == 0 && now-max(n.used[name], n.held.adapters[name]) > adapterIdle {
+		if n.running.byName[name] == 0 && now-max(n.used[name], n.held.adapters[name]) > adapterIdle {
 			return name, true
 		}
 	}
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -101,14 +101,13 @@
 	}
 	known.heard = now
 	known.waiting = r.Waiting
-	known.running = r.Running
 	for _, c := range r.Arrivals {
 		b.arrived(known, c, now)
 	}
 	for _, q := range r.Quality {
 		p.judge(known, q)
 	}
-	p.countRunning(now)
+	p.setRunning(known, r.Running, now)
 }
 
 // judge learns from streams that finished how calls at an engine slow each other
@@ -144,43 +143,12 @@
 	b.rates[m].add(float64(fresh), now)
 }
 
-// countRunning adds up what runs at each engine.
-func (p *Planner) countRunning(now time.Duration) {
-	for _, n := range p.nodes {
-		clear(n.running)
-	}
-	for _, d := range p.demand.byNode {
-		for _, c := range d.running {
-			n := p.nodes[c.Upstream]
-			if n == nil {
-				continue
-			}
-			n.running[c.Model] += int(c.Calls)
-			if c.Adapter != "" {
-				name := c.Model + "/" + c.Adapter
-				n.running[name] += int(c.Calls)
-				n.used[name] = now
-			}
-		}
-	}
-}
-
-// Running counts the calls of all nodes at each engine that has any.
-func (p *Planner) Running() map[string]int {
-	running := map[string]int{}
-	for id, n := range p.nodes {
-		if calls := n.busy(); calls > 0 {
-			running[id] = calls
-		}
-	}
-	return running
-}
-
 // age drops the reports of nodes that fell silent.
-func (b *demandBook) age(now time.Duration) {
-	for _, d := range b.byNode {
-		if now-d.heard > silentNode {
-			d.waiting, d.running = nil, nil
+func (p *Planner) age(now time.Duration) {
+	for _, d := range p.demand.byNode {
+		if now-d.heard > silentNode && (d.waiting != nil || d.running != nil) {
+			d.waiting = nil
+			p.setRunning(d, nil, now)
 		}
 	}
 }
--- a/residency/holdings.go
+++ b/residency/holdings.go
@@ -126,9 +126,6 @@
 	h.dropped[name] = now
 }
 
-// sortedModels are the models in a fixed order.
-func (h *holdings) sortedModels() []string { return slices.Sorted(maps.Keys(h.models)) }
-
 // offers reports whether the engine serves a model.
 func (h *holdings) offers(model string) bool {
 	_, ok := h.offered[model]
--- a/residency/orders.go
+++ b/residency/orders.go
@@ -1,7 +1,6 @@
 package residency
 
 import (
-	"slices"
 	"strings"
 	"time"
 
@@ -105,10 +104,10 @@
 
 // expected is how long an order takes.
 func (p *Planner) expected(n *node, o Order) time.Duration {
-	if !o.Load {
+	if !o.Load || n.service == nil {
 		return p.limits.CallTime
 	}
-	m := n.spec.Model(o.Model)
+	m := n.service.model(o.Model)
 	if m == nil {
 		return p.limits.CallTime
 	}
@@ -173,14 +172,10 @@
 
 // tier is where the engine would load a model from.
 func (n *node) tier(model string) Tier {
-	switch {
-	case slices.Contains(n.desc.InMemory, model):
-		return Memory
-	case slices.Contains(n.desc.OnDisk, model):
-		return Disk
-	default:
-		return Store
+	if t, ok := n.tiers[model]; ok {
+		return t
 	}
+	return Store
 }
 
 // cutAdapter splits MODEL/ADAPTER.
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -53,11 +53,16 @@
 
 // Planner holds what is known of the engines of all services.
 type Planner struct {
-	limits  Limits
-	engines map[string]*routes.Engine
-	nodes   map[string]*node
+	limits   Limits
+	services map[string]*service
+	nodes    map[string]*node
+	// order is the nodes by id.
+	order   []*node
 	demand  demandBook
+	running runningBook
 	pace    pace
+	// forecasts are those of the last moments.
+	forecasts map[modelKey]forecast
 	// storeStarts are when loads from the weight store began, of each service.
 	storeStarts map[string][]time.Duration
 	changed     map[string]bool
@@ -66,7 +71,10 @@
 // node is one engine.
 type node struct {
 	desc fleet.Upstream
-	spec *routes.Engine
+	// service is nil where the configuration in force has no such service.
+	service *service
+	// tiers is where the copies are that the engine has at hand.
+	tiers map[string]Tier
 	// counted says that orders is known.
 	counted bool
 	// orders is how many orders the engine has accepted.
@@ -85,9 +93,8 @@
 	// used is when each adapter last ran.
 	used map[string]time.Duration
 	// rate is the calls a second that are expected here.
-	rate float64
-	// running counts the calls here by model, adapters by MODEL/ADAPTER.
-	running map[string]int
+	rate    float64
+	running *calls
 	// closing is since when a model gets no new calls.
 	closing map[string]time.Duration
 	// adaptersHeld is until when no adapter is ordered.
@@ -111,9 +118,11 @@
 func New(l Limits) *Planner {
 	return &Planner{
 		limits:      l,
-		engines:     map[string]*routes.Engine{},
+		services:    map[string]*service{},
 		nodes:       map[string]*node{},
 		demand:      newDemandBook(),
+		running:     newRunningBook(),
+		forecasts:   map[modelKey]forecast{},
 		pace:        newPace(),
 		storeStarts: map[string][]time.Duration{},
 		changed:     map[string]bool{},
@@ -122,15 +131,16 @@
 
 // SetServices takes the services of the configuration in force.
 func (p *Planner) SetServices(services []routes.Service) {
-	clear(p.engines)
+	clear(p.services)
 	for i := range services {
 		if e := services[i].Engine; e != nil {
-			p.engines[services[i].Name] = e
+			p.services[services[i].Name] = newService(e)
 		}
 	}
 	for _, n := range p.nodes {
-		n.spec = p.engines[n.desc.Service]
+		n.service = p.services[n.desc.Service]
 	}
+	clear(p.forecasts)
 }
 
 // SetUpstream takes what an upstream says of itself.
@@ -141,21 +151,62 @@
 			unclear: true,
 			held:    newHoldings(),
 			used:    map[string]time.Duration{},
-			running: map[string]int{},
+			running: p.running.at(u.ID),
 			closing: map[string]time.Duration{},
 		}
-		p.nodes[u.ID] = n
+		p.put(u.ID, n)
 	}
+	n.takeCopies(&u)
 	n.desc = u
 	n.desc.Closing = nil
-	n.spec = p.engines[u.Service]
+	n.service = p.services[u.Service]
 	n.held.announced(u.Residents, now)
 	n.settle(now)
 	p.changed[u.ID] = true
 }
 
+// put adds a node, in place of an earlier one of that name.
+func (p *Planner) put(id string, n *node) {
+	at, known := p.place(id)
+	if known {
+		p.order[at] = n
+	} else {
+		p.order = slices.Insert(p.order, at, n)
+	}
+	p.nodes[id] = n
+	n.desc.ID = id
+}
+
+// place is where a node is in the order, or belongs.
+func (p *Planner) place(id string) (at int, known bool) {
+	return slices.BinarySearchFunc(p.order, id, func(n *node, id string) int { return cmp.Compare(n.desc.ID, id) })
+}
+
 // Remove forgets an upstream that has ended.
-func (p *Planner) Remove(id string) { delete(p.nodes, id) }
+func (p *Planner) Remove(id string) {
+	if at, known := p.place(id); known {
+		p.order = slices.Delete(p.order, at, at+1)
+	}
+	delete(p.nodes, id)
+	p.running.forget(id)
+}
+
+// takeCopies notes which copies of weights an upstream has at hand.
+func (n *node) takeCopies(u *fleet.Upstream) {
+	if n.tiers != nil && slices.Equal(n.desc.InMemory, u.InMemory) && slices.Equal(n.desc.OnDisk, u.OnDisk) {
+		return
+	}
+	n.tiers = make(map[string]Tier, len(u.OnDisk)+len(u.InMemory))
+	for _, model := range u.OnDisk {
+		n.tiers[model] = Disk
+	}
+	for _, model := range u.InMemory {
+		n.tiers[model] = Memory
+	}
+}
+
+// spec is what the configuration says of the engine.
+func (n *node) spec() *routes.Engine { return n.service.spec }
 
 // settle compares what the engine says that it serves with what was ordered.
 func (n *node) settle(now time.Duration) {
@@ -199,30 +250,40 @@
 	return ids
 }
 
-// sorted returns the nodes in a fixed order.
-func (p *Planner) sorted() []*node {
-	return slices.SortedFunc(maps.Values(p.nodes), func(a, b *node) int { return cmp.Compare(a.desc.ID, b.desc.ID) })
-}
-
 // Plan returns what is to be sent now.
 func (p *Planner) Plan(now time.Duration) []Step {
-	p.demand.age(now)
-	p.choose(now)
-	queues := p.queues(now)
+	p.age(now)
+	r := &round{now: now, queues: p.queues(now)}
+	if slices.ContainsFunc(p.order, (*node).free) {
+		p.survey(r)
+		p.choose(r)
+	}
+	p.findAdapters(r)
 	var steps []Step
-	for _, n := range p.sorted() {
-		if n.spec == nil || n.sent != nil || n.asking {
+	for _, n := range p.order {
+		if n.service == nil || n.sent != nil || n.asking {
 			continue
 		}
-		if step, ok := p.next(n, queues, now); ok {
+		if step, ok := p.next(n, r); ok {
 			steps = append(steps, step)
 		}
 	}
 	return steps
 }
 
+// round is what one round of planning looks up once.
+type round struct {
+	now    time.Duration
+	queues map[modelKey]*queue
+	// servers are the engines that serve a model for whose adapters calls wait.
+	servers map[modelKey][]*node
+	// coming counts the adapters on their way to all engines.
+	coming int
+}
+
 // next returns the next step at one engine.
-func (p *Planner) next(n *node, queues map[modelKey]*queue, now time.Duration) (Step, bool) {
+func (p *Planner) next(n *node, r *round) (Step, bool) {
+	now := r.now
 	if n.work != nil && now > n.work.due+p.limits.Overdue {
 		n.unclear = true
 	}
@@ -233,7 +294,7 @@
 		n.asking, n.asked = true, now
 		return Step{Upstream: n.desc, Report: true}, true
 	}
-	if step, ok := p.adapterStep(n, queues, now); ok {
+	if step, ok := p.adapterStep(n, r); ok {
 		return step, true
 	}
 	if n.work != nil || n.job == nil {
@@ -253,7 +314,7 @@
 		return n.order(Order{Model: victim}), true
 	}
 	if j.tier == Store {
-		if !p.storeRoom(n, now) {
+		if !p.storeRoom(n.desc.Service, n.service, n, now) {
 			return Step{}, false
 		}
 		p.storeStarts[n.desc.Service] = append(p.storeStarts[n.desc.Service], now)
--- a/residency/residency_test.go
+++ b/residency/residency_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/agateslip/agateslip/dispatch"
 	"github.com/agateslip/agateslip/fleet"
@@ -408,14 +409,84 @@
 	is.True(steps[0].Report)
 }
 
-func BenchmarkPlanAtSixtyEngines(b *testing.B) {
+// TestNodesHearOfLoadsByTheirChanges has nodes report what runs, fall silent and
+// report again, and engines come and go: who takes the changes one after the other
+// knows the load of every engine to within a step.
+func TestNodesHearOfLoadsByTheirChanges(t *testing.T) {
+	const engines, slots, step = 4, 64, 4
+	rapid.Check(t, func(t *rapid.T) {
+		p := residency.New(residency.DefaultLimits())
+		born := int64(1)
+		for i := range engines {
+			p.SetUpstream(fleet.Upstream{ID: fmt.Sprint("e", i), Born: born, Service: "llm", Slots: slots}, 0)
+		}
+		runs := map[string]map[string]uint64{}
+		known, revision := map[string]int{}, uint64(0)
+		for now := time.Duration(0); now < 3*second; now += 100 * ms {
+			node := fmt.Sprint("n", rapid.IntRange(0, 2).Draw(t, "node"))
+			runs[node] = map[string]uint64{}
+			var report residency.NodeReport
+			for i := range engines {
+				id := fmt.Sprint("e", i)
+				if calls := rapid.Uint64Range(0, 30).Draw(t, "calls"); calls > 0 {
+					runs[node][id] = calls
+					report.Running = append(report.Running, residency.Count{Service: "llm", Upstream: id, Model: "m", Adapter: "a", Calls: calls})
+				}
+			}
+			p.SetDemand(node, report, now)
+			if rapid.IntRange(0, 5).Draw(t, "restart") == 0 {
+				born++
+				p.SetUpstream(fleet.Upstream{ID: "e0", Born: born, Service: "llm", Slots: slots}, now)
+			}
+			var changed map[string]int
+			changed, revision = p.Running(revision)
+			maps.Copy(known, changed)
+			for i := range engines {
+				id, total := fmt.Sprint("e", i), 0
+				for _, byEngine := range runs {
+					total += int(byEngine[id])
+				}
+				if known[id]-total >= step || total-known[id] >= step || total == 0 && known[id] != 0 {
+					t.Fatalf("%v: %s runs %d calls, known are %d", now, id, total, known[id])
+				}
+			}
+		}
+	})
+}
+
+// TestALoadIsCountedOnceAcrossSilence has a node fall silent while its calls run.
+func TestALoadIsCountedOnceAcrossSilence(t *testing.T) {
+	is := is.New(t)
+	p := residency.New(residency.DefaultLimits())
+	p.SetUpstream(fleet.Upstream{ID: "e", Service: "llm", Slots: 16}, 0)
+	report := residency.NodeReport{Running: []residency.Count{{Service: "llm", Upstream: "e", Model: "m", Calls: 7}}}
+	p.SetDemand("n", report, 0)
+	p.Plan(5 * second)
+	running, _ := p.Running(0)
+	is.Equal(running["e"], 0)
+	p.SetDemand("n", report, 6*second)
+	running, _ = p.Running(0)
+	is.Equal(running["e"], 7)
+	p.SetDemand("n", residency.NodeReport{}, 7*second)
+	running, _ = p.Running(0)
+	is.Equal(running["e"], 0)
+}
+
+// BenchmarkPlan is one round of planning in which thirty models are waited for.
+func BenchmarkPlan(b *testing.B) {
+	for _, engines := range []int{60, 600, 3000} {
+		b.Run(fmt.Sprint("engines-", engines), func(b *testing.B) { benchmarkPlan(b, engines) })
+	}
+}
+
+func benchmarkPlan(b *testing.B, engines int) {
 	spec := &routes.Engine{Slots: 48, WeightsMB: 200, AdapterPlaces: 8, StoreLoadsPerSecond: 26}
 	for i := range 215 {
 		spec.Models = append(spec.Models, routes.Model{Name: fmt.Sprint("m", i), SizeMB: 60, StoreLoad: 13 * second, DiskLoad: second})
 	}
 	p := residency.New(residency.DefaultLimits())
 	p.SetServices([]routes.Service{{Name: "llm", Engine: spec}})
-	for i := range 60 {
+	for i := range engines {
 		u := fleet.Upstream{ID: fmt.Sprint("e", i), Service: "llm", Slots: 48}
 		for j := range 3 {
 			u.Residents = append(u.Residents, fleet.Resident{Model: fmt.Sprint("m", (3*i+j)%215)})
--- a/residency/store.go
+++ b/residency/store.go
@@ -9,41 +9,62 @@
 // kept; one of any length is, if the shortest is.
 const storeWindow = 5 * time.Second
 
-// storeRoom reports whether one more load from the weight store may begin: no
-// more than the width at once, and within the rate in any window.
-func (p *Planner) storeRoom(n *node, now time.Duration) bool {
-	service := n.desc.Service
-	starts := slices.DeleteFunc(p.storeStarts[service], func(at time.Duration) bool { return now-at > storeWindow })
-	p.storeStarts[service] = starts
-	if float64(len(starts)+1) > n.spec.StoreLoadsPerSecond*storeWindow.Seconds() {
+// storeRoom reports whether one more load from the weight store may begin, beside
+// that of n: no more than the width at once, and within the rate in any window.
+func (p *Planner) storeRoom(name string, s *service, n *node, now time.Duration) bool {
+	starts := slices.DeleteFunc(p.storeStarts[name], func(at time.Duration) bool { return now-at > storeWindow })
+	p.storeStarts[name] = starts
+	if float64(len(starts)+1) > s.spec.StoreLoadsPerSecond*storeWindow.Seconds() {
 		return false
 	}
 	loading := 0
-	for _, o := range p.nodes {
-		if o != n && o.desc.Service == service && o.job != nil && o.job.tier == Store {
+	for _, o := range p.order {
+		if o != n && o.job != nil && o.job.tier == Store && o.desc.Service == name {
 			loading++
 		}
 	}
 	return loading < p.limits.StoreWidth
 }
 
+// forecast is when a call for a model could run; known is false when nothing is.
+type forecast struct {
+	at    time.Duration
+	known bool
+	// made is when it was worked out.
+	made time.Duration
+}
+
+// forecastAge is for how long a forecast is given again: the reports of many nodes
+// ask for the same one, and it changes with the orders of a round.
+const forecastAge = 10 * time.Millisecond
+
 // Forecast says in how long a call for a model could run; false when nothing is
 // known.
 func (p *Planner) Forecast(service, model string, now time.Duration) (time.Duration, bool) {
-	best, known := time.Duration(0), false
-	for _, n := range p.nodes {
-		if n.desc.Service != service || n.desc.Leaving || n.spec == nil {
+	key := modelKey{service, model}
+	f, ok := p.forecasts[key]
+	if !ok || now-f.made > forecastAge {
+		f = p.forecast(key, now)
+		p.forecasts[key] = f
+	}
+	return max(0, f.at-now), f.known
+}
+
+func (p *Planner) forecast(key modelKey, now time.Duration) forecast {
+	f := forecast{made: now}
+	for _, n := range p.order {
+		if n.desc.Service != key.service || n.desc.Leaving || n.service == nil {
 			continue
 		}
-		if in, ok := p.forecastAt(n, model, now); ok && (!known || in < best) {
-			best, known = in, true
+		if in, ok := p.forecastAt(n, key.model, now); ok && (!f.known || now+in < f.at) {
+			f.at, f.known = now+in, true
 		}
 	}
-	return best, known
+	return f
 }
 
 func (p *Planner) forecastAt(n *node, model string, now time.Duration) (time.Duration, bool) {
-	m := n.spec.Model(model)
+	m := n.service.model(model)
 	if m == nil {
 		return 0, false
 	}
