soak: links between nodes are reset, silenced, cut one way and delayed

A fault proxy stands before the link address of every process. The new setting listen.linksBind says where a process itself listens when something stands before the address that it tells the others.

--- a/internal/config/managed.go
+++ b/internal/config/managed.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"net"
 	"os"
 	"strconv"
@@ -58,6 +59,9 @@
 	Operators string `yaml:"operators,omitempty" validate:"omitempty,hostport"`
 	// Links takes connections of other nodes. Its port is the same on all nodes.
 	Links string `yaml:"links" validate:"required,hostport"`
+	// LinksBind is where the process itself listens for them, if something stands
+	// before it that the other nodes connect to; empty means Links.
+	LinksBind string `yaml:"linksBind,omitempty" validate:"omitempty,hostport"`
 	// Metrics serves counters and latency histograms; empty means none.
 	Metrics string `yaml:"metrics,omitempty" validate:"omitempty,hostport"`
 }
@@ -126,6 +130,9 @@
 	return net.JoinHostPort(host, port), nil
 }
 
+// BindLinks is where the process listens for connections of other nodes.
+func (l *ManagedListen) BindLinks() string { return cmp.Or(l.LinksBind, l.Links) }
+
 // SeedLinks are the link addresses of the seeds.
 func (c *Managed) SeedLinks() ([]string, error) {
 	links := make([]string, len(c.Seeds))
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -120,7 +120,7 @@
 	mux := peer.NewMux()
 	c.handle(mux)
 	c.mesh, err = peer.New(peer.Options{
-		Self: cfg.Listen.Links, Addr: cfg.Listen.Links, Secret: cfg.Secret, AcceptUnlisted: true, Mux: mux,
+		Self: cfg.Listen.Links, Addr: cfg.Listen.BindLinks(), Secret: cfg.Secret, AcceptUnlisted: true, Mux: mux,
 		Log:    log.Logger().WithField("part", "links"),
 		Timing: peer.Timing{Heartbeat: linkHeartbeat, Silence: linkSilence},
 		Seed:   uint64(c.member),
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -117,7 +117,7 @@
 	e.entries.Store(1)
 	e.publishGauges()
 	e.mesh, err = peer.New(peer.Options{
-		Self: cfg.Node, Addr: cfg.Listen.Links, Secret: cfg.Secret, Mux: peer.NewMux(),
+		Self: cfg.Node, Addr: cfg.Listen.BindLinks(), Secret: cfg.Secret, Mux: peer.NewMux(),
 		Log:    log.Logger().WithField("part", "links"),
 		Timing: peer.Timing{Heartbeat: linkHeartbeat, Silence: linkSilence, BackoffMax: linkBackoff},
 	})
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -69,8 +69,11 @@
 }
 
 // New listens on a free loopback port and relays to target.
-func New(target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func New(target string) (*Proxy, error) { return Listen("127.0.0.1:0", target) }
+
+// Listen listens on an address and relays to target.
+func Listen(addr, target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
