edge: the end of an attempt reaches that attempt

The function that tells the dispatcher how an attempt ended read the call's token when it ran, not when it was posted. After a connection that was not made the call asks for another upstream at once, with a new token, so the dispatcher was told of an attempt that it did not know: the upstream was not left alone, and the slot of the old attempt stayed taken until the upstream started again.

Ruled out: the pause itself (TestOneCallTriesAnUpstreamThatWasLost passes), a new incarnation of the upstream in between (its id is the same in all lines).

TestAnUpstreamThatRefusesConnectionsIsLeftAlone fails before (more than five tries within a call) and passes after, three times.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -239,7 +239,9 @@
 func (c *call) attempt(u *fleet.Upstream) ending {
 	c.sends++
 	result, end := c.exchange(u)
-	c.edge.loop.Post(func() { c.edge.deliver(c.edge.dispatcher.Finish(c.token, result, boottime.Now())) })
+	// The next attempt has another token, perhaps before this runs.
+	token := c.token
+	c.edge.loop.Post(func() { c.edge.deliver(c.edge.dispatcher.Finish(token, result, boottime.Now())) })
 	return end
 }
 
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -34,9 +34,10 @@
 func (c *call) relay(u *fleet.Upstream, conn *upstreamconn.Conn, resp *http.Response) (dispatch.Result, ending) {
 	now := boottime.Now()
 	answer := c.edge.dialect.Answer(resp.StatusCode, resp.Header)
+	token := c.token
 	c.edge.loop.Post(func() {
-		c.edge.dispatcher.Observe(c.token, answer.Load, now)
-		c.edge.dispatcher.FirstByte(c.token)
+		c.edge.dispatcher.Observe(token, answer.Load, now)
+		c.edge.dispatcher.FirstByte(token)
 	})
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	switch {
