--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -159,6 +159,27 @@
 	d.forecasts[k] = forecast{at: now + in, until: now + d.limits.ForecastAge}
 }
 
+// Health is what a dispatcher makes of an upstream.
+type Health struct {
+	// Calls is how many calls of this node run there; Others how many of other nodes
+	// the planner counted.
+	Calls  int `json:"calls"`
+	Others int `json:"others"`
+	// Failing is the recent share of calls that failed.
+	Failing float64 `json:"failing"`
+	// Closed is for how long it gets no calls.
+	Closed time.Duration `json:"-"`
+}
+
+// Health returns what is known of an upstream; zero if nothing is.
+func (d *Dispatcher) Health(id string, now time.Duration) Health {
+	u := d.upstreams[id]
+	if u == nil {
+		return Health{}
+	}
+	return Health{Calls: u.own, Others: u.counted, Failing: u.failures(now), Closed: max(0, u.closed-now)}
+}
+
 // Waiting is how many calls wait.
 func (d *Dispatcher) Waiting() int { return len(d.waiting) }
 
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -197,6 +197,14 @@
 	return e.Upstream, true
 }
 
+// Heard is when an upstream last said something, or ended; zero if it is unknown.
+func (r *Registry) Heard(id string) time.Duration {
+	if e := r.byID[id]; e != nil {
+		return e.heard
+	}
+	return 0
+}
+
 // Adjust replaces what an upstream is known to hold, where the planner knows
 // better than its latest announcement.
 func (r *Registry) Adjust(id string, residents []Resident, closing []string) {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -34,6 +34,7 @@
 type args struct {
 	Serve    *serveCmd    `arg:"subcommand:serve" help:"run one entry node"`
 	Entry    *entryCmd    `arg:"subcommand:entry" help:"run an entry node of a managed deployment"`
+	Inspect  *inspectCmd  `arg:"subcommand:inspect" help:"show what one node of a managed deployment knows"`
 	Control  *controlCmd  `arg:"subcommand:control" help:"run a control node of a managed deployment"`
 	Init     *initCmd     `arg:"subcommand:init" help:"prepare the data folder of a node that has a vote"`
 	Config   *configCmd   `arg:"subcommand:config" help:"check settings and contracts"`
--- a/internal/cli/managed.go
+++ b/internal/cli/managed.go
@@ -42,11 +42,12 @@
 }
 
 func (c *entryCmd) run(ctx context.Context, out, _ io.Writer) error {
-	return runManaged(ctx, c.Config, out, "entry", func(ctx context.Context, cfg config.Managed, log *eventlog.Log) error {
+	return runManaged(ctx, c.Config, out, "entry", func(ctx context.Context, cfg config.Managed, log *eventlog.Log, page *overviewPage) error {
 		e, err := edge.New(cfg, log, platform.Calls{}, platform.DecodeConfiguration)
 		if err != nil {
 			return err
 		}
+		page.show(func(ctx context.Context) (any, error) { return e.Overview(ctx) })
 		go reload(ctx, c.Config, log, e.Reload)
 		context.AfterFunc(ctx, e.Stop)
 		return e.Run(ctx)
@@ -59,12 +60,13 @@
 }
 
 func (c *controlCmd) run(ctx context.Context, out, _ io.Writer) error {
-	return runManaged(ctx, c.Config, out, "control", func(ctx context.Context, cfg config.Managed, log *eventlog.Log) error {
+	return runManaged(ctx, c.Config, out, "control", func(ctx context.Context, cfg config.Managed, log *eventlog.Log, page *overviewPage) error {
 		engines := platform.Engines{Pool: upstreamconn.NewPool(engineDial)}
 		node, err := controller.New(ctx, cfg, log, platform.DecodeConfiguration, engines)
 		if err != nil {
 			return err
 		}
+		page.show(func(ctx context.Context) (any, error) { return node.Overview(ctx) })
 		go reload(ctx, c.Config, log, node.Reload)
 		return node.Run(ctx, supervisor.Part{Name: "operators", Run: func(ctx context.Context) error {
 			return serveHTTP(ctx, cfg.Listen.Operators, platform.ControlHandler(node, log))
@@ -75,7 +77,7 @@
 // runManaged runs a process with its log, metrics and memory limit.
 func runManaged(
 	ctx context.Context, path string, out io.Writer, role string,
-	run func(context.Context, config.Managed, *eventlog.Log) error,
+	run func(context.Context, config.Managed, *eventlog.Log, *overviewPage) error,
 ) error {
 	cfg, err := config.LoadManaged(path)
 	if err != nil {
@@ -87,14 +89,18 @@
 	log.Event("started", eventlog.Fields{
 		"domain": cfg.Domain, "seeds": cfg.Seeds, "firstStart": cfg.FirstStart, "links": cfg.Listen.Links,
 	})
+	page := &overviewPage{}
 	if cfg.Listen.Metrics != "" {
+		mux := http.NewServeMux()
+		mux.Handle("GET /metrics", metrics.Handler())
+		mux.Handle("GET "+overviewPath, page)
 		go func() {
-			if err := serveHTTP(ctx, cfg.Listen.Metrics, metrics.Handler()); err != nil {
+			if err := serveHTTP(ctx, cfg.Listen.Metrics, mux); err != nil {
 				log.Event("metrics not served", eventlog.Fields{"error": err.Error()})
 			}
 		}()
 	}
-	err = run(ctx, cfg, log)
+	err = run(ctx, cfg, log, page)
 	fields := eventlog.Fields{"asked": ctx.Err() != nil}
 	if err != nil {
 		fields["error"] = err.Error()
--- /dev/null
+++ b/internal/cli/overview.go
@@ -0,0 +1,158 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/agateslip/agateslip/internal/controller"
+	"github.com/agateslip/agateslip/internal/edge"
+	"github.com/agateslip/agateslip/internal/operator"
+)
+
+const (
+	// overviewPath is where a managed node shows what it knows, on its metrics address.
+	overviewPath = "/overview"
+	// inspectTime bounds the question for it.
+	inspectTime = 5 * time.Second
+)
+
+// overviewPage answers with what a node knows once there is a node.
+type overviewPage struct {
+	read atomic.Pointer[func(ctx context.Context) (any, error)]
+}
+
+func (p *overviewPage) show(read func(ctx context.Context) (any, error)) { p.read.Store(&read) }
+
+// ServeHTTP implements http.Handler.
+func (p *overviewPage) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	read := p.read.Load()
+	if read == nil {
+		http.Error(w, "the node is starting", http.StatusServiceUnavailable)
+		return
+	}
+	overview, err := (*read)(r.Context())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The operator may be gone; nothing else can be told to it.
+	_ = json.NewEncoder(w).Encode(overview)
+}
+
+// inspectCmd shows what one node of a managed deployment knows.
+type inspectCmd struct {
+	Node string `arg:"positional,required" placeholder:"IP:PORT" help:"metrics address of the node"`
+	JSON bool   `arg:"--json" help:"print JSON for scripts"`
+}
+
+func (c *inspectCmd) run(ctx context.Context, out, _ io.Writer) error {
+	body, err := c.fetch(ctx)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		_, err := out.Write(body)
+		return errors.Wrap(err, "print")
+	}
+	// Only control nodes know who leads.
+	var kind struct {
+		Leader *string `json:"leader"`
+	}
+	if err := json.Unmarshal(body, &kind); err != nil {
+		return errors.Wrapf(err, "answer of %s", c.Node)
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	if kind.Leader != nil {
+		err = printOverview(w, body, controlTable)
+	} else {
+		err = printOverview(w, body, entryTable)
+	}
+	return errors.CombineErrors(err, errors.Wrap(w.Flush(), "print"))
+}
+
+// fetch asks the node. The error is operator.ErrUnavailable where it does not
+// answer.
+func (c *inspectCmd) fetch(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, inspectTime)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Node+overviewPath, nil)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "address"), errInput)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, errors.Mark(err, operator.ErrUnavailable)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = errors.Newf("%s: %s", resp.Status, strings.TrimSpace(string(body)))
+	}
+	return body, errors.Mark(err, operator.ErrUnavailable)
+}
+
+func printOverview[T any](w io.Writer, body []byte, table func(io.Writer, *T)) error {
+	var overview T
+	if err := json.Unmarshal(body, &overview); err != nil {
+		return errors.Wrap(err, "decode overview")
+	}
+	table(w, &overview)
+	return nil
+}
+
+func controlTable(w io.Writer, o *controller.Overview) {
+	fmt.Fprintf(w, "node\t%s\nleads\t%t\nleader\t%s\nterm\t%d\nsends orders\t%t\nconfiguration\t%d\nentry nodes\t%d\n",
+		o.Node, o.Leads, o.Leader, o.Term, o.Orders, o.Version, o.EntryNodes)
+	fmt.Fprintln(w, "\nMEMBER\tLINK\tVOTER\tDURABLE")
+	for _, m := range o.Members {
+		fmt.Fprintf(w, "%s\t%s\t%t\t%d\n", m.Node, m.Link, m.Voter, m.Durable)
+	}
+	fmt.Fprintln(w, "\nUPSTREAM\tSERVICE\tADDRESS\tHEARD\tLEAVING\tCALLS\tDOING\tNEXT\tMODELS")
+	for _, u := range o.Upstreams {
+		calls, doing, next := "", "", ""
+		if e := u.Engine; e != nil {
+			calls, doing, next = fmt.Sprint(e.Calls), e.Doing, e.Planned
+			if e.Unclear {
+				doing = strings.TrimSpace(doing + " (unclear)")
+			}
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s ago\t%t\t%s\t%s\t%s\t%s\n",
+			u.ID, u.Service, u.Addr, time.Duration(u.Age).Round(time.Millisecond), u.Leaving, calls, doing, next, strings.Join(u.Models, " "))
+	}
+	if len(o.Demand) > 0 {
+		fmt.Fprintln(w, "\nWAITED FOR\tSERVICE\tCALLS\tA SECOND\tCAN RUN IN")
+	}
+	for _, d := range o.Demand {
+		in := "unknown"
+		if d.Known {
+			in = time.Duration(d.In).Round(time.Millisecond).String()
+		}
+		fmt.Fprintf(w, "%s\t%s\t%d\t%.2f\t%s\n", d.Model, d.Service, d.Waiting, d.PerSecond, in)
+	}
+}
+
+func entryTable(w io.Writer, o *edge.Overview) {
+	fmt.Fprintf(w, "node\t%s\nfollows\t%s\nconfiguration\t%d\nstopping\t%t\ncalls\t%d, %d waiting\n",
+		o.Node, o.Asked, o.Version, o.Stopping, o.Active, o.Waiting)
+	fmt.Fprintln(w, "\nUPSTREAM\tSERVICE\tADDRESS\tLEAVING\tDOUBTED\tCALLS\tOF OTHERS\tFAILING\tCLOSED FOR\tMODELS")
+	for _, u := range o.Upstreams {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%t\t%d\t%d\t%.2f\t%s\t%s\n", u.ID, u.Service, u.Addr, u.Leaving, u.Doubted,
+			u.Calls, u.Others, u.Failing, time.Duration(u.ClosedFor).Round(time.Millisecond), strings.Join(u.Models, " "))
+	}
+	if len(o.Demand) > 0 {
+		fmt.Fprintln(w, "\nWAITED FOR\tSERVICE\tADAPTER\tCALLS")
+	}
+	for _, d := range o.Demand {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", d.Model, d.Service, d.Adapter, d.Waiting)
+	}
+}
