--- a/internal/controller/linear_test.go
+++ b/internal/controller/linear_test.go
@@ -79,11 +79,9 @@
 // another operator's change, or older, and unclear changes are sent again.
 func (o *operators) run(id int, end time.Time) {
 	random := rand.New(rand.NewPCG(uint64(id), 1))
-	asked := request{}
 	for n := 0; time.Now().Before(end); n++ {
-		if random.IntN(3) == 0 {
-			asked = request{}
-		} else {
+		asked := request{} // a read
+		if random.IntN(3) > 0 {
 			asked = o.draw(random, fmt.Sprint(id, ".", n))
 		}
 		for try := 0; try < 3; try++ {
