residency: who cannot wait for a load from the store is told so at once

The planner gave no forecast for such a model, so entry nodes held its calls for half of the time that they could wait, though a load takes 13.2 s there at best.

A model without a copy is now forecast as a load from the store. Calls that must have started before are refused at once, with that time to come back.

TestAModelWithoutACopyTakesALoadFromTheStore fails before (no forecast).

--- a/residency/residency_test.go
+++ b/residency/residency_test.go
@@ -397,6 +397,25 @@
 	is.True(!w.holds("m1"))
 }
 
+// TestAModelWithoutACopyTakesALoadFromTheStore asks when a model can run that no
+// engine has a copy of: not before a load from the weight store has ended, so that
+// calls which must have started before are turned away at once.
+func TestAModelWithoutACopyTakesALoadFromTheStore(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2, 6, false)
+	w.run(second)
+	in, known := w.planner.Forecast("llm", "m5", w.now)
+	is.True(known)
+	is.Equal(in, 6*second)
+	w.ask("n", "m5", "", 20)
+	w.run(2 * second)
+	in, known = w.planner.Forecast("llm", "m5", w.now)
+	is.True(known)
+	is.True(in > 3*second && in < 5*second) // it is on its way
+	_, known = w.planner.Forecast("llm", "no such model", w.now)
+	is.True(!known)
+}
+
 // TestABurstForOneModelSpreadsOverIdleEngines replays a burst of calls for a model
 // that one of six engines holds, more than two engines can have on time. The others
 // have copies and next to nothing to do.
--- a/residency/store.go
+++ b/residency/store.go
@@ -38,8 +38,8 @@
 // ask for the same one, and it changes with the orders of a round.
 const forecastAge = 10 * time.Millisecond
 
-// Forecast says in how long a call for a model could run; false when nothing is
-// known.
+// Forecast says in how long a call for a model could run: at best, where it would
+// have to come from the weight store. It is false when no engine can load it.
 func (p *Planner) Forecast(service, model string, now time.Duration) (time.Duration, bool) {
 	key := modelKey{service, model}
 	f, ok := p.forecasts[key]
@@ -78,9 +78,6 @@
 		}
 		return left + loadTime(m, n.job.tier), true
 	}
-	if n.tier(model) == Store {
-		return 0, false
-	}
 	wait := time.Duration(0)
 	if n.work != nil {
 		wait = max(0, n.work.due-now)
