Tests that removed checks fail: one engine for one call, addresses that were left

Keeping the old address of an upstream that moved has a test now that fails with it. Giving out the job that an engine was first weighed for, after it was weighed again, still survives: it differs only where the second look finds another load of at least the same worth.

--- a/fleet/registry_test.go
+++ b/fleet/registry_test.go
@@ -46,6 +46,17 @@
 	is.True(ok)
 }
 
+// TestAnAddressThatWasLeftIsFree has an upstream move to another address, and an
+// older one take its place: neither ends the other.
+func TestAnAddressThatWasLeftIsFree(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry()
+	r.Announce(upstream("moved", "a:1", 7, 1), 0)
+	r.Announce(upstream("moved", "a:2", 7, 2), second)
+	is.Equal(r.Announce(upstream("next", "a:1", 5, 1), 2*second), fleet.Taken)
+	is.Equal(len(r.Live()), 2)
+}
+
 func TestOneThatLeftStaysGoneOneThatFellSilentComesBack(t *testing.T) {
 	is := is.New(t)
 	r := newRegistry()
--- a/residency/residency_test.go
+++ b/residency/residency_test.go
@@ -29,6 +29,23 @@
 	is.Equal(len(w.storeStarts), 0)
 }
 
+// TestOneEngineLoadsWhatOneCallWaitsFor has four engines with nothing to do and a
+// copy each: a round gives the model to one of them.
+func TestOneEngineLoadsWhatOneCallWaitsFor(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 4, 9, true)
+	w.run(second)
+	w.ask("n", "m8", "", 1)
+	w.run(300 * ms)
+	loading := 0
+	for _, e := range w.engines {
+		if e.busy && e.order.Load && e.order.Model == "m8" {
+			loading++
+		}
+	}
+	is.Equal(loading, 1)
+}
+
 // TestTurnsOfManyModels replays calls for all models in turn, more than fit: each
 // is loaded while its calls wait, and no engine is overfilled.
 func TestTurnsOfManyModels(t *testing.T) {
