--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -8,6 +8,7 @@
 	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/internal/nodelink"
+	"github.com/agateslip/agateslip/internal/pause"
 )
 
 const (
@@ -26,18 +27,18 @@
 	for ctx.Err() == nil {
 		leader := c.leader()
 		if leader == "" || leader == c.cfg.Listen.Links {
-			pause(ctx, copyPause)
+			pause.For(ctx, copyPause)
 			continue
 		}
 		answer, err := c.askNews(ctx, leader, term, revision)
 		if err != nil {
-			pause(ctx, copyPause)
+			pause.For(ctx, copyPause)
 			continue
 		}
 		upstreams, err := answer.Upstreams.Decode()
 		if err != nil {
 			c.log.Event("news unreadable", eventlog.Fields{"asked": leader, "error": err.Error()})
-			pause(ctx, copyPause)
+			pause.For(ctx, copyPause)
 			continue
 		}
 		err = c.loop.Do(ctx, func() {
@@ -72,12 +73,3 @@
 	}
 	c.registry.Replace(upstreams, boottime.Now())
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -8,6 +8,7 @@
 	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/internal/nodelink"
+	"github.com/agateslip/agateslip/internal/pause"
 	"github.com/agateslip/agateslip/residency"
 )
 
@@ -49,7 +50,7 @@
 		if len(report.Waiting) > 0 {
 			next = waitingInterval
 		}
-		pause(ctx, reportPause)
+		pause.For(ctx, reportPause)
 		timer.Reset(next)
 	}
 	return nil
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -13,6 +13,7 @@
 	"github.com/agateslip/agateslip/internal/config"
 	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/internal/nodelink"
+	"github.com/agateslip/agateslip/internal/pause"
 	"github.com/agateslip/agateslip/internal/peer"
 )
 
@@ -123,7 +124,7 @@
 		if !errors.Is(err, peer.ErrNotSent) || time.Since(start) > connectTime || ctx.Err() != nil {
 			return answer, err
 		}
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 }
 
@@ -145,12 +146,12 @@
 	}
 	e.log.Event("control node does not answer", eventlog.Fields{"asked": target, "hint": hint, "error": cause.Error()})
 	if hint == target || remote != nil && remote.Code == nodelink.CodeUnavailable {
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 		return
 	}
 	e.leader.next(hint)
 	if hint == "" {
-		pause(ctx, retryPause)
+		pause.For(ctx, retryPause)
 	}
 }
 
@@ -241,15 +242,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Reload takes changed settings: where control nodes are looked for.
 func (e *Edge) Reload(cfg config.Managed) {
 	seeds, err := cfg.SeedLinks()
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/agateslip/agateslip/internal/pause"
 )
 
 // Waits of an admitted call for an upstream with room.
@@ -51,7 +53,7 @@
 		if err == nil || !errors.Is(err, ErrBusy) {
 			return route, err
 		}
-		if time.Until(p.until) <= p.wait || !pause(ctx, p.wait) {
+		if time.Until(p.until) <= p.wait || !pause.For(ctx, p.wait) {
 			return Route{}, err
 		}
 		p.tried = nil
--- a/internal/gateway/repeatable.go
+++ b/internal/gateway/repeatable.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/agateslip/agateslip/internal/pause"
 )
 
 // Bounds of a repeatable call.
@@ -123,7 +125,7 @@
 // deadline allows none.
 func (s *sender) waitRetry(ctx context.Context, c *Call, f FailedAttempt) bool {
 	wait, ok := s.router.MayRetry(c, f)
-	if !ok || !pause(ctx, wait) {
+	if !ok || !pause.For(ctx, wait) {
 		return false
 	}
 	s.metrics.Retries.Add(1)
--- a/internal/gateway/runonce.go
+++ b/internal/gateway/runonce.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/agateslip/agateslip/internal/pause"
 	"github.com/agateslip/agateslip/ledger"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
@@ -82,7 +83,7 @@
 	for {
 		res, err := g.claims.Claim(ctx, claim)
 		if err != nil {
-			if !pause(ctx, claimBackoff) {
+			if !pause.For(ctx, claimBackoff) {
 				g.inBackground(func() { g.withdraw(claim) })
 				return false, refuse(ReasonClaim, "the call could not be claimed; this submission was not run, an earlier one may have").withRan(RanUnknown).afterMoment()
 			}
@@ -92,7 +93,7 @@
 		case ledger.Granted:
 			return false, nil
 		case ledger.InProgress:
-			if !pause(ctx, claimPoll) {
+			if !pause.For(ctx, claimPoll) {
 				return false, refuse(ReasonInProgress, "the call with this idempotency key is still in progress").withRan(RanUnknown).afterMoment()
 			}
 		case ledger.Settled:
@@ -105,17 +106,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // inBackground runs work that a planned stop waits for.
 func (g *Gateway) inBackground(work func()) {
 	g.running.Add(1)
@@ -144,7 +134,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for !g.tryOnce(try) && pause(g.life, claimBackoff) {
+		for !g.tryOnce(try) && pause.For(g.life, claimBackoff) {
 		}
 	}()
 	timer := time.NewTimer(g.settleLimit)
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/agateslip/agateslip/internal/pause"
 	"github.com/agateslip/agateslip/internal/replica"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -24,21 +25,12 @@
 	for ctx.Err() == nil {
 		if err := n.followOnce(ctx); err != nil {
 			n.log.WithError(err).WithField("part", "follow").Debug("no entries")
-			sleep(ctx, followBackoff)
+			pause.For(ctx, followBackoff)
 		}
 	}
 	return nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // followOnce asks the leader, or any voter where none is known, for entries.
 func (n *Node) followOnce(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -12,6 +12,7 @@
 	"github.com/agateslip/agateslip/control"
 	"github.com/agateslip/agateslip/directory"
 	"github.com/agateslip/agateslip/internal/operator"
+	"github.com/agateslip/agateslip/internal/pause"
 	"github.com/agateslip/agateslip/internal/peer"
 	"github.com/agateslip/agateslip/placement"
 	"github.com/agateslip/agateslip/raft"
@@ -242,7 +243,7 @@
 	id := raft.MemberID(ch.ID)
 	// A voter that has just been lost still counts as answering for one election
 	// timeout, and a change that needs its vote could never be committed.
-	sleep(ctx, raftElection+raftHeartbeat)
+	pause.For(ctx, raftElection+raftHeartbeat)
 	switch ch.Action {
 	case "add":
 		if err := n.checkKnown(id); err != nil {
@@ -283,7 +284,7 @@
 		if ctx.Err() != nil {
 			return err
 		}
-		sleep(ctx, proposeBackoff)
+		pause.For(ctx, proposeBackoff)
 	}
 }
 
--- a/internal/node/read.go
+++ b/internal/node/read.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/agateslip/agateslip/internal/pause"
 	"github.com/agateslip/agateslip/internal/replica"
 )
 
@@ -32,7 +33,7 @@
 		if err == nil {
 			return n.waitApplied(ctx, index)
 		}
-		sleep(ctx, confirmPause)
+		pause.For(ctx, confirmPause)
 		if ctx.Err() != nil {
 			return err
 		}
@@ -83,7 +84,7 @@
 // waitApplied waits until the entry at index is applied here.
 func (n *Node) waitApplied(ctx context.Context, index uint64) error {
 	for n.store.applied.Load() < index {
-		sleep(ctx, appliedPoll)
+		pause.For(ctx, appliedPoll)
 		if ctx.Err() != nil {
 			return errors.Newf("entry %d is not applied here; %d is", index, n.store.applied.Load())
 		}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/agateslip/agateslip/control"
+	"github.com/agateslip/agateslip/internal/pause"
 	"github.com/cockroachdb/errors"
 )
 
@@ -89,7 +90,7 @@
 	var err error
 	for n := range clientTries {
 		if n > 0 {
-			pause(ctx, clientBackoff)
+			pause.For(ctx, clientBackoff)
 		}
 		err = c.do(ctx, method, "/v1/contracts/"+url.PathEscape(customer), q, body, &res)
 		if err == nil || final(err) || ctx.Err() != nil {
@@ -99,15 +100,6 @@
 	return res, err
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // final says whether a resend could not change the answer.
 func final(err error) bool {
 	var api *APIError
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/creachadair/jrpc2"
+
+	"github.com/agateslip/agateslip/internal/pause"
 )
 
 // dialer keeps one connection to one peer.
@@ -57,12 +59,7 @@
 // wait sleeps for between half of the backoff and all of it.
 func (d *dialer) wait(ctx context.Context, backoff time.Duration) {
 	half := backoff / 2
-	timer := time.NewTimer(half + time.Duration(d.random.Int64N(int64(half)+1)))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	pause.For(ctx, half+time.Duration(d.random.Int64N(int64(half)+1)))
 }
 
 // connect dials the peer and proves both ends.
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -11,6 +11,8 @@
 	"golang.org/x/time/rate"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/agateslip/agateslip/internal/pause"
 )
 
 // Paths of the weight store.
@@ -207,12 +209,8 @@
 
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if !pause.For(ctx, d) {
 		return errors.Wrap(ctx.Err(), "wait")
-	case <-timer.C:
-		return nil
 	}
+	return nil
 }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -11,6 +11,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/agateslip/agateslip/internal/pause"
 )
 
 // Restart bounds.
@@ -88,7 +90,7 @@
 			backoff = minBackoff
 		}
 		t.logFailure(ctx, p, err)
-		if !sleep(ctx, backoff+rand.N(backoff)) {
+		if !pause.For(ctx, backoff+rand.N(backoff)) {
 			return nil
 		}
 		backoff = min(2*backoff, maxBackoff)
@@ -115,14 +117,3 @@
 	}()
 	return p.Run(ctx)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
