controller: the planner forgets engines whose address another one has

Cause: the registry ends an upstream when another announces itself at its address. The controller told the planner only of upstreams that left or fell silent, so after a crash and a restart under a new id the planner went on with an engine that did not exist: it counted as a holder of its models, so they were not loaded again for the calls that waited, and their last real copies were given up as superfluous. A late departure of an earlier incarnation removed the live engine from the planner, too.

Ruled out: engines without room; loads from the store (the copies were on disks); the network (the core was stable).

Mend: the planner drops whatever the registry's changes show as ended.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -62,10 +62,10 @@
 	}
 	before := c.registry.Revision()
 	for _, id := range c.registry.Expire(now) {
-		c.planner.Remove(id)
 		c.metrics.Count("upstream fell silent")
 		c.log.Event("upstream fell silent", eventlog.Fields{"upstream": id})
 	}
+	c.dropEnded(before)
 	c.keepEntries(now)
 	c.plan(now)
 	if c.registry.Revision() != before {
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -201,16 +201,26 @@
 	if r.Leave {
 		outcome := c.registry.Leave(u.ID, u.Born, now)
 		c.metrics.Count("departure: " + outcome.String())
-		c.planner.Remove(u.ID)
 		c.log.Event("upstream left", eventlog.Fields{"upstream": u.ID, "born": u.Born, "outcome": outcome.String()})
 	} else {
 		c.takeState(u, now)
 	}
+	c.dropEnded(before)
 	if c.registry.Revision() != before {
 		c.news.wake()
 	}
 }
 
+// dropEnded has the planner forget the upstreams that have ended since a revision of
+// the registry: those that left, fell silent, or whose address another one has.
+func (c *Controller) dropEnded(since uint64) {
+	for _, u := range c.registry.Since(since) {
+		if u.Gone {
+			c.planner.Remove(u.ID)
+		}
+	}
+}
+
 func (c *Controller) takeState(u fleet.Upstream, now time.Duration) {
 	known, ok := c.registry.Get(u.ID)
 	if ok {
