edge: the last answers end before the process is killed

Ruled out: the log's own flush (a stop without such a stream writes all its lines).

Mend: the time is kept twice, once for the last answers and once for the end of the process. TestAStreamLongerThanTheTimeToStopEndsBeforeTheProcessIsKilled fails without it (the node ended 4.95 s after a stop of 5 s) and passes with it.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -25,7 +25,8 @@
 	// balancerLag is for how long after readiness failed the balancer may still
 	// send new connections: it asks once a second and believes two answers.
 	balancerLag = 3 * time.Second
-	// stopReserve is what is kept of the time to stop for the last answers.
+	// stopReserve is what is kept of the time to stop for the last answers, and again
+	// for the end of the process and its last log lines.
 	stopReserve = 300 * time.Millisecond
 	// patience is assumed of callers that state none.
 	patience = 30 * time.Second
@@ -55,7 +56,7 @@
 	start := time.Now()
 	time.Sleep(balancerLag)
 	close(e.closing)
-	last := time.Duration(e.cfg.Stop) - stopReserve
+	last := time.Duration(e.cfg.Stop) - 2*stopReserve
 	for time.Since(start) < last && e.active.Load() > 0 {
 		time.Sleep(tickInterval)
 	}
