edge: what calls have earned may be sent again when it is needed

Cause: a node's budget for second sends was a bucket that held one send on a deployment of 71 nodes, so of two calls that an engine turned away together one was refused at once, although the deployment had used a fourth of what it may send.

Ruled out: a budget that was used up (119 and 238 second arrivals at two services where the rule allows some 900 in ten seconds); calls whose time was over.

Mend: each node counts its calls and second sends over the rule's window and may send again its share of what they earn together. TestRejectionsThatComeTogetherMayBeSentAgain failed before (one send); TestAllNodesTogetherStayWithinTheBudget holds as it was.

--- a/internal/edge/budget.go
+++ b/internal/edge/budget.go
@@ -6,47 +6,57 @@
 	"github.com/agateslip/agateslip/internal/config"
 )
 
-// budgetShare is the share of the deployment's budget for second sends that the
-// nodes use between them; the rest covers nodes that come and go.
-const budgetShare = 0.7
+const (
+	// budgetShare is the share of the deployment's budget for second sends that the
+	// nodes use between them; the rest covers nodes that come and go.
+	budgetShare = 0.7
+	// budgetSlots is how many parts of the window are counted apart. One more is kept
+	// of the second sends, so that rounding never lets one too many through.
+	budgetSlots = 10
+)
 
-// retryBudget is this node's share of what may be sent again to one service. It
-// fills with the calls for the service and with time, as the deployment's bound
-// does over its window.
+// retryBudget is this node's share of what may be sent again to one service: of what
+// the calls within the window earn, those that came through this node, and of what
+// no calls must earn, an equal part.
 type retryBudget struct {
-	left  float64
-	since time.Duration
-	known bool
+	// calls and sends count the calls for the service and the second sends, in a ring
+	// of parts of the window.
+	calls, sends [budgetSlots + 1]int
+	// part is the number of the latest part.
+	part int64
 }
 
 // earn takes note of a call for the service.
-func (b *retryBudget) earn(c *config.RetryBudget, entries int64, now time.Duration) {
-	b.refill(c, entries, now)
-	b.left = min(b.left+c.Ratio*budgetShare, b.most(c, entries))
+func (b *retryBudget) earn(c *config.RetryBudget, now time.Duration) {
+	b.calls[b.turn(c, now)]++
 }
 
 // spend takes one second send off the budget if it allows it.
 func (b *retryBudget) spend(c *config.RetryBudget, entries int64, now time.Duration) bool {
-	b.refill(c, entries, now)
-	if b.left < 1 {
+	at := b.turn(c, now)
+	calls, sends := 0, 0
+	for i := range b.calls {
+		sends += b.sends[i]
+		if i != (at+1)%len(b.calls) { // the oldest part is not whole any more
+			calls += b.calls[i]
+		}
+	}
+	most := budgetShare * (c.Ratio*float64(calls) + c.Extra/float64(max(1, entries)))
+	if float64(sends+1) > max(1, most) {
 		return false
 	}
-	b.left--
+	b.sends[at]++
 	return true
 }
 
-// most is the share of one node of the part that no calls must earn.
-func (b *retryBudget) most(c *config.RetryBudget, entries int64) float64 {
-	return max(1, c.Extra*budgetShare/float64(max(1, entries))/2)
-}
-
-func (b *retryBudget) refill(c *config.RetryBudget, entries int64, now time.Duration) {
-	most := b.most(c, entries)
-	if !b.known {
-		b.known, b.left, b.since = true, most, now
-		return
+// turn clears the parts that are over and returns the place of the present one.
+func (b *retryBudget) turn(c *config.RetryBudget, now time.Duration) int {
+	part := int64(now / (time.Duration(c.Window) / budgetSlots))
+	for n := int64(0); n < int64(len(b.calls)) && b.part < part; n++ {
+		b.part++
+		b.calls[b.part%int64(len(b.calls))] = 0
+		b.sends[b.part%int64(len(b.calls))] = 0
 	}
-	window := time.Duration(c.Window)
-	b.left = min(most, b.left+most*float64(now-b.since)/float64(window))
-	b.since = now
+	b.part = part
+	return int(part % int64(len(b.calls)))
 }
--- a/internal/edge/budget_test.go
+++ b/internal/edge/budget_test.go
@@ -27,7 +27,7 @@
 	step := time.Second / perNode
 	for now := time.Duration(0); now < seconds*time.Second; now += step {
 		for i := range budgets {
-			budgets[i].earn(&c, nodes, now)
+			budgets[i].earn(&c, now)
 			if budgets[i].spend(&c, nodes, now) {
 				sends = append(sends, now)
 			}
@@ -60,3 +60,26 @@
 	}
 	is.True(spent >= 1 && float64(spent) <= c.Extra/9)
 }
+
+// TestRejectionsThatComeTogetherMayBeSentAgain replays an upstream that turns away
+// several calls of one node at once, after calls that came evenly: what these have
+// earned is there for them, on a node that sees a small part of the traffic.
+func TestRejectionsThatComeTogetherMayBeSentAgain(t *testing.T) {
+	is := is.New(t)
+	c := config.RetryBudget{Ratio: 0.2, Extra: 182, Window: contract.Duration(10 * time.Second)}
+	const nodes, perSecond = 71, 5
+	var b retryBudget
+	now := time.Duration(0)
+	for range perSecond * 30 {
+		b.earn(&c, now)
+		now += time.Second / perSecond
+	}
+	together := 0
+	for b.spend(&c, nodes, now) {
+		together++
+	}
+	is.True(together >= 6)
+	is.True(float64(together) <= c.Ratio*perSecond*10+c.Extra/nodes)
+	is.True(!b.spend(&c, nodes, now+9*time.Second))
+	is.True(b.spend(&c, nodes, now+30*time.Second)) // of the part that no calls must earn
+}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -77,7 +77,7 @@
 // run sends the call to upstreams until it has an answer or must be given up.
 func (c *call) run() {
 	c.edge.loop.Post(func() {
-		c.edge.budget(c.wants.Service).earn(&c.edge.cfg.Retry, c.edge.entries.Load(), boottime.Now())
+		c.edge.budget(c.wants.Service).earn(&c.edge.cfg.Retry, boottime.Now())
 	})
 	for {
 		verdict, ok := c.wait()
