edge: calls that may run again move on from a silent upstream

Ruled out: ending every silent call (silence alone is no reason, and most streams may run once only); the health of the upstream as others see it, which is known too late.

Mend: dispatch.Stalled moves a call that may run again, if no byte of any call has come from its upstream for two fifths of the time to the call's target (half a second at least, 1.5 s once its answer has begun), another upstream has room now, and the budget allows it.

--- /dev/null
+++ b/dispatch/stall_test.go
@@ -0,0 +1,67 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/dispatch"
+	"github.com/agateslip/agateslip/fleet"
+)
+
+// silentCall has a call run at one of two engines that then say nothing.
+func silentCall(t *testing.T, slots int) *dispatch.Dispatcher {
+	t.Helper()
+	d := newDispatcher(engine("a", slots, "m"), engine("b", slots, "m"))
+	if len(started(d.Submit(call(1, "m", 1, 0), 0))) != 1 {
+		t.Fatal("the call does not start")
+	}
+	return d
+}
+
+func TestACallMovesFromASilentEngine(t *testing.T) {
+	is := is.New(t)
+	d := silentCall(t, 4)
+	is.Equal(d.Stalled(1, 0, 0, false, 400*ms), dispatch.Stall{Check: 500 * ms})
+	is.Equal(d.Stalled(1, 0, 0, false, 500*ms), dispatch.Stall{Move: true})
+	is.Equal(d.Stalled(1, 0, 0, true, 500*ms), dispatch.Stall{Check: 1500 * ms}) // its answer has begun
+	is.Equal(d.Stalled(1, 0, 0, true, 1500*ms), dispatch.Stall{Move: true})
+	d.Finish(1, dispatch.Lost, second)
+	is.Equal(d.Stalled(1, 0, 0, false, 2*second), dispatch.Stall{}) // it has ended
+}
+
+// TestACallStaysAtAnEngineThatServesOthers has bytes of other calls come from the
+// engine: it is busy, not gone.
+func TestACallStaysAtAnEngineThatServesOthers(t *testing.T) {
+	is := is.New(t)
+	d := silentCall(t, 4)
+	for now := 500 * ms; now < 4*second; now += 100 * ms {
+		is.Equal(d.Stalled(1, 0, now-50*ms, false, now), dispatch.Stall{Check: now + 450*ms})
+	}
+}
+
+// TestACallStaysWhereNoOtherEngineHasRoom keeps a call at a silent engine while it
+// could not go on elsewhere.
+func TestACallStaysWhereNoOtherEngineHasRoom(t *testing.T) {
+	is := is.New(t)
+	d := silentCall(t, 1)
+	d.Submit(call(2, "m", 1, 0), 0) // takes the other engine
+	is.Equal(d.Stalled(1, 0, 0, false, second).Move, false)
+	d.Finish(2, dispatch.Served, 2*second)
+	is.Equal(d.Stalled(1, 0, 0, false, 2*second), dispatch.Stall{Move: true})
+	d.Update([]fleet.Upstream{{ID: "b", Service: "llm", Gone: true}, {ID: "a", Service: "llm", Gone: true}}, 2*second)
+	is.Equal(d.Stalled(1, 0, 0, false, 2*second).Move, false)
+}
+
+// TestALongTargetLeavesMoreTime has a call that is due in 2.5 s: it moves on while
+// the other engine can still be on time.
+func TestALongTargetLeavesMoreTime(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("a", 4, "m"), engine("b", 4, "m"))
+	c := call(1, "m", 1, 0)
+	c.Target = 2500 * ms
+	d.Submit(c, 0)
+	is.Equal(d.Stalled(1, 0, 0, false, 999*ms), dispatch.Stall{Check: time.Second})
+	is.Equal(d.Stalled(1, 0, 0, false, second), dispatch.Stall{Move: true})
+}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -47,6 +48,9 @@
 	fallback *wholeAnswer
 	// begun says that the caller has got the header of a stream.
 	begun bool
+	// heardFrom says that the present attempt's answer has begun, moved that the
+	// attempt was ended because its upstream was silent, which the budget has paid.
+	heardFrom, moved atomic.Bool
 	// first is how long the caller waited for the first event of a stream, pause the
 	// longest time between two.
 	first, pause time.Duration
@@ -115,6 +119,8 @@
 		why = "no answer from any attempt"
 	case boottime.Now() >= c.deadline:
 		why = "time is up"
+	case c.moved.Load():
+		return true
 	case end != unsent && !c.edge.spend(c.r.Context(), c.wants.Service):
 		why = "no budget to send again"
 	default:
@@ -238,6 +244,8 @@
 // attempt sends the call to one upstream.
 func (c *call) attempt(u *fleet.Upstream) ending {
 	c.sends++
+	c.heardFrom.Store(false)
+	c.moved.Store(false)
 	result, end := c.exchange(u)
 	// The next attempt has another token, perhaps before this runs.
 	token := c.token
@@ -263,6 +271,7 @@
 		}
 		return c.lost(u, err)
 	}
+	defer c.watch(u, conn)()
 	resp, err := conn.Receive(func(h http.Header) bool { return c.edge.dialect.Answers(h, c.caller) })
 	if err != nil {
 		conn.Close()
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -35,6 +35,7 @@
 	now := boottime.Now()
 	answer := c.edge.dialect.Answer(resp.StatusCode, resp.Header)
 	token := c.token
+	c.heardFrom.Store(true)
 	c.edge.loop.Post(func() {
 		c.edge.dispatcher.Observe(token, answer.Load, now)
 		c.edge.dispatcher.FirstByte(token)
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -39,6 +39,7 @@
 	addr   string
 	conn   net.Conn
 	reader *bufio.Reader
+	heard  *atomic.Int64
 	reused bool
 	ended  atomic.Bool
 
@@ -170,6 +171,10 @@
 	}
 }
 
+// Heard is when a byte last came on any connection to this address, on the clock of
+// package boottime; zero if none did.
+func (c *Conn) Heard() time.Duration { return time.Duration(c.heard.Load()) }
+
 // SetDeadline bounds reads and writes.
 func (c *Conn) SetDeadline(at time.Time) error { return c.conn.SetDeadline(at) }
 
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -5,11 +5,14 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/agateslip/agateslip/internal/boottime"
 )
 
 const (
@@ -56,6 +59,8 @@
 
 // host is the connections to one address.
 type host struct {
+	// heard is when a byte last came from there, on the clock of package boottime.
+	heard atomic.Int64
 	limit int
 	open  int
 	idle  []*Conn
@@ -150,7 +155,33 @@
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", addr), ErrNotSent)
 	}
 	p.count(func(s *Stats) { s.Opened++ })
-	return &Conn{pool: p, addr: addr, conn: conn, reader: bufio.NewReaderSize(conn, readBuffer)}, nil
+	heard := p.heard(addr)
+	return &Conn{
+		pool: p, addr: addr, conn: conn, heard: heard,
+		reader: bufio.NewReaderSize(listener{conn, heard}, readBuffer),
+	}, nil
+}
+
+// heard is when the host at an address was last heard.
+func (p *Pool) heard(addr string) *atomic.Int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return &p.host(addr).heard
+}
+
+// listener notes when bytes come in.
+type listener struct {
+	conn  net.Conn
+	heard *atomic.Int64
+}
+
+// Read implements io.Reader.
+func (l listener) Read(p []byte) (int, error) {
+	n, err := l.conn.Read(p)
+	if n > 0 {
+		l.heard.Store(int64(boottime.Now()))
+	}
+	return n, err
 }
 
 func (p *Pool) count(add func(*Stats)) {
