residency: the width of the weight store is learned from its loads

Cause: up to four loads ran at once (store.width) whatever the store carries. On the grown sites it carries one at full speed, so each of four took 53 s in place of 13 and the most wanted model came last with the others.

Ruled out: reading the width from the platform (it is on its sheets only); one load at a time everywhere, which wastes three quarters of the first sites' store.

Mend: storePace compares how long a load took with how many shared the store meanwhile. It begins with two at once, doubles while loads take their usual time, and falls to what the store carried when they do not; a load's expected end and the forecasts count its share. TestANarrowStoreLoadsTheMostWantedAlone fails without it (the first of six-second loads ended after 25 s; 13 s now), TestAWideStoreIsUsed holds.

--- a/residency/orders.go
+++ b/residency/orders.go
@@ -87,11 +87,11 @@
 	switch a {
 	case Accepted:
 		n.orders++
-		n.work = &work{order: o, due: now + p.expected(n, o)}
+		n.work = p.begin(n, o, now)
 		if o.Load {
 			n.held.loadsModel(o.Model)
 		}
-		n.settle(now)
+		p.settle(n, now)
 	case Held:
 		n.closed(o, now)
 		n.unclear = true
@@ -102,16 +102,36 @@
 	}
 }
 
-// expected is how long an order takes.
-func (p *Planner) expected(n *node, o Order) time.Duration {
+// begin is the work of an order that an engine has accepted.
+func (p *Planner) begin(n *node, o Order, now time.Duration) *work {
+	w := &work{order: o, due: now + p.limits.CallTime}
 	if !o.Load || n.service == nil {
-		return p.limits.CallTime
+		return w
 	}
 	m := n.service.model(o.Model)
 	if m == nil {
-		return p.limits.CallTime
+		return w
+	}
+	took, tier := loadTime(m, n.tier(o.Model)), n.tier(o.Model)
+	if tier == Store {
+		s := &p.store(n.desc.Service).pace
+		w.fetch = s.begin(took, now)
+		took = s.duration(took, s.running)
+	}
+	w.due = now + took
+	return w
+}
+
+// overdue takes note that an engine still carries out an order that should have
+// ended.
+func (p *Planner) overdue(n *node, now time.Duration) {
+	w := n.work
+	w.due = max(now, w.due)
+	if w.fetch != nil {
+		s := &p.store(n.desc.Service).pace
+		s.late(w.fetch, now)
+		w.due = max(now, w.fetch.began+s.duration(w.fetch.usual, s.running))
 	}
-	return loadTime(m, n.tier(o.Model))
 }
 
 // abandon gives a job up; its models take calls again.
@@ -142,13 +162,13 @@
 			// Another holder's order, or one that went unanswered, is under way.
 			return
 		}
-		n.work.due = now
+		p.overdue(n, now)
 		n.unclear = false
 		return
 	}
 	n.desc.Residents = r.Residents
 	n.held.exact(r, now)
-	n.settle(now)
+	p.settle(n, now)
 	n.unclear = false
 	if n.work != nil {
 		// It ended without the expected state.
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -12,7 +12,8 @@
 
 // Limits are the planner's thresholds.
 type Limits struct {
-	// StoreWidth is how many loads run from the weight store at once.
+	// StoreWidth is how many loads run from the weight store at once at most; fewer
+	// where they are seen to slow each other down.
 	StoreWidth int
 	// AdapterWidth is how many adapters are on their way at once, over all
 	// engines.
@@ -63,9 +64,9 @@
 	pace    pace
 	// forecasts are those of the last moments.
 	forecasts map[modelKey]forecast
-	// storeStarts are when loads from the weight store began, of each service.
-	storeStarts map[string][]time.Duration
-	changed     map[string]bool
+	// stores are the weight stores of the services.
+	stores  map[string]*store
+	changed map[string]bool
 }
 
 // node is one engine.
@@ -105,6 +106,8 @@
 type work struct {
 	order Order
 	due   time.Duration
+	// fetch is nil unless the order is a load from the weight store.
+	fetch *storeLoad
 }
 
 // job is a load with the unloads that make room for it.
@@ -117,15 +120,15 @@
 // New returns a planner that knows nothing.
 func New(l Limits) *Planner {
 	return &Planner{
-		limits:      l,
-		services:    map[string]*service{},
-		nodes:       map[string]*node{},
-		demand:      newDemandBook(),
-		running:     newRunningBook(),
-		forecasts:   map[modelKey]forecast{},
-		pace:        newPace(),
-		storeStarts: map[string][]time.Duration{},
-		changed:     map[string]bool{},
+		limits:    l,
+		services:  map[string]*service{},
+		nodes:     map[string]*node{},
+		demand:    newDemandBook(),
+		running:   newRunningBook(),
+		forecasts: map[modelKey]forecast{},
+		pace:      newPace(),
+		stores:    map[string]*store{},
+		changed:   map[string]bool{},
 	}
 }
 
@@ -161,7 +164,7 @@
 	n.desc.Closing = nil
 	n.service = p.services[u.Service]
 	n.held.announced(u.Residents, now)
-	n.settle(now)
+	p.settle(n, now)
 	p.changed[u.ID] = true
 }
 
@@ -209,12 +212,15 @@
 func (n *node) spec() *routes.Engine { return n.service.spec }
 
 // settle compares what the engine says that it serves with what was ordered.
-func (n *node) settle(now time.Duration) {
+func (p *Planner) settle(n *node, now time.Duration) {
 	w := n.work
 	if w == nil || w.order.Load != n.held.offers(w.order.Model) {
 		return
 	}
 	n.work = nil
+	if w.fetch != nil {
+		p.store(n.desc.Service).pace.finished(w.fetch, now)
+	}
 	n.closed(w.order, now)
 }
 
@@ -253,6 +259,7 @@
 // Plan returns what is to be sent now.
 func (p *Planner) Plan(now time.Duration) []Step {
 	p.age(now)
+	p.countFetches(now)
 	r := &round{now: now, queues: p.queues(now)}
 	if slices.ContainsFunc(p.order, (*node).free) {
 		p.survey(r)
@@ -317,7 +324,8 @@
 		if !p.storeRoom(n.desc.Service, n.service, n, now) {
 			return Step{}, false
 		}
-		p.storeStarts[n.desc.Service] = append(p.storeStarts[n.desc.Service], now)
+		s := p.store(n.desc.Service)
+		s.starts = append(s.starts, now)
 	}
 	return n.order(Order{Load: true, Model: j.model}), true
 }
--- a/residency/residency_test.go
+++ b/residency/residency_test.go
@@ -81,6 +81,48 @@
 	}
 }
 
+// fetched has calls wait for models without a copy, and returns when each load from
+// a weight store of a width has ended, in order.
+func fetched(t *testing.T, width int, span time.Duration) []time.Duration {
+	t.Helper()
+	w := newWorld(t, 8, 60, false)
+	w.storeWidth = width
+	const firstUnknown = 16
+	var ends []time.Duration
+	held := map[string]bool{}
+	for w.now < span {
+		for i := firstUnknown; i < len(w.spec.Models); i++ {
+			name := fmt.Sprint("m", i)
+			if !held[name] && w.holds(name) {
+				held[name] = true
+				ends = append(ends, w.now)
+			}
+			w.ask(fmt.Sprint("n", i), name, "", 3)
+		}
+		w.run(second)
+	}
+	return ends
+}
+
+// TestANarrowStoreLoadsTheMostWantedAlone replays many models without a copy and a
+// store that carries one load of six seconds at full speed: beside three others each
+// would take twenty-four.
+func TestANarrowStoreLoadsTheMostWantedAlone(t *testing.T) {
+	is := is.New(t)
+	ends := fetched(t, 1, 50*second)
+	is.True(len(ends) >= 6) // eight at the store's best
+	is.True(ends[0] <= 14*second)
+	for i := 3; i < len(ends); i++ {
+		is.True(ends[i]-ends[i-1] >= 5*second && ends[i]-ends[i-1] <= 8*second) // one after the other
+	}
+}
+
+// TestAWideStoreIsUsed replays the same with a store that carries four loads.
+func TestAWideStoreIsUsed(t *testing.T) {
+	is := is.New(t)
+	is.True(len(fetched(t, 4, 50*second)) >= 26) // thirty-two at the store's best
+}
+
 // TestLateOrdersNeverOverfillAnEngine replays engines that answer no order and
 // carry each out seconds later, after newer ones.
 func TestLateOrdersNeverOverfillAnEngine(t *testing.T) {
--- a/residency/store.go
+++ b/residency/store.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -9,12 +10,41 @@
 // kept; one of any length is, if the shortest is.
 const storeWindow = 5 * time.Second
 
+// store is what is known of the weight store of a service.
+type store struct {
+	// starts are when loads began, within the window.
+	starts []time.Duration
+	pace   storePace
+}
+
+func (p *Planner) store(service string) *store {
+	s := p.stores[service]
+	if s == nil {
+		s = &store{pace: newStorePace(p.limits.StoreWidth)}
+		p.stores[service] = s
+	}
+	return s
+}
+
+// countFetches takes note of how many loads from the weight stores are in progress.
+func (p *Planner) countFetches(now time.Duration) {
+	running := map[string]int{}
+	for _, n := range p.order {
+		if n.work != nil && n.work.fetch != nil {
+			running[n.desc.Service]++
+		}
+	}
+	for name, s := range p.stores {
+		s.pace.advance(running[name], now)
+	}
+}
+
 // storeRoom reports whether one more load from the weight store may begin, beside
 // that of n: no more than the width at once, and within the rate in any window.
 func (p *Planner) storeRoom(name string, s *service, n *node, now time.Duration) bool {
-	starts := slices.DeleteFunc(p.storeStarts[name], func(at time.Duration) bool { return now-at > storeWindow })
-	p.storeStarts[name] = starts
-	if float64(len(starts)+1) > s.spec.StoreLoadsPerSecond*storeWindow.Seconds() {
+	known := p.store(name)
+	known.starts = slices.DeleteFunc(known.starts, func(at time.Duration) bool { return now-at > storeWindow })
+	if float64(len(known.starts)+1) > s.spec.StoreLoadsPerSecond*storeWindow.Seconds() {
 		return false
 	}
 	loading := 0
@@ -23,7 +53,7 @@
 			loading++
 		}
 	}
-	return loading < p.limits.StoreWidth
+	return loading < known.pace.width
 }
 
 // forecast is when a call for a model could run; known is false when nothing is.
@@ -52,18 +82,19 @@
 
 func (p *Planner) forecast(key modelKey, now time.Duration) forecast {
 	f := forecast{made: now}
+	queue := p.storeQueue(key.service, now)
 	for _, n := range p.order {
 		if n.desc.Service != key.service || n.desc.Leaving || n.service == nil {
 			continue
 		}
-		if in, ok := p.forecastAt(n, key.model, now); ok && (!f.known || now+in < f.at) {
+		if in, ok := p.forecastAt(n, key.model, queue, now); ok && (!f.known || now+in < f.at) {
 			f.at, f.known = now+in, true
 		}
 	}
 	return f
 }
 
-func (p *Planner) forecastAt(n *node, model string, now time.Duration) (time.Duration, bool) {
+func (p *Planner) forecastAt(n *node, model string, queue, now time.Duration) (time.Duration, bool) {
 	m := n.service.model(model)
 	if m == nil {
 		return 0, false
@@ -84,5 +115,23 @@
 	} else if n.job != nil {
 		wait = p.limits.CallTime
 	}
+	if n.tier(model) == Store {
+		wait = max(wait, queue)
+	}
 	return wait + loadTime(m, n.tier(model)), true
 }
+
+// storeQueue is in how long the next load from the weight store can begin at best.
+func (p *Planner) storeQueue(service string, now time.Duration) time.Duration {
+	running, first := 0, time.Duration(math.MaxInt64)
+	for _, n := range p.order {
+		if n.desc.Service == service && n.work != nil && n.work.fetch != nil {
+			running++
+			first = min(first, max(0, n.work.due-now))
+		}
+	}
+	if running < p.store(service).pace.width {
+		return 0
+	}
+	return first
+}
--- a/residency/world_test.go
+++ b/residency/world_test.go
@@ -27,8 +27,10 @@
 	planner *residency.Planner
 	spec    *routes.Engine
 	engines map[string]*engine
-	// storeStarts are when loads from the weight store began.
+	// storeStarts are when loads from the weight store began; storeWidth of them run
+	// at full speed, more share it. Zero means that all do.
 	storeStarts []time.Duration
+	storeWidth  int
 	// lateOrders answers no order and carries each out after this time.
 	lateOrders time.Duration
 	late       []lateOrder
@@ -58,6 +60,7 @@
 	accepted uint64
 	busy     bool
 	done     time.Duration
+	fetching bool
 	order    residency.Order
 }
 
@@ -105,6 +108,7 @@
 func (w *world) run(d time.Duration) {
 	w.t.Helper()
 	for end := w.now + d; w.now < end; w.now += tick {
+		w.shareStore()
 		w.finishOrders()
 		if w.now%(200*ms) == 0 {
 			w.report()
@@ -120,6 +124,22 @@
 	}
 }
 
+// shareStore delays the loads that share the weight store.
+func (w *world) shareStore() {
+	var fetching []*engine
+	for _, e := range w.engines {
+		if e.busy && e.fetching {
+			fetching = append(fetching, e)
+		}
+	}
+	if w.storeWidth == 0 || len(fetching) <= w.storeWidth {
+		return
+	}
+	for _, e := range fetching {
+		e.done += tick - tick*time.Duration(w.storeWidth)/time.Duration(len(fetching))
+	}
+}
+
 func (w *world) finishOrders() {
 	for _, l := range w.late {
 		if l.at == w.now {
@@ -186,13 +206,14 @@
 		return residency.Accepted
 	}
 	took := 50 * ms
+	e.fetching = false
 	if o.Load {
 		if float64(len(e.desc.Residents)+1)*10 > w.spec.WeightsMB {
 			w.t.Fatalf("%v: %s is ordered to load more than it holds", w.now, e.desc.ID)
 		}
 		took = 700 * ms
 		if !slices.Contains(e.desc.OnDisk, o.Model) {
-			took = 6 * second
+			took, e.fetching = 6*second, true
 			w.storeStarts = append(w.storeStarts, w.now)
 			e.desc.OnDisk = append(slices.Clone(e.desc.OnDisk), o.Model)
 		}
