residency: a hot model is fetched for engines without a copy

Cause: a load from the weight store was out of the question while any engine had a copy, also where that was the one engine that served the model already; and the model of how calls slow each other down had no more of them late at thirty calls a second than at fifteen, so a second holder seemed worth nothing.

Mend: a copy counts only at an engine that does not serve the model yet; beyond its best rate an engine has each further call late; and a fetched copy pays for the loads of copies that its engine has no time for meanwhile, by what such loads were worth of late.

--- a/residency/choose.go
+++ b/residency/choose.go
@@ -45,7 +45,8 @@
 	model *modelState
 	tier  Tier
 	evict []string
-	score float64
+	// gain is what it is worth, in calls, score that for each second of the engine.
+	gain, score float64
 }
 
 // candidates is a heap of the best load of each engine, the most useful first.
@@ -111,6 +112,9 @@
 	n := c.node
 	n.job = &job{model: c.model.spec.Name, tier: c.tier, evict: c.evict}
 	c.model.coming++
+	if c.tier != Store {
+		n.service.swaps.add(c.gain, now)
+	}
 	for _, v := range c.evict {
 		n.closing[v] = now
 		n.service.byName[v].drop(n)
@@ -140,7 +144,7 @@
 		if m.coming > 0 || n.held.models[m.spec.Name] {
 			continue
 		}
-		if c, ok := p.consider(n, m, &r); ok && c.score > best.score {
+		if c, ok := p.consider(n, m, &r, now); ok && c.score > best.score {
 			best = c
 		}
 	}
@@ -148,7 +152,7 @@
 }
 
 // consider weighs loading a model at an engine.
-func (p *Planner) consider(n *node, m *modelState, r *room) (candidate, bool) {
+func (p *Planner) consider(n *node, m *modelState, r *room, now time.Duration) (candidate, bool) {
 	c := candidate{node: n, model: m, tier: n.tier(m.spec.Name)}
 	if c.tier == Store && (m.copyNear || !n.service.storeOpen) {
 		return candidate{}, false
@@ -160,13 +164,18 @@
 	took := loadTime(m.spec, c.tier)
 	if c.tier == Store {
 		gain -= adapterDelay(n, took)
+		if len(m.holders) > 0 {
+			// Others serve the model meanwhile, but none else may swap here.
+			gain -= n.service.price(now) * took.Seconds()
+		}
 	}
 	evict, loss, wait, ok := r.give(m.spec.SizeMB)
 	if !ok || gain <= loss*margin {
 		return candidate{}, false
 	}
 	c.evict = evict
-	c.score = (gain - loss) / (took + wait + p.limits.CloseGrace).Seconds()
+	c.gain = gain - loss
+	c.score = c.gain / (took + wait + p.limits.CloseGrace).Seconds()
 	return c, true
 }
 
--- a/residency/pace.go
+++ b/residency/pace.go
@@ -1,5 +1,7 @@
 package residency
 
+import "math"
+
 const (
 	// slowdownGuess is the share of streams that pause too long at one call a
 	// second, before any stream was seen: a tenth at three calls a second.
@@ -10,8 +12,6 @@
 	// slowdownMemory is the number of streams after which older ones count for
 	// half.
 	slowdownMemory = 1500
-	// mostPaused bounds the predicted share of streams that pause too long.
-	mostPaused = 0.6
 )
 
 // pace predicts how calls at one engine slow each other down: the share of
@@ -38,10 +38,14 @@
 	p.expected = p.expected*fade + streams*rate*rate
 }
 
-// lost is how many calls a second are late at an engine with a rate of calls.
+// lost is how many calls a second are late at an engine with a rate of calls. An
+// engine never has more of them on time than at its best rate, however many come.
 func (p *pace) lost(rate float64) float64 {
-	if p.expected <= 0 || rate <= 0 {
+	if p.expected <= 0 || p.paused <= 0 || rate <= 0 {
 		return 0
 	}
-	return rate * min(mostPaused, p.paused/p.expected*rate*rate) * (1 - lateWorth)
+	slowdown := p.paused / p.expected
+	best := math.Sqrt(1 / (3 * slowdown)) // where rate - slowdown*rate^3 is greatest
+	up := min(rate, best)
+	return (slowdown*up*up*up + rate - up) * (1 - lateWorth)
 }
--- a/residency/residency_test.go
+++ b/residency/residency_test.go
@@ -262,6 +262,30 @@
 	is.True(newWorld(t, 4, 8, false).burst(8*second) >= 2) // a load takes six seconds
 }
 
+// TestACopyIsNotFetchedWhereItsEngineHasMoreToDo replays a model that is somewhat busy
+// on the one engine that has a copy, while calls for rare models keep the engines
+// swapping: six seconds of one of them are worth more than what a second copy saves.
+func TestACopyIsNotFetchedWhereItsEngineHasMoreToDo(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 3, 12, true)
+	for _, id := range []string{"e1", "e2"} {
+		e := w.engines[id]
+		e.desc.OnDisk = slices.DeleteFunc(slices.Clone(e.desc.OnDisk), func(m string) bool { return m == "m0" })
+		w.announce(e)
+	}
+	w.run(second)
+	for i := range 100 { // m0 has six calls a second
+		w.planner.SetDemand("o", residency.NodeReport{Arrivals: []residency.Count{
+			{Service: "llm", Model: "m0", Calls: uint64(i * 6 / 10)},
+		}}, w.now)
+		if i%4 == 0 {
+			w.ask("n", fmt.Sprint("m", 4+i/4*3%8), "", 1)
+		}
+		w.run(100 * ms)
+	}
+	is.Equal(len(w.storeStarts), 0)
+}
+
 func TestARestartedEngineIsAskedBeforeItGetsOrders(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, 1, 3, true)
--- a/residency/survey.go
+++ b/residency/survey.go
@@ -15,6 +15,10 @@
 	byName map[string]*modelState
 	// reserved is the memory that each engine keeps for adapters, in MB.
 	reserved float64
+	// swaps is the worth of the loads of copies, in calls a second.
+	swaps rate
+	// engines is how many there are.
+	engines int
 	// storeOpen says that one more load from the weight store may begin.
 	storeOpen bool
 	// wanted are the models that an engine might load, the most useful first.
@@ -34,8 +38,8 @@
 	// holders are the engines that hold the model, coming is how many will.
 	holders []*node
 	coming  int
-	// copied says that an engine has a copy, copyNear that one will be free before
-	// long.
+	// copied says that an engine has a copy, copyNear that one which does not serve
+	// the model yet will be free before long.
 	copied, copyNear bool
 	// spare says that one of the holders has slots to spare.
 	spare bool
@@ -66,6 +70,12 @@
 	return s
 }
 
+// price is what the loads of copies are worth that an engine has no time for while it
+// does something else, in calls a second.
+func (s *service) price(now time.Duration) float64 {
+	return s.swaps.value(now) / float64(max(1, s.engines))
+}
+
 // model finds a model by name; nil when the service has no such model.
 func (s *service) model(name string) *routes.Model {
 	if m := s.byName[name]; m != nil {
@@ -91,6 +101,14 @@
 			p.surveyNode(n, r.now)
 		}
 	}
+	for _, s := range p.services {
+		s.engines = 0
+	}
+	for _, n := range p.order {
+		if n.service != nil {
+			n.service.engines++
+		}
+	}
 	for _, s := range p.services {
 		s.spread()
 	}
@@ -118,7 +136,7 @@
 	for name := range n.tiers {
 		if m := n.service.byName[name]; m != nil {
 			m.copied = true
-			m.copyNear = m.copyNear || near
+			m.copyNear = m.copyNear || near && !n.held.models[name]
 		}
 	}
 }
