--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -37,6 +37,7 @@
 	node *controller.Controller
 	stop func()
 	log  *testutil.LogBuffer
+	disk controlledDisk
 }
 
 // fakeOrders is engines that accept nothing.
@@ -91,7 +92,7 @@
 	for _, i := range indices {
 		n := c.nodes[i]
 		log := eventlog.New(n.log, eventlog.Fields{"node": n.cfg.Node})
-		node, err := controller.New(context.Background(), n.cfg, log, decode, fakeOrders{})
+		node, err := controller.New(context.Background(), n.cfg, log, decode, fakeOrders{}, controller.WithFiles(&n.disk))
 		if err != nil {
 			c.t.Fatal(err)
 		}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -60,6 +60,7 @@
 	metrics *metrics.Set
 	orders  Orders
 	store   *store
+	files   storage.FS
 	disk    *storage.Store
 	mesh    *peer.Mesh
 	member  raft.MemberID
@@ -91,19 +92,28 @@
 	lost     map[raft.MemberID]time.Duration
 }
 
+// Option changes a control node from what its settings say.
+type Option func(*Controller)
+
+// WithFiles keeps the log in another file system than the operating system's.
+func WithFiles(files storage.FS) Option { return func(c *Controller) { c.files = files } }
+
 // New makes a control node from its data folder. It waits while the disk is full.
-func New(ctx context.Context, cfg config.Managed, log *eventlog.Log, decode Decoder, orders Orders) (*Controller, error) {
+func New(ctx context.Context, cfg config.Managed, log *eventlog.Log, decode Decoder, orders Orders, options ...Option) (*Controller, error) {
 	seeds, err := cfg.SeedLinks()
 	if err != nil {
 		return nil, err
 	}
 	c := &Controller{
-		cfg: cfg, log: log, orders: orders, seeds: seeds,
+		cfg: cfg, log: log, orders: orders, seeds: seeds, files: storage.OS{},
 		metrics: metrics.New("control." + cfg.Node),
 		loop:    owner.New(),
 		entries: map[string]time.Duration{},
 		lost:    map[raft.MemberID]time.Duration{},
 	}
+	for _, change := range options {
+		change(c)
+	}
 	c.news = newBroadcast(func() {
 		c.loop.Post(func() { c.lists.begin(c.registry.Revision()) })
 	})
--- a/internal/controller/disk.go
+++ b/internal/controller/disk.go
@@ -104,11 +104,11 @@
 }
 
 func (c *Controller) reopenDisk() (raft.Restored, error) {
-	id, err := storage.ReadIdentity(storage.OS{}, c.cfg.Data)
+	id, err := storage.ReadIdentity(c.files, c.cfg.Data)
 	if err != nil {
 		return raft.Restored{}, err
 	}
-	disk, restored, err := storage.Open(storage.Options{Dir: c.cfg.Data, Identity: id})
+	disk, restored, err := storage.Open(storage.Options{Dir: c.cfg.Data, Identity: id, FS: c.files})
 	if err != nil {
 		return raft.Restored{}, err
 	}
@@ -139,7 +139,7 @@
 		c.member = founderID(c.cfg.Listen.Links)
 	}
 	disk, err := storage.Create(storage.Options{
-		Dir: c.cfg.Data, Identity: storage.Identity{Group: groupName, Member: c.member},
+		Dir: c.cfg.Data, Identity: storage.Identity{Group: groupName, Member: c.member}, FS: c.files,
 	}, restored)
 	if err != nil {
 		return raft.Restored{}, errors.Wrap(err, "create log")
