--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -76,6 +76,8 @@
 	planner  *residency.Planner
 	// planned is the configuration version that the planner knows.
 	planned uint64
+	// widths are the widths of the weight stores as last logged.
+	widths map[string]int
 	// term is the term in which this node leads; zero while it does not.
 	term  uint64
 	led   time.Duration
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -84,7 +84,7 @@
 	limits := residency.DefaultLimits()
 	limits.StoreWidth, limits.AdapterWidth = c.cfg.Store.Width, min(c.cfg.Store.AdapterWidth, limits.AdapterWidth)
 	c.planner = residency.New(limits)
-	c.planned = 0
+	c.planned, c.widths = 0, map[string]int{}
 	for _, u := range c.registry.Live() {
 		c.planner.SetUpstream(u, now)
 	}
@@ -156,11 +156,22 @@
 		go c.carryOut(step, c.term, c.fence)
 	}
 	c.show(now)
+	c.noteWidths()
 	if c.registry.Revision() != before {
 		c.news.wake()
 	}
 }
 
+// noteWidths logs what the planner has learned of the weight stores.
+func (c *Controller) noteWidths() {
+	for service, width := range c.planner.StoreWidths() {
+		if before := c.widths[service]; before != width {
+			c.widths[service] = width
+			c.log.Event("store width learned", eventlog.Fields{"service": service, "before": before, "width": width})
+		}
+	}
+}
+
 // planLater plans after a pause.
 func (c *Controller) planLater(pause time.Duration) {
 	if c.planWaits {
--- a/residency/store.go
+++ b/residency/store.go
@@ -26,6 +26,16 @@
 	return s
 }
 
+// StoreWidths is how many loads may run at once from the weight store of each service
+// that has loaded from one.
+func (p *Planner) StoreWidths() map[string]int {
+	widths := make(map[string]int, len(p.stores))
+	for name, s := range p.stores {
+		widths[name] = s.pace.width
+	}
+	return widths
+}
+
 // countFetches takes note of how many loads from the weight stores are in progress.
 func (p *Planner) countFetches(now time.Duration) {
 	running := map[string]int{}
