edge: a node that stood still moves no calls

Cause: a frozen node wakes with answers that it has not read; by the clock all its upstreams have been silent for seconds, and each call that may run again would have moved at once. Found on reading the change, not by a run.

Mend: a look at an attempt that comes late counts its silence anew. TestANodeThatStoodStillWaitsForWhatWasSaid fails without it.

--- a/internal/edge/stall.go
+++ b/internal/edge/stall.go
@@ -17,6 +17,7 @@
 		return func() {}
 	}
 	w := &stallWatch{call: c, token: c.token, upstream: u, conn: conn, sent: boottime.Now(), ended: make(chan struct{})}
+	w.due = w.sent + firstStallCheck
 	first := time.AfterFunc(firstStallCheck, w.look)
 	return func() {
 		first.Stop()
@@ -24,9 +25,14 @@
 	}
 }
 
-// firstStallCheck is when an attempt is first looked at; most have ended or begun
-// by then.
-const firstStallCheck = 500 * time.Millisecond
+const (
+	// firstStallCheck is when an attempt is first looked at; most have ended or begun
+	// by then.
+	firstStallCheck = 500 * time.Millisecond
+	// stoodStill is by how much a look may be late before the node is taken to have
+	// stood still; a busy one is late by some tens of milliseconds.
+	stoodStill = 250 * time.Millisecond
+)
 
 // stallWatch looks after one attempt.
 type stallWatch struct {
@@ -34,8 +40,9 @@
 	token    dispatch.Token
 	upstream *fleet.Upstream
 	conn     *upstreamconn.Conn
-	sent     time.Duration
-	ended    chan struct{}
+	// sent is since when silence counts, due when the attempt is looked at next.
+	sent, due time.Duration
+	ended     chan struct{}
 }
 
 // look asks the dispatcher about the attempt.
@@ -49,6 +56,10 @@
 	default:
 	}
 	e, now := w.call.edge, boottime.Now()
+	if now-w.due > stoodStill {
+		// What the upstream said meanwhile has not been read yet.
+		w.sent = now
+	}
 	heard := w.conn.Heard()
 	s := e.dispatcher.Stalled(w.token, w.sent, heard, w.call.heardFrom.Load(), now)
 	switch {
@@ -60,6 +71,7 @@
 		w.call.moved.Store(true)
 		w.conn.Close()
 	case s.Check > 0:
+		w.due = s.Check
 		time.AfterFunc(s.Check-now, w.look)
 	}
 }
