--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -158,7 +158,7 @@
 	heard := p.heard(addr)
 	return &Conn{
 		pool: p, addr: addr, conn: conn, heard: heard,
-		reader: bufio.NewReaderSize(listener{conn, heard}, readBuffer),
+		reader: bufio.NewReaderSize(timedReader{conn, heard}, readBuffer),
 	}, nil
 }
 
@@ -169,17 +169,17 @@
 	return &p.host(addr).heard
 }
 
-// listener notes when bytes come in.
-type listener struct {
+// timedReader notes when bytes come in.
+type timedReader struct {
 	conn  net.Conn
 	heard *atomic.Int64
 }
 
 // Read implements io.Reader.
-func (l listener) Read(p []byte) (int, error) {
-	n, err := l.conn.Read(p)
+func (r timedReader) Read(p []byte) (int, error) {
+	n, err := r.conn.Read(p)
 	if n > 0 {
-		l.heard.Store(int64(boottime.Now()))
+		r.heard.Store(int64(boottime.Now()))
 	}
 	return n, err
 }
