--- a/internal/edge/budget_test.go
+++ b/internal/edge/budget_test.go
@@ -83,3 +83,17 @@
 	is.True(!b.spend(&c, nodes, now+9*time.Second))
 	is.True(b.spend(&c, nodes, now+30*time.Second)) // of the part that no calls must earn
 }
+
+// TestASecondSendCountsForTheWholeWindow spends the budget late in one part of the
+// window and asks again just before the window is over.
+func TestASecondSendCountsForTheWholeWindow(t *testing.T) {
+	is := is.New(t)
+	c := config.RetryBudget{Ratio: 0.2, Extra: 58, Window: contract.Duration(10 * time.Second)}
+	const nodes = 9
+	var b retryBudget
+	start := 30*time.Second + 900*time.Millisecond
+	for b.spend(&c, nodes, start) {
+	}
+	is.True(!b.spend(&c, nodes, start+9900*time.Millisecond))
+	is.True(b.spend(&c, nodes, start+11*time.Second))
+}
--- a/internal/edge/stall_test.go
+++ b/internal/edge/stall_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -71,3 +73,42 @@
 	is.True(!w.call.moved.Load())
 	is.True(w.due > boottime.Now()) // it is looked at again
 }
+
+// TestAMoveIsPaidOnce has a move draw on the budget, and the send that follows it
+// not.
+func TestAMoveIsPaidOnce(t *testing.T) {
+	is := is.New(t)
+	w := silentAttempt(t, boottime.Now()-firstStallCheck-50*time.Millisecond)
+	b := w.call.edge.budget("s")
+	paid := func() (sends int) {
+		for _, n := range b.sends {
+			sends += n
+		}
+		return sends
+	}
+	w.decide()
+	is.Equal(paid(), 1)
+	w.call.route = &routes.Route{Kind: routes.Repeatable, Attempts: 2}
+	w.call.deadline, w.call.mayHaveRun, w.call.ran = boottime.Now()+time.Minute, true, 1
+	w.call.r = httptest.NewRequest(http.MethodGet, "/", nil)
+	again := make(chan bool, 1)
+	go func() { again <- w.call.again(unknown) }()
+	select {
+	case ok := <-again:
+		is.True(ok)
+	case <-time.After(5 * time.Second): // the loop, which would pay, does not run here
+		t.Fatal("the send asks the budget once more")
+	}
+	is.Equal(paid(), 1)
+}
+
+// TestWithoutABudgetACallStays has no second send to spare.
+func TestWithoutABudgetACallStays(t *testing.T) {
+	is := is.New(t)
+	w := silentAttempt(t, boottime.Now()-firstStallCheck-50*time.Millisecond)
+	e := w.call.edge
+	for e.budget("s").spend(&e.cfg.Retry, e.entries.Load(), boottime.Now()) {
+	}
+	w.decide()
+	is.True(!w.call.moved.Load())
+}
--- a/residency/residency_test.go
+++ b/residency/residency_test.go
@@ -225,6 +225,20 @@
 	is.True(!known)
 }
 
+// TestAForecastCountsTheLoadsBefore asks for a model while the weight store is busy with
+// others: its load begins when the first of them has ended.
+func TestAForecastCountsTheLoadsBefore(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 8, 40, false)
+	w.run(second)
+	w.ask("n", "m20", "", 3)
+	w.ask("o", "m21", "", 3)
+	w.run(second)
+	in, known := w.planner.Forecast("llm", "m22", w.now)
+	is.True(known)
+	is.True(in > 10*second && in <= 12*second)
+}
+
 // burst replays thirty calls a second for m0, which one engine holds at first, and
 // returns how many engines hold it then.
 func (w *world) burst(span time.Duration) int {
