Keep calls from upstreams that say they leave or ask for a pause

An engine that leaves says so in its answers, and one that turns a call away with 503 may say for how long it wants nothing from that node. No line read either: a node learned of the leaving by the announcement only, and left a full engine alone for 100 ms.

A call that only pausing upstreams could run is refused at once, with the end of the first pause as the time to try again, if it cannot wait that long. The entry node tells the leader with its next report, which marks the incarnation as leaving for all nodes (fleet.MarkLeaving); later announcements of that incarnation do not undo it.

Found on the way: an upstream that fell silent and then left came back with a late announcement (TestSilentUpstreamThatLeavesStaysGone failed).

controller: a change whose outcome the leader does not know is not sent to another leader. Its error was reported like one of a leader that did not take the change, so the asked node sent it again, and the operator was told only of the second decision (overtaken or repeated) although the first may have been in force. Such a change is now answered as undecided, and the operator sends it again. TestUndecidedChangesAreNotRepeated.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -85,6 +85,7 @@
 	// it gets no calls for that one.
 	pausedUntil  time.Duration
 	missingUntil map[ModelKey]time.Duration
+	request      upstreamRequest
 }
 
 func byID(a, b *upstream) int { return cmp.Compare(a.desc.ID, b.desc.ID) }
@@ -187,7 +188,7 @@
 // eligible reports whether the upstream offers what the call needs and the call may run
 // there, whatever the upstream's load and failures.
 func (u *upstream) eligible(c *Call, now time.Duration) bool {
-	if u.desc.Leaving || slices.Contains(c.Avoid, u.desc.ID) {
+	if u.isLeaving() || slices.Contains(c.Avoid, u.desc.ID) {
 		return false
 	}
 	if c.Model == "" {
@@ -219,7 +220,7 @@
 	var candidates []candidate
 	outcome := noneKnown
 	for _, u := range d.byService[c.Service] {
-		if u.desc.Leaving {
+		if u.isLeaving() {
 			continue
 		}
 		if !u.eligible(c, now) {
@@ -232,7 +233,7 @@
 			outcome = allBusy
 		}
 		load := u.estimatedLoad(&d.limits, now)
-		if u.pausedUntil > now || u.probing || load >= float64(u.slotCount()) {
+		if max(u.pausedUntil, u.request.pausedUntil) > now || u.probing || load >= float64(u.slotCount()) {
 			continue
 		}
 		candidates = append(candidates, candidate{upstream: u, cost: d.cost(u, c, load, now)})
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -22,6 +22,8 @@
 	arrivals map[ModelKey]uint64
 	// plannerCountAt is when the latest counts of calls arrived from the planner.
 	plannerCountAt time.Duration
+	// departed holds the requests of upstreams that were removed, by ID.
+	departed map[string]departed
 }
 
 // runningCall is a call that runs at an upstream.
@@ -47,6 +49,7 @@
 		running:   map[CallID]*runningCall{},
 		forecasts: map[ModelKey]forecast{},
 		arrivals:  map[ModelKey]uint64{},
+		departed:  map[string]departed{},
 	}
 }
 
@@ -54,16 +57,16 @@
 // follow. A new incarnation of an upstream starts without the state of the earlier one.
 func (d *Dispatcher) Update(changed []fleet.Upstream, now time.Duration) []Verdict {
 	for i := range changed {
-		d.updateUpstream(&changed[i])
+		d.updateUpstream(&changed[i], now)
 	}
 	return d.processQueue(now)
 }
 
-func (d *Dispatcher) updateUpstream(next *fleet.Upstream) {
+func (d *Dispatcher) updateUpstream(next *fleet.Upstream, now time.Duration) {
 	known := d.upstreams[next.ID]
 	if next.Gone {
 		if known != nil {
-			d.removeUpstream(known)
+			d.removeUpstream(known, now)
 		}
 		return
 	}
@@ -73,15 +76,19 @@
 		return
 	}
 	if known != nil {
-		d.removeUpstream(known)
+		d.removeUpstream(known, now)
 	}
 	u := &upstream{desc: &copied}
+	if before, ok := d.departed[next.ID]; ok && before.born == next.Born {
+		u.request = before.request
+	}
 	d.upstreams[next.ID] = u
 	d.byService[next.Service] = append(d.byService[next.Service], u)
 	slices.SortFunc(d.byService[next.Service], byID)
 }
 
-func (d *Dispatcher) removeUpstream(u *upstream) {
+func (d *Dispatcher) removeUpstream(u *upstream, now time.Duration) {
+	d.rememberRequest(u, now)
 	delete(d.upstreams, u.desc.ID)
 	d.byService[u.desc.Service] = slices.DeleteFunc(d.byService[u.desc.Service],
 		func(o *upstream) bool { return o == u })
@@ -181,7 +188,7 @@
 	if u == nil {
 		return Health{}
 	}
-	return Health{Calls: u.ownRunning, Others: u.plannerCount, Failing: u.recentFailureRate(now), PausedFor: max(0, u.pausedUntil-now)}
+	return Health{Calls: u.ownRunning, Others: u.plannerCount, Failing: u.recentFailureRate(now), PausedFor: max(0, u.pausedUntil-now, u.request.pausedUntil-now)}
 }
 
 // Waiting returns the number of waiting calls.
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -52,6 +52,9 @@
 	NoUpstream Reason = "no upstream"
 	// NoModel means that no upstream will have the model, or the adapter, in time.
 	NoModel Reason = "model not loaded in time"
+	// Paused means that all upstreams that could run the call asked for a pause that
+	// outlasts it.
+	Paused Reason = "upstreams asked for a pause"
 	// NoSlot means that no upstream will have a free slot in time.
 	NoSlot Reason = "no room in time"
 )
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -67,7 +67,8 @@
 }
 
 // refusal returns the verdict that refuses a waiting call, and reports whether it is
-// due. If no upstream offers the model and there is a recent forecast, the call is
+// due. If all upstreams that could run the call asked for pauses that outlast it, the call
+// is refused with the first of their ends as the time to retry. If no upstream offers the model and there is a recent forecast, the call is
 // refused when the model cannot run by the call's latest start. Otherwise the call is
 // refused after NoForecastWaitFraction of its time.
 func (d *Dispatcher) refusal(w *queuedCall, now time.Duration) (Verdict, bool) {
@@ -83,6 +84,13 @@
 			return v, max(f.readyAt, now) > c.LatestStart
 		}
 	}
+	if resumeAt, ok := d.pauseEnd(c, now); ok {
+		v.RetryAfter = max(d.limits.RetryAfter, resumeAt-now)
+		if resumeAt > c.LatestStart {
+			v.Reason = Paused
+			return v, true
+		}
+	}
 	return v, now > c.Arrived+time.Duration(float64(c.LatestStart-c.Arrived)*d.limits.NoForecastWaitFraction)
 }
 
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -73,6 +73,9 @@
 		r.markGone(holder, now)
 	}
 	u.Gone, u.Silent = false, false
+	if known != nil && known.Born == u.Born && known.Leaving {
+		u.Leaving = true // an incarnation that leaves does not stay after all
+	}
 	if known != nil && known.equivalent(&u) {
 		known.Seq, known.lastHeard, known.EndsIn = u.Seq, now, u.EndsIn
 		return Taken
@@ -109,17 +112,30 @@
 		// A late announcement of this incarnation may still arrive and must be stale.
 		r.store(&entry{Upstream: Upstream{ID: id, Born: born, Gone: true}, lastHeard: now})
 		return Taken
-	case born != 0 && born < e.Born, e.Gone:
+	case born != 0 && born < e.Born, e.Gone && !e.Silent:
 		return Stale
 	}
 	r.markGone(e, now)
 	return Taken
 }
 
+// MarkLeaving records that an incarnation of an upstream takes no new work although its
+// announcements do not say so yet. It reports whether that was new.
+func (r *Registry) MarkLeaving(id string, born int64) bool {
+	e := r.byID[id]
+	if e == nil || e.Gone || e.Born != born || e.Leaving {
+		return false
+	}
+	leaving := *e
+	leaving.Leaving = true
+	r.store(&leaving)
+	return true
+}
+
 // markGone stores e as ended at now.
 func (r *Registry) markGone(e *entry, now time.Duration) {
 	ended := *e
-	ended.Gone, ended.lastHeard = true, now
+	ended.Gone, ended.Silent, ended.lastHeard = true, false, now
 	r.store(&ended)
 }
 
@@ -161,13 +177,19 @@
 func (r *Registry) Merge(others []Upstream, now time.Duration) {
 	for _, u := range others {
 		known := r.byID[u.ID]
-		if known != nil && (known.Born > u.Born || known.Born == u.Born && (known.Gone || !u.Gone)) {
+		if known != nil && (known.Born > u.Born || known.Born == u.Born && !known.endedBy(&u)) {
 			continue
 		}
 		r.store(&entry{Upstream: u, lastHeard: now})
 	}
 }
 
+// endedBy reports whether u, a description of the same incarnation, says that it ended and
+// the entry does not, or only that it fell silent where u says that it left.
+func (e *entry) endedBy(u *Upstream) bool {
+	return u.Gone && (!e.Gone || e.Silent && !u.Silent)
+}
+
 // Replace stores the upstreams of the registry that this one is a copy of, whatever is
 // known of them here.
 func (r *Registry) Replace(others []Upstream, now time.Duration) {
--- a/fleet/registry_test.go
+++ b/fleet/registry_test.go
@@ -76,6 +76,42 @@
 	is.Equal(len(r.Live()), 1)
 }
 
+// TestLeavingIsFinal checks that an upstream that entry nodes report as leaving is not
+// brought back by announcements of the same incarnation that do not say so.
+func TestLeavingIsFinal(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry()
+	r.Announce(upstream("u", "a:1", 5, 3), 0)
+	is.True(!r.MarkLeaving("u", 4)) // another incarnation
+	is.True(!r.MarkLeaving("other", 5))
+	before := r.Revision()
+	is.True(r.MarkLeaving("u", 5))
+	is.True(!r.MarkLeaving("u", 5))
+	is.Equal(r.Revision(), before+1)
+	is.Equal(r.Announce(upstream("u", "a:1", 5, 4), second), fleet.Taken)
+	got, _ := r.Get("u")
+	is.True(got.Leaving)
+	is.Equal(r.Announce(upstream("u", "a:1", 6, 1), 2*second), fleet.Taken)
+	got, _ = r.Get("u")
+	is.True(!got.Leaving)
+}
+
+// TestSilentUpstreamThatLeavesStaysGone checks that an upstream that fell silent and then
+// left is not brought back by an announcement from before it left, in the registry that
+// received the departure and in one that learned of it.
+func TestSilentUpstreamThatLeavesStaysGone(t *testing.T) {
+	is := is.New(t)
+	r, other := newRegistry(), newRegistry()
+	for _, registry := range []*fleet.Registry{r, other} {
+		registry.Announce(upstream("u", "a:1", 5, 3), 0)
+		is.Equal(registry.Expire(7*second), []string{"u"})
+	}
+	is.Equal(r.Leave("u", 5, 8*second), fleet.Taken)
+	is.Equal(r.Announce(upstream("u", "a:1", 5, 4), 9*second), fleet.Stale)
+	other.Merge(r.Since(0), 9*second)
+	is.Equal(other.Announce(upstream("u", "a:1", 5, 4), 9*second), fleet.Stale)
+}
+
 // TestLeaveBeforeAnnounce checks that a departure is remembered if it arrives before the
 // incarnation's first announcement.
 func TestLeaveBeforeAnnounce(t *testing.T) {
--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -133,11 +133,12 @@
 			return nil
 		}
 		hint = ""
+		if mayHaveChanged(method, err) {
+			// The operator sends the change again.
+			return errors.Mark(err, ErrUnavailable)
+		}
 		if code, ok := peer.CodeOf(err); ok && code == nodelink.CodeNotLeader {
 			hint = leaderHintFrom(err)
-		} else if errors.Is(err, peer.ErrOutcomeUnknown) && method == nodelink.Configure {
-			// The change may have been decided. The operator sends it again.
-			return errors.Mark(err, ErrUnavailable)
 		}
 		select {
 		case <-time.After(leaderRetryInterval):
@@ -147,6 +148,17 @@
 	}
 }
 
+// mayHaveChanged reports whether a failed call may have changed the configuration. Such a
+// call must not be repeated here: the first one may have been accepted and overtaken
+// since, and the second one would report only that.
+func mayHaveChanged(method string, err error) bool {
+	if method != nodelink.Configure {
+		return false
+	}
+	code, ok := peer.CodeOf(err)
+	return errors.Is(err, peer.ErrOutcomeUnknown) || ok && code == nodelink.CodeUndecided
+}
+
 // callLeaderOnce makes one attempt of callLeader. hint is the leader that another node
 // named, or "". It is used if this node knows no leader or takes itself for the leader.
 func (c *Controller) callLeaderOnce(ctx context.Context, hint, method string, request, answer any, local func() error) error {
--- /dev/null
+++ b/internal/controller/api_test.go
@@ -0,0 +1,24 @@
+package controller
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/internal/nodelink"
+	"github.com/agateslip/agateslip/internal/peer"
+)
+
+// TestUndecidedChangesAreNotRepeated checks that a change is sent again to another leader
+// only if the first one certainly did not accept it.
+func TestUndecidedChangesAreNotRepeated(t *testing.T) {
+	is := is.New(t)
+	undecided := peer.Errorf(nodelink.CodeUndecided, "the leader lost its leadership")
+	unanswered := errors.Mark(errors.New("connection is closed"), peer.ErrOutcomeUnknown)
+	is.True(mayHaveChanged(nodelink.Configure, undecided))
+	is.True(mayHaveChanged(nodelink.Configure, unanswered))
+	is.True(!mayHaveChanged(nodelink.Configure, peer.Errorf(nodelink.CodeNotLeader, "a:1")))
+	is.True(!mayHaveChanged(nodelink.Configure, errors.Mark(errors.New("no connection"), peer.ErrNotSent)))
+	is.True(!mayHaveChanged(nodelink.Read, unanswered)) // a read changes nothing
+}
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -13,6 +13,7 @@
 	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/internal/nodelink"
 	"github.com/agateslip/agateslip/internal/peer"
+	"github.com/agateslip/agateslip/internal/replica"
 )
 
 const (
@@ -158,6 +159,7 @@
 			return
 		}
 		now := boottime.Now()
+		c.markLeaving(from, r.Leaving, now)
 		c.planner.SetDemand(from, r.Report, now)
 		c.plan(now)
 		known := r.CountsRevision
@@ -219,6 +221,20 @@
 	}
 }
 
+// markLeaving records the upstreams that told an entry node that they are leaving.
+func (c *Controller) markLeaving(from string, leaving []nodelink.Incarnation, now time.Duration) {
+	for _, u := range leaving {
+		if !c.registry.MarkLeaving(u.ID, u.Born) {
+			continue
+		}
+		c.log.Event("upstream is leaving", eventlog.Fields{"upstream": u.ID, "born": u.Born, "toldBy": from})
+		if known, ok := c.registry.Get(u.ID); ok {
+			c.planner.SetUpstream(known, now)
+		}
+		c.notifier.notify()
+	}
+}
+
 // removeGoneUpstreams removes from the planner the upstreams that have ended since a
 // revision of the registry: those that left, fell silent, or whose address another
 // upstream took over.
@@ -308,7 +324,10 @@
 // configureAsLeader proposes a configuration and waits until it is durable.
 func (c *Controller) configureAsLeader(ctx context.Context, r confstate.Configure) (confstate.Result, error) {
 	a, err := c.propose(ctx, confstate.Command{Configure: &r})
-	if err != nil {
+	switch {
+	case errors.Is(err, replica.ErrOutcomeUnknown):
+		return 0, peer.Errorf(nodelink.CodeUndecided, "%s", err.Error())
+	case err != nil:
 		return 0, c.peerError(err)
 	}
 	if err := c.waitDurable(ctx, a.index); err != nil {
@@ -339,7 +358,7 @@
 		select {
 		case <-time.After(durablePollInterval):
 		case <-ctx.Done():
-			return peer.Errorf(nodelink.CodeUnavailable, "entry %d is on %d disks", index, copies)
+			return peer.Errorf(nodelink.CodeUndecided, "entry %d is on %d disks", index, copies)
 		}
 	}
 }
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/agateslip/agateslip/dispatch"
+	"github.com/agateslip/agateslip/fleet"
 	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/internal/nodelink"
@@ -38,13 +41,14 @@
 		case <-timer.C:
 		}
 		var report residency.NodeReport
-		if e.loop.Do(ctx, func() { report = e.demandReport() }) != nil {
+		var leaving []nodelink.Incarnation
+		if e.loop.Do(ctx, func() { report, leaving = e.demandReport(), slices.Collect(maps.Keys(e.unreportedLeaving)) }) != nil {
 			return nil // the node stops
 		}
 		// The first empty report is sent: it tells the leader that nothing waits or runs.
-		empty := len(report.Waiting)+len(report.Arrivals)+len(report.Running)+len(report.Quality) == 0
+		empty := len(report.Waiting)+len(report.Arrivals)+len(report.Running)+len(report.Quality)+len(leaving) == 0
 		if !empty || !lastEmpty {
-			e.sendReport(ctx, report)
+			e.sendReport(ctx, report, leaving)
 		}
 		lastEmpty = empty
 		next := reportInterval
@@ -85,12 +89,14 @@
 
 // sendReport sends a report to the leader and applies its answer. The counts of a
 // report that fails are part of the next one.
-func (e *Edge) sendReport(ctx context.Context, report residency.NodeReport) {
+func (e *Edge) sendReport(ctx context.Context, report residency.NodeReport, leaving []nodelink.Incarnation) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	var answer nodelink.DemandAnswer
 	target := e.leader.current()
-	request := nodelink.DemandRequest{Report: report, Term: e.plannerCounts.term, CountsRevision: e.plannerCounts.revision}
+	request := nodelink.DemandRequest{
+		Report: report, Term: e.plannerCounts.term, CountsRevision: e.plannerCounts.revision, Leaving: leaving,
+	}
 	if err := e.mesh.Call(ctx, target, nodelink.Demand, request, &answer); err != nil {
 		e.log.Event("demand not reported", eventlog.Fields{"asked": target, "error": err.Error()})
 		return
@@ -106,6 +112,9 @@
 		if answer.Term != 0 {
 			e.dispatcher.ObservePlannerCounts(answer.Running, answer.Whole, now)
 		}
+		for _, incarnation := range leaving {
+			delete(e.unreportedLeaving, incarnation)
+		}
 		for _, q := range report.Quality {
 			e.reportedQuality[q.Upstream] = q
 		}
@@ -131,6 +140,20 @@
 	e.streamQuality[upstream] = q
 }
 
+// noteLeaving records that the upstream of a running call said that it is leaving, for this
+// node at once and for the leader with the next report. It runs on the loop.
+func (e *Edge) noteLeaving(id dispatch.CallID, u *fleet.Upstream) {
+	e.dispatcher.ObserveLeaving(id)
+	known, ok := e.upstreams[u.ID]
+	if !ok || known.desc.Born != u.Born || known.desc.Leaving || known.saidLeaving {
+		return
+	}
+	known.saidLeaving = true
+	e.upstreams[u.ID] = known
+	e.unreportedLeaving[nodelink.Incarnation{ID: u.ID, Born: u.Born}] = true
+	e.signalDemand()
+}
+
 // signalDemand wakes reportDemand.
 func (e *Edge) signalDemand() {
 	select {
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -49,6 +49,10 @@
 	// Load is the load that the upstream reports; its Slots is zero if there is no
 	// report.
 	Load dispatch.Load
+	// Leaving is set if the upstream is about to end and wants no new calls.
+	Leaving bool
+	// Pause is how long the upstream wants no calls from this node; zero if not stated.
+	Pause time.Duration
 }
 
 // Dialect reads and writes the headers by which callers, entry nodes and upstreams
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -24,6 +24,7 @@
 	"github.com/agateslip/agateslip/internal/controller"
 	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/internal/metrics"
+	"github.com/agateslip/agateslip/internal/nodelink"
 	"github.com/agateslip/agateslip/internal/owner"
 	"github.com/agateslip/agateslip/internal/peer"
 	"github.com/agateslip/agateslip/internal/supervisor"
@@ -92,6 +93,9 @@
 	// counts that the leader has received.
 	streamQuality   map[string]residency.Quality
 	reportedQuality map[string]residency.Quality
+	// unreportedLeaving holds the upstreams that said that they are leaving and of which
+	// the leader does not know it yet.
+	unreportedLeaving map[nodelink.Incarnation]bool
 }
 
 // knownUpstream is the latest description of an upstream that this node accepted.
@@ -100,6 +104,8 @@
 	// unlistedSince is when the leader stopped listing the upstream; zero while it is
 	// listed.
 	unlistedSince time.Duration
+	// saidLeaving is set once the upstream said with an answer that it is leaving.
+	saidLeaving bool
 }
 
 // New returns an entry node that is not running yet. It fails if the seeds of cfg are
@@ -124,6 +130,8 @@
 		reportedArrivals: map[dispatch.ModelKey]uint64{},
 		streamQuality:    map[string]residency.Quality{},
 		reportedQuality:  map[string]residency.Quality{},
+
+		unreportedLeaving: map[nodelink.Incarnation]bool{},
 	}
 	e.entryNodes.Store(1)
 	e.registerGauges()
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -223,7 +223,8 @@
 			"upstream": u.ID, "addr": u.Addr, "service": u.Service, "leaving": u.Leaving, "revision": u.Revision,
 		})
 	}
-	e.upstreams[u.ID] = knownUpstream{desc: *u}
+	saidLeaving := ok && previous.saidLeaving && previous.desc.Born == u.Born
+	e.upstreams[u.ID] = knownUpstream{desc: *u, saidLeaving: saidLeaving}
 	return true
 }
 
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -41,7 +41,18 @@
 	c.edge.loop.Post(func() {
 		c.edge.dispatcher.Observe(id, answer.Load, now)
 		c.edge.dispatcher.FirstByte(id)
+		if answer.Leaving {
+			c.edge.noteLeaving(id, u)
+		}
+		if answer.Pause > 0 {
+			c.edge.dispatcher.ObservePause(id, answer.Pause, now)
+		}
 	})
+	if answer.Leaving || answer.Pause > 0 {
+		c.log("upstream wants no calls", eventlog.Fields{
+			"upstream": u.ID, "leaving": answer.Leaving, "pauseMillis": answer.Pause.Milliseconds(),
+		})
+	}
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	switch {
 	case answer.NotRun:
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -37,6 +37,10 @@
 // example because its leadership is not confirmed.
 const CodeUnavailable peer.Code = 2
 
+// CodeUndecided is the error code of a leader that cannot tell whether a change that it
+// received is or will be in force.
+const CodeUndecided peer.Code = 3
+
 // WatchRequest asks for changes relative to what the node already has.
 type WatchRequest struct {
 	// Entry is set if the asking node is an entry node.
@@ -73,6 +77,16 @@
 	// Term and CountsRevision are those of the latest answer that the node received.
 	Term           uint64 `json:"term,omitempty"`
 	CountsRevision uint64 `json:"loads,omitempty"`
+	// Leaving lists the incarnations of upstreams that said with an answer that they are
+	// leaving.
+	Leaving []Incarnation `json:"leaving,omitempty"`
+}
+
+// Incarnation identifies an upstream from its start to its end.
+type Incarnation struct {
+	ID string `json:"id"`
+	// Born is when the upstream started, in Unix milliseconds.
+	Born int64 `json:"born"`
 }
 
 // DemandAnswer has the forecasts for the models that calls wait for, and the leader's
