residency: believe the first placement until arrival rates are learned

Load pattern: traffic begins at full strength on a deployment where busy models stand on many engines and some models on none.

Before traffic the planner expected one call a second for each engine that holds a model, and so unloaded it from eleven of them to give homes to models that are hardly called. At the first call this expectation was dropped altogether, and two more engines were emptied, since the rates start at zero and take five seconds to be learned. Three engines were left; the copies cannot be brought back, since the store loads one model in 13 s. Callers' streams waited unstarted in the engines' queues.

Nodes say for how long they have counted, so that a new leader does not take a node's past calls for a burst, and does not expect anything from placement while traffic runs.

TestHotModelKeepsItsEnginesAtTheStart fails before (fewer than six engines while traffic begins).

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -20,6 +20,8 @@
 	// arrivals counts the calls for each model and adapter since the start, without
 	// repeats.
 	arrivals map[ModelKey]uint64
+	// firstArrival is when the first of these calls was submitted.
+	firstArrival time.Duration
 	// plannerCountAt is when the latest counts of calls arrived from the planner.
 	plannerCountAt time.Duration
 	// departed holds the requests of upstreams that were removed, by ID.
@@ -98,6 +100,9 @@
 // them unless it waits.
 func (d *Dispatcher) Submit(c Call, now time.Duration) []Verdict {
 	if c.Model != "" && !c.Repeat {
+		if len(d.arrivals) == 0 {
+			d.firstArrival = now
+		}
 		d.arrivals[ModelKey{c.Service, c.Model, c.Adapter}]++
 	}
 	d.enqueue(&queuedCall{call: c})
@@ -198,6 +203,15 @@
 // without repeats. The map is the dispatcher's own.
 func (d *Dispatcher) Arrivals() map[ModelKey]uint64 { return d.arrivals }
 
+// CountedFor returns the time since the first call that Arrivals counts; zero if there was
+// none.
+func (d *Dispatcher) CountedFor(now time.Duration) time.Duration {
+	if len(d.arrivals) == 0 {
+		return 0
+	}
+	return now - d.firstArrival
+}
+
 // Running returns the number of calls for models that run, by upstream ID and by model
 // and adapter.
 func (d *Dispatcher) Running() map[string]map[ModelKey]int {
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -64,7 +64,8 @@
 // demandReport returns the waiting and running calls, and the counts that changed since
 // the leader last received them. It runs on the loop.
 func (e *Edge) demandReport() residency.NodeReport {
-	report := residency.NodeReport{Waiting: e.dispatcher.Demand(boottime.Now())}
+	now := boottime.Now()
+	report := residency.NodeReport{Waiting: e.dispatcher.Demand(now), CountedFor: e.dispatcher.CountedFor(now)}
 	for key, calls := range e.dispatcher.Arrivals() {
 		if e.reportedArrivals[key] != calls {
 			report.Arrivals = append(report.Arrivals, residency.Count{
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -17,14 +17,14 @@
 	// dropped.
 	reportTimeout = 2 * time.Second
 	// minRate is the lowest rate, in calls per second, that is expected for a model,
-	// also before its first call. initialHolderRate is added for each engine that
-	// holds the model before any traffic, because busy models are placed widely.
-	minRate           = 0.03
-	initialHolderRate = 1
+	// also before its first call.
+	minRate = 0.03
 )
 
 // NodeReport is the demand that one entry node sees.
 type NodeReport struct {
+	// CountedFor is the time since the first call that Arrivals counts.
+	CountedFor time.Duration `json:"for,omitempty"`
 	// Waiting holds the calls that wait for a model.
 	Waiting []dispatch.Demand `json:"waiting,omitempty"`
 	// Arrivals counts the calls for each model since the node started.
@@ -79,14 +79,18 @@
 type demandState struct {
 	byNode map[string]*nodeDemand
 	rates  map[modelKey]*rate
-	// total counts all arrivals reported so far.
-	total uint64
+	// total counts all arrivals reported so far. firstArrival is when the first of them
+	// arrived at a node.
+	total        uint64
+	firstArrival time.Duration
 }
 
 // nodeDemand is the latest report of one entry node.
 type nodeDemand struct {
 	reportedAt time.Duration
-	waiting    []dispatch.Demand
+	// followed is set once the node has reported to this planner.
+	followed bool
+	waiting  []dispatch.Demand
 	// arrivals holds the last reported counts, by Count with zero Calls.
 	arrivals map[Count]uint64
 	running  []Count
@@ -109,8 +113,9 @@
 	report.reportedAt = now
 	report.waiting = r.Waiting
 	for _, c := range r.Arrivals {
-		demand.addArrivals(report, c, now)
+		demand.addArrivals(report, c, r.CountedFor, now)
 	}
+	report.followed = true
 	for _, q := range r.Quality {
 		p.learnSlowdown(report, q)
 	}
@@ -130,25 +135,32 @@
 }
 
 // addArrivals adds the calls for a model since the node's last report to its arrival
-// rate. A count that went down started again from zero.
-func (d *demandState) addArrivals(report *nodeDemand, c Count, now time.Duration) {
+// rate. A count that went down started again from zero. A node's first report after this
+// planner started counts calls over a longer time, countedFor, over which they are spread.
+func (d *demandState) addArrivals(report *nodeDemand, c Count, countedFor, now time.Duration) {
 	key := c
 	key.Calls = 0
-	before, ok := report.arrivals[key]
+	before, known := report.arrivals[key]
 	report.arrivals[key] = c.Calls
-	if !ok && d.total == 0 || c.Calls < before {
+	if c.Calls < before {
 		before = 0
 	}
 	if c.Calls <= before {
 		return
 	}
-	arrived := c.Calls - before
-	d.total += arrived
+	arrived := float64(c.Calls - before)
+	if start := now - countedFor; d.total == 0 || start < d.firstArrival {
+		d.firstArrival = start
+	}
+	d.total += c.Calls - before
+	if !known && !report.followed {
+		arrived *= rateTimeConstant.Seconds() / max(countedFor, rateTimeConstant).Seconds()
+	}
 	m := modelKey{c.Service, c.Model}
 	if d.rates[m] == nil {
 		d.rates[m] = &rate{at: now}
 	}
-	d.rates[m].add(float64(arrived), now)
+	d.rates[m].add(arrived, now)
 }
 
 // expireReports drops the waiting and running calls of entry nodes that have not
@@ -164,10 +176,12 @@
 
 // expectedRate returns the calls per second expected for a model.
 func (p *Planner) expectedRate(service, model string, now time.Duration) float64 {
-	if r := p.demand.rates[modelKey{service, model}]; r != nil {
-		return max(minRate, r.value(now))
+	key := modelKey{service, model}
+	expected := p.priorRate(key, now)
+	if r := p.demand.rates[key]; r != nil {
+		expected += r.value(now)
 	}
-	return minRate
+	return max(minRate, expected)
 }
 
 // queue holds the calls of all entry nodes that wait for one model.
--- /dev/null
+++ b/residency/hotmodel_test.go
@@ -0,0 +1,54 @@
+package residency_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// newHotModelSimulation returns twelve engines with places for two models each. Eight hold
+// m0, as a platform places a busy model, and 24 of the 40 models are held nowhere.
+func newHotModelSimulation(t *testing.T) *simulation {
+	var placement [][]int
+	next := 1
+	for range 8 {
+		placement = append(placement, []int{0, next})
+		next++
+	}
+	for range 4 {
+		placement = append(placement, []int{next, next + 1})
+		next += 2
+	}
+	return newPlacedSimulation(t, placement, 40, true)
+}
+
+// callHotModel sends 24 calls a second for m0, and now and then a call for one of the models
+// that are held nowhere. It returns the least number of engines that held m0 meanwhile.
+func (s *simulation) callHotModel(d time.Duration) int {
+	least := s.holders("m0")
+	const step = 125 * ms
+	rare := 17
+	for end := s.now + d; s.now < end; {
+		s.arrivals["m0"] += 3
+		if s.now%second == 0 {
+			s.addWaiting("n", fmt.Sprint("m", rare), "", 1)
+			rare = 17 + (rare-16)%23
+		}
+		s.run(step)
+		least = min(least, s.holders("m0"))
+	}
+	return least
+}
+
+// TestHotModelKeepsItsEnginesAtTheStart has models without an engine while a hot one is held
+// by eight. It must not be evicted for them before its first calls or while its rate is
+// still being learned: its calls need six engines at four calls a second each.
+func TestHotModelKeepsItsEnginesAtTheStart(t *testing.T) {
+	is := is.New(t)
+	s := newHotModelSimulation(t)
+	s.run(12 * second)
+	is.True(s.holders("m0") >= 6)
+	is.True(s.callHotModel(10*second) >= 6)
+}
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -67,6 +67,8 @@
 	forecasts map[modelKey]forecast
 	// stores holds the weight stores by service name.
 	stores map[string]*store
+	// placement counts the engines that held each model before traffic.
+	placement map[modelKey]int
 	// changed holds the IDs of the upstreams whose View may have changed.
 	changed map[string]bool
 }
@@ -134,6 +136,7 @@
 		forecasts: map[modelKey]forecast{},
 		slowdown:  newSlowdownModel(),
 		stores:    map[string]*store{},
+		placement: map[modelKey]int{},
 		changed:   map[string]bool{},
 	}
 }
@@ -165,6 +168,7 @@
 			closingSince:    map[string]time.Duration{},
 		}
 		p.insert(u.ID, e)
+		defer p.notePlacement(e)
 	}
 	e.setCopies(&u)
 	e.desc = u
--- a/residency/simulation_test.go
+++ b/residency/simulation_test.go
@@ -73,6 +73,15 @@
 // the same size. With copies, every engine has all models on its disk, else only its
 // own two.
 func newSimulation(t *testing.T, n, models int, copies bool) *simulation {
+	placement := make([][]int, n)
+	for i := range placement {
+		placement[i] = []int{2 * i % models, (2*i + 1) % models}
+	}
+	return newPlacedSimulation(t, placement, models, copies)
+}
+
+// newPlacedSimulation returns engines that hold the models with the given numbers.
+func newPlacedSimulation(t *testing.T, placement [][]int, models int, copies bool) *simulation {
 	s := &simulation{t: t, engines: map[string]*engine{}, waiting: map[string]*waitingCalls{}, arrivals: map[string]uint64{}, spec: &routes.Engine{
 		Slots: 8, WeightsMB: 25, AdapterPlaces: 2, StoreLoadsPerSecond: 4,
 	}}
@@ -86,10 +95,10 @@
 	}
 	s.planner = residency.New(residency.DefaultLimits())
 	s.planner.SetServices([]routes.Service{{Name: "llm", Engine: s.spec}})
-	for i := range n {
+	for i, held := range placement {
 		e := &engine{desc: fleet.Upstream{ID: fmt.Sprint("e", i), Born: 1, Service: "llm", Slots: 8}}
-		for j := range 2 {
-			e.desc.Residents = append(e.desc.Residents, fleet.Resident{Model: names[(2*i+j)%models]})
+		for _, model := range held {
+			e.desc.Residents = append(e.desc.Residents, fleet.Resident{Model: names[model]})
 		}
 		if copies {
 			e.desc.OnDisk = names
@@ -285,6 +294,17 @@
 	}
 }
 
+// holders returns the number of engines that hold a model.
+func (s *simulation) holders(model string) int {
+	count := 0
+	for _, e := range s.engines {
+		if e.desc.Holds(model, "") {
+			count++
+		}
+	}
+	return count
+}
+
 // serves reports whether an engine holds a model and, unless it is empty, an adapter.
 func (s *simulation) serves(model, adapter string) bool {
 	for _, e := range s.engines {
--- a/residency/slowdown.go
+++ b/residency/slowdown.go
@@ -49,7 +49,12 @@
 		return 0
 	}
 	slowdown := m.paused / m.squaredRates
-	bestRate := math.Sqrt(1 / (3 * slowdown)) // where rate - slowdown*rate^3 is greatest
-	effectiveRate := min(rate, bestRate)
+	effectiveRate := min(rate, m.bestRate())
 	return (slowdown*effectiveRate*effectiveRate*effectiveRate + rate - effectiveRate) * (1 - lateCallValue)
 }
+
+// bestRate returns the rate at one engine, in calls per second, at which most calls are on
+// time: where rate - slowdown*rate^3 is greatest. It is infinite while no stream has paused.
+func (m *slowdownModel) bestRate() float64 {
+	return math.Sqrt(m.squaredRates / (3 * m.paused))
+}
--- a/residency/survey.go
+++ b/residency/survey.go
@@ -137,9 +137,6 @@
 		}
 		m.holders = append(m.holders, e)
 		m.hasSpareSlots = m.hasSpareSlots || spareSlots
-		if p.demand.total == 0 {
-			m.rate += initialHolderRate
-		}
 	}
 	availableSoon := e.active == nil || e.active.due-now < maxCopyWait
 	for name := range e.tiers {
