residency: an engine's slots bound what it serves

Load pattern: a model is called more often than the slots of its engines allow.

What an engine serves was learned from the pauses of finished streams alone. The loss now also counts the calls beyond one for each slot and call time.

Engines with 64 slots bear 32 calls a second by this bound, which the pauses reach first, so the first sites keep their decisions.

--- a/residency/choose.go
+++ b/residency/choose.go
@@ -191,7 +191,7 @@
 	if len(m.holders) > 0 {
 		p.computeHolderEffects(m)
 		share := m.rate / float64(len(m.holders)+1)
-		value := (m.addBenefit + p.slowdown.lossRate(e.rate) - p.slowdown.lossRate(e.rate+share)) * horizon
+		value := (m.addBenefit + p.lossRate(e, e.rate) - p.lossRate(e, e.rate+share)) * horizon
 		if !m.hasSpareSlots {
 			// The engines that hold it have no spare slots, so waiting calls need the
 			// load.
@@ -202,7 +202,7 @@
 	if t == Store && !m.hasCopy {
 		horizon = p.limits.CopyHorizon.Seconds()
 	}
-	crowding := p.slowdown.lossRate(e.rate+m.rate) - p.slowdown.lossRate(e.rate)
+	crowding := p.lossRate(e, e.rate+m.rate) - p.lossRate(e, e.rate)
 	return m.loadValue[t] + m.rate*horizon - crowding*p.limits.Horizon.Seconds()
 }
 
@@ -228,10 +228,10 @@
 	p.computeHolderEffects(m)
 	count := float64(len(m.holders))
 	before, after := m.rate/count, m.rate/(count-1)
-	own := p.slowdown.lossRate(e.rate)
+	own := p.lossRate(e, e.rate)
 	// m.removeCost counts e as an engine that keeps the model. Replace that term by
 	// the effect of losing its share of the calls.
-	return m.removeCost - (p.slowdown.lossRate(e.rate-before+after) - own) + p.slowdown.lossRate(e.rate-before) - own
+	return m.removeCost - (p.lossRate(e, e.rate-before+after) - own) + p.lossRate(e, e.rate-before) - own
 }
 
 // sortByGainBound sorts models by gainBound, highest first.
--- a/residency/prior.go
+++ b/residency/prior.go
@@ -51,7 +51,7 @@
 func (p *Planner) bestEngineRate(service string) float64 {
 	best := p.slowdown.bestRate()
 	if s := p.services[service]; s != nil && s.spec.Slots > 0 {
-		best = min(best, float64(s.spec.Slots)/p.limits.CallTime.Seconds())
+		best = min(best, p.slotRate(s.spec.Slots))
 	}
 	return best
 }
--- a/residency/slowdown.go
+++ b/residency/slowdown.go
@@ -42,14 +42,14 @@
 }
 
 // lossRate returns the value lost to late calls at an engine, in calls per second, at
-// the given rate of calls. Calls on time never exceed their number at bestRate,
-// however many arrive.
-func (m *slowdownModel) lossRate(rate float64) float64 {
-	if m.squaredRates <= 0 || m.paused <= 0 || rate <= 0 {
+// the given rate of calls. Calls on time never exceed their number at bestRate or the
+// rate that the engine's slots allow, however many arrive.
+func (m *slowdownModel) lossRate(rate, slotRate float64) float64 {
+	if m.squaredRates <= 0 || rate <= 0 {
 		return 0
 	}
 	slowdown := m.paused / m.squaredRates
-	effectiveRate := min(rate, m.bestRate())
+	effectiveRate := min(rate, m.bestRate(), slotRate)
 	return (slowdown*effectiveRate*effectiveRate*effectiveRate + rate - effectiveRate) * (1 - lateCallValue)
 }
 
@@ -58,3 +58,14 @@
 func (m *slowdownModel) bestRate() float64 {
 	return math.Sqrt(m.squaredRates / (3 * m.paused))
 }
+
+// lossRate returns the value lost to late calls at an engine, in calls per second, if it
+// gets the given rate of calls.
+func (p *Planner) lossRate(e *engine, rate float64) float64 {
+	return p.slowdown.lossRate(rate, p.slotRate(e.desc.Slots))
+}
+
+// slotRate returns how many calls per second so many slots can run.
+func (p *Planner) slotRate(slots int) float64 {
+	return float64(max(1, slots)) / p.limits.CallTime.Seconds()
+}
--- a/residency/survey.go
+++ b/residency/survey.go
@@ -188,10 +188,10 @@
 	before := m.rate / count
 	m.addBenefit, m.removeCost = 0, 0
 	for _, h := range m.holders {
-		current := p.slowdown.lossRate(h.rate)
-		m.addBenefit += current - p.slowdown.lossRate(h.rate-before+m.rate/(count+1))
+		current := p.lossRate(h, h.rate)
+		m.addBenefit += current - p.lossRate(h, h.rate-before+m.rate/(count+1))
 		if count > 1 {
-			m.removeCost += p.slowdown.lossRate(h.rate-before+m.rate/(count-1)) - current
+			m.removeCost += p.lossRate(h, h.rate-before+m.rate/(count-1)) - current
 		}
 	}
 	m.effectsKnown = true
