edge: calls wait for the first configuration

Load pattern: all nodes start at once, after a loss of power or a kill of all processes, while callers keep coming.

Nodes refused calls until a leader was elected and had sent the configuration, about a second. Now a call waits for the configuration, up to 1.5 s and half of the time that its caller waits, and is then refused with the time to try again.

TestCallsWaitForFirstConfiguration failed before (503 at once).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -64,6 +64,8 @@
 	leader  *leaderFinder
 	// routing is the configuration in force; nil before the first one arrives.
 	routing atomic.Pointer[routingConfig]
+	// configured is closed once the first configuration is in force.
+	configured chan struct{}
 	// entryNodes is the number of entry nodes as last reported by the leader; initially 1.
 	entryNodes atomic.Int64
 	lastCallID atomic.Uint64
@@ -122,6 +124,7 @@
 		loop:             owner.New(),
 		leader:           newLeaderFinder(seeds),
 		demandChanged:    make(chan struct{}, 1),
+		configured:       make(chan struct{}),
 		closing:          make(chan struct{}),
 		dispatcher:       dispatch.New(dispatch.DefaultLimits(), cfg.Domain),
 		waiters:          map[dispatch.CallID]chan dispatch.Verdict{},
@@ -242,7 +245,8 @@
 // applyConfiguration puts a configuration in force unless it is invalid or not newer
 // than the current one.
 func (e *Edge) applyConfiguration(c *confstate.Configure) {
-	if v := e.routing.Load(); v != nil && v.version >= c.Version {
+	current := e.routing.Load()
+	if current != nil && current.version >= c.Version {
 		return
 	}
 	text, err := controller.Decompress(c.Document)
@@ -250,6 +254,9 @@
 		var conf *routes.Configuration
 		if conf, err = e.decode(text); err == nil {
 			e.routing.Store(&routingConfig{version: c.Version, table: routes.NewTable(conf)})
+			if current == nil {
+				close(e.configured)
+			}
 			e.log.Event("configuration in force", eventlog.Fields{"version": c.Version, "routes": len(conf.Routes)})
 			return
 		}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -77,8 +77,7 @@
 	if e.stopping.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
-	c.routing = e.routing.Load()
-	if c.routing == nil {
+	if c.routing = e.awaitConfiguration(r.Context(), c.caller.MaxWait); c.routing == nil {
 		c.refuse(http.StatusServiceUnavailable, "no configuration yet", defaultRetryAfter)
 		return
 	}
@@ -99,6 +98,37 @@
 	c.run()
 }
 
+const (
+	// maxConfigurationWait bounds how long a call waits for the first configuration. After
+	// a loss of power, a new leader is elected and reached within about a second.
+	maxConfigurationWait = 1500 * time.Millisecond
+	// configurationWaitShare is the share of the time that the caller waits for its answer
+	// which may pass without a configuration.
+	configurationWaitShare = 0.5
+)
+
+// awaitConfiguration returns the configuration in force. A node that has just started has
+// none yet; it lets calls wait, because after a loss of power all nodes start at once, so
+// that a refused caller finds no other node that can serve it. It returns nil if none comes
+// in time. callerWait is how long the caller waits for its answer; zero if not stated.
+func (e *Edge) awaitConfiguration(ctx context.Context, callerWait time.Duration) *routingConfig {
+	if routing := e.routing.Load(); routing != nil {
+		return routing
+	}
+	if callerWait <= 0 {
+		callerWait = defaultPatience
+	}
+	timer := time.NewTimer(min(maxConfigurationWait, time.Duration(configurationWaitShare*float64(callerWait))))
+	defer timer.Stop()
+	select {
+	case <-e.configured:
+	case <-timer.C:
+	case <-e.closing:
+	case <-ctx.Done():
+	}
+	return e.routing.Load()
+}
+
 // isClosing reports whether calls that have not started are turned away.
 func (e *Edge) isClosing() bool {
 	select {
