residency: engines get help at seven tenths of their slots

With every slot taken on average, half of the calls or more wait for one another (Erlang C with 12 slots: 0.18 at 0.7, 0.49 at 0.85).

TestEngineGetsHelpBeforeItIsFull fails with the bound of the commit before.

--- a/residency/capacity_test.go
+++ b/residency/capacity_test.go
@@ -27,3 +27,22 @@
 	}
 	is.True(s.holders("m0") >= 2)
 }
+
+// TestEngineGetsHelpBeforeItIsFull calls a model that one engine holds so often that 85 of
+// 100 slots are taken on average: the calls then wait for one another.
+func TestEngineGetsHelpBeforeItIsFull(t *testing.T) {
+	is := is.New(t)
+	s := newPlacedSimulation(t, [][]int{{0, 1}, {2, 3}, {4, 5}, {6, 7}}, 8, true)
+	s.run(second)
+	streams := uint64(0)
+	for end := s.now + 15*second; s.now < end; {
+		s.arrivals["m0"]++ // 3.4 a second for 8 slots and 2 s
+		streams += 300
+		s.planner.SetDemand("nodes", residency.NodeReport{
+			Arrivals: []residency.Count{{Service: "llm", Model: "m0", Calls: s.arrivals["m0"]}},
+			Quality:  []residency.Quality{{Upstream: "e0", Streams: streams}},
+		}, s.now)
+		s.run(290 * ms)
+	}
+	is.True(s.holders("m0") >= 2)
+}
--- a/residency/slowdown.go
+++ b/residency/slowdown.go
@@ -65,7 +65,12 @@
 	return p.slowdown.lossRate(rate, p.slotRate(e.desc.Slots))
 }
 
-// slotRate returns how many calls per second so many slots can run.
+// maxSlotUse is the share of an engine's slots up to which calls hardly wait for one
+// another: with a dozen slots, beyond it more than one call in five does (Erlang C).
+const maxSlotUse = 0.7
+
+// slotRate returns how many calls per second so many slots can run without making most of
+// them wait.
 func (p *Planner) slotRate(slots int) float64 {
-	return float64(max(1, slots)) / p.limits.CallTime.Seconds()
+	return maxSlotUse * float64(max(1, slots)) / p.limits.CallTime.Seconds()
 }
