controller: the order lease ends early once all members say that theirs has

Load pattern: the leader is killed, or all processes are, while models and adapters are asked for.

A new orderer waited for the whole order lease, 3 s, since orders of the one before it might be in flight. Where engines check fences, it now asks all other members when their process last sent an order, and starts as soon as the lease of each has passed: at once, if the old one was killed and has restarted, because a process that has sent no order has none in flight. All must answer, as the one before the last orderer may have sent the latest order. A member that is down or frozen answers nothing, and the whole lease is waited for, as it is where engines do not check fences (fencesChecked in the settings).

The leader also logs the busiest models every five seconds: expected rate, engines that hold or load them, and copies.

--- a/internal/config/managed.go
+++ b/internal/config/managed.go
@@ -42,6 +42,9 @@
 	// another one waits before its first order: the other one's orders may still be in
 	// flight.
 	OrderLease contract.Duration `yaml:"orderLease,omitempty" validate:"gte=0"`
+	// FencesChecked is set if engines refuse orders with a lower fencing number than one
+	// that they have seen.
+	FencesChecked bool `yaml:"fencesChecked,omitempty"`
 	// Stop is the time that a process has to exit once it is told to stop.
 	Stop contract.Duration `yaml:"stop" validate:"gt=0"`
 	// Retry limits the retries of all entry nodes together.
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -162,16 +163,24 @@
 // wantVoters is the number of voters in a group that tolerates two lost nodes.
 const wantVoters = 5
 
-// waitForVoters waits until a node knows of all voters and no learner.
-func (c *cluster) waitForVoters(i int) {
+// waitFor polls a condition until it holds.
+func (c *cluster) waitFor(what string, ok func() bool) {
 	c.t.Helper()
 	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		voters, learners := c.nodes[i].node.Members()
-		if voters == wantVoters && learners == 0 {
+		if ok() {
 			return
 		}
 	}
-	c.t.Fatalf("node %d does not have %d voters", i, wantVoters)
+	c.t.Fatalf("timed out waiting for %s", what)
+}
+
+// waitForVoters waits until a node knows of all voters and no learner.
+func (c *cluster) waitForVoters(i int) {
+	c.t.Helper()
+	c.waitFor(fmt.Sprintf("%d voters at node %d", wantVoters, i), func() bool {
+		voters, learners := c.nodes[i].node.Members()
+		return voters == wantVoters && learners == 0
+	})
 }
 
 func TestSeedsFormGroupAndOthersJoin(t *testing.T) {
@@ -254,3 +263,60 @@
 	result := c.configure(1, 1, "one")
 	is.True(result == confstate.Accepted || result == confstate.Repeated)
 }
+
+// TestOrderLeaseIsShortenedOnlyIfAllMembersAnswer kills the orderer. The next one waits for
+// the order lease of a member that does not answer, and no longer once it has restarted:
+// a process that has sent no order has none in flight. Where engines do not check fences,
+// the lease is never shortened.
+func TestOrderLeaseIsShortenedOnlyIfAllMembersAnswer(t *testing.T) {
+	for _, fencesChecked := range []bool{true, false} {
+		t.Run(fmt.Sprint("fences checked ", fencesChecked), func(t *testing.T) {
+			is := is.New(t)
+			port := 17450
+			if fencesChecked {
+				port = 17460
+			}
+			c := newCluster(t, port, 5)
+			for _, n := range c.nodes {
+				n.cfg.FencesChecked, n.cfg.OrderLease = fencesChecked, contract.Duration(time.Minute)
+			}
+			c.start(0, 1, 2, 3, 4)
+			c.waitForVoters(0)
+			orderer := -1
+			c.waitFor("an orderer", func() bool {
+				for i, n := range c.nodes {
+					if strings.Contains(n.log.Tail(1<<20), `"msg":"sending orders"`) {
+						orderer = i
+					}
+				}
+				return orderer >= 0
+			})
+			c.kill(orderer)
+			shortened := func() bool {
+				for _, n := range c.nodes {
+					if strings.Contains(n.log.Tail(1<<20), `"msg":"order lease passed"`) {
+						return true
+					}
+				}
+				return false
+			}
+			c.waitFor("another orderer", func() bool {
+				for i, n := range c.nodes {
+					if i != orderer && strings.Contains(n.log.Tail(1<<20), `"msg":"sending orders"`) {
+						return true
+					}
+				}
+				return false
+			})
+			time.Sleep(500 * time.Millisecond)
+			is.True(!shortened()) // the killed member does not answer
+			c.start(orderer)
+			if fencesChecked {
+				c.waitFor("the end of the lease", shortened)
+				return
+			}
+			time.Sleep(1500 * time.Millisecond)
+			is.True(!shortened())
+		})
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -94,6 +94,10 @@
 	// fence is the fencing number of this node's orders, or zero while it is not the
 	// orderer.
 	fence uint64
+	// ordersInFlight is the number of this process's orders that have not ended, whatever
+	// the term. lastOrderAt is when the latest one ended; zero if there was none.
+	ordersInFlight int
+	lastOrderAt    time.Duration
 	// ordersAllowedAt is the earliest time at which this node may send orders.
 	ordersAllowedAt time.Duration
 	// nextPlanAt is the earliest time of the next planning round. planTimer is set while a
@@ -101,6 +105,8 @@
 	// becomes usable is.
 	nextPlanAt              time.Duration
 	planTimer, adapterTimer bool
+	// busiestModelsAt is when the busiest models are logged next.
+	busiestModelsAt time.Duration
 	// claimPending is set while the command that makes this node the orderer is being
 	// proposed.
 	claimPending bool
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/agateslip/agateslip/confstate"
@@ -115,6 +116,7 @@
 	term := c.term
 	if previous.Node != "" && previous.Node != c.cfg.Node {
 		c.ordersAllowedAt = c.leaseWaitStart + time.Duration(c.cfg.OrderLease)
+		go c.shortenOrderWait(ctx, term, c.ordersAllowedAt)
 	} else {
 		c.ordersAllowedAt = now
 	}
@@ -160,6 +162,9 @@
 	}()
 	before := c.registry.Revision()
 	for _, step := range c.planner.Plan(now) {
+		if step.Order != nil {
+			c.ordersInFlight++
+		}
 		go c.executeStep(step, c.term, c.fence)
 	}
 	c.publishResidents(now)
@@ -167,6 +172,7 @@
 		c.schedulePlan(max(0, at-now), &c.adapterTimer)
 	}
 	c.logStoreWidths()
+	c.logBusiestModels(now)
 	if c.registry.Revision() != before {
 		c.notifier.notify()
 	}
@@ -183,6 +189,26 @@
 	}
 }
 
+const (
+	// busiestModelsInterval is the interval of the log lines on the busiest models, and
+	// busiestModels their number.
+	busiestModelsInterval = 5 * time.Second
+	busiestModels         = 12
+)
+
+// logBusiestModels logs, now and then, what the planner believes of the busiest models.
+func (c *Controller) logBusiestModels(now time.Duration) {
+	if now < c.busiestModelsAt {
+		return
+	}
+	c.busiestModelsAt = now + busiestModelsInterval
+	models := make([]string, 0, busiestModels)
+	for _, m := range c.planner.BusiestModels(busiestModels, now) {
+		models = append(models, fmt.Sprintf("%s %.1f/s holders %d loading %d copies %d", m.Model, m.PerSecond, m.Holders, m.Loading, m.Copies))
+	}
+	c.log.Event("busiest models", eventlog.Fields{"models": models})
+}
+
 // schedulePlan runs a planning round after a pause, unless the given timer is pending.
 func (c *Controller) schedulePlan(delay time.Duration, pending *bool) {
 	if *pending {
@@ -204,6 +230,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
 	u := step.Upstream
+	if step.Order != nil {
+		defer c.loop.Post(func() {
+			c.ordersInFlight--
+			c.lastOrderAt = boottime.Now()
+		})
+	}
 	if !c.raftReplica.LeaseValid() {
 		c.postToPlanner(term, func(p *residency.Planner, now time.Duration) {
 			if step.Report {
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -26,6 +26,7 @@
 func (c *Controller) registerHandlers(mux *peer.Mux) {
 	mux.Handle(nodelink.Watch, typedHandler(c.serveWatch))
 	mux.Handle(nodelink.Demand, typedHandler(c.serveDemand))
+	mux.Handle(nodelink.LastOrder, typedHandler(c.serveLastOrder))
 	mux.Handle(nodelink.Join, typedHandler(c.serveJoin))
 	mux.Handle(nodelink.Announce, typedHandler(func(ctx context.Context, _ string, r nodelink.AnnounceRequest) (any, error) {
 		return c.announceAsLeader(ctx, r)
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -27,6 +27,8 @@
 	Configure = "control.configure"
 	// Read asks for the log index that a consistent read must cover.
 	Read = "control.read"
+	// LastOrder asks a control node when it last sent an order to an engine.
+	LastOrder = "control.lastOrder"
 )
 
 // CodeNotLeader is the error code of a node that is not the leader. The error message
@@ -148,3 +150,13 @@
 type ReadAnswer struct {
 	Index uint64 `json:"index"`
 }
+
+// LastOrderAnswer tells what a control node's process knows of its own orders.
+type LastOrderAnswer struct {
+	// Sending is set while the node may send orders or has one in flight.
+	Sending bool `json:"sending,omitempty"`
+	// Ordered is set if this process has sent an order; Since is the time since the latest
+	// one ended.
+	Ordered bool          `json:"ordered,omitempty"`
+	Since   time.Duration `json:"since,omitempty"`
+}
--- a/residency/overview.go
+++ b/residency/overview.go
@@ -74,3 +74,59 @@
 	})
 	return list
 }
+
+// ModelOverview is the planner's view of one model.
+type ModelOverview struct {
+	Service string `json:"service"`
+	Model   string `json:"model"`
+	// PerSecond is the expected rate of calls.
+	PerSecond float64 `json:"perSecond"`
+	// Holders is the number of engines that serve the model, Loading of those that load it.
+	// Copies is the number of engines that could load it without the weight store.
+	Holders int `json:"holders"`
+	Loading int `json:"loading"`
+	Copies  int `json:"copies"`
+}
+
+// BusiestModels returns the n models with the highest expected rates, highest first.
+func (p *Planner) BusiestModels(n int, now time.Duration) []ModelOverview {
+	byKey := map[modelKey]*ModelOverview{}
+	var list []*ModelOverview
+	for name, s := range p.services {
+		for _, m := range s.models {
+			o := &ModelOverview{Service: name, Model: m.spec.Name, PerSecond: p.expectedRate(name, m.spec.Name, now)}
+			byKey[modelKey{name, m.spec.Name}] = o
+			list = append(list, o)
+		}
+	}
+	slices.SortFunc(list, func(a, b *ModelOverview) int {
+		return cmp.Or(cmp.Compare(b.PerSecond, a.PerSecond), cmp.Compare(a.Model, b.Model))
+	})
+	for _, e := range p.byID {
+		e.addToOverviews(byKey)
+	}
+	busiest := make([]ModelOverview, 0, n)
+	for _, o := range list[:min(n, len(list))] {
+		busiest = append(busiest, *o)
+	}
+	return busiest
+}
+
+// addToOverviews counts the engine in the overviews of its models.
+func (e *engine) addToOverviews(byKey map[modelKey]*ModelOverview) {
+	for name := range e.held.servedSince {
+		if o := byKey[modelKey{e.desc.Service, name}]; o != nil {
+			o.Holders++
+		}
+	}
+	for name := range e.tiers {
+		if o := byKey[modelKey{e.desc.Service, name}]; o != nil && !e.held.models[name] {
+			o.Copies++
+		}
+	}
+	if e.job != nil {
+		if o := byKey[modelKey{e.desc.Service, e.job.model}]; o != nil {
+			o.Loading++
+		}
+	}
+}
