Tests that failed now and then: wait for what they rely on

TestSecondVoterLostAfterRepair asked once, shortly after the loss of the leader. It asks again after a 503, and fails for every other error as before. - An entry is in the feed before the status is published; TestFeedUpdatesFollower waits for the status to reach the entry, and still requires that it does not pass it. - The demonstration closed the ports that it had found before its nodes listened on them. They stay reserved now (internal/portreserve, which testutil uses too). A demonstration whose start fails also ends its nodes.

--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -16,6 +15,7 @@
 	"github.com/agateslip/agateslip/internal/config"
 	"github.com/agateslip/agateslip/internal/node"
 	"github.com/agateslip/agateslip/internal/operator"
+	"github.com/agateslip/agateslip/internal/portreserve"
 	"github.com/agateslip/agateslip/internal/standin"
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
@@ -48,6 +48,8 @@
 	service   *standin.Service
 	group     *errgroup.Group
 	stopNodes context.CancelFunc
+	// ports keeps the ports that the nodes listen on for their peers.
+	ports []*portreserve.Reservation
 }
 
 // startCluster starts the nodes and the upstreams and waits until all are ready.
@@ -65,11 +67,15 @@
 		c.cleanUp()
 		return nil, err
 	}
-	return c, c.waitReady(ctx)
+	if err := c.waitReady(ctx); err != nil {
+		c.cleanUp()
+		return nil, err
+	}
+	return c, nil
 }
 
 func (c *cluster) startNodes(ctx context.Context, log logrus.FieldLogger) error {
-	peers, err := freeAddrs()
+	peers, err := c.reservePorts()
 	if err != nil {
 		return err
 	}
@@ -96,17 +102,17 @@
 	return nil
 }
 
-// freeAddrs returns a free loopback address for each node's listen.peers. All listeners
-// stay open until every address is known, so that the addresses differ.
-func freeAddrs() ([]string, error) {
+// reservePorts returns a loopback address for each node's listen.peers. No other program gets
+// these ports until cleanUp.
+func (c *cluster) reservePorts() ([]string, error) {
 	var addrs []string
 	for range nodeCount {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		r, err := portreserve.Reserve("127.0.0.1", 0)
 		if err != nil {
-			return nil, errors.Wrap(err, "find free port")
+			return nil, err
 		}
-		defer func() { _ = ln.Close() }()
-		addrs = append(addrs, ln.Addr().String())
+		c.ports = append(c.ports, r)
+		addrs = append(addrs, r.Addr)
 	}
 	return addrs, nil
 }
@@ -210,5 +216,8 @@
 	if c.stopNodes != nil {
 		c.stopNodes()
 	}
+	for _, r := range c.ports {
+		_ = r.Release() // the process ends soon
+	}
 	_ = os.RemoveAll(c.dataDir)
 }
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -207,6 +207,10 @@
 		for _, from := range []uint64{0, 1, changes / 2, changes - 10, changes} {
 			follower := newRegisters()
 			at := applyUpdates(is, leader, follower, from)
+			// The feed has an entry before the status is published.
+			for leader.Status().Applied < at && ctx.Err() == nil {
+				time.Sleep(time.Millisecond)
+			}
 			is.Equal(at, leader.Status().Applied)
 			if from == 0 {
 				is.Equal(follower.dump(), leader.machine.dump())
--- a/internal/testutil/ports.go
+++ b/internal/testutil/ports.go
@@ -2,12 +2,12 @@
 
 import (
 	"net"
-	"net/netip"
 	"os"
 	"strconv"
 	"sync"
-	"syscall"
 	"testing"
+
+	"github.com/agateslip/agateslip/internal/portreserve"
 )
 
 // Test ports lie below the range from which Linux takes ephemeral ports by default. On a
@@ -52,24 +52,17 @@
 	return addrs
 }
 
-// reserve binds a socket to the port without listening on it, until the test ends.
-// SO_REUSEADDR lets a listener with the same option, which Go sets on every listener,
-// bind the port too. reserve returns false if the port cannot be bound, for example
-// because a program listens on it.
+// reserve reserves a port until the test ends. It returns false if the port cannot be bound.
 func reserve(t testing.TB, host string, port int) bool {
 	t.Helper()
-	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	r, err := portreserve.Reserve(host, port)
 	if err != nil {
-		t.Fatalf("reserve a port: %v", err)
-	}
-	if err = syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
-		t.Fatalf("reserve a port: %v", err)
-	}
-	address := &syscall.SockaddrInet4{Port: port, Addr: netip.MustParseAddr(host).As4()}
-	if err = syscall.Bind(socket, address); err != nil {
-		_ = syscall.Close(socket) // never bound, so an error on close is harmless
 		return false
 	}
-	t.Cleanup(func() { _ = syscall.Close(socket) })
+	t.Cleanup(func() {
+		if err := r.Release(); err != nil {
+			t.Error(err)
+		}
+	})
 	return true
 }
--- a/test/integration/cold_test.go
+++ b/test/integration/cold_test.go
@@ -168,7 +168,7 @@
 	replies := make(chan []reply)
 	go func() { replies <- sendBurst(t, rest) }()
 	eventually(t, "loads run", func() bool { return countLoading(engines) > 0 })
-	leader.signal(syscall.SIGSTOP)
+	leader.suspend(t)
 	checkBurst(t, <-replies)
 	leader.signal(syscall.SIGCONT)
 	checkBurst(t, sendBurst(t, c.nodes))
--- a/test/integration/control_test.go
+++ b/test/integration/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
 	"strings"
@@ -112,6 +113,23 @@
 	t.Logf("revision %d in force at %d nodes after %s", revision, len(nodes), time.Since(start).Round(time.Millisecond))
 }
 
+// readAudit reads a page of a node's audit log. A node that cannot prove that its state is
+// current, as after the loss of the leader, answers 503; it is asked again.
+func readAudit(t *testing.T, n *node, since uint64) (page []control.AuditEntry) {
+	t.Helper()
+	eventually(t, "audit read at "+n.name, func() bool {
+		var err error
+		page, err = n.client.Audit(t.Context(), since, 1000)
+		var refused *operator.APIError
+		if errors.As(err, &refused) && refused.Status == http.StatusServiceUnavailable {
+			return false
+		}
+		is.New(t).NoErr(err)
+		return true
+	})
+	return page
+}
+
 // checkHistory checks the audit log of every node: it has each accepted change once and in
 // order, and its chain of digests is intact.
 func checkHistory(t *testing.T, nodes []*node, versions uint64) {
@@ -124,8 +142,7 @@
 			if len(entries) > 0 {
 				since = entries[len(entries)-1].Seq
 			}
-			page, err := n.client.Audit(t.Context(), since, 1000)
-			is.NoErr(err)
+			page := readAudit(t, n, since)
 			entries = append(entries, page...)
 			if len(page) == 0 {
 				break
@@ -160,7 +177,7 @@
 		waitInForce(t, []*node{killed}, res.Revision)
 
 		suspended := c.waitLeader(t)
-		suspended.signal(syscall.SIGSTOP)
+		suspended.suspend(t)
 		res = ch.applyNext(t, c.others(suspended))
 		waitInForce(t, c.others(suspended), res.Revision)
 		suspended.signal(syscall.SIGCONT)
--- a/test/integration/harness_test.go
+++ b/test/integration/harness_test.go
@@ -156,6 +156,28 @@
 	}
 }
 
+// suspend stops the process with SIGSTOP and waits until all its threads have stopped. Until
+// then, it may still read and answer what it is sent.
+func (p *process) suspend(t *testing.T) {
+	t.Helper()
+	p.signal(syscall.SIGSTOP)
+	eventually(t, "all threads have stopped", func() bool {
+		threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+		if err != nil || len(threads) == 0 {
+			return false
+		}
+		for _, name := range threads {
+			stat, err := os.ReadFile(name)
+			// The state follows the name of the command, which is in parentheses.
+			_, state, found := strings.Cut(string(stat), ") ")
+			if err != nil || !found || !strings.HasPrefix(state, "T") {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // kill ends the process with SIGKILL and waits for its exit.
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
--- a/test/integration/partition_test.go
+++ b/test/integration/partition_test.go
@@ -164,7 +164,7 @@
 	c, s := startLedgerCluster(t)
 	suspended := c.waitLeader(t)
 	rest := c.others(suspended)
-	suspended.signal(syscall.SIGSTOP)
+	suspended.suspend(t)
 	replies := make([]<-chan reply, 10)
 	for i := range replies {
 		// The calls wait in the kernel's buffers and are the first that the node reads when it
--- a/test/integration/reads_test.go
+++ b/test/integration/reads_test.go
@@ -113,7 +113,7 @@
 			if role == "follower" {
 				suspended = c.others(suspended)[0]
 			}
-			suspended.signal(syscall.SIGSTOP)
+			suspended.suspend(t)
 			newest := ch.applyNext(t, c.others(suspended))
 			served := checkReads(t, suspended, newest, func() {
 				time.Sleep(3 * time.Second)
