--- a/residency/capacity_test.go
+++ b/residency/capacity_test.go
@@ -36,13 +36,13 @@
 	s.run(second)
 	streams := uint64(0)
 	for end := s.now + 15*second; s.now < end; {
-		s.arrivals["m0"]++ // 3.4 a second for 8 slots and 2 s
+		s.arrivals["m2"]++ // 3.4 a second for 8 slots and 2 s
 		streams += 300
 		s.planner.SetDemand("nodes", residency.NodeReport{
-			Arrivals: []residency.Count{{Service: "llm", Model: "m0", Calls: s.arrivals["m0"]}},
-			Quality:  []residency.Quality{{Upstream: "e0", Streams: streams}},
+			Arrivals: []residency.Count{{Service: "llm", Model: "m2", Calls: s.arrivals["m2"]}},
+			Quality:  []residency.Quality{{Upstream: "e1", Streams: streams}},
 		}, s.now)
 		s.run(290 * ms)
 	}
-	is.True(s.holders("m0") >= 2)
+	is.True(s.holders("m2") >= 2)
 }
