dispatch: a call that avoids upstreams holds back no other

They waited beside free slots until the first was refused, up to half of its time. Only failures of calls that avoid nothing count for others now. TestAvoidingCallHoldsBackNoOther fails before.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -245,3 +245,14 @@
 		d.Finish(dispatch.CallID(i), dispatch.Served, 0)
 	}
 }
+
+// TestAvoidingCallHoldsBackNoOther has a call wait that must avoid the only engine of its
+// model, since it may have run there. Later calls for the model must start there.
+func TestAvoidingCallHoldsBackNoOther(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("a", 4, "m"))
+	repeated := call(1, "m", 1, 0)
+	repeated.Avoid = []string{"a"}
+	is.Equal(len(d.Submit(repeated, 0)), 0)
+	is.Equal(started(d.Submit(call(2, "m", 1, 10*ms), 10*ms)), map[dispatch.CallID]string{2: "a"})
+}
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -29,7 +29,8 @@
 
 // processQueue starts the waiting calls for which there is an upstream and refuses those
 // that cannot start in time. Once no upstream was found for a service, model and
-// adapter, later calls for the same are not tried, except those that avoid upstreams.
+// adapter, later calls for the same are not tried. Calls that avoid upstreams are tried by
+// themselves: what they find says nothing about the others.
 func (d *Dispatcher) processQueue(now time.Duration) []Verdict {
 	var verdicts []Verdict
 	failedSelections := map[ModelKey]selection{}
@@ -38,14 +39,17 @@
 		key := ModelKey{w.call.Service, w.call.Model, w.call.Adapter}
 		outcome, known := failedSelections[key]
 		var u *upstream
-		if !known || len(w.call.Avoid) > 0 {
+		avoids := len(w.call.Avoid) > 0
+		if !known || avoids {
 			u, outcome = d.choose(&w.call, now)
 		}
 		if u != nil {
 			verdicts = append(verdicts, d.start(w, u))
 			continue
 		}
-		failedSelections[key] = outcome
+		if !avoids {
+			failedSelections[key] = outcome
+		}
 		w.outcome = outcome
 		if v, refused := d.refusal(w, now); refused {
 			verdicts = append(verdicts, v)
