--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -12,6 +12,11 @@
 //   - Upstreams that differ in speed, or are cold, full, failing or gone: the load
 //     that upstreams report with their answers and the results of calls determine
 //     the choice (choose.go).
+//   - Many nodes that choose from counts which are some hundred milliseconds old: each
+//     call draws among the upstreams that the calls since then would have been spread
+//     over (spread.go).
+//   - Upstreams that leave or ask for a pause: what an upstream says with its answers
+//     holds whatever is announced meanwhile (request.go).
 //   - Upstreams that fall silent while their connections stay open: a call that may
 //     run again moves to another upstream (stall.go).
 //
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -71,10 +71,11 @@
 }
 
 // refusal returns the verdict that refuses a waiting call, and reports whether it is
-// due. If all upstreams that could run the call asked for pauses that outlast it, the call
-// is refused with the first of their ends as the time to retry. If no upstream offers the model and there is a recent forecast, the call is
-// refused when the model cannot run by the call's latest start. Otherwise the call is
-// refused after NoForecastWaitFraction of its time.
+// due. If all upstreams that could run the call asked for pauses that outlast it, the
+// call is refused with the first of their ends as the time to retry. If no upstream
+// offers the model and there is a recent forecast, the call is refused when the model
+// cannot run by the call's latest start. Otherwise the call is refused after
+// NoForecastWaitFraction of its time.
 func (d *Dispatcher) refusal(w *queuedCall, now time.Duration) (Verdict, bool) {
 	c := &w.call
 	v := Verdict{ID: c.ID, Action: Refuse, Reason: NoSlot, RetryAfter: d.limits.RetryAfter}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/agateslip/agateslip/confstate"
@@ -202,11 +201,7 @@
 		return
 	}
 	c.busiestModelsAt = now + busiestModelsInterval
-	models := make([]string, 0, busiestModels)
-	for _, m := range c.planner.BusiestModels(busiestModels, now) {
-		models = append(models, fmt.Sprintf("%s %.1f/s holders %d loading %d copies %d", m.Model, m.PerSecond, m.Holders, m.Loading, m.Copies))
-	}
-	c.log.Event("busiest models", eventlog.Fields{"models": models})
+	c.log.Event("busiest models", eventlog.Fields{"models": c.planner.BusiestModels(busiestModels, now)})
 }
 
 // schedulePlan runs a planning round after a pause, unless the given timer is pending.
--- a/residency/doc.go
+++ b/residency/doc.go
@@ -9,6 +9,12 @@
 //   - Models of which no engine has a copy: the weight store is slow and limited, so
 //     first copies are made in order of demand, also before traffic begins
 //     (choose.go, store.go, storelimiter.go).
+//   - Traffic that begins at full strength: a platform places busy models on many engines,
+//     so a model's holders tell its rate before any call has. Engines that are taken from
+//     a busy model before its rate is learned cannot be given back, because copies are
+//     few and the weight store is slow (prior.go).
+//   - More calls for a model than its engines have slots for: other engines with a copy
+//     load it too (slowdown.go).
 //   - Demand that moves between models: arrival rates follow within seconds
 //     (demand.go).
 //   - Adapters of models that engines hold: they are small and quick to load, and the
--- a/residency/overview.go
+++ b/residency/overview.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -79,7 +80,7 @@
 type ModelOverview struct {
 	Service string `json:"service"`
 	Model   string `json:"model"`
-	// PerSecond is the expected rate of calls.
+	// PerSecond is the expected rate of calls, to a tenth.
 	PerSecond float64 `json:"perSecond"`
 	// Holders is the number of engines that serve the model, Loading of those that load it.
 	// Copies is the number of engines that could load it without the weight store.
@@ -107,6 +108,7 @@
 	}
 	busiest := make([]ModelOverview, 0, n)
 	for _, o := range list[:min(n, len(list))] {
+		o.PerSecond = math.Round(10*o.PerSecond) / 10
 		busiest = append(busiest, *o)
 	}
 	return busiest
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -164,7 +164,8 @@
 // state before its first order.
 func (p *Planner) SetUpstream(u fleet.Upstream, now time.Duration) {
 	e := p.engines[u.ID]
-	if e == nil || e.desc.Born != u.Born {
+	known := e != nil && e.desc.Born == u.Born
+	if !known {
 		e = &engine{
 			needsReport:     true,
 			held:            newHoldings(),
@@ -173,12 +174,14 @@
 			closingSince:    map[string]time.Duration{},
 		}
 		p.insert(u.ID, e)
-		defer p.notePlacement(e)
 	}
 	e.setCopies(&u)
 	e.desc = u
 	e.desc.Closing = nil
 	e.service = p.services[u.Service]
+	if !known {
+		p.notePlacement(e)
+	}
 	e.held.applyAnnouncement(u.Residents, now)
 	p.completeIfDone(e, now)
 	p.changed[u.ID] = true
--- a/residency/prior.go
+++ b/residency/prior.go
@@ -14,12 +14,6 @@
 	initialUse = 0.5
 )
 
-// Load pattern: traffic begins at full strength. A platform places busy models on many
-// engines, so that a model's holders tell its rate before any call has. Until the arrival
-// rates are learned, a planner that does not believe the placement gives the engines of
-// busy models to models that are hardly asked for, and cannot take that back: copies are
-// few and the weight store is slow.
-
 // notePlacement records the models that an engine held when it was first heard of.
 func (p *Planner) notePlacement(e *engine) {
 	if p.demand.total > 0 {
