controller: an answer from before a fenced order does not shorten the order wait

Found on rereading: an engine may refuse an order as fenced between the question to the other members and the use of their answers. The wait then starts anew, and the old answers must not end it. The next question tells. No test reaches the few milliseconds in between; the change can only lengthen a wait.

--- a/internal/controller/handover.go
+++ b/internal/controller/handover.go
@@ -39,7 +39,8 @@
 		asked := boottime.Now()
 		if wait, ok := c.longestOrderWait(ctx); ok {
 			c.loop.Post(func() {
-				if c.term != term || asked+wait >= c.ordersAllowedAt {
+				// An engine may have refused an order as fenced since the question.
+				if c.term != term || asked < c.leaseWaitStart || asked+wait >= c.ordersAllowedAt {
 					return
 				}
 				c.ordersAllowedAt = asked + wait
