--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -126,9 +126,17 @@
 // retries after errors until ctx ends, except that it does not repeat a Configure call
 // whose outcome is unknown. The error is ErrUnavailable.
 func (c *Controller) callLeader(ctx context.Context, method string, request, answer any, local func() error) error {
+	return retryAtLeader(ctx, method, func(hint string) error {
+		return c.callLeaderOnce(ctx, hint, method, request, answer, local)
+	})
+}
+
+// retryAtLeader is the loop of callLeader. attempt gets the leader that the attempt before it
+// named, or "".
+func retryAtLeader(ctx context.Context, method string, attempt func(hint string) error) error {
 	hint := ""
 	for {
-		err := c.callLeaderOnce(ctx, hint, method, request, answer, local)
+		err := attempt(hint)
 		if err == nil {
 			return nil
 		}
--- a/internal/controller/api_test.go
+++ b/internal/controller/api_test.go
@@ -21,4 +21,22 @@
 	is.True(!mayHaveChanged(nodelink.Configure, peer.Errorf(nodelink.CodeNotLeader, "a:1")))
 	is.True(!mayHaveChanged(nodelink.Configure, errors.Mark(errors.New("no connection"), peer.ErrNotSent)))
 	is.True(!mayHaveChanged(nodelink.Read, unanswered)) // a read changes nothing
+
+	for _, unknown := range []error{undecided, unanswered} {
+		attempts := 0
+		err := retryAtLeader(t.Context(), nodelink.Configure, func(string) error {
+			attempts++
+			return unknown
+		})
+		is.True(errors.Is(err, ErrUnavailable))
+		is.Equal(attempts, 1)
+	}
+	attempts := 0
+	is.NoErr(retryAtLeader(t.Context(), nodelink.Configure, func(string) error {
+		if attempts++; attempts == 1 {
+			return peer.Errorf(nodelink.CodeNotLeader, "a:1")
+		}
+		return nil
+	}))
+	is.Equal(attempts, 2)
 }
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -140,7 +140,7 @@
 func (d *demandState) addArrivals(report *nodeDemand, c Count, countedFor, now time.Duration) {
 	key := c
 	key.Calls = 0
-	before, known := report.arrivals[key]
+	before := report.arrivals[key]
 	report.arrivals[key] = c.Calls
 	if c.Calls < before {
 		before = 0
@@ -153,7 +153,7 @@
 		d.firstArrival = start
 	}
 	d.total += c.Calls - before
-	if !known && !report.followed {
+	if !report.followed {
 		arrived *= rateTimeConstant.Seconds() / max(countedFor, rateTimeConstant).Seconds()
 	}
 	m := modelKey{c.Service, c.Model}
--- a/residency/hotmodel_test.go
+++ b/residency/hotmodel_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/residency"
 )
 
 // newHotModelSimulation returns twelve engines with places for two models each. Eight hold
@@ -52,3 +54,20 @@
 	is.True(s.holders("m0") >= 6)
 	is.True(s.callHotModel(10*second) >= 6)
 }
+
+// TestFirstReportIsNoBurst has a node report to a new planner what it counted for a minute: ten
+// calls a second, not six hundred at once. Later reports count from there.
+func TestFirstReportIsNoBurst(t *testing.T) {
+	is := is.New(t)
+	s := newHotModelSimulation(t)
+	report := func(calls uint64, countedFor time.Duration) {
+		s.planner.SetDemand("n", residency.NodeReport{
+			CountedFor: countedFor,
+			Arrivals:   []residency.Count{{Service: "llm", Model: "m0", Calls: calls}},
+		}, s.now)
+	}
+	report(600, 60*second)
+	is.Equal(s.planner.BusiestModels(1, s.now)[0].PerSecond, 10.0)
+	report(605, 60*second)
+	is.Equal(s.planner.BusiestModels(1, s.now)[0].PerSecond, 11.0)
+}
