--- a/internal/controller/api_test.go
+++ b/internal/controller/api_test.go
@@ -1,7 +1,9 @@
 package controller
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -22,9 +24,11 @@
 	is.True(!mayHaveChanged(nodelink.Configure, errors.Mark(errors.New("no connection"), peer.ErrNotSent)))
 	is.True(!mayHaveChanged(nodelink.Read, unanswered)) // a read changes nothing
 
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
 	for _, unknown := range []error{undecided, unanswered} {
 		attempts := 0
-		err := retryAtLeader(t.Context(), nodelink.Configure, func(string) error {
+		err := retryAtLeader(ctx, nodelink.Configure, func(string) error {
 			attempts++
 			return unknown
 		})
@@ -32,7 +36,7 @@
 		is.Equal(attempts, 1)
 	}
 	attempts := 0
-	is.NoErr(retryAtLeader(t.Context(), nodelink.Configure, func(string) error {
+	is.NoErr(retryAtLeader(ctx, nodelink.Configure, func(string) error {
 		if attempts++; attempts == 1 {
 			return peer.Errorf(nodelink.CodeNotLeader, "a:1")
 		}
