controller: a new leader decides only on state that it has applied

Cause: a leader's lease counts as valid as soon as its core knows that its no-op entry is committed. The entries before it are applied later, by the owner goroutine, after what is due has been written. In between the leader answered a member that asked to join after its restart that it had been retired, since the join was not in the applied state yet. The member then deletes its log. After a loss of power with two wiped disks that loses acknowledged changes for good.

The same reading of unapplied state was found twice more: the leader could remove members from the group that its state did not have yet, and a new orderer could miss the name of the one before it and send orders within that one's lease. All three now wait for a read barrier: the join answer when it would say retired, membership and orders once in a term.

Beside it: an orderer that lost the lead and led again, or restarted, took its own name in the replicated state for leave to send at once, also while it still waited for the lease of the orderer before it. The wait now outlasts the term, and only a claim of this same process (its fence) ends it.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -28,9 +29,10 @@
 // cluster is a group of control nodes on loopback addresses, each in its own failure
 // domain. Each test uses a different port.
 type cluster struct {
-	t     *testing.T
-	port  int
-	nodes []*testNode
+	t      *testing.T
+	port   int
+	nodes  []*testNode
+	decode controller.Decoder
 }
 
 type testNode struct {
@@ -59,7 +61,7 @@
 // newCluster prepares the settings of n nodes without starting them. The first three are
 // the seeds.
 func newCluster(t *testing.T, port, n int) *cluster {
-	c := &cluster{t: t, port: port}
+	c := &cluster{t: t, port: port, decode: decode}
 	dir := t.TempDir()
 	for i := range n {
 		c.nodes = append(c.nodes, &testNode{cfg: c.settings(i, filepath.Join(dir, fmt.Sprint(i))), log: &testutil.LogBuffer{}})
@@ -94,7 +96,7 @@
 	for _, i := range indices {
 		n := c.nodes[i]
 		log := eventlog.New(n.log, eventlog.Fields{"node": n.cfg.Node})
-		node, err := controller.New(context.Background(), n.cfg, log, decode, fakeOrders{}, controller.WithFiles(&n.disk))
+		node, err := controller.New(context.Background(), n.cfg, log, c.decode, fakeOrders{}, controller.WithFiles(&n.disk))
 		if err != nil {
 			c.t.Fatal(err)
 		}
@@ -320,3 +322,73 @@
 		})
 	}
 }
+
+// TestNewLeaderAppliesLogBeforeItDecides restarts a group whose state takes long to apply. A
+// new leader holds its lease before it has applied the entries that added the members which
+// ask to join, and that name the last orderer.
+func TestNewLeaderAppliesLogBeforeItDecides(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 17470, 5)
+	c.start(0, 1, 2)
+	is.Equal(c.configure(0, 1, "one"), confstate.Accepted)
+	c.start(3, 4)
+	for i := range 5 {
+		c.waitForVoters(i)
+	}
+	logged := func(text string) (count int) {
+		for _, n := range c.nodes {
+			count += strings.Count(n.log.Tail(1<<20), text)
+		}
+		return count
+	}
+	c.waitFor("an orderer", func() bool { return logged(`"msg":"sending orders"`) > 0 })
+	c.kill(0, 1, 2, 3, 4)
+	c.decode = func(document []byte) (*routes.Configuration, error) {
+		time.Sleep(time.Second)
+		return decode(document)
+	}
+	c.start(0, 1, 2, 3, 4)
+	for i := range 5 {
+		document, _ := c.read(i)
+		is.Equal(document, "one")
+		c.waitForVoters(i)
+	}
+	for _, message := range []string{"retired member asked to join", "member was replaced", "member removed"} {
+		is.Equal(logged(fmt.Sprintf("%q", message)), 0) // all five are members
+	}
+	is.Equal(logged(`"before":"","fence"`), 1) // only the first orderer has none before it
+}
+
+// TestOrderLeaseOutlastsRestarts kills the orderer and restarts the others, so that one that
+// had claimed the role leads again. It still waits for the order lease of the killed one.
+func TestOrderLeaseOutlastsRestarts(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 17480, 3)
+	for _, n := range c.nodes {
+		n.cfg.Losses, n.cfg.OrderLease = 1, contract.Duration(time.Minute)
+	}
+	claims := regexp.MustCompile(`"msg":"sending orders","node":"core-(\d)".*"waitMillis":(\d+)`)
+	claimed := func() (all [][]string) {
+		for _, n := range c.nodes {
+			all = append(all, claims.FindAllStringSubmatch(n.log.Tail(1<<20), -1)...)
+		}
+		return all
+	}
+	c.start(0, 1, 2)
+	c.waitFor("an orderer", func() bool { return len(claimed()) > 0 })
+	first := int(claimed()[0][1][0] - '0')
+	others := []int{(first + 1) % 3, (first + 2) % 3}
+	c.kill(first)
+	for round := range 6 {
+		c.waitFor("another orderer", func() bool { return len(claimed()) > round+1 })
+		c.kill(others...)
+		c.start(others...)
+	}
+	waits := 0
+	for _, claim := range claimed() {
+		if claim[2] != "0" {
+			waits++
+		}
+	}
+	is.Equal(waits, len(claimed())-1) // all but the first wait
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -92,13 +92,14 @@
 	// start of the term, or the time at which an engine refused an order as fenced.
 	leaseWaitStart time.Duration
 	// fence is the fencing number of this node's orders, or zero while it is not the
-	// orderer.
-	fence uint64
+	// orderer. lastFence is the latest one of this process.
+	fence, lastFence uint64
 	// ordersInFlight is the number of this process's orders that have not ended, whatever
 	// the term. lastOrderAt is when the latest one ended; zero if there was none.
 	ordersInFlight int
 	lastOrderAt    time.Duration
-	// ordersAllowedAt is the earliest time at which this node may send orders.
+	// ordersAllowedAt is the earliest time at which this node may send orders. It outlasts
+	// the term: the orderer whose lease it waits for does too.
 	ordersAllowedAt time.Duration
 	// nextPlanAt is the earliest time of the next planning round. planTimer is set while a
 	// timer for that round is pending, adapterTimer while one for the next adapter that
@@ -115,6 +116,9 @@
 	// unreachableSince holds, by voter, the time since which it has been unreachable.
 	// Unlike the fields above, it is accessed only by the membership part.
 	unreachableSince map[raft.MemberID]time.Duration
+	// membershipTerm is the latest term in which this node led and had applied every change
+	// of earlier terms. Only the membership part accesses it.
+	membershipTerm uint64
 }
 
 // Option overrides a dependency of a control node.
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -61,7 +61,7 @@
 		c.beginTerm(status.Term, now)
 	}
 	if c.fence == 0 && !c.claimPending {
-		c.claimOrderer(ctx, now)
+		c.claimOrderer(ctx)
 	}
 	before := c.registry.Revision()
 	for _, id := range c.registry.Expire(now) {
@@ -92,7 +92,7 @@
 	for _, u := range c.registry.Live() {
 		c.planner.SetUpstream(u, now)
 	}
-	c.term, c.leaseWaitStart, c.fence, c.ordersAllowedAt = term, now, 0, 0
+	c.term, c.leaseWaitStart, c.fence = term, now, 0
 	c.metrics.Count("terms led")
 	c.log.Event("leading", eventlog.Fields{"term": term, "upstreams": len(upstreams)})
 	c.notifier.notify()
@@ -109,27 +109,23 @@
 // claimOrderer proposes this node as the one that sends orders to engines. Orders of
 // another, previous orderer may still be in flight, so this node sends none before the
 // order lease has passed.
-func (c *Controller) claimOrderer(ctx context.Context, now time.Duration) {
-	previous := c.stateMachine.orderer()
+func (c *Controller) claimOrderer(ctx context.Context) {
 	c.claimPending = true
 	term := c.term
-	if previous.Node != "" && previous.Node != c.cfg.Node {
-		c.ordersAllowedAt = c.leaseWaitStart + time.Duration(c.cfg.OrderLease)
-		go c.shortenOrderWait(ctx, term, c.ordersAllowedAt)
-	} else {
-		c.ordersAllowedAt = now
-	}
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+		claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 		defer cancel()
-		_, err := c.propose(ctx, confstate.Command{SetOrderer: &c.cfg.Node})
+		previous, err := c.waitForPreviousOrderer(claimCtx, ctx, term)
+		if err == nil {
+			_, err = c.propose(claimCtx, confstate.Command{SetOrderer: &c.cfg.Node})
+		}
 		c.loop.Post(func() {
 			c.claimPending = false
 			orderer := c.stateMachine.orderer()
 			if err != nil || c.term != term || orderer.Node != c.cfg.Node {
 				return
 			}
-			c.fence = orderer.Fence
+			c.fence, c.lastFence = orderer.Fence, orderer.Fence
 			c.log.Event("sending orders", eventlog.Fields{
 				"term": term, "fence": c.fence, "before": previous.Node, "waitMillis": max(0, c.ordersAllowedAt-boottime.Now()).Milliseconds(),
 			})
@@ -137,6 +133,29 @@
 	}()
 }
 
+// waitForPreviousOrderer returns the orderer that the replicated state names and, unless
+// that is this process, sets the time until its order lease has passed. A new leader may not
+// have applied the log up to that name yet, so it is read after a barrier. waits is the
+// context in which the lease is waited for, which outlasts the claim.
+func (c *Controller) waitForPreviousOrderer(ctx, waits context.Context, term uint64) (previous confstate.Orderer, err error) {
+	if _, err := c.raftReplica.ReadBarrier(ctx); err != nil {
+		return previous, err
+	}
+	err = c.loop.Do(ctx, func() {
+		previous = c.stateMachine.orderer()
+		if c.term != term {
+			return
+		}
+		if previous.Node != "" && previous.Fence != c.lastFence {
+			c.ordersAllowedAt = max(c.ordersAllowedAt, c.leaseWaitStart+time.Duration(c.cfg.OrderLease))
+		}
+		if c.ordersAllowedAt > boottime.Now() {
+			go c.shortenOrderWait(waits, term, c.ordersAllowedAt)
+		}
+	})
+	return previous, err
+}
+
 // plan runs a planning round, unless it is too early for one, and starts the resulting
 // steps.
 func (c *Controller) plan(now time.Duration) {
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -159,12 +159,20 @@
 func (c *Controller) targetVoters() int { return 2*c.cfg.Losses + 1 }
 
 // adjustMembership attempts at most one change towards the target membership and logs it.
+// It attempts none before this leader has applied the members that its predecessors
+// accepted: they would count as removed.
 func (c *Controller) adjustMembership(ctx context.Context, status raft.Status) {
-	members := c.stateMachine.members()
-	now := boottime.Now()
-	lost := c.lostVoters(status, now)
 	ctx, cancel := context.WithTimeout(ctx, memberChangeTimeout)
 	defer cancel()
+	if c.membershipTerm != status.Term {
+		if _, err := c.raftReplica.ReadBarrier(ctx); err != nil {
+			c.log.Event("membership left unchanged", eventlog.Fields{"term": status.Term, "error": err.Error()})
+			return
+		}
+		c.membershipTerm = status.Term
+	}
+	members := c.stateMachine.members()
+	lost := c.lostVoters(status, boottime.Now())
 	change, fields, err := c.changeMembership(ctx, status, members, lost)
 	if change == "" {
 		return
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -289,13 +289,20 @@
 }
 
 // serveJoin handles a join request. It adds or updates the member, or answers that the
-// member was retired if it is unknown although it has a log.
+// member was retired if it is unknown although it has a log. That answer ends the member,
+// which deletes its log: it is given only once every earlier change is applied, which a new
+// leader may not have done yet.
 func (c *Controller) serveJoin(ctx context.Context, _ string, r nodelink.JoinRequest) (any, error) {
 	if err := c.requireLeader(); err != nil {
 		return nil, err
 	}
-	members := c.stateMachine.members()
-	known, ok := members[r.Member.ID]
+	known, ok := c.stateMachine.members()[r.Member.ID]
+	if !ok && !r.Fresh {
+		if _, err := c.raftReplica.ReadBarrier(ctx); err != nil {
+			return nil, c.peerError(err)
+		}
+		known, ok = c.stateMachine.members()[r.Member.ID]
+	}
 	if !ok && !r.Fresh {
 		c.log.Event("retired member asked to join", eventlog.Fields{"member": r.Member.ID, "node": r.Member.Node})
 		return nodelink.JoinAnswer{Members: c.stateMachine.memberList(), Retired: true}, nil
