agateslip explain: from a call's id to its cause

One command in place of a search through the logs by hand: it reads the lines of entry and control nodes, keeps those about the call and those that explain them (orders for its model or adapter and its upstreams, changes of the leader, what the leader expected of the model, connections that other calls lost), prints them by time, and says in a sentence or two why the call ended as it did. The reasons come from lines only; what the logs leave out is not guessed.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -37,6 +37,7 @@
 	Entry    *entryCmd    `arg:"subcommand:entry" help:"run an entry node of a managed deployment"`
 	Inspect  *inspectCmd  `arg:"subcommand:inspect" help:"show the state of one node of a managed deployment, as the node sees it"`
 	Control  *controlCmd  `arg:"subcommand:control" help:"run a control node of a managed deployment"`
+	Explain  *explainCmd  `arg:"subcommand:explain" help:"show from the logs of a managed deployment how a call went and why"`
 	Init     *initCmd     `arg:"subcommand:init" help:"prepare the data folder of a node that has a vote"`
 	Config   *configCmd   `arg:"subcommand:config" help:"check settings and contracts"`
 	Contract *contractCmd `arg:"subcommand:contract" help:"create, replace, remove or show contracts"`
