residency: the value of a load is computed where it is used

modelState.loadValue served the upper bound of the gain only, since the gain counts the wait for unloads. The bound stays one: the value falls with time. No change of behaviour.

--- a/residency/survey.go
+++ b/residency/survey.go
@@ -47,8 +47,6 @@
 	hasCopy, copyAvailable bool
 	// hasSpareSlots reports whether one of the holders has spare slots.
 	hasSpareSlots bool
-	// loadValue is the value of a load for the waiting calls, in calls, by tier.
-	loadValue [Store + 1]float64
 	// gainBound is an upper bound of the gain of a load at any engine, in calls.
 	gainBound float64
 	// addBenefit is how many fewer calls per second the holders lose to lateness with
@@ -198,7 +196,7 @@
 }
 
 // listLoadable sets s.loadable to the models that an engine of the service might
-// load, and their loadValue and gainBound.
+// load, and their gainBound.
 func (p *Planner) listLoadable(s *service) {
 	s.loadable, s.smallestMB = s.loadable[:0], 0
 	for _, m := range s.models {
@@ -207,8 +205,7 @@
 		}
 		bestValue := 0.0
 		for _, t := range []Tier{Memory, Disk, Store} {
-			m.loadValue[t] = m.queue.loadValue(loadTime(m.spec, t))
-			bestValue = max(bestValue, m.loadValue[t])
+			bestValue = max(bestValue, m.queue.loadValue(loadTime(m.spec, t)))
 		}
 		m.gainBound = p.gainBound(m, bestValue)
 		if m.gainBound <= 0 {
