controller: read the previous orderer and wait for its lease in two functions; log failed claims

After a second reading: one function took two contexts and did both. A claim of the orders that is not decided was repeated without a line; it is logged now ("orders not claimed"). explain: one order by time, and the arrival is computed where it is used. No change of decisions.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -115,14 +115,25 @@
 	go func() {
 		claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 		defer cancel()
-		previous, err := c.waitForPreviousOrderer(claimCtx, ctx, term)
+		previous, err := c.previousOrderer(claimCtx)
+		if err == nil {
+			err = c.loop.Do(claimCtx, func() {
+				if c.term == term {
+					c.waitForOrderLease(ctx, previous)
+				}
+			})
+		}
 		if err == nil {
 			_, err = c.propose(claimCtx, confstate.Command{SetOrderer: &c.cfg.Node})
 		}
 		c.loop.Post(func() {
 			c.claimPending = false
+			if err != nil {
+				c.log.Event("orders not claimed", eventlog.Fields{"term": term, "error": err.Error()})
+				return
+			}
 			orderer := c.stateMachine.orderer()
-			if err != nil || c.term != term || orderer.Node != c.cfg.Node {
+			if c.term != term || orderer.Node != c.cfg.Node {
 				return
 			}
 			c.fence, c.lastFence = orderer.Fence, orderer.Fence
@@ -133,27 +144,25 @@
 	}()
 }
 
-// waitForPreviousOrderer returns the orderer that the replicated state names and, unless
-// that is this process, sets the time until its order lease has passed. A new leader may not
-// have applied the log up to that name yet, so it is read after a barrier. waits is the
-// context in which the lease is waited for, which outlasts the claim.
-func (c *Controller) waitForPreviousOrderer(ctx, waits context.Context, term uint64) (previous confstate.Orderer, err error) {
+// previousOrderer returns the orderer that the replicated state names. A new leader may not
+// have applied the log up to that name yet, so it is read after a barrier.
+func (c *Controller) previousOrderer(ctx context.Context) (confstate.Orderer, error) {
 	if _, err := c.raftReplica.ReadBarrier(ctx); err != nil {
-		return previous, err
+		return confstate.Orderer{}, err
+	}
+	return c.stateMachine.orderer(), nil
+}
+
+// waitForOrderLease lets this node send no orders until the order lease of the previous
+// orderer has passed, unless that is this process. A process that has restarted does not
+// know how long its predecessor still had to wait, so it waits as for another node.
+func (c *Controller) waitForOrderLease(ctx context.Context, previous confstate.Orderer) {
+	if previous.Node != "" && previous.Fence != c.lastFence {
+		c.ordersAllowedAt = max(c.ordersAllowedAt, c.leaseWaitStart+time.Duration(c.cfg.OrderLease))
+	}
+	if c.ordersAllowedAt > boottime.Now() {
+		go c.shortenOrderWait(ctx, c.term, c.ordersAllowedAt)
 	}
-	err = c.loop.Do(ctx, func() {
-		previous = c.stateMachine.orderer()
-		if c.term != term {
-			return
-		}
-		if previous.Node != "" && previous.Fence != c.lastFence {
-			c.ordersAllowedAt = max(c.ordersAllowedAt, c.leaseWaitStart+time.Duration(c.cfg.OrderLease))
-		}
-		if c.ordersAllowedAt > boottime.Now() {
-			go c.shortenOrderWait(waits, term, c.ordersAllowedAt)
-		}
-	})
-	return previous, err
 }
 
 // plan runs a planning round, unless it is too early for one, and starts the resulting
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -31,17 +31,19 @@
 
 // Line is a log line.
 type Line struct {
-	// At is the time of the line, Arrived that of the call's arrival if the line is about a
-	// call.
-	At      time.Time `json:"time"`
-	Arrived time.Time `json:"-"`
-	Node    string    `json:"node"`
+	At   time.Time `json:"time"`
+	Node string    `json:"node"`
 	// Kind is the text of the line.
 	Kind string `json:"kind"`
 	// Fields holds the other fields of the line.
 	Fields map[string]any `json:"fields"`
 }
 
+// arrived returns the time at which the call that the line is about arrived.
+func (l *Line) arrived() time.Time {
+	return l.At.Add(-time.Duration(l.number("age")) * time.Millisecond)
+}
+
 // text returns a field that is a string, or "".
 func (l *Line) text(field string) string {
 	s, _ := l.Fields[field].(string)
@@ -97,7 +99,6 @@
 	if line.text("id") != l.id && !contextKinds[line.Kind] {
 		return
 	}
-	line.Arrived = at.Add(-time.Duration(line.number("age")) * time.Millisecond)
 	for _, shown := range []string{"time", "msg", "node", "role", "level"} {
 		delete(fields, shown)
 	}
@@ -126,7 +127,7 @@
 
 // Explain returns the report on the call. It reports false if no line carries the call's id.
 func (l *Log) Explain() (Report, bool) {
-	slices.SortStableFunc(l.lines, func(a, b Line) int { return a.At.Compare(b.At) })
+	slices.SortStableFunc(l.lines, byTime)
 	c := newCall(l.id, l.lines)
 	if len(c.lines) == 0 {
 		return Report{}, false
@@ -138,11 +139,13 @@
 		}
 	}
 	report.Lines = append(report.Lines, c.context...)
-	slices.SortStableFunc(report.Lines, func(a, b Line) int { return cmp.Compare(a.At.UnixNano(), b.At.UnixNano()) })
+	slices.SortStableFunc(report.Lines, byTime)
 	report.Cause = c.cause()
 	return report, true
 }
 
+func byTime(a, b Line) int { return a.At.Compare(b.At) }
+
 // call is what the log tells about one call.
 type call struct {
 	// lines holds the lines with the call's id, context those that explain them, and
@@ -171,7 +174,7 @@
 		}
 	}
 	if len(c.lines) > 0 {
-		c.arrived, c.ended = c.lines[0].Arrived, c.lines[len(c.lines)-1].At
+		c.arrived, c.ended = c.lines[0].arrived(), c.lines[len(c.lines)-1].At
 	}
 	return c
 }
