--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -130,6 +130,26 @@
 	is.Equal(len(d.Submit(call(2, "m", 1, 0), 0)), 0)
 }
 
+// TestUpstreamThatLosesCallsIsPaused loses calls one after the other at the only upstream. A
+// single one may be the call's own fault; after a second one the upstream is paused for a
+// while, and longer after a third.
+func TestUpstreamThatLosesCallsIsPaused(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("a", 4, "m"))
+	limits := dispatch.DefaultLimits()
+	lose := func(id int, now time.Duration) {
+		is.Equal(len(started(d.Submit(call(id, "m", 1, now), now))), 1)
+		d.Finish(dispatch.CallID(id), dispatch.Lost, now)
+	}
+	lose(1, 0)
+	lose(2, 0)
+	is.Equal(d.Health("a", 0).PausedFor, limits.Backoff)
+	is.Equal(len(d.Submit(call(3, "m", 1, 0), 0)), 0)
+	is.Equal(len(started(d.Tick(limits.Backoff))), 1)
+	d.Finish(3, dispatch.Lost, limits.Backoff)
+	is.Equal(d.Health("a", limits.Backoff).PausedFor, 2*limits.Backoff)
+}
+
 func TestLeavingAndGoneUpstreamsGetNoCalls(t *testing.T) {
 	is := is.New(t)
 	a, b := engine("a", 4, "m"), engine("b", 4, "m")
