replica: log applications of entries that hold up the heartbeats

One line for each batch that takes longer than a heartbeat interval, with the number of entries and the milliseconds.

--- a/internal/replica/flush.go
+++ b/internal/replica/flush.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/agateslip/agateslip/raft"
@@ -88,10 +90,12 @@
 	if len(entries) == 0 {
 		return
 	}
+	start := r.clock()
 	results := make([]any, len(entries))
 	for i, e := range entries {
 		results[i] = r.cfg.Machine.Apply(e)
 	}
+	r.logSlowApply(len(entries), r.clock()-start)
 	r.feed.add(entries)
 	for i, e := range entries {
 		r.finishProposal(e, results[i])
@@ -99,6 +103,15 @@
 	r.setApplied(entries[len(entries)-1].Index)
 }
 
+// logSlowApply logs a batch of entries whose application held up the heartbeats.
+func (r *Replica) logSlowApply(entries int, took time.Duration) {
+	if took < r.cfg.Raft.Heartbeat {
+		return
+	}
+	r.cfg.Log.WithField("entries", entries).WithField("millis", took.Milliseconds()).
+		Info("slow application of entries")
+}
+
 // setApplied records the index of the last applied entry, tells the core, and
 // releases the callers that wait for it.
 func (r *Replica) setApplied(index uint64) {
