controller: a test for a replaced control node and two lost disks

A voter is gone for good, its successor starts, and CatchUpS later two other disks are lost. The gone voter still counts: 2 of 5 voters are left, and the group never answers again.

--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -45,6 +47,18 @@
 	}
 }
 
+// leader returns the node that leads. No node may have lost the lead before.
+func (c *cluster) leader() int {
+	leader := -1
+	c.waitFor("a leader", func() bool {
+		leader = slices.IndexFunc(c.nodes, func(n *testNode) bool {
+			return strings.Contains(n.log.Tail(1<<20), `"msg":"leading"`)
+		})
+		return leader >= 0
+	})
+	return leader
+}
+
 // TestLongLogIsAppliedInTimeAfterRestart restarts a group on slow VMs, where one
 // configuration takes 85 ms to decode, after as many changes as may follow a snapshot.
 func TestLongLogIsAppliedInTimeAfterRestart(t *testing.T) {
@@ -64,3 +78,34 @@
 	c.requireReads(fmt.Sprint("change ", changes-1), 0, 1, 3)
 }
 
+// TestGoneVoterIsReplacedBeforeTwoDisksAreLost replaces a node that is gone for good by one
+// at another address. Once that has had its time to catch up, two more disks may be lost.
+func TestGoneVoterIsReplacedBeforeTwoDisksAreLost(t *testing.T) {
+	for k, role := range []string{"leader", "follower"} {
+		t.Run(role, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newCluster(t, 17740+10*k, 6)
+			c.start(0, 1, 2, 3, 4)
+			for i := range 5 {
+				c.waitForVoters(i)
+			}
+			is.Equal(c.configure(0, 1, "one"), confstate.Accepted)
+			leader := c.leader()
+			gone := leader
+			if role == "follower" {
+				gone = (leader + 1) % 5
+			}
+			c.kill(gone)
+			c.nodes[5].cfg.FirstStart = false
+			c.start(5)
+			time.Sleep(catchUpTime)
+			is.Equal(c.configure(5, 2, "two"), confstate.Accepted)
+			wiped := [2]int{(gone + 1) % 5, (gone + 2) % 5}
+			intact := []int{(gone + 3) % 5, (gone + 4) % 5, 5}
+			c.restartWithTwoDisksLost(wiped, append(wiped[:], intact...)...)
+			c.requireReads("two", intact...)
+		})
+	}
+}
+
