controller: a test for a member that is retired while its vote counts

The retirement is committed first and the change of the voters after it, so for some 200 ms, or until a next leader gets to it, the vote of a deleted log is needed: with two more lost disks, 3 of 6 voters are left.

--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -1,15 +1,21 @@
 package controller_test
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
 
 	"github.com/agateslip/agateslip/confstate"
+	"github.com/agateslip/agateslip/internal/nodelink"
+	"github.com/agateslip/agateslip/internal/peer"
+	"github.com/agateslip/agateslip/internal/storage"
 	"github.com/agateslip/agateslip/routes"
 )
 
@@ -109,3 +115,55 @@
 	}
 }
 
+// TestRetiredMemberHasNoVote replaces a silent voter. A member that is told of its retirement
+// deletes its log, so that it must not be told while the group still counts its vote.
+func TestRetiredMemberHasNoVote(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 17760, 6)
+	c.start(0, 1, 2, 3, 4)
+	for i := range 5 {
+		c.waitForVoters(i)
+	}
+	leader := c.leader()
+	silent := (leader + 1) % 5
+	id, err := storage.ReadIdentity(storage.OS{}, c.nodes[silent].cfg.Data)
+	is.NoErr(err)
+	c.kill(silent)
+	c.nodes[5].cfg.FirstStart = false
+	c.start(5)
+	ask := c.joinRequester(leader, confstate.Member{
+		ID: uint64(id.Member), Node: c.nodes[silent].cfg.Node,
+		Link: c.nodes[silent].cfg.Listen.Links, Operators: c.nodes[silent].cfg.Listen.Operators,
+	})
+	c.waitFor("the retirement", ask)
+	voters, _ := c.nodes[leader].node.Members()
+	is.Equal(voters, wantVoters) // the successor, and no longer the silent member
+}
+
+// joinRequester returns a function that asks a node to add a member with a log, and reports
+// whether the node answers that the member is retired.
+func (c *cluster) joinRequester(asked int, member confstate.Member) func() bool {
+	c.t.Helper()
+	link := c.nodes[asked].cfg.Listen.Links
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	mesh, err := peer.New(peer.Options{
+		Self: "requester", Addr: "127.0.0.1:0", Secret: c.nodes[asked].cfg.Secret, Mux: peer.NewMux(), Log: logger,
+		Peers: []peer.Peer{{Name: link, Addr: link}},
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- mesh.Run(ctx) }()
+	c.t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return func() bool {
+		var answer nodelink.JoinAnswer
+		err := mesh.Call(ctx, link, nodelink.Join, nodelink.JoinRequest{Member: member}, &answer)
+		return err == nil && answer.Retired
+	}
+}
