controller: decode configurations outside of the replica's goroutine

What callers see: after a restart of all control nodes no configuration can be read and no change made until the log has been applied, which takes as long as the log is long.

Cause: the state machine decoded every configuration as its entry was applied, on the goroutine that also sends heartbeats and answers votes.

Now applying an entry only swaps a pointer. Reads and entry nodes get the document as it is, and a part of its own decodes the latest one for the planner and for the check of an announced service, which waits for it instead of refusing. Configurations that another one has already overtaken are not decoded at all.

Looked for elsewhere: internal/node applies single contracts and claims, and decodes no whole configuration.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +12,7 @@
 	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/internal/nodelink"
 	"github.com/agateslip/agateslip/internal/peer"
+	"github.com/agateslip/agateslip/routes"
 )
 
 // ErrUnavailable means that the control group could not confirm the request in time. A
@@ -118,8 +120,8 @@
 	if v == nil {
 		return nil, 0, nil
 	}
-	document, err = Decompress(v.command.Document)
-	return document, v.command.Version, err
+	document, err = Decompress(v.Document)
+	return document, v.Version, err
 }
 
 // callLeader calls a method on the leader, or runs local if this node is the leader. It
@@ -192,19 +194,14 @@
 	return ""
 }
 
-// Serves reports whether the active configuration contains a service. known is false if
-// there is no configuration yet.
+// Serves reports whether the active configuration contains a service. known is false while
+// there is no configuration yet or the active one is still being decoded.
 func (c *Controller) Serves(service string) (serves, known bool) {
-	v := c.stateMachine.active.Load()
-	if v == nil {
+	active, decoded := c.stateMachine.active.Load(), c.stateMachine.decoded.Load()
+	if decoded == nil || decoded.version != active.Version {
 		return false, false
 	}
-	for i := range v.conf.Services {
-		if v.conf.Services[i].Name == service {
-			return true, true
-		}
-	}
-	return false, true
+	return slices.ContainsFunc(decoded.conf.Services, func(s routes.Service) bool { return s.Name == service }), true
 }
 
 // Members returns the numbers of voters and learners of the control group as this node
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -212,6 +212,7 @@
 		Log: c.log.Logger(),
 		Parts: append([]supervisor.Part{
 			{Name: "state", Run: c.loop.Run},
+			{Name: "configuration", Run: c.stateMachine.decodeConfigurations},
 			{Name: "links", Run: c.mesh.Run},
 			{Name: "replica", Run: func(ctx context.Context) error { return supervisor.Permanent(c.raftReplica.Run(ctx)) }},
 			{Name: "membership", Run: c.keepMembership},
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -171,8 +171,8 @@
 	if c.planner == nil {
 		return
 	}
-	if v := c.stateMachine.active.Load(); v != nil && v.command.Version != c.plannedVersion {
-		c.plannedVersion = v.command.Version
+	if v := c.stateMachine.decoded.Load(); v != nil && v.version != c.plannedVersion {
+		c.plannedVersion = v.version
 		c.planner.SetServices(v.conf.Services)
 	}
 	if c.fence == 0 || now < c.ordersAllowedAt {
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -110,10 +110,10 @@
 // collectChanges returns the answer to a watch request and reports whether it contains
 // changes.
 func (c *Controller) collectChanges(ctx context.Context, from string, r nodelink.WatchRequest) (answer nodelink.WatchAnswer, changed bool, err error) {
-	if v := c.stateMachine.active.Load(); r.Entry && v != nil && v.command.Version > r.Version {
+	if v := c.stateMachine.active.Load(); r.Entry && v != nil && v.Version > r.Version {
 		// Send the configuration without waiting for the loop, which may be busy with
 		// upstreams. Control nodes receive the configuration through the log.
-		return nodelink.WatchAnswer{Term: r.Term, Revision: r.Revision, Configuration: &v.command}, true, nil
+		return nodelink.WatchAnswer{Term: r.Term, Revision: r.Revision, Configuration: v}, true, nil
 	}
 	leading := false
 	var list *changeList
--- a/internal/controller/statemachine.go
+++ b/internal/controller/statemachine.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"context"
 	"encoding/json"
 	"io"
 	"maps"
@@ -18,10 +19,9 @@
 	"github.com/agateslip/agateslip/routes"
 )
 
-// activeConfiguration is the active configuration, as replicated and decoded. It is
-// immutable.
-type activeConfiguration struct {
-	command confstate.Configure
+// decodedConfiguration is a replicated configuration and its decoded form. It is immutable.
+type decodedConfiguration struct {
+	version uint64
 	conf    *routes.Configuration
 }
 
@@ -38,13 +38,21 @@
 	log    *eventlog.Log
 	notify func()
 
-	mu     sync.RWMutex
-	state  *confstate.State
-	active atomic.Pointer[activeConfiguration]
+	mu    sync.RWMutex
+	state *confstate.State
+	// active is the active configuration, or nil before the first one.
+	active atomic.Pointer[confstate.Configure]
+	// decoded is the decoded form of the active configuration, or of an earlier one until
+	// decodeConfigurations has decoded it.
+	decoded atomic.Pointer[decodedConfiguration]
+	// undecoded signals that there is another active configuration to decode.
+	undecoded chan struct{}
 }
 
 func newStateMachine(decode Decoder, log *eventlog.Log, notify func()) *stateMachine {
-	return &stateMachine{decode: decode, log: log, notify: notify, state: confstate.New()}
+	return &stateMachine{
+		decode: decode, log: log, notify: notify, state: confstate.New(), undecoded: make(chan struct{}, 1),
+	}
 }
 
 // setFounders replaces the state by that of a new group with the given members.
@@ -107,36 +115,52 @@
 	return nil
 }
 
-// publishConfiguration decodes the replicated configuration and makes it the active one,
-// unless that version is active already.
+// publishConfiguration makes the replicated configuration the active one, unless that
+// version is active already. It does not decode it: the replica, which calls it for each
+// entry, sends no heartbeat meanwhile.
 func (s *stateMachine) publishConfiguration() {
 	s.mu.RLock()
 	configure := confstate.Configure{Version: s.state.Version, Document: s.state.Document}
 	s.mu.RUnlock()
 	defer s.notify()
-	if known := s.active.Load(); configure.Document == nil || known != nil && known.command.Version >= configure.Version {
+	if known := s.active.Load(); configure.Document == nil || known != nil && known.Version >= configure.Version {
 		return
 	}
-	v, err := newActiveConfiguration(configure, s.decode)
-	if err != nil {
-		// The node that proposed it checked it, but may run another version of the
-		// software.
-		s.log.Event("configuration unreadable", eventlog.Fields{"version": configure.Version, "error": err.Error()})
-		return
+	s.active.Store(&configure)
+	select {
+	case s.undecoded <- struct{}{}:
+	default:
 	}
-	s.active.Store(v)
 }
 
-func newActiveConfiguration(c confstate.Configure, decode Decoder) (*activeConfiguration, error) {
-	text, err := Decompress(c.Document)
-	if err != nil {
-		return nil, err
+// decodeConfigurations decodes the active configuration whenever there is another one, until
+// ctx ends. Of several that become active in quick succession it decodes only the last.
+func (s *stateMachine) decodeConfigurations(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.undecoded:
+		}
+		active := s.active.Load()
+		conf, err := s.decodeDocument(active.Document)
+		if err != nil {
+			// The node that proposed it checked it, but may run another version of the
+			// software.
+			s.log.Event("configuration unreadable", eventlog.Fields{"version": active.Version, "error": err.Error()})
+			continue
+		}
+		s.decoded.Store(&decodedConfiguration{version: active.Version, conf: conf})
+		s.notify()
 	}
-	conf, err := decode(text)
+}
+
+func (s *stateMachine) decodeDocument(compressed []byte) (*routes.Configuration, error) {
+	text, err := Decompress(compressed)
 	if err != nil {
 		return nil, err
 	}
-	return &activeConfiguration{command: c, conf: conf}, nil
+	return s.decode(text)
 }
 
 func (s *stateMachine) version() uint64 {
