controller: replace a voter that is gone within the catch-up time

What callers see: a control node is gone for good and a new one takes its place. If two other control nodes lose their disks after the time that the new one has to catch up, no configuration can be read and no change made any more, for good.

Cause: the gone voter was replaced after 4 s of silence, noticed up to 1.6 s after it began and counted anew by each leader, plus three membership changes 200 ms apart.

The setting catchUp (CatchUpS) now gives the timeout, a quarter of it. The 4 s had been chosen to be longer than a restart. That is not needed: a voter is replaced only if a spare member has caught up, and one that returns becomes the spare. Silence is counted anew in each term; a leader that had led before went on with times from its earlier term (TestSilenceCountsFromCurrentTerm).

--- a/internal/config/managed.go
+++ b/internal/config/managed.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"strconv"
+	"time"
 
 	"github.com/agateslip/agateslip/contract"
 	"github.com/agateslip/agateslip/internal/yamlcheck"
@@ -36,6 +37,9 @@
 	// Losses is how many control nodes may be lost at once. The control group has
 	// 2*Losses+1 voters.
 	Losses int `yaml:"losses,omitempty" validate:"gte=0,lte=3"`
+	// CatchUp is the time that a new control node has to take the place of one that is
+	// gone. After it, Losses other ones may be lost. Zero means the default.
+	CatchUp contract.Duration `yaml:"catchUp,omitempty" validate:"gte=0"`
 	// Heartbeat is the interval at which upstreams announce themselves.
 	Heartbeat contract.Duration `yaml:"heartbeat" validate:"gt=0"`
 	// OrderLease is how long a control node that takes over the sending of orders from
@@ -55,6 +59,9 @@
 	MemoryMB int `yaml:"memoryMB" validate:"gt=0"`
 }
 
+// DefaultCatchUp is the default of Managed.CatchUp.
+const DefaultCatchUp = contract.Duration(4 * time.Second)
+
 // ManagedListen holds the listen addresses of a process, each an IP address and
 // port. An entry node sets Callers and Ready, a control node Operators.
 type ManagedListen struct {
@@ -100,6 +107,9 @@
 	if err := yamlcheck.Decode(file, data, &c, managedCrossFieldFaults); err != nil {
 		return Managed{}, err
 	}
+	if c.CatchUp == 0 {
+		c.CatchUp = DefaultCatchUp
+	}
 	if c.Store.Width == 0 {
 		c.Store.Width = defaultStoreWidth
 	}
--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -82,7 +82,7 @@
 func (c *cluster) settings(i int, data string) config.Managed {
 	host := func(i int) string { return fmt.Sprintf("127.0.7.%d", i+1) }
 	return config.Managed{
-		Node: fmt.Sprint("core-", i), Domain: fmt.Sprint("d", i), FirstStart: true, Data: data, Losses: 2,
+		Node: fmt.Sprint("core-", i), Domain: fmt.Sprint("d", i), FirstStart: true, Data: data, Losses: 2, CatchUp: contract.Duration(catchUpTime),
 		Secret: "0123456789abcdef", Heartbeat: contract.Duration(time.Second), Stop: contract.Duration(5 * time.Second),
 		Seeds: []string{fmt.Sprintf("%s:%d", host(0), c.port), fmt.Sprintf("%s:%d", host(1), c.port), fmt.Sprintf("%s:%d", host(2), c.port)},
 		Listen: config.ManagedListen{
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -113,9 +113,9 @@
 	claimPending bool
 	// entryNodes holds, by entry node, the time of its latest watch request.
 	entryNodes map[string]time.Duration
-	// unreachableSince holds, by voter, the time since which it has been unreachable.
-	// Unlike the fields above, it is accessed only by the membership part.
-	unreachableSince map[raft.MemberID]time.Duration
+	// silence tracks the unreachable voters. Unlike the fields above, it is accessed only
+	// by the membership part.
+	silence silence
 	// membershipTerm is the latest term in which this node led and had applied every change
 	// of earlier terms. Only the membership part accesses it.
 	membershipTerm uint64
@@ -137,10 +137,9 @@
 	}
 	c := &Controller{
 		cfg: cfg, log: log, orders: orders, seeds: seeds, files: storage.OS{},
-		metrics:          metrics.New("control." + cfg.Node),
-		loop:             owner.New(),
-		entryNodes:       map[string]time.Duration{},
-		unreachableSince: map[raft.MemberID]time.Duration{},
+		metrics:    metrics.New("control." + cfg.Node),
+		loop:       owner.New(),
+		entryNodes: map[string]time.Duration{},
 	}
 	for _, change := range options {
 		change(c)
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -20,9 +20,6 @@
 const (
 	// membershipInterval is the interval of membership checks.
 	membershipInterval = 200 * time.Millisecond
-	// lostTimeout is how long a voter must be unreachable before another member may
-	// replace it. It is longer than a restart takes.
-	lostTimeout = 4 * time.Second
 	// joinTimeout bounds a join request.
 	joinTimeout = time.Second
 	// memberChangeTimeout bounds one membership change.
@@ -183,25 +180,48 @@
 	c.log.Event(change, fields)
 }
 
-// lostVoters returns the voters that have been unreachable for longer than lostTimeout.
+// replaceTimeout returns how long a voter must be unreachable before another member
+// replaces it. The rest of the catch-up time is for noticing the silence, a change of leader
+// and the membership changes.
+func (c *Controller) replaceTimeout() time.Duration { return time.Duration(c.cfg.CatchUp) / 4 }
+
+// lostVoters returns the voters that have been unreachable for longer than replaceTimeout.
 func (c *Controller) lostVoters(status raft.Status, now time.Duration) []raft.MemberID {
 	var lost []raft.MemberID
 	for _, id := range status.Members.Voters {
 		link, ok := c.addresses.NodeOf(id)
-		if id == c.member || ok && c.mesh.Reachable(link) {
-			delete(c.unreachableSince, id)
-			continue
-		}
-		since, known := c.unreachableSince[id]
-		if !known {
-			c.unreachableSince[id] = now
-		} else if now-since > lostTimeout {
+		reachable := id == c.member || ok && c.mesh.Reachable(link)
+		if c.silence.observe(status.Term, id, reachable, now) > c.replaceTimeout() {
 			lost = append(lost, id)
 		}
 	}
 	return lost
 }
 
+// silence tracks how long members have been unreachable in one term. What was seen in an
+// earlier term may have changed since without being noticed.
+type silence struct {
+	term  uint64
+	since map[raft.MemberID]time.Duration
+}
+
+// observe records whether a member is reachable and returns for how long it has not been.
+func (s *silence) observe(term uint64, id raft.MemberID, reachable bool, now time.Duration) time.Duration {
+	if s.term != term || s.since == nil {
+		s.term, s.since = term, map[raft.MemberID]time.Duration{}
+	}
+	if reachable {
+		delete(s.since, id)
+		return 0
+	}
+	since, known := s.since[id]
+	if !known {
+		s.since[id] = now
+		return 0
+	}
+	return now - since
+}
+
 // changeMembership makes the first membership change that is due and returns its log
 // message with fields, or "" if none is due.
 func (c *Controller) changeMembership(
--- a/internal/controller/membership_test.go
+++ b/internal/controller/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -18,3 +19,16 @@
 	is.Equal(linksToKeep(nil, "d", others), []string{"b", "d", "seed", "told"})
 	is.Equal(len(linksToKeep(nil, "", nil)), 0)
 }
+
+// TestSilenceCountsFromCurrentTerm guards against a leader that replaces a member for a
+// silence that it saw when it led before.
+func TestSilenceCountsFromCurrentTerm(t *testing.T) {
+	is := is.New(t)
+	var s silence
+	is.Equal(s.observe(2, 7, false, 10*time.Second), time.Duration(0))
+	is.Equal(s.observe(2, 7, false, 11*time.Second), time.Second)
+	is.Equal(s.observe(5, 7, false, 30*time.Second), time.Duration(0)) // leads again
+	is.Equal(s.observe(5, 7, false, 31*time.Second), time.Second)
+	is.Equal(s.observe(5, 7, true, 32*time.Second), time.Duration(0))
+	is.Equal(s.observe(5, 7, false, 40*time.Second), time.Duration(0))
+}
