controller: a voter loses its vote before it is retired

What callers see: after a voter was silent for a while and another node took its place, two lost disks can leave the group without a majority for good.

Cause: the replicated state was changed first (retired) and the group of voters after it. A member that asks the leader in between is told that it is retired and deletes its log, while its vote is one of six. The pause is 200 ms, or until a next leader gets to it. Silence that ended after the decision also cost a voter its log for nothing, and its process an exit.

A silent voter is now removed from the voters first. It stays a member, and returns as a spare with its log; only a member without a vote that is silent for twice the catch-up time is retired.

TestReplacedVoterKeepsItsLog is new. The other ways to 'retired' were read: a member that is missing from the state because its node joined under a new ID has lost its disk already.

--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -169,8 +169,7 @@
 		c.membershipTerm = status.Term
 	}
 	members := c.stateMachine.members()
-	lost := c.lostVoters(status, boottime.Now())
-	change, fields, err := c.changeMembership(ctx, status, members, lost)
+	change, fields, err := c.changeMembership(ctx, status, members, c.silentMembers(status, members, boottime.Now()))
 	if change == "" {
 		return
 	}
@@ -185,17 +184,27 @@
 // and the membership changes.
 func (c *Controller) replaceTimeout() time.Duration { return time.Duration(c.cfg.CatchUp) / 4 }
 
-// lostVoters returns the voters that have been unreachable for longer than replaceTimeout.
-func (c *Controller) lostVoters(status raft.Status, now time.Duration) []raft.MemberID {
-	var lost []raft.MemberID
-	for _, id := range status.Members.Voters {
+// retireTimeout returns how long a member without a vote must be unreachable before it is
+// retired. Until then it can return with its log.
+func (c *Controller) retireTimeout() time.Duration { return 2 * time.Duration(c.cfg.CatchUp) }
+
+// silentMembers returns for how long each voter and each member in the replicated state has
+// been unreachable; zero or no entry for those that can be reached.
+func (c *Controller) silentMembers(
+	status raft.Status, members map[uint64]confstate.Member, now time.Duration,
+) map[raft.MemberID]time.Duration {
+	ids := slices.Clone(status.Members.Voters)
+	for id := range members {
+		ids = append(ids, raft.MemberID(id))
+	}
+	slices.Sort(ids)
+	silent := map[raft.MemberID]time.Duration{}
+	for _, id := range slices.Compact(ids) {
 		link, ok := c.addresses.NodeOf(id)
 		reachable := id == c.member || ok && c.mesh.Reachable(link)
-		if c.silence.observe(status.Term, id, reachable, now) > c.replaceTimeout() {
-			lost = append(lost, id)
-		}
+		silent[id] = c.silence.observe(status.Term, id, reachable, now)
 	}
-	return lost
+	return silent
 }
 
 // silence tracks how long members have been unreachable in one term. What was seen in an
@@ -224,30 +233,36 @@
 
 // changeMembership makes the first membership change that is due and returns its log
 // message with fields, or "" if none is due.
+//
+// A member deletes its log once it is retired, so a voter first loses its vote.
 func (c *Controller) changeMembership(
-	ctx context.Context, status raft.Status, members map[uint64]confstate.Member, lost []raft.MemberID,
+	ctx context.Context, status raft.Status, members map[uint64]confstate.Member, silent map[raft.MemberID]time.Duration,
 ) (change string, fields eventlog.Fields, err error) {
-	voters := status.Members.Voters
-	for _, id := range slices.Concat(voters, status.Members.Learners) {
+	voters, learners := status.Members.Voters, status.Members.Learners
+	for _, id := range slices.Concat(voters, learners) {
 		if _, ok := members[uint64(id)]; !ok {
 			// The member was retired, or its disk is gone and its node joined under a new
 			// ID. It has to leave the Raft group too.
 			return "member removed", eventlog.Fields{"member": id}, c.raftReplica.Remove(ctx, id)
 		}
 	}
-	if len(voters) > c.targetVoters() && len(lost) > 0 {
-		id := uint64(lost[0])
-		_, err := c.propose(ctx, confstate.Command{Retire: &id})
-		return "member retired", eventlog.Fields{"member": id, "voters": len(voters)}, err
+	lost := slices.IndexFunc(voters, func(id raft.MemberID) bool { return silent[id] > c.replaceTimeout() })
+	if len(voters) > c.targetVoters() && lost >= 0 {
+		id := voters[lost]
+		return "lost voter removed", eventlog.Fields{"member": id, "voters": len(voters)}, c.raftReplica.Remove(ctx, id)
 	}
 	for _, m := range c.stateMachine.memberList() {
 		id := raft.MemberID(m.ID)
-		if !slices.Contains(voters, id) && !slices.Contains(status.Members.Learners, id) {
+		if !slices.Contains(voters, id) && silent[id] > c.retireTimeout() {
+			_, err := c.propose(ctx, confstate.Command{Retire: &m.ID})
+			return "member retired", eventlog.Fields{"member": id, "node": m.Node}, err
+		}
+		if !slices.Contains(voters, id) && !slices.Contains(learners, id) && silent[id] == 0 {
 			return "learner added", eventlog.Fields{"member": id, "node": m.Node}, c.raftReplica.AddLearner(ctx, id)
 		}
 	}
-	for _, id := range status.Members.Learners {
-		if len(voters) < c.targetVoters() || len(lost) > 0 {
+	for _, id := range learners {
+		if len(voters) < c.targetVoters() || lost >= 0 {
 			err := c.raftReplica.Promote(ctx, id)
 			if errors.Is(err, raft.ErrNotCaughtUp) {
 				continue
--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -68,6 +68,7 @@
 // TestLongLogIsAppliedInTimeAfterRestart restarts a group on slow VMs, where one
 // configuration takes 85 ms to decode, after as many changes as may follow a snapshot.
 func TestLongLogIsAppliedInTimeAfterRestart(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, 17730, 5)
 	c.start(0, 1, 2, 3, 4)
@@ -87,6 +88,7 @@
 // TestGoneVoterIsReplacedBeforeTwoDisksAreLost replaces a node that is gone for good by one
 // at another address. Once that has had its time to catch up, two more disks may be lost.
 func TestGoneVoterIsReplacedBeforeTwoDisksAreLost(t *testing.T) {
+	t.Parallel()
 	for k, role := range []string{"leader", "follower"} {
 		t.Run(role, func(t *testing.T) {
 			t.Parallel()
@@ -118,6 +120,7 @@
 // TestRetiredMemberHasNoVote replaces a silent voter. A member that is told of its retirement
 // deletes its log, so that it must not be told while the group still counts its vote.
 func TestRetiredMemberHasNoVote(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, 17760, 6)
 	c.start(0, 1, 2, 3, 4)
@@ -167,3 +170,31 @@
 		return err == nil && answer.Retired
 	}
 }
+
+// TestReplacedVoterKeepsItsLog checks that a voter which returns soon after another member
+// took its place is a member again, with its log.
+func TestReplacedVoterKeepsItsLog(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, 17770, 6)
+	c.start(0, 1, 2, 3, 4)
+	for i := range 5 {
+		c.waitForVoters(i)
+	}
+	leader := c.leader()
+	silent := (leader + 1) % 5
+	c.kill(silent)
+	c.nodes[5].cfg.FirstStart = false
+	c.start(5)
+	c.waitFor("the replacement", func() bool {
+		return strings.Contains(c.nodes[leader].log.Tail(1<<20), `"msg":"lost voter removed"`)
+	})
+	c.waitForVoters(leader)
+	c.start(silent)
+	c.waitFor("the return", func() bool {
+		voters, learners := c.nodes[leader].node.Members()
+		return voters == wantVoters && learners == 1
+	})
+	is.Equal(c.configure(silent, 1, "one"), confstate.Accepted)
+	is.Equal(strings.Count(c.nodes[silent].log.Tail(1<<20), `"log created"`), 1) // only at the first start
+}
