--- a/internal/faultfs/faultfs.go
+++ b/internal/faultfs/faultfs.go
@@ -108,27 +108,23 @@
 	return f.syncCount
 }
 
-// Crash drops unsynced changes. If random is not nil, part of them survives: a prefix of
-// the name changes, and a prefix of the unsynced data of each file. Files opened before
-// the crash fail from then on. Locks are released and injected errors are cleared.
+// Crash drops unsynced changes. If random is not nil, part of them survives: each name
+// change independently of the others, and of the unsynced data of each file a prefix, in
+// which a range may read as zeros. Files opened before the crash fail from then on. Locks
+// are released and injected errors are cleared.
 func (f *FS) Crash(random *rand.Rand) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	survivors := 0
 	if random != nil {
-		survivors = random.IntN(len(f.unsyncedChanges) + 1)
-	}
-	for _, change := range f.unsyncedChanges[:survivors] {
-		change(f.durableFiles)
+		for _, change := range f.unsyncedChanges {
+			if random.IntN(2) == 0 {
+				change(f.durableFiles)
+			}
+		}
 	}
 	f.files = map[string]*inode{}
 	for _, name := range sortedNames(f.durableFiles) {
-		n := f.durableFiles[name]
-		end := n.syncedBytes
-		if random != nil {
-			end += random.IntN(len(n.data) - n.syncedBytes + 1)
-		}
-		f.files[name] = &inode{data: slices.Clone(n.data[:end]), syncedBytes: end}
+		f.files[name] = f.durableFiles[name].afterCrash(random)
 	}
 	f.durableFiles = cloneNames(f.files)
 	f.unsyncedChanges = nil
@@ -138,6 +134,21 @@
 	f.crashCount++
 }
 
+// afterCrash returns what a crash leaves of the file.
+func (n *inode) afterCrash(random *rand.Rand) *inode {
+	data := slices.Clone(n.data[:n.syncedBytes])
+	if random != nil {
+		torn := slices.Clone(n.data[n.syncedBytes:])
+		torn = torn[:random.IntN(len(torn)+1)]
+		if len(torn) > 0 && random.IntN(2) == 0 {
+			from := random.IntN(len(torn))
+			clear(torn[from : from+1+random.IntN(len(torn)-from)])
+		}
+		data = append(data, torn...)
+	}
+	return &inode{data: data, syncedBytes: len(data)}
+}
+
 // Wipe crashes the file system and removes every file, like the replacement of a disk.
 func (f *FS) Wipe() {
 	f.Crash(nil)
