--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -336,7 +336,11 @@
 		// A stream that its first upstream does not finish by the deadline counts as paused.
 		c.edge.loop.Post(func() { c.edge.recordStreamQuality(u.ID, true) })
 	}
-	c.log("lost", eventlog.Fields{"upstream": u.ID, "error": err.Error(), "lastEvent": c.lastEventID})
+	fields := eventlog.Fields{"upstream": u.ID, "error": err.Error(), "lastEvent": c.lastEventID}
+	if len(c.caller.SharedParts) > 0 {
+		fields["parts"] = c.caller.SharedParts
+	}
+	c.log("lost", fields)
 	return dispatch.Lost, outcomeUnknown
 }
 
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -19,6 +19,9 @@
 	// InputTokens is the length of the prompt, and OutputTokens the most tokens that
 	// may be generated; zero if not stated.
 	InputTokens, OutputTokens int
+	// SharedParts identifies the parts of the prompt that other calls may have too, without
+	// repeats.
+	SharedParts []string
 	// Affinity is the hash of the start of the prompt that this call shares with
 	// others; zero if it shares none.
 	Affinity uint64
