quarantine: find the part of a prompt that crashes engines, and refuse calls with it

What callers see: one part of a prompt crashes every engine that begins to answer it.

Cause: a lost call counted against its engine only. Nothing related it to other lost calls, on the same entry node or on others.

Entry nodes now report calls that were lost with their engine before the first event, with the shared parts of their prompts. The leader counts crashed engines by part. It asks the entry nodes to clear the parts that were present in two crashes, which they do if calls with them were served in the last seconds; a part with three crashes that nobody clears within 250 ms is put in quarantine, with the parts that were present each time. Calls with all of these are refused at once as not run, also if they already wait for an engine. Nothing is convicted while no call of the service is served, since then engines fail for other reasons. The decision is package quarantine, without clock or I/O. The list is replicated, so that a new leader and restarted nodes go on with it, for ten minutes or until a call with a part is served.

--- a/confstate/confstate.go
+++ b/confstate/confstate.go
@@ -1,6 +1,6 @@
 // Package confstate holds the replicated state of a managed deployment: the configuration
-// in force, the addresses of the control group's members, and the member that may send
-// orders to upstreams. Only commands of a replicated log change it, with the same result
+// in force, the addresses of the control group's members, the member that may send orders
+// to upstreams, and the prompts in quarantine. Only commands of a replicated log change it, with the same result
 // on every member.
 //
 // Load pattern: several operators at once send whole configurations in quick succession,
@@ -13,6 +13,8 @@
 	"slices"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/agateslip/agateslip/quarantine"
 )
 
 // Member is a member of the control group and its addresses.
@@ -46,6 +48,8 @@
 	Retire *uint64 `json:"retire,omitempty"`
 	// SetOrderer is the name of the node that becomes the orderer.
 	SetOrderer *string `json:"order,omitempty"`
+	// Quarantine replaces the signatures in quarantine.
+	Quarantine *[]quarantine.Signature `json:"quarantine,omitempty"`
 }
 
 // Configure puts a configuration in force, unless one of the same or a higher version is
@@ -94,6 +98,9 @@
 	Members map[uint64]Member `json:"members"`
 	// Orderer is the zero value before the first SetOrderer command.
 	Orderer Orderer `json:"orderer"`
+	// Quarantine identifies the calls that entry nodes refuse because their prompts crash
+	// engines. A new leader, and all nodes after a restart, go on with it.
+	Quarantine []quarantine.Signature `json:"quarantine,omitempty"`
 }
 
 // New returns the state of a new control group with its first members.
@@ -116,6 +123,8 @@
 		delete(s.Members, *c.Retire)
 	case c.SetOrderer != nil:
 		s.Orderer = Orderer{Node: *c.SetOrderer, Fence: index}
+	case c.Quarantine != nil:
+		s.Quarantine = *c.Quarantine
 	}
 	return Accepted
 }
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -85,3 +85,10 @@
 	return slices.Contains(u.Closing, model) ||
 		adapter != "" && slices.Contains(u.Closing, model+"/"+adapter)
 }
+
+// Incarnation identifies an upstream from its start to its end.
+type Incarnation struct {
+	ID string `json:"id"`
+	// Born is when the upstream started, in Unix milliseconds.
+	Born int64 `json:"born"`
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -81,6 +81,7 @@
 	registry *fleet.Registry
 	changes  changeCache
 	planner  *residency.Planner
+	prompts  promptWatch
 	// plannedVersion is the configuration version that the planner was last given.
 	plannedVersion uint64
 	// loggedWidths holds, by service, the limit of parallel loads from the weight store
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -70,6 +70,7 @@
 	}
 	c.removeGoneUpstreams(before)
 	c.expireEntryNodes(now)
+	c.reviewPrompts(ctx, now)
 	c.plan(now)
 	if c.registry.Revision() != before {
 		c.notifier.notify()
@@ -88,6 +89,7 @@
 	limits := residency.DefaultLimits()
 	limits.MaxStoreLoads, limits.MaxAdapterLoads = c.cfg.Store.Width, min(c.cfg.Store.AdapterWidth, limits.MaxAdapterLoads)
 	c.planner = residency.New(limits)
+	c.prompts = newPromptWatch()
 	c.plannedVersion, c.loggedWidths = 0, map[string]int{}
 	for _, u := range c.registry.Live() {
 		c.planner.SetUpstream(u, now)
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -121,14 +121,15 @@
 		if leading = c.term != 0; !leading {
 			return
 		}
-		if r.Entry {
-			c.entryNodes[from] = boottime.Now()
-		}
 		answer.Term, answer.Revision = c.term, c.changes.revision
 		since := r.Revision
 		if answer.Whole = r.Term != c.term; answer.Whole {
 			since = 0
 		}
+		if r.Entry {
+			c.entryNodes[from] = boottime.Now()
+			answer.Prompts = c.promptsSince(r.PromptRevision, answer.Whole)
+		}
 		list = c.changes.changedSince(c.registry, changeKey{since, r.Entry})
 		answer.Entries = len(c.entryNodes)
 	})
@@ -138,7 +139,7 @@
 	if !leading {
 		return answer, false, c.notLeaderError()
 	}
-	changed = answer.Whole || len(list.upstreams) > 0
+	changed = answer.Whole || len(list.upstreams) > 0 || answer.Prompts != nil
 	if answer.Upstreams, err = list.encode(); err != nil {
 		return answer, false, err
 	}
@@ -161,6 +162,7 @@
 		}
 		now := boottime.Now()
 		c.markLeaving(from, r.Leaving, now)
+		c.recordPromptEvidence(from, &r, now)
 		c.planner.SetDemand(from, r.Report, now)
 		c.plan(now)
 		known := r.CountsRevision
@@ -223,7 +225,7 @@
 }
 
 // markLeaving records the upstreams that told an entry node that they are leaving.
-func (c *Controller) markLeaving(from string, leaving []nodelink.Incarnation, now time.Duration) {
+func (c *Controller) markLeaving(from string, leaving []fleet.Incarnation, now time.Duration) {
 	for _, u := range leaving {
 		if !c.registry.MarkLeaving(u.ID, u.Born) {
 			continue
--- a/internal/controller/statemachine.go
+++ b/internal/controller/statemachine.go
@@ -15,6 +15,7 @@
 
 	"github.com/agateslip/agateslip/confstate"
 	"github.com/agateslip/agateslip/internal/eventlog"
+	"github.com/agateslip/agateslip/quarantine"
 	"github.com/agateslip/agateslip/raft"
 	"github.com/agateslip/agateslip/routes"
 )
@@ -90,6 +91,8 @@
 		return "join"
 	case c.Retire != nil:
 		return "retire"
+	case c.Quarantine != nil:
+		return "quarantine"
 	default:
 		return "order"
 	}
@@ -191,6 +194,13 @@
 	return s.state.Orderer
 }
 
+// quarantine returns the signatures in quarantine. The list is not changed.
+func (s *stateMachine) quarantine() []quarantine.Signature {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.state.Quarantine
+}
+
 // Compress compresses a configuration document for the log. Equal documents give equal
 // results.
 func Compress(document []byte) ([]byte, error) {
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -62,8 +62,10 @@
 	firstEventWait, longestPause time.Duration
 	// lastEventTime is when the latest event was sent to the caller.
 	lastEventTime time.Duration
-	// lastEventID is the id of the last event that was sent to the caller.
+	// lastEventID is the id of the last event that was sent to the caller, and events is the
+	// number of events.
 	lastEventID string
+	events      int
 }
 
 // attemptOutcome is how an attempt ended.
@@ -92,6 +94,10 @@
 		c.edge.budgetFor(c.dispatchCall.Service).recordCall(&c.edge.cfg.Retry, boottime.Now())
 	})
 	for {
+		if c.quarantined() {
+			c.giveUp(reasonQuarantined, quarantineRetryAfter)
+			return
+		}
 		verdict, ok := c.waitForVerdict()
 		if !ok {
 			return
@@ -100,6 +106,11 @@
 			c.giveUp(string(verdict.Reason), verdict.RetryAfter)
 			return
 		}
+		if c.quarantined() { // since the call began to wait
+			c.finishAttempt(dispatch.Abandoned)
+			c.giveUp(reasonQuarantined, quarantineRetryAfter)
+			return
+		}
 		outcome := c.attempt(verdict.Upstream)
 		switch outcome {
 		case outcomeAnswered, outcomeCallerLeft:
@@ -262,10 +273,16 @@
 	c.answerStarted.Store(false)
 	c.movedOnStall.Store(false)
 	result, end := c.exchange(u)
+	c.finishAttempt(result)
+	c.reportPromptOutcome(u, result)
+	return end
+}
+
+// finishAttempt tells the dispatcher the result of the current attempt.
+func (c *call) finishAttempt(result dispatch.Result) {
 	// Copied because the next attempt may set another ID before the posted function runs.
 	id := c.attemptID
 	c.edge.loop.Post(func() { c.edge.deliver(c.edge.dispatcher.Finish(id, result, boottime.Now())) })
-	return end
 }
 
 // exchange sends the call over a connection to the upstream and relays the answer.
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -12,6 +12,7 @@
 	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/internal/nodelink"
 	"github.com/agateslip/agateslip/internal/pause"
+	"github.com/agateslip/agateslip/quarantine"
 	"github.com/agateslip/agateslip/residency"
 )
 
@@ -40,15 +41,17 @@
 		case <-e.demandChanged:
 		case <-timer.C:
 		}
-		var report residency.NodeReport
-		var leaving []nodelink.Incarnation
-		if e.loop.Do(ctx, func() { report, leaving = e.demandReport(), slices.Collect(maps.Keys(e.unreportedLeaving)) }) != nil {
+		var request nodelink.DemandRequest
+		var served map[quarantine.Part]time.Duration
+		if e.loop.Do(ctx, func() { request, served = e.demandRequest() }) != nil {
 			return nil // the node stops
 		}
 		// The first empty report is sent: it tells the leader that nothing waits or runs.
-		empty := len(report.Waiting)+len(report.Arrivals)+len(report.Running)+len(report.Quality)+len(leaving) == 0
+		report := &request.Report
+		empty := len(report.Waiting)+len(report.Arrivals)+len(report.Running)+len(report.Quality)+
+			len(request.Leaving)+len(request.Losses)+len(request.Served) == 0
 		if !empty || !lastEmpty {
-			e.sendReport(ctx, report, leaving)
+			e.sendReport(ctx, request, served)
 		}
 		lastEmpty = empty
 		next := reportInterval
@@ -61,6 +64,16 @@
 	return nil
 }
 
+// demandRequest returns the request with this node's report, and when the served suspects in
+// it were served. It runs on the loop.
+func (e *Edge) demandRequest() (nodelink.DemandRequest, map[quarantine.Part]time.Duration) {
+	served := e.prompts.servedSuspects(boottime.Now())
+	return nodelink.DemandRequest{
+		Report: e.demandReport(), Leaving: slices.Collect(maps.Keys(e.unreportedLeaving)),
+		Losses: slices.Clone(e.prompts.losses), Served: slices.Collect(maps.Keys(served)),
+	}, served
+}
+
 // demandReport returns the waiting and running calls, and the counts that changed since
 // the leader last received them. It runs on the loop.
 func (e *Edge) demandReport() residency.NodeReport {
@@ -90,14 +103,12 @@
 
 // sendReport sends a report to the leader and applies its answer. The counts of a
 // report that fails are part of the next one.
-func (e *Edge) sendReport(ctx context.Context, report residency.NodeReport, leaving []nodelink.Incarnation) {
+func (e *Edge) sendReport(ctx context.Context, request nodelink.DemandRequest, served map[quarantine.Part]time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	var answer nodelink.DemandAnswer
 	target := e.leader.current()
-	request := nodelink.DemandRequest{
-		Report: report, Term: e.plannerCounts.term, CountsRevision: e.plannerCounts.revision, Leaving: leaving,
-	}
+	request.Term, request.CountsRevision = e.plannerCounts.term, e.plannerCounts.revision
 	if err := e.mesh.Call(ctx, target, nodelink.Demand, request, &answer); err != nil {
 		e.log.Event("demand not reported", eventlog.Fields{"asked": target, "error": err.Error()})
 		return
@@ -107,16 +118,17 @@
 	}
 	e.loop.Post(func() {
 		now := boottime.Now()
-		for _, c := range report.Arrivals {
+		for _, c := range request.Report.Arrivals {
 			e.reportedArrivals[dispatch.ModelKey{Service: c.Service, Model: c.Model, Adapter: c.Adapter}] = c.Calls
 		}
 		if answer.Term != 0 {
 			e.dispatcher.ObservePlannerCounts(answer.Running, answer.Whole, now)
 		}
-		for _, incarnation := range leaving {
+		for _, incarnation := range request.Leaving {
 			delete(e.unreportedLeaving, incarnation)
 		}
-		for _, q := range report.Quality {
+		e.prompts.confirmReport(len(request.Losses), served)
+		for _, q := range request.Report.Quality {
 			e.reportedQuality[q.Upstream] = q
 		}
 		for _, f := range answer.Forecasts {
@@ -151,7 +163,7 @@
 	}
 	known.saidLeaving = true
 	e.upstreams[u.ID] = known
-	e.unreportedLeaving[nodelink.Incarnation{ID: u.ID, Born: u.Born}] = true
+	e.unreportedLeaving[fleet.Incarnation{ID: u.ID, Born: u.Born}] = true
 	e.signalDemand()
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -24,11 +24,11 @@
 	"github.com/agateslip/agateslip/internal/controller"
 	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/internal/metrics"
-	"github.com/agateslip/agateslip/internal/nodelink"
 	"github.com/agateslip/agateslip/internal/owner"
 	"github.com/agateslip/agateslip/internal/peer"
 	"github.com/agateslip/agateslip/internal/supervisor"
 	"github.com/agateslip/agateslip/internal/upstreamconn"
+	"github.com/agateslip/agateslip/quarantine"
 	"github.com/agateslip/agateslip/residency"
 	"github.com/agateslip/agateslip/routes"
 )
@@ -68,6 +68,8 @@
 	configured chan struct{}
 	// entryNodes is the number of entry nodes as last reported by the leader; initially 1.
 	entryNodes atomic.Int64
+	// quarantine identifies the calls to refuse; nil before the first list arrives.
+	quarantine atomic.Pointer[[]quarantine.Signature]
 	lastCallID atomic.Uint64
 	// stopping is set once Stop was called: the node reports itself as not ready.
 	stopping atomic.Bool
@@ -95,9 +97,10 @@
 	// counts that the leader has received.
 	streamQuality   map[string]residency.Quality
 	reportedQuality map[string]residency.Quality
+	prompts         promptEvidence
 	// unreportedLeaving holds the upstreams that said that they are leaving and of which
 	// the leader does not know it yet.
-	unreportedLeaving map[nodelink.Incarnation]bool
+	unreportedLeaving map[fleet.Incarnation]bool
 }
 
 // knownUpstream is the latest description of an upstream that this node accepted.
@@ -133,8 +136,9 @@
 		reportedArrivals: map[dispatch.ModelKey]uint64{},
 		streamQuality:    map[string]residency.Quality{},
 		reportedQuality:  map[string]residency.Quality{},
+		prompts:          newPromptEvidence(),
 
-		unreportedLeaving: map[nodelink.Incarnation]bool{},
+		unreportedLeaving: map[fleet.Incarnation]bool{},
 	}
 	e.entryNodes.Store(1)
 	e.registerGauges()
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -114,10 +114,19 @@
 			continue
 		}
 		// Do fails only when the node stops, which ends this loop.
-		if e.loop.Do(ctx, func() { e.applyUpstreams(answer.Whole, upstreams) }) != nil {
+		err = e.loop.Do(ctx, func() {
+			e.applyUpstreams(answer.Whole, upstreams)
+			if answer.Prompts != nil {
+				e.applyPromptState(answer.Prompts)
+			}
+		})
+		if err != nil {
 			continue
 		}
 		request.Term, request.Revision = answer.Term, answer.Revision
+		if answer.Prompts != nil {
+			request.PromptRevision = answer.Prompts.Revision
+		}
 	}
 	return nil
 }
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -187,6 +187,7 @@
 		return false
 	}
 	c.flush()
+	c.events++
 	c.recordEventTime(boottime.Now())
 	for line := range bytes.Lines(event) {
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -139,6 +139,8 @@
 		return text + "All upstreams that offer the model were full or paused."
 	case "upstreams asked for a pause":
 		return text + "Every upstream that could run the call had asked this node for a pause that outlasts it."
+	case "prompt crashes engines":
+		return text + "Engines crashed on calls that have a part of their prompts in common with this one."
 	case "no configuration yet", "no upstream":
 		return text + fmt.Sprintf("%d lines before it tell of control nodes that did not answer %s.", c.count("control node does not answer"), last.Node)
 	default:
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -9,6 +9,7 @@
 	"github.com/agateslip/agateslip/confstate"
 	"github.com/agateslip/agateslip/fleet"
 	"github.com/agateslip/agateslip/internal/peer"
+	"github.com/agateslip/agateslip/quarantine"
 	"github.com/agateslip/agateslip/residency"
 )
 
@@ -52,6 +53,8 @@
 	// Term and Revision are those of the latest answer that the node received.
 	Term     uint64 `json:"term"`
 	Revision uint64 `json:"revision"`
+	// PromptRevision is that of the latest PromptState that the node received.
+	PromptRevision uint64 `json:"prompts,omitempty"`
 	// WaitMillis is how long the answer may be held back while nothing changes.
 	WaitMillis int64 `json:"wait"`
 }
@@ -71,6 +74,19 @@
 	Members []string `json:"members,omitempty"`
 	// Entries is the number of entry nodes that watch the leader.
 	Entries int `json:"entries"`
+	// Prompts is set if the asking entry node has an older one.
+	Prompts *PromptState `json:"prompts,omitempty"`
+}
+
+// PromptState is what entry nodes need to know of prompts that crash engines.
+type PromptState struct {
+	// Revision identifies this state within the term of the leader.
+	Revision uint64 `json:"revision"`
+	// InForce identifies the calls to refuse.
+	InForce []quarantine.Signature `json:"inForce,omitempty"`
+	// Suspects are the parts that the leader wants to know of whether calls are served with
+	// them.
+	Suspects []quarantine.Part `json:"suspects,omitempty"`
 }
 
 // DemandRequest is an entry node's report.
@@ -81,14 +97,11 @@
 	CountsRevision uint64 `json:"loads,omitempty"`
 	// Leaving lists the incarnations of upstreams that said with an answer that they are
 	// leaving.
-	Leaving []Incarnation `json:"leaving,omitempty"`
-}
-
-// Incarnation identifies an upstream from its start to its end.
-type Incarnation struct {
-	ID string `json:"id"`
-	// Born is when the upstream started, in Unix milliseconds.
-	Born int64 `json:"born"`
+	Leaving []fleet.Incarnation `json:"leaving,omitempty"`
+	// Losses are calls with prompts that were lost with their engines before their answers
+	// began. Served are suspects, by the latest PromptState, that calls were served with.
+	Losses []quarantine.Loss `json:"losses,omitempty"`
+	Served []quarantine.Part `json:"served,omitempty"`
 }
 
 // DemandAnswer has the forecasts for the models that calls wait for, and the leader's
