--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -13,9 +13,11 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/agateslip/agateslip/confstate"
+	"github.com/agateslip/agateslip/fleet"
 	"github.com/agateslip/agateslip/internal/nodelink"
 	"github.com/agateslip/agateslip/internal/peer"
 	"github.com/agateslip/agateslip/internal/storage"
+	"github.com/agateslip/agateslip/quarantine"
 	"github.com/agateslip/agateslip/routes"
 )
 
@@ -147,13 +149,25 @@
 // whether the node answers that the member is retired.
 func (c *cluster) joinRequester(asked int, member confstate.Member) func() bool {
 	c.t.Helper()
-	link := c.nodes[asked].cfg.Listen.Links
+	mesh := c.connect()
+	return func() bool {
+		var answer nodelink.JoinAnswer
+		link := c.nodes[asked].cfg.Listen.Links
+		err := mesh.Call(context.Background(), link, nodelink.Join, nodelink.JoinRequest{Member: member}, &answer)
+		return err == nil && answer.Retired
+	}
+}
+
+// connect returns connections to all nodes, as another node has them.
+func (c *cluster) connect() *peer.Mesh {
+	c.t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	mesh, err := peer.New(peer.Options{
-		Self: "requester", Addr: "127.0.0.1:0", Secret: c.nodes[asked].cfg.Secret, Mux: peer.NewMux(), Log: logger,
-		Peers: []peer.Peer{{Name: link, Addr: link}},
-	})
+	options := peer.Options{Self: "requester", Addr: "127.0.0.1:0", Secret: c.nodes[0].cfg.Secret, Mux: peer.NewMux(), Log: logger}
+	for _, n := range c.nodes {
+		options.Peers = append(options.Peers, peer.Peer{Name: n.cfg.Listen.Links, Addr: n.cfg.Listen.Links})
+	}
+	mesh, err := peer.New(options)
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -164,11 +178,7 @@
 		cancel()
 		<-done
 	})
-	return func() bool {
-		var answer nodelink.JoinAnswer
-		err := mesh.Call(ctx, link, nodelink.Join, nodelink.JoinRequest{Member: member}, &answer)
-		return err == nil && answer.Retired
-	}
+	return mesh
 }
 
 // TestReplacedVoterKeepsItsLog checks that a voter which returns soon after another member
@@ -198,3 +208,36 @@
 	is.Equal(c.configure(silent, 1, "one"), confstate.Accepted)
 	is.Equal(strings.Count(c.nodes[silent].log.Tail(1<<20), `"log created"`), 1) // only at the first start
 }
+
+// TestQuarantineSurvivesRestart reports crashes of engines that have a part of a prompt in
+// common, and restarts all nodes. The next leader tells entry nodes of the part.
+func TestQuarantineSurvivesRestart(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 17790, 5)
+	c.start(0, 1, 2, 3, 4)
+	for i := range 5 {
+		c.waitForVoters(i)
+	}
+	report := nodelink.DemandRequest{Served: []quarantine.Part{{Service: "s", ID: "first"}}}
+	for i := range 3 {
+		report.Losses = append(report.Losses, quarantine.Loss{
+			Engine: fleet.Incarnation{ID: fmt.Sprint("e", i)}, Service: "s", Parts: []string{"bad", "first"},
+		})
+	}
+	mesh := c.connect()
+	call := func(method string, request, answer any) bool {
+		return slices.ContainsFunc(c.nodes, func(n *testNode) bool {
+			return mesh.Call(context.Background(), n.cfg.Listen.Links, method, request, answer) == nil
+		})
+	}
+	quarantined := func() bool {
+		var answer nodelink.WatchAnswer
+		return call(nodelink.Watch, nodelink.WatchRequest{Entry: true}, &answer) && answer.Prompts != nil &&
+			quarantine.Equal(answer.Prompts.InForce, []quarantine.Signature{{Service: "s", Parts: []string{"bad"}}})
+	}
+	c.waitFor("the report", func() bool { return call(nodelink.Demand, report, &nodelink.DemandAnswer{}) })
+	c.waitFor("the quarantine", quarantined)
+	c.kill(0, 1, 2, 3, 4)
+	c.start(0, 1, 2, 3, 4)
+	c.waitFor("the quarantine after the restart", quarantined)
+}
