upstreamconn, edge: bytes without end that are no answer are cut off

Operators of similar systems: an upstream in trouble may send bytes that are no answer without end, in a head or a body, until the caller closes.

Before: a header line, header lines, interim answers and answers to other calls were read and, the first two, kept in memory until the call's deadline. So were lines of a stream that never become an event; the limit of an event was checked only inside of a long line. The body of a rejection was read until the deadline, while the call could have gone elsewhere.

Now at most 256 KiB may come before the body of the answer, an event may have 1 MiB, and the body of a rejection 64 KiB and 100 ms.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -21,9 +21,12 @@
 const (
 	// eventStream is the media type of server-sent event streams.
 	eventStream = "text/event-stream"
-	// maxEventBytes bounds what is buffered of an incomplete event. It is checked only
-	// within lines longer than the read buffer.
+	// maxEventBytes bounds what is buffered of an incomplete event.
 	maxEventBytes = 1 << 20
+	// maxRejectionBytes and rejectionTimeout bound the body of an answer which says that the
+	// call did not run; the call is sent elsewhere after it.
+	maxRejectionBytes = 64 << 10
+	rejectionTimeout  = 100 * time.Millisecond
 	// maxAnswerBytes bounds the body of an answer that is not a stream.
 	maxAnswerBytes = 16 << 20
 	// writeGrace is how long after the call's deadline its answer may still be written
@@ -72,11 +75,7 @@
 
 // endRejected ends an attempt whose upstream answered that it did not run the call.
 func (c *call) endRejected(u *fleet.Upstream, conn *upstreamconn.Conn, resp *http.Response) (dispatch.Result, attemptOutcome) {
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		conn.Close()
-	} else {
-		conn.Release()
-	}
+	c.discardRejection(conn, resp)
 	c.log("rejected", eventlog.Fields{"upstream": u.ID, "status": resp.StatusCode})
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		return dispatch.NotServed, outcomeNotRun
@@ -84,6 +83,18 @@
 	return dispatch.Rejected, outcomeNotRun
 }
 
+// discardRejection reads the rest of an answer that the caller does not get, so that its
+// connection can be used again. It closes the connection if that takes too long.
+func (c *call) discardRejection(conn *upstreamconn.Conn, resp *http.Response) {
+	timer := time.AfterFunc(rejectionTimeout, conn.Close)
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRejectionBytes))
+	if !timer.Stop() || err != nil || n == maxRejectionBytes {
+		conn.Close()
+		return
+	}
+	conn.Release()
+}
+
 // relayWhole reads the whole answer before the caller gets any of it, so that the call
 // can be sent again if the answer is cut off.
 func (c *call) relayWhole(u *fleet.Upstream, conn *upstreamconn.Conn, resp *http.Response) (dispatch.Result, attemptOutcome) {
@@ -158,7 +169,10 @@
 		line, err := reader.ReadSlice('\n')
 		event.Write(line)
 		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && event.Len() < maxEventBytes:
+		case event.Len() > maxEventBytes:
+			conn.Close()
+			return c.endLost(u, errors.Newf("event is larger than %d bytes", maxEventBytes))
+		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && event.Len() == 0:
 			conn.Release()
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -21,6 +22,10 @@
 // read the whole body.
 const maxInlineBody = 4 << 10
 
+// maxPreambleBytes bounds what an upstream may send before the body of the answer to a call:
+// its header, interim answers and late answers to other calls.
+const maxPreambleBytes = 256 << 10
+
 // Request is one call to an upstream. Header must not contain fields that concern the
 // connection or the length of the body.
 type Request struct {
@@ -39,6 +44,8 @@
 	addr   string
 	conn   net.Conn
 	reader *bufio.Reader
+	// source is what reader reads from.
+	source *source
 	// lastRead is shared by all connections to the address; see LastRead.
 	lastRead *atomic.Int64
 	reused   bool
@@ -113,8 +120,11 @@
 }
 
 // Receive reads the header of the answer to the call. It reads and discards answers for
-// which belongs returns false, as they are answers to other calls.
+// which belongs returns false, as they are answers to other calls. It fails if more than
+// maxPreambleBytes come first.
 func (c *Conn) Receive(belongs func(http.Header) bool) (*http.Response, error) {
+	c.source.left = maxPreambleBytes
+	defer func() { c.source.left = math.MaxInt64 }()
 	request := &http.Request{Method: c.method}
 	for {
 		resp, err := http.ReadResponse(c.reader, request)
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -156,9 +157,10 @@
 	}
 	p.count(func(s *Stats) { s.Opened++ })
 	lastRead := p.lastReadOf(addr)
+	source := &source{conn: conn, lastRead: lastRead, left: math.MaxInt64}
 	return &Conn{
-		pool: p, addr: addr, conn: conn, lastRead: lastRead,
-		reader: bufio.NewReaderSize(timedReader{conn, lastRead}, readBufferSize),
+		pool: p, addr: addr, conn: conn, lastRead: lastRead, source: source,
+		reader: bufio.NewReaderSize(source, readBufferSize),
 	}, nil
 }
 
@@ -170,17 +172,26 @@
 	return &p.host(addr).lastRead
 }
 
-// timedReader records when bytes were last read from a connection.
-type timedReader struct {
+// source reads from a connection. It records when bytes were last read, and fails once it
+// has read as many as are left.
+type source struct {
 	conn     net.Conn
 	lastRead *atomic.Int64
+	left     int64
 }
 
+// errTooManyBytes means that an upstream sent too much before the answer to a call began.
+var errTooManyBytes = errors.Newf("more than %d bytes before the answer", maxPreambleBytes)
+
 // Read implements io.Reader.
-func (r timedReader) Read(p []byte) (int, error) {
-	n, err := r.conn.Read(p)
+func (s *source) Read(p []byte) (int, error) {
+	if s.left <= 0 {
+		return 0, errTooManyBytes
+	}
+	n, err := s.conn.Read(p[:min(int64(len(p)), s.left)])
 	if n > 0 {
-		r.lastRead.Store(int64(boottime.Now()))
+		s.left -= int64(n)
+		s.lastRead.Store(int64(boottime.Now()))
 	}
 	return n, err
 }
