--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -172,8 +172,13 @@
 		c.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- mesh.Run(ctx) }()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := mesh.Run(ctx); err != nil {
+			c.t.Log(err)
+		}
+	}()
 	c.t.Cleanup(func() {
 		cancel()
 		<-done
