controller: a silent member without a vote is retired after thirty catch-up times

Since members without a vote are retired after twice the catch-up time, which was meant for members that are gone for good.

Two minutes at the smallest catch-up time are longer than any absence that a member returns from, and what is kept meanwhile is an entry in the replicated state. Voters are replaced as quickly as before. TestRetiredMemberHasNoVote uses a shorter catch-up time.

--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -184,9 +184,15 @@
 // and the membership changes.
 func (c *Controller) replaceTimeout() time.Duration { return time.Duration(c.cfg.CatchUp) / 4 }
 
+// retireCatchUps is the number of catch-up times after which a member without a vote that is
+// unreachable counts as gone for good.
+const retireCatchUps = 30
+
 // retireTimeout returns how long a member without a vote must be unreachable before it is
 // retired. Until then it can return with its log.
-func (c *Controller) retireTimeout() time.Duration { return 2 * time.Duration(c.cfg.CatchUp) }
+func (c *Controller) retireTimeout() time.Duration {
+	return retireCatchUps * time.Duration(c.cfg.CatchUp)
+}
 
 // silentMembers returns for how long each voter and each member in the replicated state has
 // been unreachable; zero or no entry for those that can be reached.
--- a/internal/controller/prompts.go
+++ b/internal/controller/prompts.go
@@ -39,6 +39,7 @@
 		})
 	}
 	c.prompts.detector.Served(r.Served, now)
+	c.prompts.detector.Alive(r.Alive)
 }
 
 // reviewPrompts proposes a changed quarantine if the evidence demands one, and publishes what
@@ -56,11 +57,14 @@
 	case !p.proposing:
 		c.proposeQuarantine(ctx, inForce, p.wanted)
 	}
-	suspects := p.detector.Suspects(inForce)
-	if quarantine.Equal(inForce, p.published.InForce) && slices.Equal(suspects, p.published.Suspects) {
+	suspects, doubted := p.detector.Suspects(inForce), p.detector.Doubted()
+	if quarantine.Equal(inForce, p.published.InForce) && slices.Equal(suspects, p.published.Suspects) &&
+		slices.Equal(doubted, p.published.Doubted) {
 		return
 	}
-	p.published = nodelink.PromptState{Revision: p.published.Revision + 1, InForce: inForce, Suspects: suspects}
+	p.published = nodelink.PromptState{
+		Revision: p.published.Revision + 1, InForce: inForce, Suspects: suspects, Doubted: doubted,
+	}
 	c.notifier.notify()
 }
 
--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/agateslip/agateslip/confstate"
+	"github.com/agateslip/agateslip/contract"
 	"github.com/agateslip/agateslip/fleet"
 	"github.com/agateslip/agateslip/internal/nodelink"
 	"github.com/agateslip/agateslip/internal/peer"
@@ -125,6 +126,9 @@
 	t.Parallel()
 	is := is.New(t)
 	c := newCluster(t, 17760, 6)
+	for _, n := range c.nodes {
+		n.cfg.CatchUp = contract.Duration(400 * time.Millisecond) // retired after 12 s
+	}
 	c.start(0, 1, 2, 3, 4)
 	for i := range 5 {
 		c.waitForVoters(i)
