quarantine: an engine that still sends bytes has not crashed

Three of its calls had been lost on three engines, none of which had crashed.

The leader now names the engines whose crashes are about to convict a part, and entry nodes that have read bytes of such an engine since then say so, which drops the crash. A crashed engine sends none.

--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -49,7 +49,7 @@
 		// The first empty report is sent: it tells the leader that nothing waits or runs.
 		report := &request.Report
 		empty := len(report.Waiting)+len(report.Arrivals)+len(report.Running)+len(report.Quality)+
-			len(request.Leaving)+len(request.Losses)+len(request.Served) == 0
+			len(request.Leaving)+len(request.Losses)+len(request.Served)+len(request.Alive) == 0
 		if !empty || !lastEmpty {
 			e.sendReport(ctx, request, served)
 		}
@@ -70,7 +70,7 @@
 	served := e.prompts.servedSuspects(boottime.Now())
 	return nodelink.DemandRequest{
 		Report: e.demandReport(), Leaving: slices.Collect(maps.Keys(e.unreportedLeaving)),
-		Losses: slices.Clone(e.prompts.losses), Served: slices.Collect(maps.Keys(served)),
+		Losses: slices.Clone(e.prompts.losses), Served: slices.Collect(maps.Keys(served)), Alive: e.aliveEngines(),
 	}, served
 }
 
--- a/internal/edge/prompts.go
+++ b/internal/edge/prompts.go
@@ -20,6 +20,9 @@
 	quarantineRetryAfter = time.Minute
 	// servedTTL is how long, at least, a part of a prompt is remembered as served.
 	servedTTL = 5 * time.Second
+	// aliveDelay is how long after a node learns of a doubt it looks for bytes of the engine.
+	// What an engine sent before it crashed has arrived by half of that time.
+	aliveDelay = 100 * time.Millisecond
 	// maxUnreportedLosses bounds the losses that wait for a leader.
 	maxUnreportedLosses = 64
 	// soundEvents is the number of events after which a call has not crashed its engine: an
@@ -40,6 +43,8 @@
 	rotatedAt            time.Duration
 	// reported holds the times of served that the leader has received.
 	reported map[quarantine.Part]time.Duration
+	// doubted holds the engines that the leader asks about, and since when.
+	doubted map[fleet.Incarnation]time.Duration
 }
 
 func newPromptEvidence() promptEvidence {
@@ -90,6 +95,32 @@
 	}
 }
 
+// aliveEngines returns the doubted engines that have sent bytes since the leader asked. It runs
+// on the loop.
+func (e *Edge) aliveEngines() []fleet.Incarnation {
+	var alive []fleet.Incarnation
+	for engine, since := range e.prompts.doubted {
+		known, ok := e.upstreams[engine.ID]
+		if ok && known.desc.Born == engine.Born && e.pool.LastRead(known.desc.Addr) > since+aliveDelay/2 {
+			alive = append(alive, engine)
+		}
+	}
+	return alive
+}
+
+// setDoubted sets the engines that the leader asks about.
+func (p *promptEvidence) setDoubted(engines []fleet.Incarnation, now time.Duration) {
+	before := p.doubted
+	p.doubted = map[fleet.Incarnation]time.Duration{}
+	for _, engine := range engines {
+		since, ok := before[engine]
+		if !ok {
+			since = now
+		}
+		p.doubted[engine] = since
+	}
+}
+
 // applyPromptState applies the leader's knowledge. It runs on the loop.
 func (e *Edge) applyPromptState(s *nodelink.PromptState) {
 	before := e.quarantine.Load()
@@ -103,9 +134,14 @@
 			delete(e.prompts.reported, part)
 		}
 	}
-	if len(e.prompts.servedSuspects(boottime.Now())) > 0 {
+	now := boottime.Now()
+	e.prompts.setDoubted(s.Doubted, now)
+	if len(e.prompts.servedSuspects(now)) > 0 {
 		e.signalDemand()
 	}
+	if len(s.Doubted) > 0 {
+		time.AfterFunc(aliveDelay, e.signalDemand)
+	}
 }
 
 // quarantined reports whether the call is refused because its prompt crashes engines.
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -87,6 +87,9 @@
 	// Suspects are the parts that the leader wants to know of whether calls are served with
 	// them.
 	Suspects []quarantine.Part `json:"suspects,omitempty"`
+	// Doubted are engines that may have crashed. The leader wants to know of whether they
+	// still send bytes.
+	Doubted []fleet.Incarnation `json:"doubted,omitempty"`
 }
 
 // DemandRequest is an entry node's report.
@@ -102,6 +105,8 @@
 	// began. Served are suspects, by the latest PromptState, that calls were served with.
 	Losses []quarantine.Loss `json:"losses,omitempty"`
 	Served []quarantine.Part `json:"served,omitempty"`
+	// Alive are doubted engines, by the latest PromptState, that have sent bytes since.
+	Alive []fleet.Incarnation `json:"alive,omitempty"`
 }
 
 // DemandAnswer has the forecasts for the models that calls wait for, and the leader's
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -164,6 +164,17 @@
 	}, nil
 }
 
+// LastRead returns when a byte was last read from any connection to an address, on the clock
+// of package boottime; zero if none was.
+func (p *Pool) LastRead(addr string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.hosts[addr]; h != nil {
+		return time.Duration(h.lastRead.Load())
+	}
+	return 0
+}
+
 // lastReadOf returns the variable that holds the time of the last read from an address.
 // All connections to the address share it.
 func (p *Pool) lastReadOf(addr string) *atomic.Int64 {
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -141,6 +141,11 @@
 func (d *Detector) explain(e fleet.Incarnation, now time.Duration) {
 	maps.DeleteFunc(d.explained, func(_ fleet.Incarnation, at time.Duration) bool { return now-at > evidenceTTL })
 	d.explained[e] = now
+	d.dropCrash(e)
+}
+
+// dropCrash removes the crash of an engine from the evidence.
+func (d *Detector) dropCrash(e fleet.Incarnation) {
 	for part, s := range d.suspects {
 		if _, ok := s.crashes[e]; !ok {
 			continue
@@ -155,6 +160,14 @@
 	}
 }
 
+// Alive drops the crashes of engines that have sent bytes since a call on them was lost: the
+// answer was lost on its way, or the engine broke it off.
+func (d *Detector) Alive(engines []fleet.Incarnation) {
+	for _, e := range engines {
+		d.dropCrash(e)
+	}
+}
+
 // limitSuspects drops the suspects with the oldest evidence beyond maxSuspects.
 func (d *Detector) limitSuspects() {
 	for len(d.suspects) > maxSuspects {
@@ -199,6 +212,21 @@
 	return slices.Compact(parts)
 }
 
+// Doubted returns the engines whose crashes count against the suspects, sorted. The entry
+// nodes are asked whether they still send bytes.
+func (d *Detector) Doubted() []fleet.Incarnation {
+	var engines []fleet.Incarnation
+	for _, s := range d.suspects {
+		if len(s.crashes) >= minSuspectCrashes {
+			engines = slices.AppendSeq(engines, maps.Keys(s.crashes))
+		}
+	}
+	slices.SortFunc(engines, func(a, b fleet.Incarnation) int {
+		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
+	})
+	return slices.Compact(engines)
+}
+
 func comparePart(a, b Part) int {
 	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
 }
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -154,3 +154,29 @@
 	is.Equal(len(d.Suspects(nil)), 256)
 	is.True(slices.Contains(d.Suspects(nil), quarantine.Part{Service: "s", ID: "p1999"}))
 }
+
+// TestLostAnswersOfLivingEnginesConvictNothing loses answers on engines that go on with other
+// calls, as when their answers are lost on the way.
+func TestLostAnswersOfLivingEnginesConvictNothing(t *testing.T) {
+	is := is.New(t)
+	d := quarantine.New()
+	for i := range 12 {
+		now := time.Duration(i) * 300 * time.Millisecond
+		served(d, now, "first")
+		d.Lost(loss(i%6, "first", "rare"), nil, now)
+		d.Alive(d.Doubted())
+		is.Equal(len(d.Decide(nil, now+290*time.Millisecond)), 0)
+	}
+	is.Equal(len(d.Suspects(nil)), 0)
+}
+
+// TestCrashedEnginesAreDoubted lists the engines whose crashes are about to convict a part.
+func TestCrashedEnginesAreDoubted(t *testing.T) {
+	is := is.New(t)
+	d := quarantine.New()
+	d.Lost(loss(2, "bad"), nil, 0)
+	d.Lost(loss(3, "once"), nil, 0)
+	is.Equal(len(d.Doubted()), 0) // one lost call is no suspicion
+	d.Lost(loss(1, "bad"), nil, time.Second)
+	is.Equal(d.Doubted(), []fleet.Incarnation{engine(1), engine(2)})
+}
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -7,7 +7,8 @@
 // run on the engine.
 //
 // An engine that crashed is evidence against every part of the calls on it that had not
-// begun to answer. A call that is answered clears its parts. A part that is present in
+// begun to answer. A call that is answered clears its parts; an engine that still sends bytes
+// has not crashed. A part that is present in
 // several crashes and that nothing clears is quarantined, together with the parts that were
 // present each time: one call is refused only if it has all of them.
 //
