--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// minCrashes is the number of crashed engines that convict a part. Two calls of one
+	// minCrashes is the number of crashed engines that put a part in quarantine. Two calls of one
 	// caller may be lost by chance on two engines.
 	minCrashes = 3
 	// settleTime is how long the entry nodes have to clear a part that was present in
@@ -73,7 +73,7 @@
 	crashes map[fleet.Incarnation]time.Duration
 	// companions are the parts that were present in all of these calls, sorted.
 	companions []string
-	// enoughAt is when the crashes first were enough to convict; zero until then.
+	// enoughAt is when the crashes first were enough for a quarantine; zero until then.
 	enoughAt time.Duration
 	lastAt   time.Duration
 }
@@ -114,13 +114,13 @@
 		if at, ok := d.cleared[part]; ok && now-at < clearedTTL {
 			continue
 		}
-		d.accuse(part, l, now)
+		d.addEvidence(part, l, now)
 	}
 	d.limitSuspects()
 }
 
-// accuse adds the loss of a call to the evidence against one of its parts.
-func (d *Detector) accuse(part Part, l Loss, now time.Duration) {
+// addEvidence adds the loss of a call to the evidence against one of its parts.
+func (d *Detector) addEvidence(part Part, l Loss, now time.Duration) {
 	s := d.suspects[part]
 	if s == nil {
 		s = &suspect{crashes: map[fleet.Incarnation]time.Duration{}, companions: slices.Sorted(slices.Values(l.Parts))}
@@ -233,11 +233,11 @@
 
 // Decide returns what shall be in quarantine from now on: the signatures in force without
 // those that have been there for Duration and without the parts that were cleared, and the
-// signatures of parts that the evidence convicts.
+// signatures of parts with enough evidence against them.
 func (d *Detector) Decide(inForce []Signature, now time.Duration) []Signature {
 	next := d.review(inForce, now)
 	for {
-		s, ok := d.convict(now)
+		s, ok := d.nextSignature(now)
 		if !ok {
 			break
 		}
@@ -279,10 +279,10 @@
 	return key
 }
 
-// convict returns the signature of the part with the most crashes, if these are enough, the
+// nextSignature returns the signature of the part with the most crashes, if these are enough, the
 // entry nodes had the time to clear it, and the service serves other calls. Its crashes are
 // explained from then on.
-func (d *Detector) convict(now time.Duration) (Signature, bool) {
+func (d *Detector) nextSignature(now time.Duration) (Signature, bool) {
 	var worst Part
 	var found *suspect
 	for part, s := range d.suspects {
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -31,10 +31,10 @@
 	return []quarantine.Signature{{Service: "s", Parts: parts}}
 }
 
-// TestCommonPartOfCrashesIsConvicted replays engines that crash one after the other, each with
+// TestCommonPartOfCrashesIsQuarantined replays engines that crash one after the other, each with
 // a call that has the bad part and with calls that only happened to be there. The first part
 // is common to all calls.
-func TestCommonPartOfCrashesIsConvicted(t *testing.T) {
+func TestCommonPartOfCrashesIsQuarantined(t *testing.T) {
 	for seed := range uint64(200) {
 		is := is.New(t)
 		random := rand.New(rand.NewPCG(seed, 1))
@@ -56,9 +56,9 @@
 	}
 }
 
-// TestServedPartIsNotConvicted has engines crash while a part that calls are served with is on
+// TestServedPartIsNotQuarantined has engines crash while a part that calls are served with is on
 // them each time.
-func TestServedPartIsNotConvicted(t *testing.T) {
+func TestServedPartIsNotQuarantined(t *testing.T) {
 	is := is.New(t)
 	d := quarantine.New()
 	for i := range 20 {
@@ -69,9 +69,9 @@
 	}
 }
 
-// TestOutageConvictsNothing loses all calls on all engines, as when they lose power or are
+// TestOutageQuarantinesNothing loses all calls on all engines, as when they lose power or are
 // restarted in turn.
-func TestOutageConvictsNothing(t *testing.T) {
+func TestOutageQuarantinesNothing(t *testing.T) {
 	is := is.New(t)
 	d := quarantine.New()
 	served(d, 0, "first", "x")
@@ -117,9 +117,9 @@
 	is.Equal(len(d.Decide(inForce, 6*time.Second)), 0)
 }
 
-// TestCrashOfQuarantinedPartAccusesNoOther loses calls beside those with the bad part that were
+// TestCrashOfQuarantinedPartImplicatesNoOther loses calls beside those with the bad part that were
 // sent before it was quarantined.
-func TestCrashOfQuarantinedPartAccusesNoOther(t *testing.T) {
+func TestCrashOfQuarantinedPartImplicatesNoOther(t *testing.T) {
 	is := is.New(t)
 	d := quarantine.New()
 	served(d, 0, "other")
@@ -144,7 +144,7 @@
 	is.Equal(len(d.Decide(inForce, time.Hour+quarantine.Duration+time.Second)), 0)
 }
 
-// TestSuspectsAreBounded accuses more parts than are tracked, each twice.
+// TestSuspectsAreBounded collects evidence against more parts than are tracked, each twice.
 func TestSuspectsAreBounded(t *testing.T) {
 	is := is.New(t)
 	d := quarantine.New()
@@ -155,9 +155,9 @@
 	is.True(slices.Contains(d.Suspects(nil), quarantine.Part{Service: "s", ID: "p1999"}))
 }
 
-// TestLostAnswersOfLivingEnginesConvictNothing loses answers on engines that go on with other
+// TestLostAnswersOfLivingEnginesQuarantineNothing loses answers on engines that go on with other
 // calls, as when their answers are lost on the way.
-func TestLostAnswersOfLivingEnginesConvictNothing(t *testing.T) {
+func TestLostAnswersOfLivingEnginesQuarantineNothing(t *testing.T) {
 	is := is.New(t)
 	d := quarantine.New()
 	for i := range 12 {
@@ -170,7 +170,7 @@
 	is.Equal(len(d.Suspects(nil)), 0)
 }
 
-// TestCrashedEnginesAreDoubted lists the engines whose crashes are about to convict a part.
+// TestCrashedEnginesAreDoubted lists the engines whose crashes are about to put a part in quarantine.
 func TestCrashedEnginesAreDoubted(t *testing.T) {
 	is := is.New(t)
 	d := quarantine.New()
