--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -56,8 +56,29 @@
 	Leaving bool
 	// Pause is how long the upstream wants no calls from this node; zero if not stated.
 	Pause time.Duration
+	// RateLimit is what the answer says of the upstream's rate limit.
+	RateLimit RateLimitStatement
 }
 
+// RateLimitStatement is what an answer says of the rate at which its upstream takes calls
+// from all nodes together.
+type RateLimitStatement struct {
+	Kind RateLimitKind
+	// PerSecond is the rate in calls per second if Kind is Limited: finite, at least 0.
+	PerSecond float64
+}
+
+// RateLimitKind is the kind of a RateLimitStatement.
+type RateLimitKind uint8
+
+// The kinds. An answer that does not come from the intended upstream, or whose statement is
+// malformed, says nothing.
+const (
+	NothingSaid RateLimitKind = iota
+	Limited
+	Unlimited
+)
+
 // Dialect reads and writes the headers by which callers, entry nodes and upstreams
 // describe a call.
 type Dialect interface {
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -56,6 +56,9 @@
 			"upstream": u.ID, "leaving": answer.Leaving, "pauseMillis": answer.Pause.Milliseconds(),
 		})
 	}
+	if answer.RateLimit.Kind == Limited {
+		c.log("upstream names a rate limit", eventlog.Fields{"upstream": u.ID, "perSecond": answer.RateLimit.PerSecond})
+	}
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	switch {
 	case answer.NotRun:
