edge, controller: the limit that an upstream names holds for all entry nodes together

Why this works: the leader owns the rate of each upstream and hands out permits that are valid for a second; an entry node sends nothing there without one, first tries, retries and moves after a stall alike. A limit is a numbered change in the list of upstreams, so that it binds all nodes, outlasts changes of the leader and restarts, and ends with the incarnation. Only an answer to a call that was sent with the limit known can raise or end it.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/agateslip/agateslip/fleet"
+	"github.com/agateslip/agateslip/ratelimit"
 )
 
 // Limits are the time limits and cost weights of a dispatcher. A penalty or bonus is a
@@ -86,6 +87,10 @@
 	pausedUntil  time.Duration
 	missingUntil map[ModelKey]time.Duration
 	request      upstreamRequest
+	permits      ratelimit.Permits
+	// sinceAsked is the number of calls since this node last asked for permits that went to
+	// the upstream or would have with a permit.
+	sinceAsked int
 }
 
 func byID(a, b *upstream) int { return cmp.Compare(a.desc.ID, b.desc.ID) }
@@ -205,8 +210,8 @@
 
 const (
 	selected selection = iota
-	// allBusy means that upstreams are eligible, but all of them are full, paused or
-	// being probed.
+	// allBusy means that upstreams are eligible, but all of them are full, paused, being
+	// probed or beyond their rate limit.
 	allBusy
 	// noneOffersModel means that there are upstreams, but none is eligible: none offers
 	// the model, or the call must avoid those that do.
@@ -233,7 +238,7 @@
 			outcome = allBusy
 		}
 		load := u.estimatedLoad(&d.limits, now)
-		if max(u.pausedUntil, u.request.pausedUntil) > now || u.probing || load >= float64(u.slotCount()) {
+		if max(u.pausedUntil, u.request.pausedUntil) > now || u.probing || load >= float64(u.slotCount()) || u.lacksPermit(now) {
 			continue
 		}
 		candidates = append(candidates, candidate{upstream: u, cost: d.cost(u, c, load, now)})
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -32,6 +32,8 @@
 type runningCall struct {
 	call     Call
 	upstream *upstream
+	// limitSeq is the number of the upstream's rate limit that this node knew at the start.
+	limitSeq uint64
 }
 
 // forecast is the planner's forecast of when a model can run.
@@ -75,6 +77,7 @@
 	copied := *next
 	if known != nil && known.desc.Born == next.Born && known.desc.Service == next.Service {
 		known.desc = &copied
+		known.adoptRateLimit()
 		return
 	}
 	if known != nil {
@@ -84,6 +87,7 @@
 	if before, ok := d.departed[next.ID]; ok && before.born == next.Born {
 		u.request = before.request
 	}
+	u.adoptRateLimit()
 	d.upstreams[next.ID] = u
 	d.byService[next.Service] = append(d.byService[next.Service], u)
 	slices.SortFunc(d.byService[next.Service], byID)
@@ -185,6 +189,8 @@
 	Failing float64 `json:"failing"`
 	// PausedFor is how much longer the upstream is paused and gets no calls.
 	PausedFor time.Duration `json:"-"`
+	// RateLimit is the upstream's limit for all nodes together.
+	RateLimit fleet.RateLimit `json:"-"`
 }
 
 // Health returns the view of an upstream, or the zero Health if it is unknown.
@@ -193,7 +199,7 @@
 	if u == nil {
 		return Health{}
 	}
-	return Health{Calls: u.ownRunning, Others: u.plannerCount, Failing: u.recentFailureRate(now), PausedFor: max(0, u.pausedUntil-now, u.request.pausedUntil-now)}
+	return Health{Calls: u.ownRunning, Others: u.plannerCount, Failing: u.recentFailureRate(now), PausedFor: max(0, u.pausedUntil-now, u.request.pausedUntil-now), RateLimit: u.request.rateLimit}
 }
 
 // Waiting returns the number of waiting calls.
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -17,6 +17,9 @@
 //     over (spread.go).
 //   - Upstreams that leave or ask for a pause: what an upstream says with its answers
 //     holds whatever is announced meanwhile (request.go).
+//   - Upstreams that name a rate for all nodes together: calls go to other upstreams, or wait
+//     for a permit of the leader in order of priority, or are refused at once with the time
+//     at which one can be expected (ratelimit.go).
 //   - Upstreams that fall silent while their connections stay open: a call that may
 //     run again moves to another upstream (stall.go).
 //
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/agateslip/agateslip/fleet"
+)
 
 // departedTTL is how long the requests of an upstream that is no longer listed are
 // remembered, in case an announcement of the same incarnation arrives late.
@@ -14,6 +18,8 @@
 	leaving bool
 	// pausedUntil is the time until which the upstream wants no calls from this node.
 	pausedUntil time.Duration
+	// rateLimit is the upstream's limit for all nodes together.
+	rateLimit fleet.RateLimit
 }
 
 // departed is the request of an upstream that is no longer listed.
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -55,6 +55,9 @@
 	// Paused means that all upstreams that could run the call asked for a pause that
 	// outlasts it.
 	Paused Reason = "upstreams asked for a pause"
+	// RateLimited means that the rate limits of all upstreams that could run the call leave
+	// no room for it in time.
+	RateLimited Reason = "upstreams limit their rate"
 	// NoSlot means that no upstream will have a free slot in time.
 	NoSlot Reason = "no room in time"
 )
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -11,6 +11,9 @@
 	call Call
 	// outcome is the result of the latest attempt to choose an upstream.
 	outcome selection
+	// permitFrom is the upstream from which the call expects a permit; nil if it needs none
+	// or something else.
+	permitFrom *upstream
 }
 
 // enqueue inserts a call into the queue, which is sorted by priority, then by target.
@@ -34,6 +37,7 @@
 func (d *Dispatcher) processQueue(now time.Duration) []Verdict {
 	var verdicts []Verdict
 	failedSelections := map[ModelKey]selection{}
+	permits := d.newPermitQueue(now)
 	remaining := d.queue[:0]
 	for _, w := range d.queue {
 		key := ModelKey{w.call.Service, w.call.Model, w.call.Adapter}
@@ -44,17 +48,21 @@
 			u, outcome = d.choose(&w.call, now)
 		}
 		if u != nil {
-			verdicts = append(verdicts, d.start(w, u))
+			verdicts = append(verdicts, d.start(w, u, now))
 			continue
 		}
 		if !avoids {
 			failedSelections[key] = outcome
 		}
 		w.outcome = outcome
-		if v, refused := d.refusal(w, now); refused {
+		if v, refused := d.refusal(w, permits, now); refused {
+			d.countPassedOver(&w.call, now)
 			verdicts = append(verdicts, v)
 			continue
 		}
+		if w.permitFrom != nil {
+			permits.ahead[w.permitFrom]++
+		}
 		remaining = append(remaining, w)
 	}
 	clear(d.queue[len(remaining):])
@@ -62,22 +70,26 @@
 	return verdicts
 }
 
-func (d *Dispatcher) start(w *queuedCall, u *upstream) Verdict {
+func (d *Dispatcher) start(w *queuedCall, u *upstream, now time.Duration) Verdict {
 	u.ownRunning++
 	u.probing = u.consecutiveUnreachable > 0
-	d.running[w.call.ID] = &runningCall{call: w.call, upstream: u}
+	u.usePermit(now)
+	d.countPassedOver(&w.call, now)
+	d.running[w.call.ID] = &runningCall{call: w.call, upstream: u, limitSeq: u.request.rateLimit.Seq}
 	desc := *u.desc
 	return Verdict{ID: w.call.ID, Action: Start, Upstream: &desc}
 }
 
 // refusal returns the verdict that refuses a waiting call, and reports whether it is
 // due. If all upstreams that could run the call asked for pauses that outlast it, the
-// call is refused with the first of their ends as the time to retry. If no upstream
+// call is refused with the first of their ends as the time to retry; likewise if rate limits
+// let none of them run it in time. If no upstream
 // offers the model and there is a recent forecast, the call is refused when the model
 // cannot run by the call's latest start. Otherwise the call is refused after
 // NoForecastWaitFraction of its time.
-func (d *Dispatcher) refusal(w *queuedCall, now time.Duration) (Verdict, bool) {
+func (d *Dispatcher) refusal(w *queuedCall, permits *permitQueue, now time.Duration) (Verdict, bool) {
 	c := &w.call
+	w.permitFrom = nil
 	v := Verdict{ID: c.ID, Action: Refuse, Reason: NoSlot, RetryAfter: d.limits.RetryAfter}
 	if w.outcome == noneKnown {
 		v.Reason = NoUpstream
@@ -96,6 +108,14 @@
 			return v, true
 		}
 	}
+	permitFrom, permitAt, all := permits.expect(c)
+	w.permitFrom = permitFrom
+	if permitFrom != nil && all {
+		v.Reason, v.RetryAfter = RateLimited, max(d.limits.RetryAfter, permitAt-now)
+		if permitAt > c.LatestStart {
+			return v, true
+		}
+	}
 	return v, now > c.Arrived+time.Duration(float64(c.LatestStart-c.Arrived)*d.limits.NoForecastWaitFraction)
 }
 
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -76,6 +76,9 @@
 	if known != nil && known.Born == u.Born && known.Leaving {
 		u.Leaving = true // an incarnation that leaves does not stay after all
 	}
+	if known != nil && known.Born == u.Born {
+		u.RateLimit = known.RateLimit // announcements do not name it
+	}
 	if known != nil && known.equivalent(&u) {
 		known.Seq, known.lastHeard, known.EndsIn = u.Seq, now, u.EndsIn
 		return Taken
@@ -132,6 +135,19 @@
 	return true
 }
 
+// SetRateLimit records what an entry node knows of the limit of an incarnation. It reports
+// whether that was new.
+func (r *Registry) SetRateLimit(i Incarnation, limit RateLimit) bool {
+	e := r.byID[i.ID]
+	if e == nil || e.Gone || e.Born != i.Born || !limit.Supersedes(e.RateLimit) {
+		return false
+	}
+	limited := *e
+	limited.RateLimit = limit
+	r.store(&limited)
+	return true
+}
+
 // markGone stores e as ended at now.
 func (r *Registry) markGone(e *entry, now time.Duration) {
 	ended := *e
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -45,6 +45,8 @@
 	// Closing lists the models (MODEL) and adapters (MODEL/ADAPTER) that are about to be
 	// unloaded and get no new calls. The planner sets it.
 	Closing []string `json:"closing,omitempty"`
+	// RateLimit is the limit that the upstream named with its answers. The leader sets it.
+	RateLimit RateLimit `json:"limit,omitzero"`
 	// Gone is set when the incarnation has ended, has announced its departure, or has
 	// fallen silent.
 	Gone bool `json:"gone,omitempty"`
@@ -62,7 +64,7 @@
 		return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
 	})
 	return sameResidents && u.Born == o.Born && u.Service == o.Service && u.Addr == o.Addr &&
-		u.Domain == o.Domain && u.Slots == o.Slots && u.Leaving == o.Leaving && u.Gone == o.Gone &&
+		u.Domain == o.Domain && u.Slots == o.Slots && u.RateLimit == o.RateLimit && u.Leaving == o.Leaving && u.Gone == o.Gone &&
 		slices.Equal(u.Closing, o.Closing) && slices.Equal(u.InMemory, o.InMemory) && slices.Equal(u.OnDisk, o.OnDisk)
 }
 
--- a/internal/cli/overview.go
+++ b/internal/cli/overview.go
@@ -150,10 +150,14 @@
 func printEntryTable(w io.Writer, o *edge.Overview) {
 	fmt.Fprintf(w, "node\t%s\nfollows\t%s\nconfiguration\t%d\nstopping\t%t\ncalls\t%d, %d waiting\n",
 		o.Node, o.ControlNode, o.Version, o.Stopping, o.Active, o.Waiting)
-	fmt.Fprintln(w, "\nUPSTREAM\tSERVICE\tADDRESS\tLEAVING\tDOUBTED\tCALLS\tOF OTHERS\tFAILING\tCLOSED FOR\tMODELS")
+	fmt.Fprintln(w, "\nUPSTREAM\tSERVICE\tADDRESS\tLEAVING\tDOUBTED\tCALLS\tOF OTHERS\tFAILING\tCLOSED FOR\tLIMIT\tMODELS")
 	for _, u := range o.Upstreams {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%t\t%d\t%d\t%.2f\t%s\t%s\n", u.ID, u.Service, u.Addr, u.Leaving, u.Unlisted,
-			u.Calls, u.Others, u.Failing, time.Duration(u.ClosedFor).Round(time.Millisecond), strings.Join(u.Models, " "))
+		limit := "none"
+		if u.RateLimit != nil {
+			limit = fmt.Sprint(*u.RateLimit)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%t\t%d\t%d\t%.2f\t%s\t%s\t%s\n", u.ID, u.Service, u.Addr, u.Leaving, u.Unlisted,
+			u.Calls, u.Others, u.Failing, time.Duration(u.ClosedFor).Round(time.Millisecond), limit, strings.Join(u.Models, " "))
 	}
 	if len(o.Demand) > 0 {
 		fmt.Fprintln(w, "\nWAITED FOR\tSERVICE\tADAPTER\tCALLS")
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -18,6 +18,7 @@
 	"github.com/agateslip/agateslip/internal/storage"
 	"github.com/agateslip/agateslip/internal/supervisor"
 	"github.com/agateslip/agateslip/raft"
+	"github.com/agateslip/agateslip/ratelimit"
 	"github.com/agateslip/agateslip/residency"
 	"github.com/agateslip/agateslip/routes"
 )
@@ -82,6 +83,9 @@
 	changes  changeCache
 	planner  *residency.Planner
 	prompts  promptWatch
+	// permits hands out permits for upstreams that named a rate limit; nil unless this node
+	// leads.
+	permits *ratelimit.Allocator
 	// plannedVersion is the configuration version that the planner was last given.
 	plannedVersion uint64
 	// loggedWidths holds, by service, the limit of parallel loads from the weight store
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -9,6 +9,7 @@
 	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/raft"
+	"github.com/agateslip/agateslip/ratelimit"
 	"github.com/agateslip/agateslip/residency"
 )
 
@@ -90,6 +91,7 @@
 	limits.MaxStoreLoads, limits.MaxAdapterLoads = c.cfg.Store.Width, min(c.cfg.Store.AdapterWidth, limits.MaxAdapterLoads)
 	c.planner = residency.New(limits)
 	c.prompts = newPromptWatch()
+	c.permits = ratelimit.NewAllocator()
 	c.plannedVersion, c.loggedWidths = 0, map[string]int{}
 	for _, u := range c.registry.Live() {
 		c.planner.SetUpstream(u, now)
@@ -104,7 +106,7 @@
 func (c *Controller) stepDown(status raft.Status) {
 	c.log.Event("no longer leading", eventlog.Fields{"term": c.term, "now": status.Term, "leader": status.Leader})
 	c.term, c.fence = 0, 0
-	c.planner = nil
+	c.planner, c.permits = nil, nil
 	c.notifier.notify()
 }
 
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -162,6 +162,8 @@
 		}
 		now := boottime.Now()
 		c.markLeaving(from, r.Leaving, now)
+		c.recordRateLimits(from, r.RateLimits)
+		answer.Permits = c.grantPermits(from, r.PermitWants, now)
 		c.recordPromptEvidence(from, &r, now)
 		c.planner.SetDemand(from, r.Report, now)
 		c.plan(now)
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -13,6 +13,7 @@
 	"github.com/agateslip/agateslip/internal/nodelink"
 	"github.com/agateslip/agateslip/internal/pause"
 	"github.com/agateslip/agateslip/quarantine"
+	"github.com/agateslip/agateslip/ratelimit"
 	"github.com/agateslip/agateslip/residency"
 )
 
@@ -49,13 +50,13 @@
 		// The first empty report is sent: it tells the leader that nothing waits or runs.
 		report := &request.Report
 		empty := len(report.Waiting)+len(report.Arrivals)+len(report.Running)+len(report.Quality)+
-			len(request.Leaving)+len(request.Losses)+len(request.Served)+len(request.Alive) == 0
+			len(request.Leaving)+len(request.Losses)+len(request.Served)+len(request.Alive)+len(request.RateLimits)+len(request.PermitWants) == 0
 		if !empty || !lastEmpty {
 			e.sendReport(ctx, request, served)
 		}
 		lastEmpty = empty
 		next := reportInterval
-		if len(report.Waiting) > 0 {
+		if len(report.Waiting) > 0 || slices.ContainsFunc(request.PermitWants, func(w ratelimit.Want) bool { return w.Waiting > 0 }) {
 			next = waitingReportInterval
 		}
 		pause.For(ctx, minReportGap)
@@ -67,8 +68,14 @@
 // demandRequest returns the request with this node's report, and when the served suspects in
 // it were served. It runs on the loop.
 func (e *Edge) demandRequest() (nodelink.DemandRequest, map[quarantine.Part]time.Duration) {
-	served := e.prompts.servedSuspects(boottime.Now())
+	now := boottime.Now()
+	served := e.prompts.servedSuspects(now)
+	var limits []nodelink.RateLimit
+	for upstream, limit := range e.dispatcher.UnlistedRateLimits() {
+		limits = append(limits, nodelink.RateLimit{Upstream: upstream, Limit: limit})
+	}
 	return nodelink.DemandRequest{
+		RateLimits: limits, PermitWants: e.dispatcher.PermitWants(now),
 		Report: e.demandReport(), Leaving: slices.Collect(maps.Keys(e.unreportedLeaving)),
 		Losses: slices.Clone(e.prompts.losses), Served: slices.Collect(maps.Keys(served)), Alive: e.aliveEngines(),
 	}, served
@@ -108,6 +115,7 @@
 	defer cancel()
 	var answer nodelink.DemandAnswer
 	target := e.leader.current()
+	askedAt := boottime.Now()
 	request.Term, request.CountsRevision = e.plannerCounts.term, e.plannerCounts.revision
 	if err := e.mesh.Call(ctx, target, nodelink.Demand, request, &answer); err != nil {
 		e.log.Event("demand not reported", eventlog.Fields{"asked": target, "error": err.Error()})
@@ -131,6 +139,7 @@
 		for _, q := range request.Report.Quality {
 			e.reportedQuality[q.Upstream] = q
 		}
+		e.deliver(e.dispatcher.GrantPermits(answer.Permits, askedAt, now))
 		for _, f := range answer.Forecasts {
 			e.dispatcher.Forecast(dispatch.ModelKey{Service: f.Service, Model: f.Model}, f.In, now)
 		}
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/agateslip/agateslip/dispatch"
+	"github.com/agateslip/agateslip/fleet"
 )
 
 // Caller is what the header of a caller's request states.
@@ -68,6 +69,11 @@
 	PerSecond float64
 }
 
+// limit returns the statement as a limit without a number.
+func (s RateLimitStatement) limit() fleet.RateLimit {
+	return fleet.RateLimit{Limited: s.Kind == Limited, PerSecond: s.PerSecond}
+}
+
 // RateLimitKind is the kind of a RateLimitStatement.
 type RateLimitKind uint8
 
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -227,9 +227,10 @@
 	if ok && previous.desc.Addr != u.Addr {
 		e.pool.Forget(previous.desc.Addr)
 	}
-	if !ok || previous.desc.Leaving != u.Leaving || previous.desc.Born != u.Born {
+	if !ok || previous.desc.Leaving != u.Leaving || previous.desc.Born != u.Born || previous.desc.RateLimit != u.RateLimit {
 		e.log.Event("upstream changed", eventlog.Fields{
 			"upstream": u.ID, "addr": u.Addr, "service": u.Service, "leaving": u.Leaving, "revision": u.Revision,
+			"limited": u.RateLimit.Limited, "perSecond": u.RateLimit.PerSecond,
 		})
 	}
 	saidLeaving := ok && previous.saidLeaving && previous.desc.Born == u.Born
--- a/internal/edge/overview.go
+++ b/internal/edge/overview.go
@@ -38,6 +38,9 @@
 	Leaving  bool `json:"leaving"`
 	Unlisted bool `json:"doubted"`
 	dispatch.Health
+	// RateLimit is the upstream's limit in calls per second for all nodes together; nil
+	// without one.
+	RateLimit *float64 `json:"rateLimit,omitempty"`
 	// Models names the models that are loaded at the upstream.
 	Models []string `json:"models,omitempty"`
 	// ClosedFor is how much longer the upstream is paused and gets no calls.
@@ -62,6 +65,9 @@
 			u := UpstreamOverview{ID: id, Service: k.desc.Service, Addr: k.desc.Addr, Leaving: k.desc.Leaving, Unlisted: k.unlistedSince != 0}
 			u.Health = e.dispatcher.Health(id, now)
 			u.ClosedFor = contract.Duration(u.PausedFor)
+			if limit := u.Health.RateLimit; limit.Limited {
+				u.RateLimit = &limit.PerSecond
+			}
 			for _, r := range k.desc.Residents {
 				u.Models = append(u.Models, r.Model)
 			}
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -50,15 +50,18 @@
 		if answer.Pause > 0 {
 			c.edge.dispatcher.ObservePause(id, answer.Pause, now)
 		}
+		if answer.RateLimit.Kind != NothingSaid && c.edge.dispatcher.ObserveRateLimit(id, answer.RateLimit.limit()) {
+			c.edge.log.Event("rate limit changed", eventlog.Fields{
+				"upstream": u.ID, "limited": answer.RateLimit.Kind == Limited, "perSecond": answer.RateLimit.PerSecond,
+			})
+			c.edge.signalDemand()
+		}
 	})
 	if answer.Leaving || answer.Pause > 0 {
 		c.log("upstream wants no calls", eventlog.Fields{
 			"upstream": u.ID, "leaving": answer.Leaving, "pauseMillis": answer.Pause.Milliseconds(),
 		})
 	}
-	if answer.RateLimit.Kind == Limited {
-		c.log("upstream names a rate limit", eventlog.Fields{"upstream": u.ID, "perSecond": answer.RateLimit.PerSecond})
-	}
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	switch {
 	case answer.NotRun:
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -10,6 +10,7 @@
 	"github.com/agateslip/agateslip/fleet"
 	"github.com/agateslip/agateslip/internal/peer"
 	"github.com/agateslip/agateslip/quarantine"
+	"github.com/agateslip/agateslip/ratelimit"
 	"github.com/agateslip/agateslip/residency"
 )
 
@@ -101,6 +102,10 @@
 	// Leaving lists the incarnations of upstreams that said with an answer that they are
 	// leaving.
 	Leaving []fleet.Incarnation `json:"leaving,omitempty"`
+	// RateLimits are limits of upstreams that the node knows and the leader does not list.
+	RateLimits []RateLimit `json:"limits,omitempty"`
+	// PermitWants are the permits that the node asks for.
+	PermitWants []ratelimit.Want `json:"permits,omitempty"`
 	// Losses are calls with prompts that were lost with their engines before their answers
 	// began. Served are suspects, by the latest PromptState, that calls were served with.
 	Losses []quarantine.Loss `json:"losses,omitempty"`
@@ -121,6 +126,14 @@
 	// has the engines whose count changed, or all engines with calls if Whole is set.
 	Running map[string]int `json:"running,omitempty"`
 	Whole   bool           `json:"whole,omitempty"`
+	// Permits answers the wants of the request for upstreams that have a rate limit.
+	Permits []ratelimit.Grant `json:"permits,omitempty"`
+}
+
+// RateLimit is what an entry node knows of the rate limit of an upstream.
+type RateLimit struct {
+	Upstream fleet.Incarnation `json:"u"`
+	Limit    fleet.RateLimit   `json:"l"`
 }
 
 // Forecast is the expected time until a model can run.
