edge: lost calls are logged with a fingerprint of the request

The log of a lost call of a plain service named its route and upstream, but nothing that repeats of the same request have in common, so that the hypotheses of docs/incidents/crashing-requests.md could not be told apart.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -34,6 +34,8 @@
 	route   *routes.Route
 	caller  Caller
 	body    []byte
+	// fingerprint is the same for all repeats of the request.
+	fingerprint string
 	// arrived and deadline are on the clock of package boottime.
 	arrived  time.Duration
 	deadline time.Duration
@@ -353,7 +355,7 @@
 		// A stream that its first upstream does not finish by the deadline counts as paused.
 		c.edge.loop.Post(func() { c.edge.recordStreamQuality(u.ID, true) })
 	}
-	fields := eventlog.Fields{"upstream": u.ID, "error": err.Error(), "lastEvent": c.lastEventID}
+	fields := eventlog.Fields{"upstream": u.ID, "error": err.Error(), "lastEvent": c.lastEventID, "request": c.fingerprint}
 	if len(c.caller.SharedParts) > 0 {
 		fields["parts"] = c.caller.SharedParts
 	}
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -23,6 +23,9 @@
 	// SharedParts identifies the parts of the prompt that other calls may have too, without
 	// repeats.
 	SharedParts []string
+	// Content lists what the header states of the content and the author of the request,
+	// without what differs between repeats of one request, such as its ID.
+	Content []string
 	// Affinity is the hash of the start of the prompt that this call shares with
 	// others; zero if it shares none.
 	Affinity uint64
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -161,6 +161,7 @@
 		return false
 	}
 	c.body = body
+	c.fingerprint = fingerprint(c.r, c.caller.Content, body)
 	return true
 }
 
