--- a/internal/controller/prompts.go
+++ b/internal/controller/prompts.go
@@ -35,7 +35,7 @@
 	for _, l := range r.Losses {
 		c.prompts.detector.Lost(l, inForce, now)
 		c.log.Event("call lost with its engine", eventlog.Fields{
-			"upstream": l.Engine.ID, "born": l.Engine.Born, "service": l.Service, "parts": l.Parts, "toldBy": from,
+			"upstream": l.Engine.ID, "born": l.Engine.Born, "service": l.Service, "parts": l.Traits, "toldBy": from,
 		})
 	}
 	c.prompts.detector.Served(r.Served, now)
--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -227,10 +227,10 @@
 	for i := range 5 {
 		c.waitForVoters(i)
 	}
-	report := nodelink.DemandRequest{Served: []quarantine.Part{{Service: "s", ID: "first"}}}
+	report := nodelink.DemandRequest{Served: []quarantine.Trait{{Service: "s", ID: "first"}}}
 	for i := range 3 {
 		report.Losses = append(report.Losses, quarantine.Loss{
-			Engine: fleet.Incarnation{ID: fmt.Sprint("e", i)}, Service: "s", Parts: []string{"bad", "first"},
+			Engine: fleet.Incarnation{ID: fmt.Sprint("e", i)}, Service: "s", Traits: []string{"bad", "first"},
 		})
 	}
 	mesh := c.connect()
@@ -242,7 +242,7 @@
 	quarantined := func() bool {
 		var answer nodelink.WatchAnswer
 		return call(nodelink.Watch, nodelink.WatchRequest{Entry: true}, &answer) && answer.Prompts != nil &&
-			quarantine.Equal(answer.Prompts.InForce, []quarantine.Signature{{Service: "s", Parts: []string{"bad"}}})
+			quarantine.Equal(answer.Prompts.InForce, []quarantine.Signature{{Service: "s", Traits: []string{"bad"}}})
 	}
 	c.waitFor("the report", func() bool { return call(nodelink.Demand, report, &nodelink.DemandAnswer{}) })
 	c.waitFor("the quarantine", quarantined)
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -43,7 +43,7 @@
 		case <-timer.C:
 		}
 		var request nodelink.DemandRequest
-		var served map[quarantine.Part]time.Duration
+		var served map[quarantine.Trait]time.Duration
 		if e.loop.Do(ctx, func() { request, served = e.demandRequest() }) != nil {
 			return nil // the node stops
 		}
@@ -67,7 +67,7 @@
 
 // demandRequest returns the request with this node's report, and when the served suspects in
 // it were served. It runs on the loop.
-func (e *Edge) demandRequest() (nodelink.DemandRequest, map[quarantine.Part]time.Duration) {
+func (e *Edge) demandRequest() (nodelink.DemandRequest, map[quarantine.Trait]time.Duration) {
 	now := boottime.Now()
 	served := e.prompts.servedSuspects(now)
 	var limits []nodelink.RateLimit
@@ -110,7 +110,7 @@
 
 // sendReport sends a report to the leader and applies its answer. The counts of a
 // report that fails are part of the next one.
-func (e *Edge) sendReport(ctx context.Context, request nodelink.DemandRequest, served map[quarantine.Part]time.Duration) {
+func (e *Edge) sendReport(ctx context.Context, request nodelink.DemandRequest, served map[quarantine.Trait]time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	var answer nodelink.DemandAnswer
--- a/internal/edge/prompts.go
+++ b/internal/edge/prompts.go
@@ -36,19 +36,19 @@
 	// losses are the lost calls of which the leader does not know yet.
 	losses []quarantine.Loss
 	// suspects are the parts that the leader asks about.
-	suspects []quarantine.Part
+	suspects []quarantine.Trait
 	// served and servedBefore hold when calls were last served with a part; servedBefore has
 	// those from before rotatedAt.
-	served, servedBefore map[quarantine.Part]time.Duration
+	served, servedBefore map[quarantine.Trait]time.Duration
 	rotatedAt            time.Duration
 	// reported holds the times of served that the leader has received.
-	reported map[quarantine.Part]time.Duration
+	reported map[quarantine.Trait]time.Duration
 	// doubted holds the engines that the leader asks about, and since when.
 	doubted map[fleet.Incarnation]time.Duration
 }
 
 func newPromptEvidence() promptEvidence {
-	return promptEvidence{served: map[quarantine.Part]time.Duration{}, reported: map[quarantine.Part]time.Duration{}}
+	return promptEvidence{served: map[quarantine.Trait]time.Duration{}, reported: map[quarantine.Trait]time.Duration{}}
 }
 
 // recordLoss records a call that was lost with its engine.
@@ -61,10 +61,10 @@
 // leader asks about one of them.
 func (p *promptEvidence) recordServed(service string, parts []string, now time.Duration) (asked bool) {
 	if now-p.rotatedAt > servedTTL {
-		p.served, p.servedBefore, p.rotatedAt = map[quarantine.Part]time.Duration{}, p.served, now
+		p.served, p.servedBefore, p.rotatedAt = map[quarantine.Trait]time.Duration{}, p.served, now
 	}
 	for _, id := range parts {
-		part := quarantine.Part{Service: service, ID: id}
+		part := quarantine.Trait{Service: service, ID: id}
 		p.served[part] = now
 		asked = asked || slices.Contains(p.suspects, part)
 	}
@@ -73,8 +73,8 @@
 
 // servedSuspects returns the suspects that were served lately and since the latest report, and
 // when.
-func (p *promptEvidence) servedSuspects(now time.Duration) map[quarantine.Part]time.Duration {
-	found := map[quarantine.Part]time.Duration{}
+func (p *promptEvidence) servedSuspects(now time.Duration) map[quarantine.Trait]time.Duration {
+	found := map[quarantine.Trait]time.Duration{}
 	for _, part := range p.suspects {
 		at, ok := p.served[part]
 		if !ok {
@@ -88,7 +88,7 @@
 }
 
 // confirmReport records that the leader has received losses and served suspects.
-func (p *promptEvidence) confirmReport(losses int, served map[quarantine.Part]time.Duration) {
+func (p *promptEvidence) confirmReport(losses int, served map[quarantine.Trait]time.Duration) {
 	p.losses = p.losses[min(losses, len(p.losses)):]
 	for part, at := range served {
 		p.reported[part] = at
@@ -163,7 +163,7 @@
 	c.edge.loop.Post(func() {
 		if lost {
 			engine := fleet.Incarnation{ID: u.ID, Born: u.Born}
-			c.edge.prompts.recordLoss(quarantine.Loss{Engine: engine, Service: service, Parts: parts})
+			c.edge.prompts.recordLoss(quarantine.Loss{Engine: engine, Service: service, Traits: parts})
 			c.edge.signalDemand()
 		} else if c.edge.prompts.recordServed(service, parts, boottime.Now()) {
 			c.edge.signalDemand()
--- a/internal/edge/prompts_test.go
+++ b/internal/edge/prompts_test.go
@@ -15,12 +15,12 @@
 func TestServedSuspectsAreReportedOnce(t *testing.T) {
 	is := is.New(t)
 	p := newPromptEvidence()
-	first, other := quarantine.Part{Service: "s", ID: "first"}, quarantine.Part{Service: "s", ID: "other"}
+	first, other := quarantine.Trait{Service: "s", ID: "first"}, quarantine.Trait{Service: "s", ID: "other"}
 	at := 100 * time.Second
 	is.True(!p.recordServed("s", []string{"first"}, at)) // nobody asks yet
-	p.suspects = []quarantine.Part{first, other}
+	p.suspects = []quarantine.Trait{first, other}
 	served := p.servedSuspects(at + time.Second)
-	is.Equal(served, map[quarantine.Part]time.Duration{first: at})
+	is.Equal(served, map[quarantine.Trait]time.Duration{first: at})
 	p.confirmReport(0, served)
 	is.Equal(len(p.servedSuspects(at+time.Second)), 0)
 	is.True(p.recordServed("s", []string{"first"}, at+2*time.Second)) // served again
@@ -34,10 +34,10 @@
 	is := is.New(t)
 	p := newPromptEvidence()
 	for i := range 3 * maxUnreportedLosses {
-		p.recordLoss(quarantine.Loss{Service: "s", Parts: []string{fmt.Sprint(i)}})
+		p.recordLoss(quarantine.Loss{Service: "s", Traits: []string{fmt.Sprint(i)}})
 	}
 	is.Equal(len(p.losses), maxUnreportedLosses)
-	is.Equal(p.losses[0].Parts[0], fmt.Sprint(2*maxUnreportedLosses)) // the latest are kept
+	is.Equal(p.losses[0].Traits[0], fmt.Sprint(2*maxUnreportedLosses)) // the latest are kept
 	for i := range 100 {
 		p.recordServed("s", []string{fmt.Sprint(i)}, time.Duration(i)*time.Second)
 	}
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -87,7 +87,7 @@
 	InForce []quarantine.Signature `json:"inForce,omitempty"`
 	// Suspects are the parts that the leader wants to know of whether calls are served with
 	// them.
-	Suspects []quarantine.Part `json:"suspects,omitempty"`
+	Suspects []quarantine.Trait `json:"suspects,omitempty"`
 	// Doubted are engines that may have crashed. The leader wants to know of whether they
 	// still send bytes.
 	Doubted []fleet.Incarnation `json:"doubted,omitempty"`
@@ -108,8 +108,8 @@
 	PermitWants []ratelimit.Want `json:"permits,omitempty"`
 	// Losses are calls with prompts that were lost with their engines before their answers
 	// began. Served are suspects, by the latest PromptState, that calls were served with.
-	Losses []quarantine.Loss `json:"losses,omitempty"`
-	Served []quarantine.Part `json:"served,omitempty"`
+	Losses []quarantine.Loss  `json:"losses,omitempty"`
+	Served []quarantine.Trait `json:"served,omitempty"`
 	// Alive are doubted engines, by the latest PromptState, that have sent bytes since.
 	Alive []fleet.Incarnation `json:"alive,omitempty"`
 }
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -29,17 +29,17 @@
 	MaxSignatures = 32
 )
 
-// Part identifies a part of the prompts for a service.
-type Part struct {
+// Trait identifies a part of the prompts for a service.
+type Trait struct {
 	Service string `json:"s"`
 	ID      string `json:"p"`
 }
 
 // Signature identifies the calls for a service that have all of the given parts in their
-// prompts. Parts is sorted and not empty.
+// prompts. Traits is sorted and not empty.
 type Signature struct {
 	Service string   `json:"s"`
-	Parts   []string `json:"p"`
+	Traits  []string `json:"p"`
 }
 
 // Matches reports whether a call for a service has all parts of the signature.
@@ -47,12 +47,12 @@
 	if s.Service != service {
 		return false
 	}
-	return !slices.ContainsFunc(s.Parts, func(id string) bool { return !slices.Contains(parts, id) })
+	return !slices.ContainsFunc(s.Traits, func(id string) bool { return !slices.Contains(parts, id) })
 }
 
 // equal reports whether two signatures are the same.
 func (s Signature) equal(o Signature) bool {
-	return s.Service == o.Service && slices.Equal(s.Parts, o.Parts)
+	return s.Service == o.Service && slices.Equal(s.Traits, o.Traits)
 }
 
 // Equal reports whether two lists hold the same signatures in the same order.
@@ -64,7 +64,7 @@
 type Loss struct {
 	Engine  fleet.Incarnation `json:"e"`
 	Service string            `json:"s"`
-	Parts   []string          `json:"p"`
+	Traits  []string          `json:"p"`
 }
 
 // suspect is the evidence against a part.
@@ -81,9 +81,9 @@
 // Detector collects the evidence of all entry nodes. The zero value is not usable; New
 // returns an empty one.
 type Detector struct {
-	suspects map[Part]*suspect
+	suspects map[Trait]*suspect
 	// cleared holds when a part was last cleared, and soundAt, by service, when any was.
-	cleared map[Part]time.Duration
+	cleared map[Trait]time.Duration
 	soundAt map[string]time.Duration
 	// explained holds the crashes whose cause is known, and when it became known.
 	explained map[fleet.Incarnation]time.Duration
@@ -94,7 +94,7 @@
 // New returns a detector without evidence.
 func New() *Detector {
 	return &Detector{
-		suspects: map[Part]*suspect{}, cleared: map[Part]time.Duration{},
+		suspects: map[Trait]*suspect{}, cleared: map[Trait]time.Duration{},
 		soundAt: map[string]time.Duration{}, explained: map[fleet.Incarnation]time.Duration{}, since: map[string]time.Duration{},
 	}
 }
@@ -102,15 +102,15 @@
 // Lost records the loss of a call. inForce is what is in quarantine: such a call, sent
 // before that, explains the crash of its engine, which no longer counts against other parts.
 func (d *Detector) Lost(l Loss, inForce []Signature, now time.Duration) {
-	if slices.ContainsFunc(inForce, func(s Signature) bool { return s.Matches(l.Service, l.Parts) }) {
+	if slices.ContainsFunc(inForce, func(s Signature) bool { return s.Matches(l.Service, l.Traits) }) {
 		d.explain(l.Engine, now)
 		return
 	}
 	if _, ok := d.explained[l.Engine]; ok {
 		return
 	}
-	for _, id := range l.Parts {
-		part := Part{l.Service, id}
+	for _, id := range l.Traits {
+		part := Trait{l.Service, id}
 		if at, ok := d.cleared[part]; ok && now-at < clearedTTL {
 			continue
 		}
@@ -120,13 +120,13 @@
 }
 
 // addEvidence adds the loss of a call to the evidence against one of its parts.
-func (d *Detector) addEvidence(part Part, l Loss, now time.Duration) {
+func (d *Detector) addEvidence(part Trait, l Loss, now time.Duration) {
 	s := d.suspects[part]
 	if s == nil {
-		s = &suspect{crashes: map[fleet.Incarnation]time.Duration{}, companions: slices.Sorted(slices.Values(l.Parts))}
+		s = &suspect{crashes: map[fleet.Incarnation]time.Duration{}, companions: slices.Sorted(slices.Values(l.Traits))}
 		d.suspects[part] = s
 	}
-	s.companions = slices.DeleteFunc(s.companions, func(id string) bool { return !slices.Contains(l.Parts, id) })
+	s.companions = slices.DeleteFunc(s.companions, func(id string) bool { return !slices.Contains(l.Traits, id) })
 	maps.DeleteFunc(s.crashes, func(_ fleet.Incarnation, at time.Duration) bool { return now-at > evidenceTTL })
 	s.crashes[l.Engine], s.lastAt = now, now
 	switch {
@@ -171,9 +171,9 @@
 // limitSuspects drops the suspects with the oldest evidence beyond maxSuspects.
 func (d *Detector) limitSuspects() {
 	for len(d.suspects) > maxSuspects {
-		var oldest Part
+		var oldest Trait
 		for part, s := range d.suspects {
-			if o := d.suspects[oldest]; o == nil || s.lastAt < o.lastAt || s.lastAt == o.lastAt && comparePart(part, oldest) < 0 {
+			if o := d.suspects[oldest]; o == nil || s.lastAt < o.lastAt || s.lastAt == o.lastAt && compareTrait(part, oldest) < 0 {
 				oldest = part
 			}
 		}
@@ -182,12 +182,12 @@
 }
 
 // Served clears the parts of calls that an entry node has seen answered.
-func (d *Detector) Served(parts []Part, now time.Duration) {
+func (d *Detector) Served(parts []Trait, now time.Duration) {
 	for _, part := range parts {
 		delete(d.suspects, part)
 		d.cleared[part], d.soundAt[part.Service] = now, now
 	}
-	maps.DeleteFunc(d.cleared, func(_ Part, at time.Duration) bool { return now-at > clearedTTL })
+	maps.DeleteFunc(d.cleared, func(_ Trait, at time.Duration) bool { return now-at > clearedTTL })
 }
 
 // minSuspectCrashes is the number of crashes from which on the entry nodes are asked to clear
@@ -196,19 +196,19 @@
 
 // Suspects returns the parts that the entry nodes are asked to clear, sorted: those with
 // several crashes against them and those in quarantine.
-func (d *Detector) Suspects(inForce []Signature) []Part {
-	var parts []Part
+func (d *Detector) Suspects(inForce []Signature) []Trait {
+	var parts []Trait
 	for part, s := range d.suspects {
 		if len(s.crashes) >= minSuspectCrashes {
 			parts = append(parts, part)
 		}
 	}
 	for _, s := range inForce {
-		for _, id := range s.Parts {
-			parts = append(parts, Part{s.Service, id})
+		for _, id := range s.Traits {
+			parts = append(parts, Trait{s.Service, id})
 		}
 	}
-	slices.SortFunc(parts, comparePart)
+	slices.SortFunc(parts, compareTrait)
 	return slices.Compact(parts)
 }
 
@@ -227,7 +227,7 @@
 	return slices.Compact(engines)
 }
 
-func comparePart(a, b Part) int {
+func compareTrait(a, b Trait) int {
 	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
 }
 
@@ -256,11 +256,11 @@
 		if !known {
 			from = now
 		}
-		s.Parts = slices.DeleteFunc(slices.Clone(s.Parts), func(id string) bool {
-			at, ok := d.cleared[Part{s.Service, id}]
+		s.Traits = slices.DeleteFunc(slices.Clone(s.Traits), func(id string) bool {
+			at, ok := d.cleared[Trait{s.Service, id}]
 			return ok && at >= from
 		})
-		if len(s.Parts) == 0 || now-from > Duration {
+		if len(s.Traits) == 0 || now-from > Duration {
 			continue
 		}
 		since[s.key()] = from
@@ -273,7 +273,7 @@
 // key returns a string that identifies the signature.
 func (s *Signature) key() string {
 	key := s.Service
-	for _, id := range s.Parts {
+	for _, id := range s.Traits {
 		key += "\x00" + id
 	}
 	return key
@@ -283,14 +283,14 @@
 // entry nodes had the time to clear it, and the service serves other calls. Its crashes are
 // explained from then on.
 func (d *Detector) nextSignature(now time.Duration) (Signature, bool) {
-	var worst Part
+	var worst Trait
 	var found *suspect
 	for part, s := range d.suspects {
 		soundAt, sound := d.soundAt[part.Service]
 		if s.enoughAt == 0 || now-s.enoughAt < settleTime || !sound || now-soundAt > clearedTTL {
 			continue
 		}
-		if found == nil || len(s.crashes) > len(found.crashes) || len(s.crashes) == len(found.crashes) && comparePart(part, worst) < 0 {
+		if found == nil || len(s.crashes) > len(found.crashes) || len(s.crashes) == len(found.crashes) && compareTrait(part, worst) < 0 {
 			worst, found = part, s
 		}
 	}
@@ -299,8 +299,8 @@
 	}
 	signature := Signature{Service: worst.Service}
 	for _, id := range found.companions {
-		if d.suspects[Part{worst.Service, id}] != nil {
-			signature.Parts = append(signature.Parts, id)
+		if d.suspects[Trait{worst.Service, id}] != nil {
+			signature.Traits = append(signature.Traits, id)
 		}
 	}
 	for engine := range found.crashes {
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -18,17 +18,17 @@
 }
 
 func loss(i int, parts ...string) quarantine.Loss {
-	return quarantine.Loss{Engine: engine(i), Service: "s", Parts: parts}
+	return quarantine.Loss{Engine: engine(i), Service: "s", Traits: parts}
 }
 
 func served(d *quarantine.Detector, now time.Duration, ids ...string) {
 	for _, id := range ids {
-		d.Served([]quarantine.Part{{Service: "s", ID: id}}, now)
+		d.Served([]quarantine.Trait{{Service: "s", ID: id}}, now)
 	}
 }
 
 func signature(parts ...string) []quarantine.Signature {
-	return []quarantine.Signature{{Service: "s", Parts: parts}}
+	return []quarantine.Signature{{Service: "s", Traits: parts}}
 }
 
 // TestCommonPartOfCrashesIsQuarantined replays engines that crash one after the other, each with
@@ -107,7 +107,7 @@
 	is.True(inForce[0].Matches("s", []string{"rare", "first", "bad"}))
 	is.True(!inForce[0].Matches("s", []string{"first", "rare"}))
 	is.True(!inForce[0].Matches("other service", []string{"bad", "rare"}))
-	is.True(slices.Contains(d.Suspects(inForce), quarantine.Part{Service: "s", ID: "rare"})) // nodes are asked to clear it
+	is.True(slices.Contains(d.Suspects(inForce), quarantine.Trait{Service: "s", ID: "rare"})) // nodes are asked to clear it
 	inForce = d.Decide(inForce, 4*time.Second)
 	served(d, 5*time.Second, "rare")
 	inForce = d.Decide(inForce, 5*time.Second)
@@ -152,7 +152,7 @@
 		d.Lost(loss(i, fmt.Sprint("p", i/2)), nil, time.Duration(i)*time.Millisecond)
 	}
 	is.Equal(len(d.Suspects(nil)), 256)
-	is.True(slices.Contains(d.Suspects(nil), quarantine.Part{Service: "s", ID: "p1999"}))
+	is.True(slices.Contains(d.Suspects(nil), quarantine.Trait{Service: "s", ID: "p1999"}))
 }
 
 // TestLostAnswersOfLivingEnginesQuarantineNothing loses answers on engines that go on with other
