quarantine, edge, controller: requests that crash upstreams are refused on all nodes

Evidence was collected by parts of prompts only: calls of plain services have none, and calls that had begun to answer did not count. Where it had been collected, the decision would have waited for the service to serve something else, which it can't while all its upstreams are down.

Why this works: a request is one more trait of a call, a hash of what its repeats have in common, and is lost with its upstream at any time before its answer is complete. Three crashed upstreams without a success in between quarantine it at once: only its own repeats are refused. Evidence from two crashes on is replicated, so that a new leader goes on with it. A node sends nothing before it knows the list. Because the evidence can be by chance, the leader lets single calls through on trial, at most three of a request; an answered one ends the quarantine. Suspects, signatures and evidence are bounded, those with the least evidence yield first.

--- a/confstate/confstate.go
+++ b/confstate/confstate.go
@@ -1,7 +1,7 @@
 // Package confstate holds the replicated state of a managed deployment: the configuration
 // in force, the addresses of the control group's members, the member that may send orders
-// to upstreams, and the prompts in quarantine. Only commands of a replicated log change it, with the same result
-// on every member.
+// to upstreams, and the calls that crash upstreams. Only commands of a replicated log change
+// it, with the same result on every member.
 //
 // Load pattern: several operators at once send whole configurations in quick succession,
 // and resend each whose answer is lost.
@@ -50,6 +50,8 @@
 	SetOrderer *string `json:"order,omitempty"`
 	// Quarantine replaces the signatures in quarantine.
 	Quarantine *[]quarantine.Signature `json:"quarantine,omitempty"`
+	// Evidence replaces the evidence against what is not in quarantine.
+	Evidence *[]quarantine.Evidence `json:"evidence,omitempty"`
 }
 
 // Configure puts a configuration in force, unless one of the same or a higher version is
@@ -98,9 +100,11 @@
 	Members map[uint64]Member `json:"members"`
 	// Orderer is the zero value before the first SetOrderer command.
 	Orderer Orderer `json:"orderer"`
-	// Quarantine identifies the calls that entry nodes refuse because their prompts crash
-	// engines. A new leader, and all nodes after a restart, go on with it.
+	// Quarantine identifies the calls that entry nodes refuse because they crash upstreams, and
+	// Evidence is what speaks against others. A new leader, and all nodes after a restart,
+	// go on with them.
 	Quarantine []quarantine.Signature `json:"quarantine,omitempty"`
+	Evidence   []quarantine.Evidence  `json:"evidence,omitempty"`
 }
 
 // New returns the state of a new control group with its first members.
@@ -125,6 +129,8 @@
 		s.Orderer = Orderer{Node: *c.SetOrderer, Fence: index}
 	case c.Quarantine != nil:
 		s.Quarantine = *c.Quarantine
+	case c.Evidence != nil:
+		s.Evidence = *c.Evidence
 	}
 	return Accepted
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -79,10 +79,10 @@
 	notifier     *watchNotifier
 
 	// The fields below are accessed only on the loop.
-	registry *fleet.Registry
-	changes  changeCache
-	planner  *residency.Planner
-	prompts  promptWatch
+	registry   *fleet.Registry
+	changes    changeCache
+	planner    *residency.Planner
+	quarantine quarantineWatch
 	// permits hands out permits for upstreams that named a rate limit; nil unless this node
 	// leads.
 	permits *ratelimit.Allocator
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -71,7 +71,7 @@
 	}
 	c.removeGoneUpstreams(before)
 	c.expireEntryNodes(now)
-	c.reviewPrompts(ctx, now)
+	c.reviewQuarantine(ctx, now)
 	c.plan(now)
 	if c.registry.Revision() != before {
 		c.notifier.notify()
@@ -90,7 +90,7 @@
 	limits := residency.DefaultLimits()
 	limits.MaxStoreLoads, limits.MaxAdapterLoads = c.cfg.Store.Width, min(c.cfg.Store.AdapterWidth, limits.MaxAdapterLoads)
 	c.planner = residency.New(limits)
-	c.prompts = newPromptWatch()
+	c.quarantine = newQuarantineWatch(c.stateMachine.evidence(), now)
 	c.permits = ratelimit.NewAllocator()
 	c.plannedVersion, c.loggedWidths = 0, map[string]int{}
 	for _, u := range c.registry.Live() {
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -128,7 +128,7 @@
 		}
 		if r.Entry {
 			c.entryNodes[from] = boottime.Now()
-			answer.Prompts = c.promptsSince(r.PromptRevision, answer.Whole)
+			answer.Quarantine = c.quarantineSince(r.QuarantineRevision, answer.Whole)
 		}
 		list = c.changes.changedSince(c.registry, changeKey{since, r.Entry})
 		answer.Entries = len(c.entryNodes)
@@ -139,7 +139,7 @@
 	if !leading {
 		return answer, false, c.notLeaderError()
 	}
-	changed = answer.Whole || len(list.upstreams) > 0 || answer.Prompts != nil
+	changed = answer.Whole || len(list.upstreams) > 0 || answer.Quarantine != nil
 	if answer.Upstreams, err = list.encode(); err != nil {
 		return answer, false, err
 	}
@@ -164,7 +164,8 @@
 		c.markLeaving(from, r.Leaving, now)
 		c.recordRateLimits(from, r.RateLimits)
 		answer.Permits = c.grantPermits(from, r.PermitWants, now)
-		c.recordPromptEvidence(from, &r, now)
+		c.recordCrashEvidence(from, &r, now)
+		answer.Trials = c.grantTrials(from, r.Trials, now)
 		c.planner.SetDemand(from, r.Report, now)
 		c.plan(now)
 		known := r.CountsRevision
--- a/internal/controller/statemachine.go
+++ b/internal/controller/statemachine.go
@@ -93,6 +93,8 @@
 		return "retire"
 	case c.Quarantine != nil:
 		return "quarantine"
+	case c.Evidence != nil:
+		return "evidence"
 	default:
 		return "order"
 	}
@@ -201,6 +203,14 @@
 	return s.state.Quarantine
 }
 
+// evidence returns the evidence against calls that are not in quarantine. The list is not
+// changed.
+func (s *stateMachine) evidence() []quarantine.Evidence {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.state.Evidence
+}
+
 // Compress compresses a configuration document for the log. Equal documents give equal
 // results.
 func Compress(document []byte) ([]byte, error) {
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -96,8 +96,7 @@
 		c.edge.budgetFor(c.dispatchCall.Service).recordCall(&c.edge.cfg.Retry, boottime.Now())
 	})
 	for {
-		if c.quarantined() {
-			c.giveUp(reasonQuarantined, quarantineRetryAfter)
+		if c.refuseIfQuarantined() {
 			return
 		}
 		verdict, ok := c.waitForVerdict()
@@ -108,9 +107,9 @@
 			c.giveUp(string(verdict.Reason), verdict.RetryAfter)
 			return
 		}
-		if c.quarantined() { // since the call began to wait
+		if allowed, s := c.mayStart(); !allowed {
 			c.finishAttempt(dispatch.Abandoned)
-			c.giveUp(reasonQuarantined, quarantineRetryAfter)
+			c.giveUp(reasonQuarantined, s.RetryAfter())
 			return
 		}
 		outcome := c.attempt(verdict.Upstream)
@@ -174,8 +173,8 @@
 }
 
 // waitForVerdict submits the call and waits for the dispatcher's verdict. It returns
-// false if the call ended instead: at its deadline, because the node stops, or because
-// the caller left.
+// false if the call ended instead: at its deadline, because the node stops, because the
+// caller left, or because the call came into quarantine.
 func (c *call) waitForVerdict() (dispatch.Verdict, bool) {
 	e := c.edge
 	submitted := c.dispatchCall
@@ -193,20 +192,30 @@
 	})
 	timer := time.NewTimer(c.deadline - boottime.Now())
 	defer timer.Stop()
-	select {
-	case v := <-verdicts:
-		return c.logVerdict(v), true
-	case <-timer.C:
-		c.withdraw(submitted.ID, verdicts)
-		c.giveUp("time is up", defaultRetryAfter)
-	case <-e.closing:
-		c.withdraw(submitted.ID, verdicts)
-		c.giveUp("node stops", otherNodeRetryAfter)
-	case <-c.r.Context().Done():
-		c.withdraw(submitted.ID, verdicts)
-		c.log("caller left", eventlog.Fields{"while": "waiting"})
+	for {
+		replaced := c.quarantineReplaced()
+		if s, onTrial := c.quarantined(); s != nil && !onTrial {
+			c.withdraw(submitted.ID, verdicts)
+			c.giveUp(reasonQuarantined, s.RetryAfter())
+			return dispatch.Verdict{}, false
+		}
+		select {
+		case v := <-verdicts:
+			return c.logVerdict(v), true
+		case <-replaced:
+			continue
+		case <-timer.C:
+			c.withdraw(submitted.ID, verdicts)
+			c.giveUp("time is up", defaultRetryAfter)
+		case <-e.closing:
+			c.withdraw(submitted.ID, verdicts)
+			c.giveUp("node stops", otherNodeRetryAfter)
+		case <-c.r.Context().Done():
+			c.withdraw(submitted.ID, verdicts)
+			c.log("caller left", eventlog.Fields{"while": "waiting"})
+		}
+		return dispatch.Verdict{}, false
 	}
-	return dispatch.Verdict{}, false
 }
 
 // logVerdict records the waiting time and the chosen upstream, and returns the verdict.
@@ -276,7 +285,7 @@
 	c.movedOnStall.Store(false)
 	result, end := c.exchange(u)
 	c.finishAttempt(result)
-	c.reportPromptOutcome(u, result)
+	c.reportCrashEvidence(u, result)
 	return end
 }
 
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -42,21 +42,18 @@
 		case <-e.demandChanged:
 		case <-timer.C:
 		}
-		var request nodelink.DemandRequest
-		var served map[quarantine.Trait]time.Duration
-		if e.loop.Do(ctx, func() { request, served = e.demandRequest() }) != nil {
+		var r demandReport
+		if e.loop.Do(ctx, func() { r = e.collectDemand() }) != nil {
 			return nil // the node stops
 		}
 		// The first empty report is sent: it tells the leader that nothing waits or runs.
-		report := &request.Report
-		empty := len(report.Waiting)+len(report.Arrivals)+len(report.Running)+len(report.Quality)+
-			len(request.Leaving)+len(request.Losses)+len(request.Served)+len(request.Alive)+len(request.RateLimits)+len(request.PermitWants) == 0
+		empty := r.empty()
 		if !empty || !lastEmpty {
-			e.sendReport(ctx, request, served)
+			e.sendReport(ctx, &r)
 		}
 		lastEmpty = empty
 		next := reportInterval
-		if len(report.Waiting) > 0 || slices.ContainsFunc(request.PermitWants, func(w ratelimit.Want) bool { return w.Waiting > 0 }) {
+		if r.callsWait() {
 			next = waitingReportInterval
 		}
 		pause.For(ctx, minReportGap)
@@ -65,25 +62,49 @@
 	return nil
 }
 
-// demandRequest returns the request with this node's report, and when the served suspects in
-// it were served. It runs on the loop.
-func (e *Edge) demandRequest() (nodelink.DemandRequest, map[quarantine.Trait]time.Duration) {
+// demandReport is a report to the leader with what this node needs for its answer.
+type demandReport struct {
+	nodelink.DemandRequest
+	// servedAt holds when the suspects in the report were served.
+	servedAt map[quarantine.Trait]time.Duration
+	// trialWaiters are the calls that wait for the trials in the report.
+	trialWaiters []trialWaiter
+}
+
+// empty reports whether the report says only that nothing waits or runs.
+func (r *demandReport) empty() bool {
+	return len(r.Report.Waiting)+len(r.Report.Arrivals)+len(r.Report.Running)+len(r.Report.Quality)+
+		len(r.Leaving)+len(r.Losses)+len(r.Served)+len(r.Alive)+len(r.RateLimits)+len(r.PermitWants)+len(r.Trials) == 0
+}
+
+// callsWait reports whether calls wait for a model or a permit.
+func (r *demandReport) callsWait() bool {
+	return len(r.Report.Waiting) > 0 ||
+		slices.ContainsFunc(r.PermitWants, func(w ratelimit.Want) bool { return w.Waiting > 0 })
+}
+
+// collectDemand returns the next report. It runs on the loop.
+func (e *Edge) collectDemand() demandReport {
 	now := boottime.Now()
-	served := e.prompts.servedSuspects(now)
+	served := e.crashEvidence.servedSuspects(now)
+	waiters := e.trialWaiters
+	e.trialWaiters = nil
 	var limits []nodelink.RateLimit
 	for upstream, limit := range e.dispatcher.UnlistedRateLimits() {
 		limits = append(limits, nodelink.RateLimit{Upstream: upstream, Limit: limit})
 	}
-	return nodelink.DemandRequest{
+	request := nodelink.DemandRequest{
+		Report: e.nodeReport(), Leaving: slices.Collect(maps.Keys(e.unreportedLeaving)),
 		RateLimits: limits, PermitWants: e.dispatcher.PermitWants(now),
-		Report: e.demandReport(), Leaving: slices.Collect(maps.Keys(e.unreportedLeaving)),
-		Losses: slices.Clone(e.prompts.losses), Served: slices.Collect(maps.Keys(served)), Alive: e.aliveEngines(),
-	}, served
+		Losses: slices.Clone(e.crashEvidence.losses), Served: slices.Collect(maps.Keys(served)), Alive: e.aliveUpstreams(),
+		Trials: wantedTrials(waiters),
+	}
+	return demandReport{DemandRequest: request, servedAt: served, trialWaiters: waiters}
 }
 
-// demandReport returns the waiting and running calls, and the counts that changed since
+// nodeReport returns the waiting and running calls, and the counts that changed since
 // the leader last received them. It runs on the loop.
-func (e *Edge) demandReport() residency.NodeReport {
+func (e *Edge) nodeReport() residency.NodeReport {
 	now := boottime.Now()
 	report := residency.NodeReport{Waiting: e.dispatcher.Demand(now), CountedFor: e.dispatcher.CountedFor(now)}
 	for key, calls := range e.dispatcher.Arrivals() {
@@ -110,7 +131,8 @@
 
 // sendReport sends a report to the leader and applies its answer. The counts of a
 // report that fails are part of the next one.
-func (e *Edge) sendReport(ctx context.Context, request nodelink.DemandRequest, served map[quarantine.Trait]time.Duration) {
+func (e *Edge) sendReport(ctx context.Context, r *demandReport) {
+	request := r.DemandRequest
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	var answer nodelink.DemandAnswer
@@ -119,8 +141,10 @@
 	request.Term, request.CountsRevision = e.plannerCounts.term, e.plannerCounts.revision
 	if err := e.mesh.Call(ctx, target, nodelink.Demand, request, &answer); err != nil {
 		e.log.Event("demand not reported", eventlog.Fields{"asked": target, "error": err.Error()})
+		answerTrials(r.trialWaiters, nil)
 		return
 	}
+	answerTrials(r.trialWaiters, answer.Trials)
 	if answer.Term != 0 {
 		e.plannerCounts = plannerCountsVersion{answer.Term, answer.CountsRevision}
 	}
@@ -135,7 +159,7 @@
 		for _, incarnation := range request.Leaving {
 			delete(e.unreportedLeaving, incarnation)
 		}
-		e.prompts.confirmReport(len(request.Losses), served)
+		e.crashEvidence.confirmReport(len(request.Losses), r.servedAt)
 		for _, q := range request.Report.Quality {
 			e.reportedQuality[q.Upstream] = q
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,6 +11,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,7 +29,6 @@
 	"github.com/agateslip/agateslip/internal/peer"
 	"github.com/agateslip/agateslip/internal/supervisor"
 	"github.com/agateslip/agateslip/internal/upstreamconn"
-	"github.com/agateslip/agateslip/quarantine"
 	"github.com/agateslip/agateslip/residency"
 	"github.com/agateslip/agateslip/routes"
 )
@@ -64,12 +64,14 @@
 	leader  *leaderFinder
 	// routing is the configuration in force; nil before the first one arrives.
 	routing atomic.Pointer[routingConfig]
-	// configured is closed once the first configuration is in force.
-	configured chan struct{}
+	// informed is closed once the first configuration is in force and the first list of
+	// the calls to refuse has arrived. Until then no call is sent. informOnce closes it.
+	informed   chan struct{}
+	informOnce sync.Once
 	// entryNodes is the number of entry nodes as last reported by the leader; initially 1.
 	entryNodes atomic.Int64
 	// quarantine identifies the calls to refuse; nil before the first list arrives.
-	quarantine atomic.Pointer[[]quarantine.Signature]
+	quarantine atomic.Pointer[quarantineList]
 	lastCallID atomic.Uint64
 	// stopping is set once Stop was called: the node reports itself as not ready.
 	stopping atomic.Bool
@@ -97,7 +99,9 @@
 	// counts that the leader has received.
 	streamQuality   map[string]residency.Quality
 	reportedQuality map[string]residency.Quality
-	prompts         promptEvidence
+	crashEvidence   crashEvidence
+	// trialWaiters are the calls whose wish for a trial the leader does not know yet.
+	trialWaiters []trialWaiter
 	// unreportedLeaving holds the upstreams that said that they are leaving and of which
 	// the leader does not know it yet.
 	unreportedLeaving map[fleet.Incarnation]bool
@@ -127,7 +131,7 @@
 		loop:             owner.New(),
 		leader:           newLeaderFinder(seeds),
 		demandChanged:    make(chan struct{}, 1),
-		configured:       make(chan struct{}),
+		informed:         make(chan struct{}),
 		closing:          make(chan struct{}),
 		dispatcher:       dispatch.New(dispatch.DefaultLimits(), cfg.Domain),
 		waiters:          map[dispatch.CallID]chan dispatch.Verdict{},
@@ -136,7 +140,7 @@
 		reportedArrivals: map[dispatch.ModelKey]uint64{},
 		streamQuality:    map[string]residency.Quality{},
 		reportedQuality:  map[string]residency.Quality{},
-		prompts:          newPromptEvidence(),
+		crashEvidence:    newCrashEvidence(),
 
 		unreportedLeaving: map[fleet.Incarnation]bool{},
 	}
@@ -188,7 +192,7 @@
 // until Stop is called, otherwise 503.
 func (e *Edge) readiness() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if e.routing.Load() == nil || e.stopping.Load() {
+		if !e.isInformed() || e.stopping.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -258,12 +262,28 @@
 		var conf *routes.Configuration
 		if conf, err = e.decode(text); err == nil {
 			e.routing.Store(&routingConfig{version: c.Version, table: routes.NewTable(conf)})
-			if current == nil {
-				close(e.configured)
-			}
+			e.noteInformed()
 			e.log.Event("configuration in force", eventlog.Fields{"version": c.Version, "routes": len(conf.Routes)})
 			return
 		}
 	}
 	e.log.Event("configuration unreadable", eventlog.Fields{"version": c.Version, "error": err.Error()})
 }
+
+// noteInformed lets calls through once this node knows the configuration and which calls to
+// refuse.
+func (e *Edge) noteInformed() {
+	if e.routing.Load() != nil && e.quarantine.Load() != nil {
+		e.informOnce.Do(func() { close(e.informed) })
+	}
+}
+
+// isInformed reports whether this node knows the configuration and which calls to refuse.
+func (e *Edge) isInformed() bool {
+	select {
+	case <-e.informed:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -116,16 +116,16 @@
 		// Do fails only when the node stops, which ends this loop.
 		err = e.loop.Do(ctx, func() {
 			e.applyUpstreams(answer.Whole, upstreams)
-			if answer.Prompts != nil {
-				e.applyPromptState(answer.Prompts)
+			if answer.Quarantine != nil {
+				e.applyQuarantine(answer.Quarantine)
 			}
 		})
 		if err != nil {
 			continue
 		}
 		request.Term, request.Revision = answer.Term, answer.Revision
-		if answer.Prompts != nil {
-			request.PromptRevision = answer.Prompts.Revision
+		if answer.Quarantine != nil {
+			request.QuarantineRevision = answer.Quarantine.Revision
 		}
 	}
 	return nil
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -54,8 +54,8 @@
 	// Term and Revision are those of the latest answer that the node received.
 	Term     uint64 `json:"term"`
 	Revision uint64 `json:"revision"`
-	// PromptRevision is that of the latest PromptState that the node received.
-	PromptRevision uint64 `json:"prompts,omitempty"`
+	// QuarantineRevision is that of the latest QuarantineState that the node received.
+	QuarantineRevision uint64 `json:"prompts,omitempty"`
 	// WaitMillis is how long the answer may be held back while nothing changes.
 	WaitMillis int64 `json:"wait"`
 }
@@ -76,19 +76,21 @@
 	// Entries is the number of entry nodes that watch the leader.
 	Entries int `json:"entries"`
 	// Prompts is set if the asking entry node has an older one.
-	Prompts *PromptState `json:"prompts,omitempty"`
+	Quarantine *QuarantineState `json:"prompts,omitempty"`
 }
 
-// PromptState is what entry nodes need to know of prompts that crash engines.
-type PromptState struct {
+// QuarantineState is what entry nodes need to know of calls that crash upstreams.
+type QuarantineState struct {
 	// Revision identifies this state within the term of the leader.
 	Revision uint64 `json:"revision"`
 	// InForce identifies the calls to refuse.
 	InForce []quarantine.Signature `json:"inForce,omitempty"`
-	// Suspects are the parts that the leader wants to know of whether calls are served with
+	// Trials are those of which the leader lets the first node that asks send one call.
+	Trials []quarantine.Signature `json:"trials,omitempty"`
+	// Suspects are the traits that the leader wants to know of whether calls are served with
 	// them.
 	Suspects []quarantine.Trait `json:"suspects,omitempty"`
-	// Doubted are engines that may have crashed. The leader wants to know of whether they
+	// Doubted are upstreams that may have crashed. The leader wants to know of whether they
 	// still send bytes.
 	Doubted []fleet.Incarnation `json:"doubted,omitempty"`
 }
@@ -106,12 +108,14 @@
 	RateLimits []RateLimit `json:"limits,omitempty"`
 	// PermitWants are the permits that the node asks for.
 	PermitWants []ratelimit.Want `json:"permits,omitempty"`
-	// Losses are calls with prompts that were lost with their engines before their answers
-	// began. Served are suspects, by the latest PromptState, that calls were served with.
+	// Losses are calls that were lost with their upstreams. Served are suspects, by the
+	// latest QuarantineState, that calls were served with.
 	Losses []quarantine.Loss  `json:"losses,omitempty"`
 	Served []quarantine.Trait `json:"served,omitempty"`
-	// Alive are doubted engines, by the latest PromptState, that have sent bytes since.
+	// Alive are doubted upstreams, by the latest QuarantineState, that have sent bytes since.
 	Alive []fleet.Incarnation `json:"alive,omitempty"`
+	// Trials are signatures in quarantine of which a call waits to be sent on trial.
+	Trials []quarantine.Signature `json:"trials,omitempty"`
 }
 
 // DemandAnswer has the forecasts for the models that calls wait for, and the leader's
@@ -128,6 +132,8 @@
 	Whole   bool           `json:"whole,omitempty"`
 	// Permits answers the wants of the request for upstreams that have a rate limit.
 	Permits []ratelimit.Grant `json:"permits,omitempty"`
+	// Trials are those signatures of the request of which the node may send one call.
+	Trials []quarantine.Signature `json:"trials,omitempty"`
 }
 
 // RateLimit is what an entry node knows of the rate limit of an upstream.
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -10,68 +10,34 @@
 )
 
 const (
-	// minCrashes is the number of crashed engines that put a part in quarantine. Two calls of one
-	// caller may be lost by chance on two engines.
+	// minCrashes is the number of crashed upstreams that put a trait in quarantine. Two calls
+	// of one caller may be lost by chance on two upstreams.
 	minCrashes = 3
-	// settleTime is how long the entry nodes have to clear a part that was present in
+	// settleTime is how long the entry nodes have to clear a trait that was present in
 	// enough crashes.
 	settleTime = 250 * time.Millisecond
-	// clearedTTL is how long a cleared part is no suspect, and how recently a part of some
-	// call for a service must have been cleared to show that its engines work at all.
+	// clearedTTL is how long a cleared trait is no suspect, and how recently a trait of some
+	// call for a service must have been cleared to show that its upstreams work at all.
 	clearedTTL = 5 * time.Second
-	// evidenceTTL is how long a crash counts against a part.
+	// evidenceTTL is how long a crash counts against a trait.
 	evidenceTTL = 10 * time.Minute
-	// maxSuspects bounds the parts that are tracked; those with the oldest evidence yield.
-	maxSuspects = 256
+	// maxSuspects bounds the traits that are tracked. One crash ends up to a few hundred
+	// calls with several traits each.
+	maxSuspects = 1024
+	// maxListed bounds the suspects and the upstreams that the entry nodes are asked about,
+	// and the evidence that outlasts the leader.
+	maxListed = 128
 	// Duration is how long a signature stays in quarantine.
-	Duration = 10 * time.Minute
-	// MaxSignatures bounds the signatures in quarantine; the oldest ones yield.
-	MaxSignatures = 32
+	Duration = time.Hour
+	// maxSignatures bounds the signatures in quarantine.
+	maxSignatures = 128
 )
 
-// Trait identifies a part of the prompts for a service.
-type Trait struct {
-	Service string `json:"s"`
-	ID      string `json:"p"`
-}
-
-// Signature identifies the calls for a service that have all of the given parts in their
-// prompts. Traits is sorted and not empty.
-type Signature struct {
-	Service string   `json:"s"`
-	Traits  []string `json:"p"`
-}
-
-// Matches reports whether a call for a service has all parts of the signature.
-func (s *Signature) Matches(service string, parts []string) bool {
-	if s.Service != service {
-		return false
-	}
-	return !slices.ContainsFunc(s.Traits, func(id string) bool { return !slices.Contains(parts, id) })
-}
-
-// equal reports whether two signatures are the same.
-func (s Signature) equal(o Signature) bool {
-	return s.Service == o.Service && slices.Equal(s.Traits, o.Traits)
-}
-
-// Equal reports whether two lists hold the same signatures in the same order.
-func Equal(a, b []Signature) bool {
-	return slices.EqualFunc(a, b, func(x, y Signature) bool { return x.equal(y) })
-}
-
-// Loss is a call that was lost with its engine before its answer began.
-type Loss struct {
-	Engine  fleet.Incarnation `json:"e"`
-	Service string            `json:"s"`
-	Traits  []string          `json:"p"`
-}
-
-// suspect is the evidence against a part.
+// suspect is the evidence against a trait.
 type suspect struct {
-	// crashes holds when a call with the part was last lost on each crashed engine.
+	// crashes holds when a call with the trait was last lost on each crashed upstream.
 	crashes map[fleet.Incarnation]time.Duration
-	// companions are the parts that were present in all of these calls, sorted.
+	// companions are the parts of prompts that were present in all of these calls, sorted.
 	companions []string
 	// enoughAt is when the crashes first were enough for a quarantine; zero until then.
 	enoughAt time.Duration
@@ -82,25 +48,31 @@
 // returns an empty one.
 type Detector struct {
 	suspects map[Trait]*suspect
-	// cleared holds when a part was last cleared, and soundAt, by service, when any was.
+	// cleared holds when a trait was last cleared, and soundAt, by service, when any was.
 	cleared map[Trait]time.Duration
 	soundAt map[string]time.Duration
 	// explained holds the crashes whose cause is known, and when it became known.
 	explained map[fleet.Incarnation]time.Duration
-	// since holds when this detector first saw each signature in quarantine, by its key.
-	since map[string]time.Duration
+	// terms holds what is known of each signature in quarantine, by its key.
+	terms map[string]*term
 }
 
-// New returns a detector without evidence.
-func New() *Detector {
-	return &Detector{
-		suspects: map[Trait]*suspect{}, cleared: map[Trait]time.Duration{},
-		soundAt: map[string]time.Duration{}, explained: map[fleet.Incarnation]time.Duration{}, since: map[string]time.Duration{},
+// New returns a detector that goes on with the evidence of an earlier one.
+func New(evidence []Evidence, now time.Duration) *Detector {
+	d := &Detector{
+		suspects: map[Trait]*suspect{}, cleared: map[Trait]time.Duration{}, soundAt: map[string]time.Duration{},
+		explained: map[fleet.Incarnation]time.Duration{}, terms: map[string]*term{},
 	}
+	for _, e := range evidence {
+		for _, engine := range e.Crashes {
+			d.addEvidence(e.Trait, Loss{Engine: engine, Service: e.Trait.Service, Traits: e.Companions}, now)
+		}
+	}
+	return d
 }
 
 // Lost records the loss of a call. inForce is what is in quarantine: such a call, sent
-// before that, explains the crash of its engine, which no longer counts against other parts.
+// before that, explains the crash of its upstream, which no longer counts against other traits.
 func (d *Detector) Lost(l Loss, inForce []Signature, now time.Duration) {
 	if slices.ContainsFunc(inForce, func(s Signature) bool { return s.Matches(l.Service, l.Traits) }) {
 		d.explain(l.Engine, now)
@@ -110,21 +82,22 @@
 		return
 	}
 	for _, id := range l.Traits {
-		part := Trait{l.Service, id}
-		if at, ok := d.cleared[part]; ok && now-at < clearedTTL {
+		trait := Trait{l.Service, id}
+		if at, ok := d.cleared[trait]; ok && now-at < clearedTTL {
 			continue
 		}
-		d.addEvidence(part, l, now)
+		d.addEvidence(trait, l, now)
 	}
 	d.limitSuspects()
 }
 
-// addEvidence adds the loss of a call to the evidence against one of its parts.
-func (d *Detector) addEvidence(part Trait, l Loss, now time.Duration) {
-	s := d.suspects[part]
+// addEvidence adds the loss of a call to the evidence against one of its traits.
+func (d *Detector) addEvidence(trait Trait, l Loss, now time.Duration) {
+	s := d.suspects[trait]
 	if s == nil {
-		s = &suspect{crashes: map[fleet.Incarnation]time.Duration{}, companions: slices.Sorted(slices.Values(l.Traits))}
-		d.suspects[part] = s
+		s = &suspect{crashes: map[fleet.Incarnation]time.Duration{}}
+		s.companions = slices.DeleteFunc(slices.Sorted(slices.Values(l.Traits)), IsRequest)
+		d.suspects[trait] = s
 	}
 	s.companions = slices.DeleteFunc(s.companions, func(id string) bool { return !slices.Contains(l.Traits, id) })
 	maps.DeleteFunc(s.crashes, func(_ fleet.Incarnation, at time.Duration) bool { return now-at > evidenceTTL })
@@ -141,13 +114,13 @@
 func (d *Detector) explain(e fleet.Incarnation, now time.Duration) {
 	maps.DeleteFunc(d.explained, func(_ fleet.Incarnation, at time.Duration) bool { return now-at > evidenceTTL })
 	d.explained[e] = now
-	d.dropCrash(e)
+	d.dropCrash(e, func(Trait) bool { return true })
 }
 
-// dropCrash removes the crash of an engine from the evidence.
-func (d *Detector) dropCrash(e fleet.Incarnation) {
-	for part, s := range d.suspects {
-		if _, ok := s.crashes[e]; !ok {
+// dropCrash removes the crash of an upstream from the evidence against the chosen traits.
+func (d *Detector) dropCrash(e fleet.Incarnation, chosen func(Trait) bool) {
+	for trait, s := range d.suspects {
+		if _, ok := s.crashes[e]; !ok || !chosen(trait) {
 			continue
 		}
 		delete(s.crashes, e)
@@ -155,143 +128,202 @@
 			s.enoughAt = 0
 		}
 		if len(s.crashes) == 0 {
-			delete(d.suspects, part)
+			delete(d.suspects, trait)
 		}
 	}
 }
 
-// Alive drops the crashes of engines that have sent bytes since a call on them was lost: the
-// answer was lost on its way, or the engine broke it off.
+// Alive drops the crashes of upstreams that have sent bytes since a call on them was lost: the
+// answer was lost on its way, or the upstream broke it off.
 func (d *Detector) Alive(engines []fleet.Incarnation) {
 	for _, e := range engines {
-		d.dropCrash(e)
+		d.dropCrash(e, func(Trait) bool { return true })
 	}
 }
 
-// limitSuspects drops the suspects with the oldest evidence beyond maxSuspects.
+// limitSuspects drops the suspects with the least evidence beyond maxSuspects.
 func (d *Detector) limitSuspects() {
-	for len(d.suspects) > maxSuspects {
-		var oldest Trait
-		for part, s := range d.suspects {
-			if o := d.suspects[oldest]; o == nil || s.lastAt < o.lastAt || s.lastAt == o.lastAt && compareTrait(part, oldest) < 0 {
-				oldest = part
-			}
-		}
-		delete(d.suspects, oldest)
+	if len(d.suspects) <= maxSuspects {
+		return
+	}
+	// A tenth more is dropped than needed, so that this is done for a few calls only.
+	for _, trait := range d.byEvidence(slices.Collect(maps.Keys(d.suspects)))[maxSuspects*9/10:] {
+		delete(d.suspects, trait)
 	}
 }
 
-// Served clears the parts of calls that an entry node has seen answered.
-func (d *Detector) Served(parts []Trait, now time.Duration) {
-	for _, part := range parts {
-		delete(d.suspects, part)
-		d.cleared[part], d.soundAt[part.Service] = now, now
+// byEvidence sorts suspects: those with the most crashes first, and of equal ones the latest.
+func (d *Detector) byEvidence(traits []Trait) []Trait {
+	slices.SortFunc(traits, func(a, b Trait) int {
+		x, y := d.suspects[a], d.suspects[b]
+		return cmp.Or(cmp.Compare(len(y.crashes), len(x.crashes)), cmp.Compare(y.lastAt, x.lastAt), compareTrait(a, b))
+	})
+	return traits
+}
+
+// Served clears the traits of calls that an entry node has seen answered.
+func (d *Detector) Served(traits []Trait, now time.Duration) {
+	for _, trait := range traits {
+		delete(d.suspects, trait)
+		d.cleared[trait], d.soundAt[trait.Service] = now, now
 	}
 	maps.DeleteFunc(d.cleared, func(_ Trait, at time.Duration) bool { return now-at > clearedTTL })
 }
 
 // minSuspectCrashes is the number of crashes from which on the entry nodes are asked to clear
-// a part: early enough before minCrashes, and not for each call that is lost by itself.
+// a trait: early enough before minCrashes, and not for each call that is lost by itself.
 const minSuspectCrashes = minCrashes - 1
 
-// Suspects returns the parts that the entry nodes are asked to clear, sorted: those with
-// several crashes against them and those in quarantine.
-func (d *Detector) Suspects(inForce []Signature) []Trait {
-	var parts []Trait
-	for part, s := range d.suspects {
+// listed returns the suspects with several crashes against them, sorted, at most those with the
+// most evidence.
+func (d *Detector) listed() []Trait {
+	var traits []Trait
+	for trait, s := range d.suspects {
 		if len(s.crashes) >= minSuspectCrashes {
-			parts = append(parts, part)
+			traits = append(traits, trait)
 		}
 	}
+	traits = d.byEvidence(traits)
+	traits = traits[:min(len(traits), maxListed)]
+	slices.SortFunc(traits, compareTrait)
+	return traits
+}
+
+// Suspects returns the traits that the entry nodes are asked to clear, sorted: those with
+// several crashes against them and those in quarantine.
+func (d *Detector) Suspects(inForce []Signature) []Trait {
+	traits := d.listed()
 	for _, s := range inForce {
 		for _, id := range s.Traits {
-			parts = append(parts, Trait{s.Service, id})
+			traits = append(traits, Trait{s.Service, id})
 		}
 	}
-	slices.SortFunc(parts, compareTrait)
-	return slices.Compact(parts)
+	slices.SortFunc(traits, compareTrait)
+	return slices.Compact(traits)
 }
 
-// Doubted returns the engines whose crashes count against the suspects, sorted. The entry
+// Doubted returns the upstreams whose crashes count against the suspects, sorted. The entry
 // nodes are asked whether they still send bytes.
 func (d *Detector) Doubted() []fleet.Incarnation {
 	var engines []fleet.Incarnation
-	for _, s := range d.suspects {
-		if len(s.crashes) >= minSuspectCrashes {
-			engines = slices.AppendSeq(engines, maps.Keys(s.crashes))
-		}
+	for _, trait := range d.listed() {
+		engines = slices.AppendSeq(engines, maps.Keys(d.suspects[trait].crashes))
 	}
-	slices.SortFunc(engines, func(a, b fleet.Incarnation) int {
-		return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
-	})
-	return slices.Compact(engines)
+	slices.SortFunc(engines, compareEngine)
+	engines = slices.Compact(engines)
+	return engines[:min(len(engines), maxListed)]
 }
 
-func compareTrait(a, b Trait) int {
-	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+// Evidence returns what a detector of another leader needs to go on.
+func (d *Detector) Evidence() []Evidence {
+	var evidence []Evidence
+	for _, trait := range d.listed() {
+		s := d.suspects[trait]
+		crashes := slices.SortedFunc(maps.Keys(s.crashes), compareEngine)
+		evidence = append(evidence, Evidence{Trait: trait, Crashes: crashes, Companions: slices.Clone(s.companions)})
+	}
+	return evidence
 }
 
 // Decide returns what shall be in quarantine from now on: the signatures in force without
-// those that have been there for Duration and without the parts that were cleared, and the
-// signatures of parts with enough evidence against them.
+// those that have been there for too long and without the traits that were cleared, with the
+// trials that are due, and the signatures of traits with enough evidence against them.
 func (d *Detector) Decide(inForce []Signature, now time.Duration) []Signature {
 	next := d.review(inForce, now)
+	found := d.requestSignatures(now)
 	for {
-		s, ok := d.nextSignature(now)
+		s, ok := d.nextPartSignature(now)
 		if !ok {
 			break
 		}
-		next = append(next, s)
+		found = append(found, s)
 	}
-	return next[max(0, len(next)-MaxSignatures):]
+	for _, s := range found {
+		if !slices.ContainsFunc(next, func(o Signature) bool { return o.Key() == s.Key() }) {
+			next = append(next, s)
+		}
+	}
+	return limitSignatures(next)
+}
+
+// limitSignatures drops signatures beyond maxSignatures: the oldest of those that no trial has
+// confirmed, then the oldest.
+func limitSignatures(signatures []Signature) []Signature {
+	for len(signatures) > maxSignatures {
+		oldest := max(0, slices.IndexFunc(signatures, func(s Signature) bool { return s.Trials == 0 }))
+		signatures = slices.Delete(signatures, oldest, oldest+1)
+	}
+	return signatures
 }
 
 // review returns the signatures that stay in quarantine.
 func (d *Detector) review(inForce []Signature, now time.Duration) []Signature {
 	var kept []Signature
-	since := map[string]time.Duration{}
+	terms := map[string]*term{}
 	for _, s := range inForce {
-		key := s.key()
-		from, known := d.since[key]
-		if !known {
-			from = now
+		t := d.terms[s.Key()]
+		if t == nil {
+			t = newTerm(&s, now)
 		}
 		s.Traits = slices.DeleteFunc(slices.Clone(s.Traits), func(id string) bool {
 			at, ok := d.cleared[Trait{s.Service, id}]
-			return ok && at >= from
+			return ok && at >= t.from
 		})
-		if len(s.Traits) == 0 || now-from > Duration {
+		if len(s.Traits) == 0 || now-t.from > Duration {
 			continue
 		}
-		since[s.key()] = from
+		terms[s.Key()] = t
+		if t.trialDue(&s, now) {
+			s.Trials++
+			t.proposed, t.taken = s.Trials, false
+		}
 		kept = append(kept, s)
 	}
-	d.since = since
+	d.terms = terms
 	return kept
 }
 
-// key returns a string that identifies the signature.
-func (s *Signature) key() string {
-	key := s.Service
-	for _, id := range s.Traits {
-		key += "\x00" + id
+// requestSignatures returns the signatures of the requests with enough evidence against them, if
+// the entry nodes had the time to clear one of them. A sound request that was lost with
+// each of the crashed upstreams cannot be told from the one that crashed them: both are
+// returned. The crashes then count against no part of a prompt.
+func (d *Detector) requestSignatures(now time.Duration) []Signature {
+	var enough []Trait
+	settled := false
+	for trait, s := range d.suspects {
+		if IsRequest(trait.ID) && s.enoughAt != 0 {
+			enough = append(enough, trait)
+			settled = settled || now-s.enoughAt >= settleTime
+		}
+	}
+	if !settled {
+		return nil
+	}
+	slices.SortFunc(enough, compareTrait)
+	var signatures []Signature
+	for _, trait := range enough {
+		signatures = append(signatures, Signature{Service: trait.Service, Traits: []string{trait.ID}})
+		for engine := range d.suspects[trait].crashes {
+			d.dropCrash(engine, func(t Trait) bool { return !IsRequest(t.ID) })
+		}
+		delete(d.suspects, trait)
 	}
-	return key
+	return signatures
 }
 
-// nextSignature returns the signature of the part with the most crashes, if these are enough, the
-// entry nodes had the time to clear it, and the service serves other calls. Its crashes are
-// explained from then on.
-func (d *Detector) nextSignature(now time.Duration) (Signature, bool) {
+// nextPartSignature returns the signature of the part of prompts with the most crashes, if these
+// are enough, the entry nodes had the time to clear it, and the service serves other calls.
+// Its crashes are explained from then on.
+func (d *Detector) nextPartSignature(now time.Duration) (Signature, bool) {
 	var worst Trait
 	var found *suspect
-	for part, s := range d.suspects {
-		soundAt, sound := d.soundAt[part.Service]
-		if s.enoughAt == 0 || now-s.enoughAt < settleTime || !sound || now-soundAt > clearedTTL {
+	for trait, s := range d.suspects {
+		soundAt, sound := d.soundAt[trait.Service]
+		if IsRequest(trait.ID) || s.enoughAt == 0 || now-s.enoughAt < settleTime || !sound || now-soundAt > clearedTTL {
 			continue
 		}
-		if found == nil || len(s.crashes) > len(found.crashes) || len(s.crashes) == len(found.crashes) && compareTrait(part, worst) < 0 {
-			worst, found = part, s
+		if found == nil || len(s.crashes) > len(found.crashes) || len(s.crashes) == len(found.crashes) && compareTrait(trait, worst) < 0 {
+			worst, found = trait, s
 		}
 	}
 	if found == nil {
