confstate: the last signature can leave quarantine

Callers' view: a sound request that was in quarantine alone stayed refused although a call on trial had been answered. An empty list was encoded as null, which the log's reader takes for a field that is not set, so that the command changed nothing; the leader proposed it again each tick.

--- a/confstate/confstate.go
+++ b/confstate/confstate.go
@@ -54,6 +54,19 @@
 	Evidence *[]quarantine.Evidence `json:"evidence,omitempty"`
 }
 
+// SetQuarantine returns the command that replaces the signatures in quarantine. A nil list would
+// be encoded as if the field were not set.
+func SetQuarantine(signatures []quarantine.Signature) Command {
+	list := append([]quarantine.Signature{}, signatures...)
+	return Command{Quarantine: &list}
+}
+
+// SetEvidence returns the command that replaces the evidence.
+func SetEvidence(evidence []quarantine.Evidence) Command {
+	list := append([]quarantine.Evidence{}, evidence...)
+	return Command{Evidence: &list}
+}
+
 // Configure puts a configuration in force, unless one of the same or a higher version is
 // in force.
 type Configure struct {
--- a/confstate/confstate_test.go
+++ b/confstate/confstate_test.go
@@ -1,11 +1,13 @@
 package confstate_test
 
 import (
+	"encoding/json"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/agateslip/agateslip/confstate"
+	"github.com/agateslip/agateslip/quarantine"
 )
 
 func configureCommand(version uint64, text string) confstate.Command {
@@ -50,3 +52,26 @@
 	is.Equal(got.Members[77].Link, "a:1")
 	is.Equal(len(got.Members), 2)
 }
+
+// TestLastSignatureLeavesQuarantine empties the quarantine and the evidence by commands that went through
+// the log.
+func TestLastSignatureLeavesQuarantine(t *testing.T) {
+	is := is.New(t)
+	s := confstate.New()
+	apply := func(index uint64, c confstate.Command) {
+		data, err := json.Marshal(c)
+		is.NoErr(err)
+		var logged confstate.Command
+		is.NoErr(json.Unmarshal(data, &logged))
+		s.Apply(index, logged)
+	}
+	apply(1, confstate.SetQuarantine([]quarantine.Signature{{Service: "s", Traits: []string{"bad"}}}))
+	apply(2, confstate.SetEvidence([]quarantine.Evidence{{Trait: quarantine.Trait{Service: "s", ID: "p"}}}))
+	is.Equal(len(s.Quarantine), 1)
+	is.Equal(len(s.Evidence), 1)
+	apply(3, confstate.SetQuarantine(nil))
+	apply(4, confstate.SetEvidence(nil))
+	is.Equal(len(s.Quarantine), 0)
+	is.Equal(len(s.Evidence), 0)
+	is.Equal(s.Orderer, confstate.Orderer{})
+}
--- a/internal/controller/quarantine.go
+++ b/internal/controller/quarantine.go
@@ -104,7 +104,7 @@
 	c.quarantine.proposing = true
 	c.metrics.Count("quarantine changed")
 	c.log.Event("quarantine changes", eventlog.Fields{"term": c.term, "before": before, "after": after})
-	c.proposeForTerm(ctx, "quarantine not changed", confstate.Command{Quarantine: &after}, func() {
+	c.proposeForTerm(ctx, "quarantine not changed", confstate.SetQuarantine(after), func() {
 		c.quarantine.proposing = false
 	})
 }
@@ -121,7 +121,7 @@
 	}
 	p.proposingEvidence, p.evidenceAt = true, now+evidenceInterval
 	c.log.Event("evidence changes", eventlog.Fields{"term": c.term, "evidence": evidence})
-	c.proposeForTerm(ctx, "evidence not changed", confstate.Command{Evidence: &evidence}, func() {
+	c.proposeForTerm(ctx, "evidence not changed", confstate.SetEvidence(evidence), func() {
 		c.quarantine.proposingEvidence = false
 	})
 }
