--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -86,7 +86,7 @@
 // collectDemand returns the next report. It runs on the loop.
 func (e *Edge) collectDemand() demandReport {
 	now := boottime.Now()
-	served := e.crashEvidence.servedSuspects(now)
+	served := e.crashEvidence.ServedSuspects(now)
 	waiters := e.trialWaiters
 	e.trialWaiters = nil
 	var limits []nodelink.RateLimit
@@ -96,7 +96,7 @@
 	request := nodelink.DemandRequest{
 		Report: e.nodeReport(), Leaving: slices.Collect(maps.Keys(e.unreportedLeaving)),
 		RateLimits: limits, PermitWants: e.dispatcher.PermitWants(now),
-		Losses: slices.Clone(e.crashEvidence.losses), Served: slices.Collect(maps.Keys(served)), Alive: e.aliveUpstreams(),
+		Losses: e.crashEvidence.Losses(), Served: slices.Collect(maps.Keys(served)), Alive: e.aliveUpstreams(),
 		Trials: wantedTrials(waiters),
 	}
 	return demandReport{DemandRequest: request, servedAt: served, trialWaiters: waiters}
@@ -159,7 +159,7 @@
 		for _, incarnation := range request.Leaving {
 			delete(e.unreportedLeaving, incarnation)
 		}
-		e.crashEvidence.confirmReport(len(request.Losses), r.servedAt)
+		e.crashEvidence.Confirm(len(request.Losses), r.servedAt)
 		for _, q := range request.Report.Quality {
 			e.reportedQuality[q.Upstream] = q
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -29,6 +29,7 @@
 	"github.com/agateslip/agateslip/internal/peer"
 	"github.com/agateslip/agateslip/internal/supervisor"
 	"github.com/agateslip/agateslip/internal/upstreamconn"
+	"github.com/agateslip/agateslip/quarantine"
 	"github.com/agateslip/agateslip/residency"
 	"github.com/agateslip/agateslip/routes"
 )
@@ -99,7 +100,7 @@
 	// counts that the leader has received.
 	streamQuality   map[string]residency.Quality
 	reportedQuality map[string]residency.Quality
-	crashEvidence   crashEvidence
+	crashEvidence   quarantine.Reporter
 	// trialWaiters are the calls whose wish for a trial the leader does not know yet.
 	trialWaiters []trialWaiter
 	// unreportedLeaving holds the upstreams that said that they are leaving and of which
@@ -140,7 +141,7 @@
 		reportedArrivals: map[dispatch.ModelKey]uint64{},
 		streamQuality:    map[string]residency.Quality{},
 		reportedQuality:  map[string]residency.Quality{},
-		crashEvidence:    newCrashEvidence(),
+		crashEvidence:    quarantine.NewReporter(),
 
 		unreportedLeaving: map[fleet.Incarnation]bool{},
 	}
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -60,8 +60,8 @@
 		e.noteInformed()
 	}
 	now := boottime.Now()
-	e.crashEvidence.setAsked(s, now)
-	if len(e.crashEvidence.servedSuspects(now)) > 0 {
+	e.crashEvidence.SetAsked(s.Suspects, s.Doubted, now)
+	if len(e.crashEvidence.ServedSuspects(now)) > 0 {
 		e.signalDemand()
 	}
 	if len(s.Doubted) > 0 {
@@ -73,7 +73,7 @@
 // runs on the loop.
 func (e *Edge) aliveUpstreams() []fleet.Incarnation {
 	var alive []fleet.Incarnation
-	for u, since := range e.crashEvidence.doubted {
+	for u, since := range e.crashEvidence.Doubted() {
 		known, ok := e.upstreams[u.ID]
 		if ok && known.desc.Born == u.Born && e.pool.LastRead(known.desc.Addr) > since+aliveDelay/2 {
 			alive = append(alive, u)
@@ -202,7 +202,7 @@
 	case lost:
 		c.edge.loop.Post(func() {
 			engine := fleet.Incarnation{ID: u.ID, Born: u.Born}
-			c.edge.crashEvidence.recordLoss(quarantine.Loss{Engine: engine, Service: service, Traits: traits})
+			c.edge.crashEvidence.RecordLoss(quarantine.Loss{Engine: engine, Service: service, Traits: traits})
 			c.edge.signalDemand()
 		})
 	}
@@ -210,7 +210,7 @@
 
 // noteServed records that a call with the given traits was served. It runs on the loop.
 func (e *Edge) noteServed(service string, traits []string) {
-	if e.crashEvidence.recordServed(service, traits, boottime.Now()) {
+	if e.crashEvidence.RecordServed(service, traits, boottime.Now()) {
 		e.signalDemand()
 	}
 }
--- /dev/null
+++ b/quarantine/reporter_test.go
@@ -0,0 +1,43 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestServedSuspectsAreReportedOnce checks which parts this node clears: those that the leader
+// asks about, that calls were served with lately, and that it has not cleared since.
+func TestServedSuspectsAreReportedOnce(t *testing.T) {
+	is := is.New(t)
+	p := NewReporter()
+	first, other := Trait{Service: "s", ID: "first"}, Trait{Service: "s", ID: "other"}
+	at := 100 * time.Second
+	is.True(!p.RecordServed("s", []string{"first"}, at)) // nobody asks yet
+	p.suspects = []Trait{first, other}
+	served := p.ServedSuspects(at + time.Second)
+	is.Equal(served, map[Trait]time.Duration{first: at})
+	p.Confirm(0, served)
+	is.Equal(len(p.ServedSuspects(at+time.Second)), 0)
+	is.True(p.RecordServed("s", []string{"first"}, at+2*time.Second)) // served again
+	is.Equal(len(p.ServedSuspects(at+2*time.Second)), 1)
+	is.Equal(len(p.ServedSuspects(at+2*time.Second+2*servedTTL+1)), 0) // too long ago
+	is.True(!p.RecordServed("other service", []string{"other"}, at+30*time.Second))
+}
+
+// TestEvidenceIsBounded has a node without a leader lose calls and serve ever other prompts.
+func TestEvidenceIsBounded(t *testing.T) {
+	is := is.New(t)
+	p := NewReporter()
+	for i := range 3 * maxUnreportedLosses {
+		p.RecordLoss(Loss{Service: "s", Traits: []string{fmt.Sprint(i)}})
+	}
+	is.Equal(len(p.losses), maxUnreportedLosses)
+	is.Equal(p.losses[0].Traits[0], fmt.Sprint(2*maxUnreportedLosses)) // the latest are kept
+	for i := range 100 {
+		p.RecordServed("s", []string{fmt.Sprint(i)}, time.Duration(i)*time.Second)
+	}
+	is.True(len(p.served)+len(p.servedBefore) <= 3*int(servedTTL/time.Second))
+}
