node, gateway: calls that crash upstreams are refused on the product's own nodes too

Callers' view: a call that crashes the upstreams of its service reached as many as its retries allowed, each time it came, and ended the calls beside it.

The scope of the evidence is the customer's call, so that no customer can shut out another's. A new leader adopts what the nodes have in quarantine.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/agateslip/agateslip/contract"
 	"github.com/agateslip/agateslip/ledger"
 )
@@ -39,6 +43,17 @@
 	// Deadline is when the answer must have started. A call without an answer by then
 	// is refused.
 	Deadline time.Time
+	// fingerprint is the result of Fingerprint; empty before its first call.
+	fingerprint string
+}
+
+// Fingerprint returns a digest that all repeats of the call share. It is not safe for concurrent
+// use before its first return.
+func (c *Call) Fingerprint() string {
+	if c.fingerprint == "" {
+		c.fingerprint = fingerprint(c)
+	}
+	return c.fingerprint
 }
 
 // Customer returns the name of the customer whose contract covers the call.
@@ -76,10 +91,27 @@
 	Addr string
 	// Resumes reports whether the upstream can resume a stream at a given token.
 	Resumes bool
+	// Lost reports that the connection ended after the call was sent and before its answer was
+	// complete: the call may have crashed the upstream. It is called before Done; nil if
+	// nobody wants to know.
+	Lost func()
 	// Done reports how the attempt ended. It must be called exactly once.
 	Done func(AttemptResult)
 }
 
+// reportLoss calls Lost if err, with which an attempt ended, is the end of its connection.
+func (r *Route) reportLoss(err error) {
+	if r.Lost == nil || err == nil || ranFromError(err) == NotRun {
+		return
+	}
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			r.Lost()
+			return
+		}
+	}
+}
+
 // AttemptResult tells the router how an attempt ended.
 type AttemptResult uint8
 
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -56,6 +56,7 @@
 	ReasonNoShare          Reason = "node-without-share"
 	ReasonNoMemory         Reason = "node-memory"
 	ReasonUpstreamFailed   Reason = "upstream-failed"
+	ReasonCrashesUpstreams Reason = "crashes-upstreams"
 	ReasonClaimUnavailable Reason = "claim-unavailable"
 	ReasonKeyReused        Reason = "idempotency-key-reused"
 	ReasonKeyMalformed     Reason = "idempotency-key-malformed"
@@ -84,6 +85,7 @@
 	ReasonNoShare:          http.StatusServiceUnavailable,
 	ReasonNoMemory:         http.StatusServiceUnavailable,
 	ReasonUpstreamFailed:   http.StatusBadGateway,
+	ReasonCrashesUpstreams: http.StatusServiceUnavailable,
 	ReasonClaimUnavailable: http.StatusServiceUnavailable,
 	ReasonKeyReused:        http.StatusUnprocessableEntity,
 	ReasonKeyMalformed:     http.StatusBadRequest,
--- a/internal/gateway/repeatable.go
+++ b/internal/gateway/repeatable.go
@@ -144,6 +144,7 @@
 	resp, err := s.roundTrip(ctx, c, a)
 	if err != nil {
 		stopTimer()
+		a.route.reportLoss(err)
 		a.route.Done(resultOfSendError(err))
 		return err
 	}
@@ -158,6 +159,7 @@
 	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
 		err = &attemptError{ran: DidRun, err: errStalled}
 	}
+	a.route.reportLoss(err)
 	a.route.Done(resultOfRelay(caller, err, out.tokensSent > a.resumeFrom))
 	return err
 }
--- a/internal/gateway/runonce.go
+++ b/internal/gateway/runonce.go
@@ -49,7 +49,7 @@
 func (g *Gateway) runOnce(w http.ResponseWriter, r *http.Request, c *Call) error {
 	claim := ledger.Claim{
 		Key:         ledger.Key{Customer: c.Customer(), Idempotency: c.IdempotencyKey},
-		Fingerprint: fingerprint(c),
+		Fingerprint: c.Fingerprint(),
 		Owner:       g.claims.Owner(),
 		Attempt:     uuid.NewString(),
 	}
@@ -300,6 +300,7 @@
 func (s *sender) attemptOnce(ctx context.Context, c *Call, a attempt) runOnceOutcome {
 	resp, err := s.roundTrip(ctx, c, a)
 	if err != nil {
+		a.route.reportLoss(err)
 		a.route.Done(resultOfSendError(err))
 		return failedOutcome(err)
 	}
@@ -307,6 +308,7 @@
 	if outcome.state == ledger.Ran {
 		a.route.Done(AttemptOK)
 	} else {
+		a.route.reportLoss(outcome.err)
 		a.route.Done(AttemptFailed)
 	}
 	return outcome
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -56,6 +56,8 @@
 	// learnedAt; nil if there are none. They are kept across terms.
 	learned   *placement.LearnedPatterns
 	learnedAt time.Duration
+	// crashes finds the calls that crash upstreams.
+	crashes crashJudge
 	// planNow wakes the planner before its next regular round.
 	planNow chan struct{}
 }
@@ -78,6 +80,7 @@
 	}
 	ld.nodes = map[string]lastReport{}
 	ld.suspects = nil
+	ld.crashes = newCrashJudge(now)
 	ld.demand = map[string]*nodeDemand{}
 	ld.forecasts = map[placement.Key]placement.Forecast{}
 }
@@ -109,7 +112,9 @@
 func (ld *leaderState) acceptReport(req syncRequest, now time.Duration) syncReply {
 	ld.nodes[req.Node] = lastReport{boot: req.Boot, receivedAt: now}
 	ld.recordDemand(req, now)
-	reply := syncReply{Leads: true, Term: ld.term, Grant: ld.allocator.Report(req.Report, now)}
+	reply := syncReply{
+		Leads: true, Term: ld.term, Grant: ld.allocator.Report(req.Report, now), Crashes: ld.crashes.accept(req.Crashes, now),
+	}
 	for _, d := range req.Demand {
 		if f, ok := ld.forecasts[d.Key]; ok {
 			reply.Forecasts = append(reply.Forecasts, f)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -80,6 +80,7 @@
 	ended       chan struct{}
 	cache       *cacheEvents
 	leaderState *leaderState
+	crashes     crashWatch
 }
 
 func newControlLoop(n *Node) *controlLoop {
@@ -101,6 +102,7 @@
 		pullRequests:     make(chan string, 1),
 		selectorVersions: map[string]uint64{},
 		reportNow:        make(chan struct{}, 1),
+		crashes:          newCrashWatch(),
 		ended:            make(chan struct{}),
 	}
 	l.cache = newCacheEvents(l.selector)
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -49,6 +49,8 @@
 	// Demand holds the calls waiting and running on the node and the arrivals since the
 	// last report.
 	Demand []placement.Demand `json:"demand,omitempty"`
+	// Crashes is what the node knows of calls that crash upstreams.
+	Crashes *crashReport `json:"crashes,omitempty"`
 }
 
 // syncReply answers a syncRequest.
@@ -64,6 +66,8 @@
 	Grant  admission.Grant `json:"grant"`
 	// Forecasts holds the forecasts for the models in the report's demand.
 	Forecasts []placement.Forecast `json:"forecasts,omitempty"`
+	// Crashes answers the report's Crashes.
+	Crashes *crashReply `json:"crashes,omitempty"`
 }
 
 // proposeRequest carries an encoded control.Command.
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -8,15 +8,18 @@
 	"github.com/agateslip/agateslip/internal/gateway"
 	"github.com/agateslip/agateslip/routing"
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 )
 
 // router implements gateway.Router by asking the control loop.
 type router struct{ loop *controlLoop }
 
-// selection is the selector's choice of an upstream and its result code.
+// selection is the selector's choice of an upstream and its result code, or the refusal of
+// a call that may not be sent.
 type selection struct {
-	choice routing.Choice
-	result routing.Result
+	choice  routing.Choice
+	result  routing.Result
+	refusal *gateway.Refusal
 }
 
 // Pick implements gateway.Router.
@@ -27,7 +30,20 @@
 		q.Adapter = c.Adapter
 		q.Prefix = blockHashes(c.PrefixHashes)
 	}
-	p, ok := call(context.Background(), r.loop, func() selection { return r.loop.pick(q, len(tried) == 0) })
+	c.Fingerprint() // not on the control goroutine, which would hold up other calls
+	p, ok := call(context.Background(), r.loop, func() selection {
+		if refusal := r.loop.crashRefusal(c); refusal != nil {
+			return selection{refusal: refusal}
+		}
+		p := r.loop.pick(q, len(tried) == 0)
+		if p.result == routing.Chosen && r.loop.crashes.useTrial(c) {
+			r.loop.log.WithFields(logrus.Fields{"upstream": p.choice.Upstream, "request": c.Fingerprint()}).Info("sent on trial")
+		}
+		return p
+	})
+	if p.refusal != nil {
+		return gateway.Route{}, p.refusal
+	}
 	if !ok || p.result != routing.Chosen {
 		refusal := gateway.NewRefusal(gateway.ReasonNoUpstream, defaultRetryAfter, "no upstream can take the call: "+p.result.String())
 		return gateway.Route{}, errors.Mark(refusal, gateway.ErrBusy)
@@ -36,7 +52,10 @@
 		Upstream: p.choice.Upstream,
 		Addr:     p.choice.Addr,
 		Resumes:  c.Service == "",
-		Done:     func(res gateway.AttemptResult) { r.done(p.choice, res) },
+		Lost: func() {
+			r.loop.post(context.Background(), func() { r.loop.recordLoss(c, p.choice.Upstream) })
+		},
+		Done: func(res gateway.AttemptResult) { r.done(c, p.choice, res) },
 	}, nil
 }
 
@@ -63,7 +82,7 @@
 }
 
 // done reports the end of an attempt to the selector.
-func (r *router) done(c routing.Choice, res gateway.AttemptResult) {
+func (r *router) done(c *gateway.Call, choice routing.Choice, res gateway.AttemptResult) {
 	ending := map[gateway.AttemptResult]routing.Ending{
 		gateway.AttemptOK:          routing.Answered,
 		gateway.AttemptFailed:      routing.Failed,
@@ -71,7 +90,12 @@
 		gateway.AttemptCanceled:    routing.Canceled,
 		gateway.AttemptInterrupted: routing.Canceled,
 	}[res]
-	r.loop.post(context.Background(), func() { r.loop.selector.Done(c, ending, r.loop.now()) })
+	r.loop.post(context.Background(), func() {
+		r.loop.selector.Done(choice, ending, r.loop.now())
+		if res == gateway.AttemptOK {
+			r.loop.recordServed(c)
+		}
+	})
 }
 
 // noDeadline is later than every deadline; a started stream has none.
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -60,7 +60,10 @@
 		return false
 	}
 	n.proofs.add(asked, reply.Commit)
-	n.loop.post(ctx, func() { n.loop.applySyncReply(reply) })
+	n.loop.post(ctx, func() {
+		n.loop.applySyncReply(reply)
+		n.loop.applyCrashReply(req.Crashes, reply.Crashes)
+	})
 	return true
 }
 
@@ -123,6 +126,8 @@
 		Member: uint64(l.node.memberID),
 		Report: l.throttler.Report(l.now()),
 		Demand: l.collectDemand(),
+
+		Crashes: l.crashes.report(l.now()),
 	}
 }
 
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -37,6 +37,8 @@
 	Slots int
 	// Work is the duration of a call that sets none, before scaling.
 	Work time.Duration
+	// CrashOn, if set, selects the calls that end the service as soon as it runs them.
+	CrashOn func(*http.Request) bool
 	// LeaveGrace is how long Stop still accepts new calls after Leave.
 	LeaveGrace time.Duration
 	// Scale converts the simulated durations to real ones.
@@ -156,6 +158,11 @@
 		return
 	}
 	defer s.slots.release()
+	if s.config.CrashOn != nil && s.config.CrashOn(r) {
+		go s.Kill()
+		<-r.Context().Done()
+		return
+	}
 	number := s.journal.begin(r, body, 0)
 	end := Broken
 	defer func() { s.journal.end(number, 0, end) }()
