controller: a new leader acknowledges no report before its term has begun

Callers' view: a report of lost calls that reached a new leader in the moment between its lease and the start of its term was acknowledged and dropped, so that the entry node did not repeat it, and a request that crashes upstreams needed another crash to be known. The same held for counts of calls and finished streams.

Cause: serveDemand answered with success while there was no planner. It refuses now, as the other handlers do.

--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -250,3 +250,48 @@
 	c.start(0, 1, 2, 3, 4)
 	c.waitFor("the quarantine after the restart", quarantined)
 }
+
+// TestEvidenceSurvivesRestart reports two crashes of upstreams that ran the same request, restarts all nodes
+// and reports the third to the next leader, which quarantines the request. Its trial and the end of its
+// quarantine, the only one, survive likewise.
+func TestEvidenceSurvivesRestart(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 17990, 5)
+	c.start(0, 1, 2, 3, 4)
+	for i := range 5 {
+		c.waitForVoters(i)
+	}
+	request := quarantine.RequestID("deadly")
+	loss := func(i int) quarantine.Loss {
+		return quarantine.Loss{Engine: fleet.Incarnation{ID: fmt.Sprint("e", i)}, Service: "s", Traits: []string{request}}
+	}
+	mesh := c.connect()
+	call := func(method string, request, answer any) bool {
+		return slices.ContainsFunc(c.nodes, func(n *testNode) bool {
+			return mesh.Call(context.Background(), n.cfg.Listen.Links, method, request, answer) == nil
+		})
+	}
+	report := func(r nodelink.DemandRequest) {
+		c.waitFor("the report", func() bool { return call(nodelink.Demand, r, &nodelink.DemandAnswer{}) })
+	}
+	state := func() *nodelink.QuarantineState {
+		var answer nodelink.WatchAnswer
+		if !call(nodelink.Watch, nodelink.WatchRequest{Entry: true}, &answer) {
+			return nil
+		}
+		return answer.Quarantine
+	}
+	restart := func() {
+		time.Sleep(500 * time.Millisecond) // until the evidence has been replicated
+		c.kill(0, 1, 2, 3, 4)
+		c.start(0, 1, 2, 3, 4)
+	}
+	report(nodelink.DemandRequest{Losses: []quarantine.Loss{loss(0), loss(1)}})
+	restart()
+	report(nodelink.DemandRequest{Losses: []quarantine.Loss{loss(2)}})
+	c.waitFor("a trial", func() bool { s := state(); return s != nil && len(s.Trials) == 1 })
+	report(nodelink.DemandRequest{Served: []quarantine.Trait{{Service: "s", ID: request}}})
+	c.waitFor("the end of the quarantine", func() bool { s := state(); return s != nil && len(s.InForce) == 0 })
+	restart()
+	c.waitFor("an empty quarantine after the restart", func() bool { s := state(); return s != nil && len(s.InForce) == 0 })
+}
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -156,8 +156,10 @@
 		return nil, err
 	}
 	var answer nodelink.DemandAnswer
+	leading := false
 	err := c.loop.Do(ctx, func() {
-		if c.planner == nil {
+		// A new leader may not have begun its term yet.
+		if leading = c.planner != nil; !leading {
 			return
 		}
 		now := boottime.Now()
@@ -187,6 +189,9 @@
 			}
 		}
 	})
+	if err == nil && !leading {
+		err = c.notLeaderError()
+	}
 	return answer, err
 }
 
