edge: a new node knows what to refuse before it knows the upstreams; quarantine: late losses are kept

The list of what to refuse was applied after the upstreams, in the same step: calls that waited at a node which had just started could be sent before it. The order is the reverse now, which makes the wait of for both needless; it is taken back (its mutation survived TestNewEntryNodeKnowsWhatToRefuse).

A report's confirmation dropped as many losses as the report had, also where newer ones had pushed out the oldest meanwhile, so that losses nobody had reported were dropped too (TestEvidenceIsBounded, extended, fails on the old code).

--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -67,6 +67,8 @@
 	nodelink.DemandRequest
 	// servedAt holds when the suspects in the report were served.
 	servedAt map[quarantine.Trait]time.Duration
+	// lossesUntil is the number of the last loss in the report.
+	lossesUntil uint64
 	// trialWaiters are the calls that wait for the trials in the report.
 	trialWaiters []trialWaiter
 }
@@ -89,6 +91,7 @@
 	served := e.crashEvidence.ServedSuspects(now)
 	waiters := e.trialWaiters
 	e.trialWaiters = nil
+	losses, until := e.crashEvidence.Losses()
 	var limits []nodelink.RateLimit
 	for upstream, limit := range e.dispatcher.UnlistedRateLimits() {
 		limits = append(limits, nodelink.RateLimit{Upstream: upstream, Limit: limit})
@@ -96,10 +99,10 @@
 	request := nodelink.DemandRequest{
 		Report: e.nodeReport(), Leaving: slices.Collect(maps.Keys(e.unreportedLeaving)),
 		RateLimits: limits, PermitWants: e.dispatcher.PermitWants(now),
-		Losses: e.crashEvidence.Losses(), Served: slices.Collect(maps.Keys(served)), Alive: e.aliveUpstreams(),
+		Losses: losses, Served: slices.Collect(maps.Keys(served)), Alive: e.aliveUpstreams(),
 		Trials: wantedTrials(waiters),
 	}
-	return demandReport{DemandRequest: request, servedAt: served, trialWaiters: waiters}
+	return demandReport{DemandRequest: request, servedAt: served, lossesUntil: until, trialWaiters: waiters}
 }
 
 // nodeReport returns the waiting and running calls, and the counts that changed since
@@ -159,7 +162,7 @@
 		for _, incarnation := range request.Leaving {
 			delete(e.unreportedLeaving, incarnation)
 		}
-		e.crashEvidence.Confirm(len(request.Losses), r.servedAt)
+		e.crashEvidence.Confirm(r.lossesUntil, r.servedAt)
 		for _, q := range request.Report.Quality {
 			e.reportedQuality[q.Upstream] = q
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,7 +11,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -65,10 +64,8 @@
 	leader  *leaderFinder
 	// routing is the configuration in force; nil before the first one arrives.
 	routing atomic.Pointer[routingConfig]
-	// informed is closed once the first configuration is in force and the first list of
-	// the calls to refuse has arrived. Until then no call is sent. informOnce closes it.
-	informed   chan struct{}
-	informOnce sync.Once
+	// configured is closed once the first configuration is in force.
+	configured chan struct{}
 	// entryNodes is the number of entry nodes as last reported by the leader; initially 1.
 	entryNodes atomic.Int64
 	// quarantine identifies the calls to refuse; nil before the first list arrives.
@@ -132,7 +129,7 @@
 		loop:             owner.New(),
 		leader:           newLeaderFinder(seeds),
 		demandChanged:    make(chan struct{}, 1),
-		informed:         make(chan struct{}),
+		configured:       make(chan struct{}),
 		closing:          make(chan struct{}),
 		dispatcher:       dispatch.New(dispatch.DefaultLimits(), cfg.Domain),
 		waiters:          map[dispatch.CallID]chan dispatch.Verdict{},
@@ -193,7 +190,7 @@
 // until Stop is called, otherwise 503.
 func (e *Edge) readiness() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if !e.isInformed() || e.stopping.Load() {
+		if e.routing.Load() == nil || e.stopping.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -263,28 +260,12 @@
 		var conf *routes.Configuration
 		if conf, err = e.decode(text); err == nil {
 			e.routing.Store(&routingConfig{version: c.Version, table: routes.NewTable(conf)})
-			e.noteInformed()
+			if current == nil {
+				close(e.configured)
+			}
 			e.log.Event("configuration in force", eventlog.Fields{"version": c.Version, "routes": len(conf.Routes)})
 			return
 		}
 	}
 	e.log.Event("configuration unreadable", eventlog.Fields{"version": c.Version, "error": err.Error()})
 }
-
-// noteInformed lets calls through once this node knows the configuration and which calls to
-// refuse.
-func (e *Edge) noteInformed() {
-	if e.routing.Load() != nil && e.quarantine.Load() != nil {
-		e.informOnce.Do(func() { close(e.informed) })
-	}
-}
-
-// isInformed reports whether this node knows the configuration and which calls to refuse.
-func (e *Edge) isInformed() bool {
-	select {
-	case <-e.informed:
-		return true
-	default:
-		return false
-	}
-}
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -115,10 +115,12 @@
 		}
 		// Do fails only when the node stops, which ends this loop.
 		err = e.loop.Do(ctx, func() {
-			e.applyUpstreams(answer.Whole, upstreams)
+			// Before the upstreams: a node that has just started must not send the calls that
+			// wait for one before it knows which of them to refuse.
 			if answer.Quarantine != nil {
 				e.applyQuarantine(answer.Quarantine)
 			}
+			e.applyUpstreams(answer.Whole, upstreams)
 		})
 		if err != nil {
 			continue
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -57,7 +57,6 @@
 		if before != nil {
 			close(before.replaced)
 		}
-		e.noteInformed()
 	}
 	now := boottime.Now()
 	e.crashEvidence.SetAsked(s.Suspects, s.Doubted, now)
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -107,13 +107,13 @@
 	configurationWaitShare = 0.5
 )
 
-// awaitConfiguration returns the configuration in force, once this node also knows which calls
-// to refuse. A node that has just started knows neither; it lets calls wait, because after a loss of power all nodes start at once, so
+// awaitConfiguration returns the configuration in force. A node that has just started has
+// none yet; it lets calls wait, because after a loss of power all nodes start at once, so
 // that a refused caller finds no other node that can serve it. It returns nil if none comes
 // in time. callerWait is how long the caller waits for its answer; zero if not stated.
 func (e *Edge) awaitConfiguration(ctx context.Context, callerWait time.Duration) *routingConfig {
-	if e.isInformed() {
-		return e.routing.Load()
+	if routing := e.routing.Load(); routing != nil {
+		return routing
 	}
 	if callerWait <= 0 {
 		callerWait = defaultPatience
@@ -121,13 +121,12 @@
 	timer := time.NewTimer(min(maxConfigurationWait, time.Duration(configurationWaitShare*float64(callerWait))))
 	defer timer.Stop()
 	select {
-	case <-e.informed:
-		return e.routing.Load()
+	case <-e.configured:
 	case <-timer.C:
 	case <-e.closing:
 	case <-ctx.Done():
 	}
-	return nil
+	return e.routing.Load()
 }
 
 // isClosing reports whether calls that have not started are turned away.
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -53,8 +53,10 @@
 	// may use, by key, with the time until which it may.
 	wanted  map[string]quarantine.Signature
 	granted map[string]time.Duration
-	// servedAt holds when the suspects in the report under way were served.
-	servedAt map[quarantine.Trait]time.Duration
+	// servedAt holds when the suspects in the report under way were served, and lossesUntil
+	// the number of its last loss.
+	servedAt    map[quarantine.Trait]time.Duration
+	lossesUntil uint64
 }
 
 func newCrashWatch() crashWatch {
@@ -104,7 +106,8 @@
 // report returns the node's report.
 func (w *crashWatch) report(now time.Duration) *crashReport {
 	w.servedAt = w.reporter.ServedSuspects(now)
-	r := &crashReport{Losses: w.reporter.Losses(), InForce: w.inForce}
+	r := &crashReport{InForce: w.inForce}
+	r.Losses, w.lossesUntil = w.reporter.Losses()
 	for trait := range w.servedAt {
 		r.Served = append(r.Served, trait)
 	}
@@ -116,8 +119,8 @@
 }
 
 // apply applies the leader's answer to a report. It reports whether the calls to refuse changed.
-func (w *crashWatch) apply(sent *crashReport, reply *crashReply, now time.Duration) (changed bool) {
-	w.reporter.Confirm(len(sent.Losses), w.servedAt)
+func (w *crashWatch) apply(reply *crashReply, now time.Duration) (changed bool) {
+	w.reporter.Confirm(w.lossesUntil, w.servedAt)
 	w.reporter.SetAsked(reply.Suspects, nil, now)
 	changed = !quarantine.Equal(w.inForce, reply.InForce)
 	w.inForce, w.open = reply.InForce, reply.Open
@@ -164,11 +167,11 @@
 }
 
 // applyCrashReply applies the leader's answer to a report.
-func (l *controlLoop) applyCrashReply(sent *crashReport, reply *crashReply) {
+func (l *controlLoop) applyCrashReply(reply *crashReply) {
 	if reply == nil { // from a leader of an earlier build
 		return
 	}
-	if l.crashes.apply(sent, reply, l.now()) {
+	if l.crashes.apply(reply, l.now()) {
 		l.log.WithField("signatures", l.crashes.inForce).Info("calls in quarantine")
 	}
 }
--- a/quarantine/reporter.go
+++ b/quarantine/reporter.go
@@ -20,8 +20,10 @@
 // Reporter is what one node knows of the calls that crash upstreams and of those that do not,
 // between its reports to the leader. NewReporter returns an empty one.
 type Reporter struct {
-	// losses are the lost calls of which the leader does not know yet.
-	losses []Loss
+	// losses are the latest lost calls of which the leader does not know yet; recorded counts
+	// all lost calls.
+	losses   []Loss
+	recorded uint64
 	// suspects are the traits that the leader asks about.
 	suspects []Trait
 	// served and servedBefore hold when calls were last served with a trait; servedBefore has
@@ -41,6 +43,7 @@
 
 // RecordLoss records a call that was lost with its upstream.
 func (r *Reporter) RecordLoss(l Loss) {
+	r.recorded++
 	r.losses = append(r.losses, l)
 	r.losses = r.losses[max(0, len(r.losses)-maxUnreportedLosses):]
 }
@@ -78,9 +81,10 @@
 	return found
 }
 
-// Confirm records that the leader has received losses and served suspects.
-func (r *Reporter) Confirm(losses int, served map[Trait]time.Duration) {
-	r.losses = r.losses[min(losses, len(r.losses)):]
+// Confirm records that the leader has received the losses up to a number that Losses returned, and
+// served suspects.
+func (r *Reporter) Confirm(until uint64, served map[Trait]time.Duration) {
+	r.losses = r.losses[max(0, len(r.losses)-int(r.recorded-until)):]
 	for trait, at := range served {
 		r.reported[trait] = at
 	}
@@ -105,8 +109,9 @@
 	}
 }
 
-// Losses returns the losses that the leader does not know of. The list is a copy.
-func (r *Reporter) Losses() []Loss { return slices.Clone(r.losses) }
+// Losses returns a copy of the losses that the leader does not know of, and the number of the
+// last one for Confirm.
+func (r *Reporter) Losses() (losses []Loss, until uint64) { return slices.Clone(r.losses), r.recorded }
 
 // Doubted returns the upstreams that the leader asks about, and since when. The map is the
 // reporter's own.
--- a/quarantine/reporter_test.go
+++ b/quarantine/reporter_test.go
@@ -36,6 +36,13 @@
 	}
 	is.Equal(len(p.losses), maxUnreportedLosses)
 	is.Equal(p.losses[0].Traits[0], fmt.Sprint(2*maxUnreportedLosses)) // the latest are kept
+	// Losses that come while a report is under way are kept, also if earlier ones yielded to them.
+	_, until := p.Losses()
+	p.RecordLoss(Loss{Service: "s", Traits: []string{"later"}})
+	p.Confirm(until, nil)
+	later, _ := p.Losses()
+	is.Equal(len(later), 1)
+	is.Equal(later[0].Traits[0], "later")
 	for i := range 100 {
 		p.RecordServed("s", []string{fmt.Sprint(i)}, time.Duration(i)*time.Second)
 	}
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -177,6 +177,7 @@
 	is.Equal(p.Held(900*time.Millisecond), 3)
 	is.True(p.Use(900 * time.Millisecond))
 	is.Equal(p.Held(900*time.Millisecond), 2)
+	is.Equal(p.Held(ratelimit.TTL), 0)
 	is.True(!p.Use(ratelimit.TTL))
 	p.Add(ratelimit.Grant{Permits: 3}, 2*time.Second, 4*time.Second) // an answer that came too late
 	is.Equal(p.Held(4*time.Second), 0)
