--- a/quarantine/bounds_test.go
+++ b/quarantine/bounds_test.go
@@ -24,3 +24,17 @@
 		is.True(len(d.cleared) <= int(clearedTTL/time.Millisecond)+1)
 	}
 }
+
+// BenchmarkReview decides while as many traits as are kept are suspected, each with one crash.
+func BenchmarkReview(b *testing.B) {
+	d := New(nil, 0)
+	for i := range 5000 {
+		d.Lost(Loss{Engine: fleet.Incarnation{ID: fmt.Sprint(i / 50)}, Service: "s", Traits: []string{RequestID(fmt.Sprint(i))}}, nil, time.Second)
+	}
+	for b.Loop() {
+		d.Decide(nil, 2*time.Second)
+		d.Suspects(nil)
+		d.Doubted()
+		d.Evidence()
+	}
+}
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -207,3 +207,20 @@
 	is.Equal(a.Grant("b", ratelimit.Want{Upstream: engine, Waiting: 40}, 100, time.Second).Permits, 16)
 	is.Equal(a.Grant("a", recent, 100, 1100*time.Millisecond).Permits, 0)
 }
+
+// BenchmarkGrant answers the wants of many nodes where calls wait for one upstream.
+func BenchmarkGrant(b *testing.B) {
+	for _, nodes := range []int{9, 200, 370} {
+		b.Run(fmt.Sprint(nodes, " nodes"), func(b *testing.B) {
+			a := ratelimit.NewAllocator()
+			names := make([]string, nodes)
+			for i := range names {
+				names[i] = fmt.Sprint("n", i)
+			}
+			for i := range b.N {
+				w := ratelimit.Want{Upstream: engine, Waiting: 3, Priority: i % 3}
+				a.Grant(names[i%nodes], w, 5, time.Duration(i)*150*time.Millisecond/time.Duration(nodes))
+			}
+		})
+	}
+}
