cli: a hangup does not end a process that is stopping

Cause: the handler of SIGHUP was taken back when the stop began, so that the signal's default, to end the process, was in force until the last call was answered. TestHangupDoesNotEndStoppingProcess failed before.

--- a/internal/cli/managed.go
+++ b/internal/cli/managed.go
@@ -117,8 +117,8 @@
 // ctx ends. Invalid settings are logged and ignored.
 func reloadOnHangup(ctx context.Context, path string, log *eventlog.Log, apply func(config.Managed)) {
 	hangups := make(chan os.Signal, 1)
+	// Notify is not undone: a hangup would then end the process while it stops.
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	for {
 		select {
 		case <-ctx.Done():
