--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -148,6 +148,7 @@
 		return
 	}
 	answerTrials(r.trialWaiters, answer.Trials)
+	newLeader := answer.Term != 0 && answer.Term != e.plannerCounts.term
 	if answer.Term != 0 {
 		e.plannerCounts = plannerCountsVersion{answer.Term, answer.CountsRevision}
 	}
@@ -162,7 +163,10 @@
 		for _, incarnation := range request.Leaving {
 			delete(e.unreportedLeaving, incarnation)
 		}
-		e.crashEvidence.Confirm(r.lossesUntil, r.servedAt)
+		if newLeader && e.crashEvidence.NewLeader(now) {
+			e.signalDemand()
+		}
+		e.crashEvidence.Confirm(r.lossesUntil, r.servedAt, now)
 		for _, q := range request.Report.Quality {
 			e.reportedQuality[q.Upstream] = q
 		}
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -57,6 +57,8 @@
 	// the number of its last loss.
 	servedAt    map[quarantine.Trait]time.Duration
 	lossesUntil uint64
+	// term is that of the leader that answered last.
+	term uint64
 }
 
 func newCrashWatch() crashWatch {
@@ -118,9 +120,14 @@
 	return r
 }
 
-// apply applies the leader's answer to a report. It reports whether the calls to refuse changed.
-func (w *crashWatch) apply(reply *crashReply, now time.Duration) (changed bool) {
-	w.reporter.Confirm(w.lossesUntil, w.servedAt)
+// apply applies the answer of the leader of a term to a report. It reports whether the calls to
+// refuse changed.
+func (w *crashWatch) apply(term uint64, reply *crashReply, now time.Duration) (changed bool) {
+	if term != w.term {
+		w.term = term
+		w.reporter.NewLeader(now)
+	}
+	w.reporter.Confirm(w.lossesUntil, w.servedAt, now)
 	w.reporter.SetAsked(reply.Suspects, nil, now)
 	changed = !quarantine.Equal(w.inForce, reply.InForce)
 	w.inForce, w.open = reply.InForce, reply.Open
@@ -167,11 +174,11 @@
 }
 
 // applyCrashReply applies the leader's answer to a report.
-func (l *controlLoop) applyCrashReply(reply *crashReply) {
+func (l *controlLoop) applyCrashReply(term uint64, reply *crashReply) {
 	if reply == nil { // from a leader of an earlier build
 		return
 	}
-	if l.crashes.apply(reply, l.now()) {
+	if l.crashes.apply(term, reply, l.now()) {
 		l.log.WithField("signatures", l.crashes.inForce).Info("calls in quarantine")
 	}
 }
--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -21,7 +21,7 @@
 
 // exchange sends a report of a node to the leader and applies the answer.
 func exchange(w *crashWatch, j *crashJudge, now time.Duration) {
-	w.apply(j.accept(w.report(now), now), now)
+	w.apply(1, j.accept(w.report(now), now), now)
 }
 
 // convict reports the loss of a call with three upstreams and waits until it is in quarantine at the node.
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -62,7 +62,7 @@
 	n.proofs.add(asked, reply.Commit)
 	n.loop.post(ctx, func() {
 		n.loop.applySyncReply(reply)
-		n.loop.applyCrashReply(reply.Crashes)
+		n.loop.applyCrashReply(reply.Term, reply.Crashes)
 	})
 	return true
 }
--- a/quarantine/reporter.go
+++ b/quarantine/reporter.go
@@ -15,6 +15,9 @@
 	maxServed = 16384
 	// maxUnreportedLosses bounds the losses that wait for a leader: the calls of a few engines.
 	maxUnreportedLosses = 256
+	// confirmedTTL is how long a loss is kept for the next leader: a node also remembers as
+	// long, at most, that calls with its traits were served.
+	confirmedTTL = 2 * servedTTL
 )
 
 // Reporter is what one node knows of the calls that crash upstreams and of those that do not,
@@ -24,6 +27,9 @@
 	// all lost calls.
 	losses   []Loss
 	recorded uint64
+	// confirmed are the latest losses that a leader has received. The next leader may not
+	// know of them.
+	confirmed []confirmedLoss
 	// suspects are the traits that the leader asks about.
 	suspects []Trait
 	// served and servedBefore hold when calls were last served with a trait; servedBefore has
@@ -36,6 +42,12 @@
 	doubted map[fleet.Incarnation]time.Duration
 }
 
+// confirmedLoss is a loss and when a leader received it.
+type confirmedLoss struct {
+	Loss
+	at time.Duration
+}
+
 // NewReporter returns a reporter that knows nothing.
 func NewReporter() Reporter {
 	return Reporter{served: map[Trait]time.Duration{}, reported: map[Trait]time.Duration{}}
@@ -83,8 +95,13 @@
 
 // Confirm records that the leader has received the losses up to a number that Losses returned, and
 // served suspects.
-func (r *Reporter) Confirm(until uint64, served map[Trait]time.Duration) {
-	r.losses = r.losses[max(0, len(r.losses)-int(r.recorded-until)):]
+func (r *Reporter) Confirm(until uint64, served map[Trait]time.Duration, now time.Duration) {
+	confirmed := max(0, len(r.losses)-int(r.recorded-until))
+	for _, l := range r.losses[:confirmed] {
+		r.confirmed = append(r.confirmed, confirmedLoss{l, now})
+	}
+	r.confirmed = r.confirmed[max(0, len(r.confirmed)-maxUnreportedLosses):]
+	r.losses = r.losses[confirmed:]
 	for trait, at := range served {
 		r.reported[trait] = at
 	}
@@ -109,6 +126,22 @@
 	}
 }
 
+// NewLeader has the latest losses reported once more, to a leader that may not know of them. It
+// reports whether there are any.
+func (r *Reporter) NewLeader(now time.Duration) bool {
+	var again []Loss
+	for _, l := range r.confirmed {
+		if now-l.at <= confirmedTTL {
+			again = append(again, l.Loss)
+		}
+	}
+	r.confirmed = nil
+	for _, l := range again {
+		r.RecordLoss(l)
+	}
+	return len(again) > 0
+}
+
 // Losses returns a copy of the losses that the leader does not know of, and the number of the
 // last one for Confirm.
 func (r *Reporter) Losses() (losses []Loss, until uint64) { return slices.Clone(r.losses), r.recorded }
