quarantine: the reporter itself notices that the leader is a new one

Entry nodes and the product's own nodes each compared terms before they called the reporter; leaving that out at the entry node failed no test (tried on a copy). The term is an argument of Confirm now, and TestNextLeaderLearnsOfLosses covers the decision: without it the test fails. No other decision changes.

--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -148,7 +148,6 @@
 		return
 	}
 	answerTrials(r.trialWaiters, answer.Trials)
-	newLeader := answer.Term != 0 && answer.Term != e.plannerCounts.term
 	if answer.Term != 0 {
 		e.plannerCounts = plannerCountsVersion{answer.Term, answer.CountsRevision}
 	}
@@ -163,10 +162,9 @@
 		for _, incarnation := range request.Leaving {
 			delete(e.unreportedLeaving, incarnation)
 		}
-		if newLeader && e.crashEvidence.NewLeader(now) {
+		if e.crashEvidence.Confirm(answer.Term, r.lossesUntil, r.servedAt, now) {
 			e.signalDemand()
 		}
-		e.crashEvidence.Confirm(r.lossesUntil, r.servedAt, now)
 		for _, q := range request.Report.Quality {
 			e.reportedQuality[q.Upstream] = q
 		}
--- a/internal/node/quarantine.go
+++ b/internal/node/quarantine.go
@@ -57,8 +57,6 @@
 	// the number of its last loss.
 	servedAt    map[quarantine.Trait]time.Duration
 	lossesUntil uint64
-	// term is that of the leader that answered last.
-	term uint64
 }
 
 func newCrashWatch() crashWatch {
@@ -123,11 +121,7 @@
 // apply applies the answer of the leader of a term to a report. It reports whether the calls to
 // refuse changed.
 func (w *crashWatch) apply(term uint64, reply *crashReply, now time.Duration) (changed bool) {
-	if term != w.term {
-		w.term = term
-		w.reporter.NewLeader(now)
-	}
-	w.reporter.Confirm(w.lossesUntil, w.servedAt, now)
+	w.reporter.Confirm(term, w.lossesUntil, w.servedAt, now) // losses to repeat go with the next report
 	w.reporter.SetAsked(reply.Suspects, nil, now)
 	changed = !quarantine.Equal(w.inForce, reply.InForce)
 	w.inForce, w.open = reply.InForce, reply.Open
--- a/quarantine/reporter.go
+++ b/quarantine/reporter.go
@@ -30,6 +30,8 @@
 	// confirmed are the latest losses that a leader has received. The next leader may not
 	// know of them.
 	confirmed []confirmedLoss
+	// term is that of the leader that received the latest report; zero before the first.
+	term uint64
 	// suspects are the traits that the leader asks about.
 	suspects []Trait
 	// served and servedBefore hold when calls were last served with a trait; servedBefore has
@@ -93,9 +95,14 @@
 	return found
 }
 
-// Confirm records that the leader has received the losses up to a number that Losses returned, and
-// served suspects.
-func (r *Reporter) Confirm(until uint64, served map[Trait]time.Duration, now time.Duration) {
+// Confirm records that the leader of a term has received the losses up to a number that Losses
+// returned, and served suspects. It reports whether there are losses to report once more,
+// because the leader is a new one.
+func (r *Reporter) Confirm(term, until uint64, served map[Trait]time.Duration, now time.Duration) (again bool) {
+	if term != r.term {
+		r.term = term
+		again = r.repeatConfirmed(now)
+	}
 	confirmed := max(0, len(r.losses)-int(r.recorded-until))
 	for _, l := range r.losses[:confirmed] {
 		r.confirmed = append(r.confirmed, confirmedLoss{l, now})
@@ -105,6 +112,7 @@
 	for trait, at := range served {
 		r.reported[trait] = at
 	}
+	return again
 }
 
 // SetAsked sets the suspects and the upstreams that the leader asks about.
@@ -126,9 +134,9 @@
 	}
 }
 
-// NewLeader has the latest losses reported once more, to a leader that may not know of them. It
-// reports whether there are any.
-func (r *Reporter) NewLeader(now time.Duration) bool {
+// repeatConfirmed has the latest losses reported once more, to a leader that may not know of
+// them. It reports whether there are any.
+func (r *Reporter) repeatConfirmed(now time.Duration) bool {
 	var again []Loss
 	for _, l := range r.confirmed {
 		if now-l.at <= confirmedTTL {
--- a/quarantine/reporter_test.go
+++ b/quarantine/reporter_test.go
@@ -21,7 +21,7 @@
 	p.suspects = []Trait{first, other}
 	served := p.ServedSuspects(at + time.Second)
 	is.Equal(served, map[Trait]time.Duration{first: at})
-	p.Confirm(0, served, at)
+	p.Confirm(1, 0, served, at)
 	is.Equal(len(p.ServedSuspects(at+time.Second)), 0)
 	is.True(p.RecordServed("s", []string{"first"}, at+2*time.Second)) // served again
 	is.Equal(len(p.ServedSuspects(at+2*time.Second)), 1)
@@ -41,7 +41,7 @@
 	// Losses that come while a report is under way are kept, also if earlier ones yielded to them.
 	_, until := p.Losses()
 	p.RecordLoss(Loss{Service: "s", Traits: []string{"later"}})
-	p.Confirm(until, nil, 0)
+	p.Confirm(1, until, nil, 0)
 	later, _ := p.Losses()
 	is.Equal(len(later), 1)
 	is.Equal(later[0].Traits[0], "later")
@@ -61,29 +61,26 @@
 		r.RecordLoss(Loss{Engine: fleet.Incarnation{ID: id}, Service: "s", Traits: []string{request}})
 	}
 	// That a leader is new shows with its answer to the first report.
-	report := func(r *Reporter, d *Detector, now time.Duration, newLeader bool) {
+	report := func(r *Reporter, d *Detector, term uint64, now time.Duration, wantAgain bool) {
 		losses, until := r.Losses()
 		for _, l := range losses {
 			d.Lost(l, nil, now)
 		}
-		if newLeader {
-			is.True(r.NewLeader(now))
-		}
-		r.Confirm(until, nil, now)
+		is.Equal(r.Confirm(term, until, nil, now), wantAgain)
 	}
 	at := time.Second
 	lose(&first, "a")
 	lose(&other, "b")
 	cutOff := New(nil, at)
-	report(&first, cutOff, at, false)
-	report(&other, cutOff, at, false)
+	report(&first, cutOff, 1, at, false)
+	report(&other, cutOff, 1, at, false)
 	next := New(nil, 2*at)
 	lose(&first, "c")
-	for _, newLeader := range []bool{true, false} {
-		report(&first, next, 2*at, newLeader)
-		report(&other, next, 2*at, newLeader)
+	for _, wantAgain := range []bool{true, false} {
+		report(&first, next, 2, 2*at, wantAgain)
+		report(&other, next, 2, 2*at, wantAgain)
 	}
 	is.Equal(next.Decide(nil, 3*at), []Signature{{Service: "s", Traits: []string{request}}})
 	// Much later, they say nothing of what lies so far back.
-	is.True(!first.NewLeader(2*at + confirmedTTL + 1))
+	report(&first, New(nil, 0), 3, 2*at+confirmedTTL+1, false)
 }
