edge, platform: read and log software versions, and what callers resume

Nothing in the logs showed which software an upstream runs, nor which request a caller's stream began with, so that the hypotheses of docs/incidents/streams-of-two-versions.md could not be told apart. Both are decoded and logged ("sent", "upstream changed"); no decision uses them yet.

--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -29,6 +29,8 @@
 	Addr string `json:"addr"`
 	// Domain is the failure domain.
 	Domain string `json:"domain,omitempty"`
+	// Software is the version of the upstream's software; empty if it does not say.
+	Software string `json:"software,omitempty"`
 	// Slots is the number of requests that the upstream runs at once.
 	Slots int `json:"slots,omitempty"`
 	// Leaving is set when the upstream is about to end and takes no new work.
@@ -64,7 +66,7 @@
 		return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
 	})
 	return sameResidents && u.Born == o.Born && u.Service == o.Service && u.Addr == o.Addr &&
-		u.Domain == o.Domain && u.Slots == o.Slots && u.RateLimit == o.RateLimit && u.Leaving == o.Leaving && u.Gone == o.Gone &&
+		u.Domain == o.Domain && u.Software == o.Software && u.Slots == o.Slots && u.RateLimit == o.RateLimit && u.Leaving == o.Leaving && u.Gone == o.Gone &&
 		slices.Equal(u.Closing, o.Closing) && slices.Equal(u.InMemory, o.InMemory) && slices.Equal(u.OnDisk, o.OnDisk)
 }
 
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -274,7 +274,7 @@
 	c.publishResidents(now)
 	if !ok || known.Leaving != u.Leaving || known.Born != u.Born {
 		c.log.Event("upstream changed", eventlog.Fields{
-			"upstream": u.ID, "born": u.Born, "seq": u.Seq, "service": u.Service, "addr": u.Addr,
+			"upstream": u.ID, "born": u.Born, "seq": u.Seq, "service": u.Service, "addr": u.Addr, "software": u.Software,
 			"leaving": u.Leaving, "residents": modelNames(u.Residents),
 		})
 	}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -222,9 +222,16 @@
 func (c *call) logVerdict(v dispatch.Verdict) dispatch.Verdict {
 	c.edge.metrics.Observe("wait", boottime.Now()-c.arrived)
 	if v.Action == dispatch.Start {
-		c.log("sent", eventlog.Fields{
-			"upstream": v.Upstream.ID, "addr": v.Upstream.Addr, "revision": v.Upstream.Revision, "attempt": c.sends + 1,
-		})
+		fields := eventlog.Fields{
+			"upstream": v.Upstream.ID, "addr": v.Upstream.Addr, "software": v.Upstream.Software,
+			"revision": v.Upstream.Revision, "attempt": c.sends + 1,
+		}
+		if c.lastEventID != "" {
+			fields["resumeAfter"] = c.lastEventID
+		} else if c.caller.ResumeAfter != "" {
+			fields["resumeAfter"], fields["resumes"] = c.caller.ResumeAfter, c.caller.ResumedID
+		}
+		c.log("sent", fields)
 	}
 	return v
 }
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -23,6 +23,10 @@
 	// SharedParts identifies the parts of the prompt that other calls may have too, without
 	// repeats.
 	SharedParts []string
+	// ResumeAfter is the id of the last event of a stream that the caller received in an
+	// earlier request and now takes up again; empty otherwise. ResumedID identifies the
+	// request that brought the first event; empty if not stated.
+	ResumeAfter, ResumedID string
 	// Content lists what the header states of the content and the author of the request,
 	// without what differs between repeats of one request, such as its ID.
 	Content []string
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -231,7 +231,7 @@
 	}
 	if !ok || previous.desc.Leaving != u.Leaving || previous.desc.Born != u.Born || previous.desc.RateLimit != u.RateLimit {
 		e.log.Event("upstream changed", eventlog.Fields{
-			"upstream": u.ID, "addr": u.Addr, "service": u.Service, "leaving": u.Leaving, "revision": u.Revision,
+			"upstream": u.ID, "addr": u.Addr, "service": u.Service, "software": u.Software, "leaving": u.Leaving, "revision": u.Revision,
 			"limited": u.RateLimit.Limited, "perSecond": u.RateLimit.PerSecond,
 		})
 	}
