origin, edge, controller, dispatch: a stream goes on only at the software version that began it

Callers' view: a stream that broke off, or that its caller took up at any entry node, went on at whatever engine held the model, so that its text was joined from two versions, with nothing in the answer to show it.

Cause: no code knew the version of an upstream or the origin of a stream (hypothesis 1). Memory of the entry node that began it (hypothesis 2) would not help: callers come to other nodes, and all entry nodes may be gone.

Why this works: streams that begin at another version than the service's base version are recorded in the replicated state before the caller gets their first event; one without a record began at the base. The base changes only once no stream without a record can be left. A call that goes on is pinned, and the one test that every choice of an upstream goes through (first sends, repeats, moves from silent upstreams, permits, waiting calls) accepts its version only. An upstream that starts again under its ID is noticed by its incarnation, which runs one version. Where the origin or the version is not to be had, the call is refused as not run. A split route draws by the request that began the stream.

While one version serves, nothing is recorded; else 26 B a stream for one to two minutes.

--- a/confstate/confstate.go
+++ b/confstate/confstate.go
@@ -1,6 +1,6 @@
 // Package confstate holds the replicated state of a managed deployment: the configuration
 // in force, the addresses of the control group's members, the member that may send orders
-// to upstreams, and the calls that crash upstreams. Only commands of a replicated log change
+// to upstreams, the calls that crash upstreams, and at which software version streams began. Only commands of a replicated log change
 // it, with the same result on every member.
 //
 // Load pattern: several operators at once send whole configurations in quick succession,
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/agateslip/agateslip/origin"
 	"github.com/agateslip/agateslip/quarantine"
 )
 
@@ -52,6 +53,8 @@
 	Quarantine *[]quarantine.Signature `json:"quarantine,omitempty"`
 	// Evidence replaces the evidence against what is not in quarantine.
 	Evidence *[]quarantine.Evidence `json:"evidence,omitempty"`
+	// Streams changes what is known of the origins of streams.
+	Streams *origin.Change `json:"streams,omitempty"`
 }
 
 // SetQuarantine returns the command that replaces the signatures in quarantine. A nil list would
@@ -118,11 +121,13 @@
 	// go on with them.
 	Quarantine []quarantine.Signature `json:"quarantine,omitempty"`
 	Evidence   []quarantine.Evidence  `json:"evidence,omitempty"`
+	// Streams tells at which software version streams began.
+	Streams *origin.Table `json:"streams"`
 }
 
 // New returns the state of a new control group with its first members.
 func New(founders ...Member) *State {
-	s := &State{Members: map[uint64]Member{}}
+	s := &State{Members: map[uint64]Member{}, Streams: origin.NewTable()}
 	for _, m := range founders {
 		s.Members[m.ID] = m
 	}
@@ -144,6 +149,8 @@
 		s.Quarantine = *c.Quarantine
 	case c.Evidence != nil:
 		s.Evidence = *c.Evidence
+	case c.Streams != nil:
+		s.Streams.Apply(c.Streams)
 	}
 	return Accepted
 }
@@ -180,5 +187,8 @@
 	if err := json.Unmarshal(data, s); err != nil {
 		return nil, errors.Wrap(err, "decode replicated state")
 	}
+	if s.Streams == nil {
+		s.Streams = origin.NewTable()
+	}
 	return s, nil
 }
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -192,8 +192,8 @@
 
 // eligible reports whether the upstream offers what the call needs and the call may run
 // there, whatever the upstream's load and failures.
-func (u *upstream) eligible(c *Call, now time.Duration) bool {
-	if u.isLeaving() || slices.Contains(c.Avoid, u.desc.ID) {
+func (d *Dispatcher) eligible(u *upstream, c *Call, now time.Duration) bool {
+	if u.isLeaving() || slices.Contains(c.Avoid, u.desc.ID) || !d.versionFits(u, c, now) {
 		return false
 	}
 	if c.Model == "" {
@@ -228,7 +228,7 @@
 		if u.isLeaving() {
 			continue
 		}
-		if !u.eligible(c, now) {
+		if !d.eligible(u, c, now) {
 			if outcome == noneKnown {
 				outcome = noneOffersModel
 			}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/agateslip/agateslip/fleet"
+	"github.com/agateslip/agateslip/origin"
 )
 
 // Dispatcher assigns the calls of one entry node to upstreams. One goroutine uses it.
@@ -26,6 +27,8 @@
 	plannerCountAt time.Duration
 	// departed holds the requests of upstreams that were removed, by ID.
 	departed map[string]departed
+	// origins tells which streams must be recorded.
+	origins origin.View
 }
 
 // runningCall is a call that runs at an upstream.
--- a/dispatch/ratelimit.go
+++ b/dispatch/ratelimit.go
@@ -64,7 +64,7 @@
 // for it.
 func (d *Dispatcher) countPassedOver(c *Call, now time.Duration) {
 	for _, u := range d.byService[c.Service] {
-		if u.lacksPermit(now) && u.eligible(c, now) {
+		if u.lacksPermit(now) && d.eligible(u, c, now) {
 			u.sinceAsked++
 		}
 	}
@@ -78,7 +78,7 @@
 	// ahead is the number of earlier calls that expect their permit from an upstream.
 	ahead map[*upstream]int
 	// lacking caches the result of upstreamsLackingPermit for calls that avoid no upstream.
-	lacking map[ModelKey]lackingPermit
+	lacking map[requirement]lackingPermit
 }
 
 // lackingPermit is the set of upstreams that could run a call if this node held a permit.
@@ -89,7 +89,7 @@
 }
 
 func (d *Dispatcher) newPermitQueue(now time.Duration) *permitQueue {
-	return &permitQueue{dispatcher: d, now: now, ahead: map[*upstream]int{}, lacking: map[ModelKey]lackingPermit{}}
+	return &permitQueue{dispatcher: d, now: now, ahead: map[*upstream]int{}, lacking: map[requirement]lackingPermit{}}
 }
 
 // expect returns the upstream from which a call can expect a permit first, and when; nil if
@@ -106,14 +106,14 @@
 }
 
 func (q *permitQueue) upstreamsLackingPermit(c *Call) lackingPermit {
-	key := ModelKey{c.Service, c.Model, c.Adapter}
+	key := c.requirement()
 	if found, ok := q.lacking[key]; ok && len(c.Avoid) == 0 {
 		return found
 	}
 	found := lackingPermit{all: true}
 	for _, u := range q.dispatcher.byService[c.Service] {
 		switch {
-		case !u.eligible(c, q.now):
+		case !q.dispatcher.eligible(u, c, q.now):
 		case u.lacksPermit(q.now):
 			found.upstreams = append(found.upstreams, u)
 		default:
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -64,7 +64,7 @@
 // if all of them have asked for a pause.
 func (d *Dispatcher) pauseEnd(c *Call, now time.Duration) (end time.Duration, ok bool) {
 	for _, u := range d.byService[c.Service] {
-		if !u.eligible(c, now) {
+		if !d.eligible(u, c, now) {
 			continue
 		}
 		if u.request.pausedUntil <= now {
--- a/dispatch/stall.go
+++ b/dispatch/stall.go
@@ -32,10 +32,11 @@
 
 // Stalled decides whether a call that may run again moves to another upstream. It moves
 // if its upstream has sent nothing to this node for too long and another one has a free
-// slot for it now. This detects upstreams that hang or become unreachable while their
+// slot for it now. pinned is set if the caller has received an event, so that only an upstream with
+// the same software can go on. This detects upstreams that hang or become unreachable while their
 // connections stay open. sent is when the call was sent, heard is when any byte last
 // arrived from the upstream, and begun reports whether the answer has begun.
-func (d *Dispatcher) Stalled(id CallID, sent, heard time.Duration, begun bool, now time.Duration) Stall {
+func (d *Dispatcher) Stalled(id CallID, sent, heard time.Duration, begun, pinned bool, now time.Duration) Stall {
 	r := d.running[id]
 	if r == nil {
 		return Stall{}
@@ -49,6 +50,9 @@
 	}
 	next := r.call
 	next.Avoid = append(slices.Clone(next.Avoid), r.upstream.desc.ID)
+	if pinned && !next.Pinned {
+		next.Pinned, next.Software = true, r.upstream.desc.Software
+	}
 	if _, outcome := d.choose(&next, now); outcome != selected {
 		return Stall{Check: now + stallRecheckInterval}
 	}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -25,6 +25,12 @@
 	// Affinity is a hash of the beginning of the prompt that the call shares with
 	// others, so that they run where it is cached; zero if there is none.
 	Affinity uint64
+	// Stream is set if the call is answered with a stream of events.
+	Stream bool
+	// Pinned is set if the call goes on with a stream that has begun. It then runs only at
+	// upstreams with the given version of their software.
+	Pinned   bool
+	Software string
 	// Avoid lists the IDs of upstreams on which this call may have run already.
 	Avoid []string
 	// Repeat is set when the call was sent before; it then does not count as another
@@ -58,6 +64,9 @@
 	// RateLimited means that the rate limits of all upstreams that could run the call leave
 	// no room for it in time.
 	RateLimited Reason = "upstreams limit their rate"
+	// NoVersion means that no upstream runs the software version of the stream that the call goes
+	// on with.
+	NoVersion Reason = "no upstream of the stream's software version"
 	// NoSlot means that no upstream will have a free slot in time.
 	NoSlot Reason = "no room in time"
 )
@@ -68,6 +77,9 @@
 	Action Action
 	// Upstream is set when Action is Start.
 	Upstream *fleet.Upstream
+	// Record is set if the call is a stream whose software version must be recorded before the
+	// caller receives its first event.
+	Record bool
 	// Reason and RetryAfter are set when Action is Refuse. RetryAfter is how long the
 	// caller should wait before it tries again.
 	Reason     Reason
@@ -108,6 +120,9 @@
 	Service string `json:"s"`
 	Model   string `json:"m"`
 	Adapter string `json:"a,omitempty"`
+	// Pinned is set if the calls can run only at upstreams with the given version of their software.
+	Pinned   bool   `json:"p,omitempty"`
+	Software string `json:"v,omitempty"`
 	// Waiting is the number of calls that wait.
 	Waiting int `json:"w"`
 	// Slack is the time left until the first of their answers is due. Patience is the
@@ -117,6 +132,18 @@
 	Patience time.Duration `json:"pa"`
 }
 
+// requirement is what an upstream needs to have for a call, but for what the call avoids. Calls
+// with the same requirement have the same choice.
+type requirement struct {
+	ModelKey
+	stream, pinned bool
+	software       string
+}
+
+func (c *Call) requirement() requirement {
+	return requirement{ModelKey{c.Service, c.Model, c.Adapter}, c.Stream, c.Pinned, c.Software}
+}
+
 // ModelKey identifies a model of a service, or one of the model's adapters; Adapter is
 // empty for the model itself.
 type ModelKey struct {
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -31,16 +31,16 @@
 }
 
 // processQueue starts the waiting calls for which there is an upstream and refuses those
-// that cannot start in time. Once no upstream was found for a service, model and
-// adapter, later calls for the same are not tried. Calls that avoid upstreams are tried by
-// themselves: what they find says nothing about the others.
+// that cannot start in time. Once no upstream was found for a requirement, later calls with
+// the same one are not tried. Calls that avoid upstreams are tried by themselves: what they
+// find says nothing about the others.
 func (d *Dispatcher) processQueue(now time.Duration) []Verdict {
 	var verdicts []Verdict
-	failedSelections := map[ModelKey]selection{}
+	failedSelections := map[requirement]selection{}
 	permits := d.newPermitQueue(now)
 	remaining := d.queue[:0]
 	for _, w := range d.queue {
-		key := ModelKey{w.call.Service, w.call.Model, w.call.Adapter}
+		key := w.call.requirement()
 		outcome, known := failedSelections[key]
 		var u *upstream
 		avoids := len(w.call.Avoid) > 0
@@ -77,7 +77,7 @@
 	d.countPassedOver(&w.call, now)
 	d.running[w.call.ID] = &runningCall{call: w.call, upstream: u, limitSeq: u.request.rateLimit.Seq}
 	desc := *u.desc
-	return Verdict{ID: w.call.ID, Action: Start, Upstream: &desc}
+	return Verdict{ID: w.call.ID, Action: Start, Upstream: &desc, Record: d.mustRecord(u, &w.call, now)}
 }
 
 // refusal returns the verdict that refuses a waiting call, and reports whether it is
@@ -94,7 +94,11 @@
 	if w.outcome == noneKnown {
 		v.Reason = NoUpstream
 	}
-	if w.outcome == noneOffersModel && c.Model != "" {
+	if c.Pinned && !d.hasVersion(c) {
+		v.Reason = NoVersion
+		return v, true
+	}
+	if w.outcome == noneOffersModel && c.Model != "" && !c.Pinned {
 		v.Reason = NoModel
 		if f, ok := d.forecasts[ModelKey{c.Service, c.Model, ""}]; ok && now < f.expiresAt {
 			v.RetryAfter = max(d.limits.RetryAfter, f.readyAt-now)
@@ -124,19 +128,21 @@
 // without upstreams are left out.
 func (d *Dispatcher) Demand(now time.Duration) []Demand {
 	var demand []Demand
-	indexByKey := map[ModelKey]int{}
+	indexByKey := map[requirement]int{}
 	for _, w := range d.queue {
 		c := &w.call
 		if c.Model == "" || w.outcome == noneKnown {
 			continue
 		}
-		key := ModelKey{c.Service, c.Model, c.Adapter}
+		key := c.requirement()
+		key.stream = false
 		i, ok := indexByKey[key]
 		if !ok {
 			i = len(demand)
 			indexByKey[key] = i
 			demand = append(demand, Demand{
-				Service: c.Service, Model: c.Model, Adapter: c.Adapter, Slack: c.Target - now, Patience: c.LatestStart - now,
+				Service: c.Service, Model: c.Model, Adapter: c.Adapter, Pinned: c.Pinned, Software: c.Software,
+				Slack: c.Target - now, Patience: c.LatestStart - now,
 			})
 		}
 		demand[i].Waiting++
--- a/fleet/registry.go
+++ b/fleet/registry.go
@@ -66,6 +66,12 @@
 	if known != nil && known.supersedes(&u) {
 		return Stale
 	}
+	if known != nil && known.Born == u.Born && known.Software != "" {
+		if u.Software != "" && u.Software != known.Software {
+			return Stale // an incarnation runs one version of its software
+		}
+		u.Software = known.Software
+	}
 	if holder := r.otherAt(u.Addr, u.ID); holder != nil {
 		if holder.Born > u.Born {
 			return Stale
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -17,6 +17,7 @@
 	"github.com/agateslip/agateslip/internal/replica"
 	"github.com/agateslip/agateslip/internal/storage"
 	"github.com/agateslip/agateslip/internal/supervisor"
+	"github.com/agateslip/agateslip/origin"
 	"github.com/agateslip/agateslip/raft"
 	"github.com/agateslip/agateslip/ratelimit"
 	"github.com/agateslip/agateslip/residency"
@@ -77,12 +78,17 @@
 	seeds        []string
 	loop         *owner.Loop
 	notifier     *watchNotifier
+	streams      streamRecorder
 
 	// The fields below are accessed only on the loop.
 	registry   *fleet.Registry
 	changes    changeCache
 	planner    *residency.Planner
 	quarantine quarantineWatch
+	// origins decides on the base versions of software; nil unless this node leads.
+	// proposingOrigins is set while its decision is being proposed.
+	origins          *origin.Tracker
+	proposingOrigins bool
 	// permits hands out permits for upstreams that named a rate limit; nil unless this node
 	// leads.
 	permits *ratelimit.Allocator
--- a/internal/controller/export_test.go
+++ b/internal/controller/export_test.go
@@ -1,6 +1,12 @@
 package controller
 
-import "time"
+import (
+	"context"
+	"time"
+
+	"github.com/agateslip/agateslip/internal/nodelink"
+	"github.com/agateslip/agateslip/origin"
+)
 
 // SlowApplication makes the node take d longer to apply each log entry. It must be called
 // before Run.
@@ -11,3 +17,18 @@
 		notify()
 	}
 }
+
+// RecordStream records a stream that begins, as for an entry node.
+func (c *Controller) RecordStream(ctx context.Context, software string, k origin.Key) error {
+	_, err := c.serveRecordStreams(ctx, "front", nodelink.RecordStreamsRequest{Begun: origin.Add(nil, software, k)})
+	return err
+}
+
+// FindStream tells at which version a stream began, as to an entry node.
+func (c *Controller) FindStream(ctx context.Context, service string, k origin.Key) (nodelink.FindStreamAnswer, error) {
+	answer, err := c.serveFindStream(ctx, "front", nodelink.FindStreamRequest{Service: service, Key: &k})
+	if err != nil {
+		return nodelink.FindStreamAnswer{}, err
+	}
+	return answer.(nodelink.FindStreamAnswer), nil
+}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -8,6 +8,7 @@
 	"github.com/agateslip/agateslip/fleet"
 	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/eventlog"
+	"github.com/agateslip/agateslip/origin"
 	"github.com/agateslip/agateslip/raft"
 	"github.com/agateslip/agateslip/ratelimit"
 	"github.com/agateslip/agateslip/residency"
@@ -72,6 +73,7 @@
 	c.removeGoneUpstreams(before)
 	c.expireEntryNodes(now)
 	c.reviewQuarantine(ctx, now)
+	c.reviewOrigins(ctx, now)
 	c.plan(now)
 	if c.registry.Revision() != before {
 		c.notifier.notify()
@@ -92,6 +94,7 @@
 	c.planner = residency.New(limits)
 	c.quarantine = newQuarantineWatch(c.stateMachine.evidence(), now)
 	c.permits = ratelimit.NewAllocator()
+	c.origins, c.proposingOrigins = origin.NewTracker(now), false
 	c.plannedVersion, c.loggedWidths = 0, map[string]int{}
 	for _, u := range c.registry.Live() {
 		c.planner.SetUpstream(u, now)
@@ -106,7 +109,7 @@
 func (c *Controller) stepDown(status raft.Status) {
 	c.log.Event("no longer leading", eventlog.Fields{"term": c.term, "now": status.Term, "leader": status.Leader})
 	c.term, c.fence = 0, 0
-	c.planner, c.permits = nil, nil
+	c.planner, c.permits, c.origins = nil, nil, nil
 	c.notifier.notify()
 }
 
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -26,6 +26,8 @@
 func (c *Controller) registerHandlers(mux *peer.Mux) {
 	mux.Handle(nodelink.Watch, typedHandler(c.serveWatch))
 	mux.Handle(nodelink.Demand, typedHandler(c.serveDemand))
+	mux.Handle(nodelink.RecordStreams, typedHandler(c.serveRecordStreams))
+	mux.Handle(nodelink.FindStream, typedHandler(c.serveFindStream))
 	mux.Handle(nodelink.LastOrder, typedHandler(c.serveLastOrder))
 	mux.Handle(nodelink.Join, typedHandler(c.serveJoin))
 	mux.Handle(nodelink.Announce, typedHandler(func(ctx context.Context, _ string, r nodelink.AnnounceRequest) (any, error) {
@@ -129,6 +131,7 @@
 		if r.Entry {
 			c.entryNodes[from] = boottime.Now()
 			answer.Quarantine = c.quarantineSince(r.QuarantineRevision, answer.Whole)
+			answer.Bases = c.baseVersions()
 		}
 		list = c.changes.changedSince(c.registry, changeKey{since, r.Entry})
 		answer.Entries = len(c.entryNodes)
--- a/internal/controller/statemachine.go
+++ b/internal/controller/statemachine.go
@@ -15,6 +15,7 @@
 
 	"github.com/agateslip/agateslip/confstate"
 	"github.com/agateslip/agateslip/internal/eventlog"
+	"github.com/agateslip/agateslip/origin"
 	"github.com/agateslip/agateslip/quarantine"
 	"github.com/agateslip/agateslip/raft"
 	"github.com/agateslip/agateslip/routes"
@@ -76,6 +77,9 @@
 	s.mu.Lock()
 	out.result = s.state.Apply(e.Index, c)
 	s.mu.Unlock()
+	if c.Streams != nil && c.Streams.Bases == nil {
+		return out // several a second, of which the entry nodes need not hear
+	}
 	s.log.Event("change applied", eventlog.Fields{
 		"index": e.Index, "result": out.result.String(), "version": s.version(), "kind": commandKind(c),
 	})
@@ -95,6 +99,8 @@
 		return "quarantine"
 	case c.Evidence != nil:
 		return "evidence"
+	case c.Streams != nil:
+		return "streams"
 	default:
 		return "order"
 	}
@@ -211,6 +217,13 @@
 	return s.state.Evidence
 }
 
+// streams calls fn with what is known of the origins of streams. fn must not keep the table.
+func (s *stateMachine) streams(fn func(t *origin.Table)) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	fn(s.state.Streams)
+}
+
 // Compress compresses a configuration document for the log. Equal documents give equal
 // results.
 func Compress(document []byte) ([]byte, error) {
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -54,14 +54,18 @@
 	fallback *wholeAnswer
 	// streamStarted is set once the header of a stream was sent to the caller.
 	streamStarted bool
-	// answerStarted is set once the header of the current attempt's answer was
-	// received. movedOnStall is set if the stall watch ended the attempt because its
-	// upstream was silent; the retry budget was then already charged for the next
+	// answerStarted is set once the header of the current attempt's answer was received.
+	// pinned is set once the caller has an event, and awaitsRecord while the first one waits
+	// for the stream to be recorded. movedOnStall is set if the stall watch ended the attempt
+	// because its upstream was silent; the retry budget was then already charged for the next
 	// attempt.
-	answerStarted, movedOnStall atomic.Bool
+	answerStarted, pinned, awaitsRecord, movedOnStall atomic.Bool
 	// firstEventWait is the time from arrival to the first event of a stream;
 	// longestPause is the longest time between two events.
 	firstEventWait, longestPause time.Duration
+	// record is the record of the software version at which the stream begins; nil if none is
+	// needed.
+	record *streamRecord
 	// lastEventTime is when the latest event was sent to the caller.
 	lastEventTime time.Duration
 	// lastEventID is the id of the last event that was sent to the caller, and events is the
@@ -92,6 +96,9 @@
 // run sends the call to upstreams, one at a time, until the caller has an answer, has
 // left or the call is given up.
 func (c *call) run() {
+	if c.takesUpStream() && !c.pinToOrigin() {
+		return
+	}
 	c.edge.loop.Post(func() {
 		c.edge.budgetFor(c.dispatchCall.Service).recordCall(&c.edge.cfg.Retry, boottime.Now())
 	})
@@ -112,6 +119,9 @@
 			c.giveUp(reasonQuarantined, s.RetryAfter())
 			return
 		}
+		if verdict.Record || c.record != nil {
+			c.startRecord(verdict.Upstream)
+		}
 		outcome := c.attempt(verdict.Upstream)
 		switch outcome {
 		case outcomeAnswered, outcomeCallerLeft:
@@ -164,7 +174,7 @@
 	case c.fallback != nil:
 		c.writeWhole(*c.fallback)
 	case !c.mayHaveRun:
-		c.refuse(http.StatusServiceUnavailable, why, retryAfter)
+		c.refuse(why, retryAfter)
 	case boottime.Now() >= c.deadline:
 		c.fail(http.StatusGatewayTimeout, why)
 	default:
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -71,6 +71,8 @@
 	// quarantine identifies the calls to refuse; nil before the first list arrives.
 	quarantine atomic.Pointer[quarantineList]
 	lastCallID atomic.Uint64
+	// streams records the streams that begin here.
+	streams *streamRecorder
 	// stopping is set once Stop was called: the node reports itself as not ready.
 	stopping atomic.Bool
 	// activeCalls is the number of callers' requests in progress.
@@ -131,6 +133,7 @@
 		demandChanged:    make(chan struct{}, 1),
 		configured:       make(chan struct{}),
 		closing:          make(chan struct{}),
+		streams:          newStreamRecorder(),
 		dispatcher:       dispatch.New(dispatch.DefaultLimits(), cfg.Domain),
 		waiters:          map[dispatch.CallID]chan dispatch.Verdict{},
 		budgets:          map[string]*retryBudget{},
@@ -178,6 +181,7 @@
 			{Name: "links", Run: e.mesh.Run},
 			{Name: "news", Run: e.followLeader},
 			{Name: "demand", Run: e.reportDemand},
+			{Name: "streams", Run: e.recordStreams},
 			{Name: "ticker", Run: e.tick},
 			{Name: "readiness", Run: func(ctx context.Context) error { return e.serve(ctx, e.cfg.Listen.Ready, e.readiness(), 0) }},
 			{Name: "callers", Run: e.serveCallers},
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -94,6 +94,7 @@
 	for ctx.Err() == nil {
 		target := e.leader.current()
 		e.mesh.SetPeers([]peer.Peer{{Name: target, Addr: target}})
+		askedAt := boottime.Now()
 		answer, err := e.watchControlNode(ctx, target, request)
 		if err != nil {
 			if ctx.Err() == nil {
@@ -120,6 +121,9 @@
 			if answer.Quarantine != nil {
 				e.applyQuarantine(answer.Quarantine)
 			}
+			if answer.Bases != nil {
+				e.applyBases(*answer.Bases, askedAt)
+			}
 			e.applyUpstreams(answer.Whole, upstreams)
 		})
 		if err != nil {
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -171,6 +171,7 @@
 	}
 	reader := bufio.NewReaderSize(resp.Body, 2<<10)
 	var event bytes.Buffer
+	checked := false
 	for {
 		line, err := reader.ReadSlice('\n')
 		event.Write(line)
@@ -191,6 +192,11 @@
 		if len(bytes.TrimRight(line, "\r\n")) > 0 {
 			continue
 		}
+		if !checked && !c.mayRelayEvents(u) {
+			conn.Close()
+			return c.endLost(u, errors.New("the software version of the upstream is uncertain"))
+		}
+		checked = true
 		if !c.relayEvent(event.Bytes()) {
 			conn.Close()
 			return dispatch.Abandoned, outcomeCallerLeft
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -78,7 +78,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if c.routing = e.awaitConfiguration(r.Context(), c.caller.MaxWait); c.routing == nil {
-		c.refuse(http.StatusServiceUnavailable, "no configuration yet", defaultRetryAfter)
+		c.refuse("no configuration yet", defaultRetryAfter)
 		return
 	}
 	c.route = c.routing.table.Match(r.Host, r.URL.Path)
@@ -91,7 +91,7 @@
 		return
 	}
 	if e.isClosing() {
-		c.refuse(http.StatusServiceUnavailable, "node stops", otherNodeRetryAfter)
+		c.refuse("node stops", otherNodeRetryAfter)
 		return
 	}
 	c.prepareDispatch()
@@ -172,13 +172,14 @@
 		patience = defaultPatience
 	}
 	c.deadline = c.arrived + min(patience, c.route.Timeout)
-	service := c.route.Backend(c.caller.ID)
+	service := c.route.Backend(c.streamID())
 	c.dispatchCall = dispatch.Call{
 		Service:     service,
 		Priority:    c.route.Priority,
 		Arrived:     c.arrived,
 		Target:      c.arrived + c.route.Target,
 		LatestStart: c.deadline - answerReserve,
+		Stream:      c.route.Kind == routes.Stream,
 	}
 	if s := c.routing.table.Service(service); s != nil && s.Engine != nil {
 		c.dispatchCall.Model, c.dispatchCall.Adapter = c.caller.Model, c.caller.Adapter
@@ -219,11 +220,11 @@
 }
 
 // refuse answers a call that has not run and will not run, with a Retry-After header.
-func (c *call) refuse(status int, why string, retryAfter time.Duration) {
+func (c *call) refuse(why string, retryAfter time.Duration) {
 	c.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
-	c.log("refused", eventlog.Fields{"status": status, "why": why, "retryAfter": retryAfter.Seconds()})
+	c.log("refused", eventlog.Fields{"status": http.StatusServiceUnavailable, "why": why, "retryAfter": retryAfter.Seconds()})
 	c.edge.metrics.Count("refused: " + why)
-	c.w.WriteHeader(status)
+	c.w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // fail answers a call with an error status that does not say whether the call ran.
--- a/internal/edge/stall.go
+++ b/internal/edge/stall.go
@@ -62,12 +62,12 @@
 	default:
 	}
 	e, now := w.call.edge, boottime.Now()
-	if now-w.nextCheck > maxCheckDelay {
+	if now-w.nextCheck > maxCheckDelay || w.call.awaitsRecord.Load() {
 		// Bytes that arrived while the node was suspended have not been read yet.
 		w.silenceStart = now
 	}
 	lastRead := w.conn.LastRead()
-	s := e.dispatcher.Stalled(w.callID, w.silenceStart, lastRead, w.call.answerStarted.Load(), now)
+	s := e.dispatcher.Stalled(w.callID, w.silenceStart, lastRead, w.call.answerStarted.Load(), w.call.pinned.Load(), now)
 	switch {
 	case s.Move && e.budgetFor(w.call.dispatchCall.Service).trySpend(&e.cfg.Retry, e.entryNodes.Load(), now):
 		e.metrics.Count("moved from a silent upstream")
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -9,6 +9,7 @@
 	"github.com/agateslip/agateslip/confstate"
 	"github.com/agateslip/agateslip/fleet"
 	"github.com/agateslip/agateslip/internal/peer"
+	"github.com/agateslip/agateslip/origin"
 	"github.com/agateslip/agateslip/quarantine"
 	"github.com/agateslip/agateslip/ratelimit"
 	"github.com/agateslip/agateslip/residency"
@@ -29,6 +30,11 @@
 	Configure = "control.configure"
 	// Read asks for the log index that a consistent read must cover.
 	Read = "control.read"
+	// RecordStreams records the software versions at which streams began. It is answered once
+	// that is durable.
+	RecordStreams = "control.recordStreams"
+	// FindStream asks at which software version a stream began.
+	FindStream = "control.findStream"
 	// LastOrder asks a control node when it last sent an order to an engine.
 	LastOrder = "control.lastOrder"
 )
@@ -71,6 +77,9 @@
 	Upstreams UpstreamList `json:"upstreams"`
 	// Configuration is set if the asking entry node has an older one or none.
 	Configuration *confstate.Configure `json:"configuration,omitempty"`
+	// Bases are the base versions of the services' software; see package origin. It is nil if the
+	// answer does not tell them.
+	Bases *map[string]string `json:"bases,omitempty"`
 	// Members are the link addresses of the control nodes.
 	Members []string `json:"members,omitempty"`
 	// Entries is the number of entry nodes that watch the leader.
@@ -136,6 +145,25 @@
 	Trials []quarantine.Signature `json:"trials,omitempty"`
 }
 
+// RecordStreamsRequest records streams that begin at an entry node.
+type RecordStreamsRequest struct {
+	Begun []origin.Batch `json:"begun"`
+}
+
+// FindStreamRequest asks for the origin of a stream that a caller takes up again.
+type FindStreamRequest struct {
+	Service string `json:"service"`
+	// Key identifies the request that brought the first event; nil if the caller did not name it.
+	Key *origin.Key `json:"key,omitempty"`
+}
+
+// FindStreamAnswer is the software version at which a stream began.
+type FindStreamAnswer struct {
+	Software string `json:"software"`
+	// Known is set if there is no doubt of it.
+	Known bool `json:"known"`
+}
+
 // RateLimit is what an entry node knows of the rate limit of an upstream.
 type RateLimit struct {
 	Upstream fleet.Incarnation `json:"u"`
--- /dev/null
+++ b/origin/origin_test.go
@@ -0,0 +1,246 @@
+package origin_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/fleet"
+	"github.com/agateslip/agateslip/origin"
+)
+
+// recordOf returns the change that records one stream.
+func recordOf(software string, k origin.Key) *origin.Change {
+	return &origin.Change{Begun: origin.Add(nil, software, k)}
+}
+
+func TestRecordsOutlastOneExpiry(t *testing.T) {
+	is := is.New(t)
+	table := origin.NewTable()
+	table.Apply(&origin.Change{Bases: &map[string]string{"llm": "v1"}})
+	key := origin.KeyOf("llm", "call")
+	table.Apply(recordOf("v2", key))
+	table.Apply(recordOf("v3", key)) // the call began anew elsewhere, before its first event
+	for range 2 {
+		data, err := json.Marshal(table)
+		is.NoErr(err)
+		table = origin.NewTable() // as after a restart
+		is.NoErr(json.Unmarshal(data, table))
+		software, known := table.Find("llm", key)
+		is.True(known && software == "v3")
+		table.Apply(&origin.Change{Expire: true})
+	}
+	software, known := table.Find("llm", key)
+	is.True(known && software == "v1" && table.Empty())
+	_, known = table.Find("other", key)
+	is.True(!known)
+}
+
+// TestBasesOfAnotherLeaderAreKept applies a change that was decided by other base versions than those
+// in force.
+func TestBasesOfAnotherLeaderAreKept(t *testing.T) {
+	is := is.New(t)
+	table := origin.NewTable()
+	table.Apply(&origin.Change{Bases: &map[string]string{"llm": "v1"}})
+	table.Apply(&origin.Change{Bases: &map[string]string{"llm": "v2"}})
+	is.Equal(table.Bases()["llm"], "v1")
+}
+
+func upstream(id, software string) fleet.Upstream {
+	return fleet.Upstream{ID: id, Service: "llm", Software: software}
+}
+
+// TestBaseChangesOnceNoStreamOfItIsLeft lets a version leave. The base must stay until no entry node
+// can begin a stream at it without a record, and until the last of these cannot be taken up any more.
+func TestBaseChangesOnceNoStreamOfItIsLeft(t *testing.T) {
+	for name, silent := range map[string]bool{"left": false, "silent": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table, tracker := origin.NewTable(), origin.NewTracker(0)
+			upstreams := []fleet.Upstream{upstream("a", "v1")}
+			review := func(now time.Duration) {
+				if c := tracker.Review(table, func() []fleet.Upstream { return upstreams }, now); c != nil {
+					table.Apply(c)
+				}
+			}
+			now := time.Duration(0)
+			for ; now < time.Hour; now += time.Second {
+				review(now)
+			}
+			is.Equal(table.Bases()["llm"], "v1")
+			gone := upstream("a", "v1")
+			gone.Gone, gone.Silent = true, silent
+			upstreams = []fleet.Upstream{gone, upstream("b", "v2"), upstream("c", "v2")}
+			ended := now
+			for ; now < ended+time.Minute; now += time.Second {
+				review(now)
+			}
+			upstreams = upstreams[1:] // the registry forgets it
+			for ; table.Bases()["llm"] == "v1" && now < ended+time.Hour; now += time.Second {
+				review(now)
+			}
+			is.Equal(table.Bases()["llm"], "v2")
+			least := origin.Lifetime
+			if silent {
+				least += origin.BaseLease
+			}
+			is.True(now-ended > least)
+			is.True(now-ended < least+3*time.Minute)
+		})
+	}
+}
+
+// TestNewLeaderKeepsBase begins a term without the base version in service: an upstream of it may have
+// fallen silent before.
+func TestNewLeaderKeepsBase(t *testing.T) {
+	is := is.New(t)
+	table, tracker := origin.NewTable(), origin.NewTracker(0)
+	table.Apply(&origin.Change{Bases: &map[string]string{"llm": "v1"}})
+	upstreams := func() []fleet.Upstream { return []fleet.Upstream{upstream("b", "v2")} }
+	for now := time.Duration(0); now < origin.BaseLease+origin.Lifetime; now += time.Second {
+		is.True(tracker.Review(table, upstreams, now) == nil)
+	}
+}
+
+func TestUnnamedStreamIsKnownOnlyWithOneVersion(t *testing.T) {
+	is := is.New(t)
+	table, tracker := origin.NewTable(), origin.NewTracker(0)
+	upstreams := []fleet.Upstream{upstream("a", "v1")}
+	all := func() []fleet.Upstream { return upstreams }
+	tracker.Review(table, all, 0)
+	_, ok := tracker.Only("llm", time.Second) // another may have left before the term
+	is.True(!ok)
+	tracker.Review(table, all, origin.Lifetime)
+	software, ok := tracker.Only("llm", origin.Lifetime)
+	is.True(ok && software == "v1")
+	upstreams = append(upstreams, upstream("b", "v2"))
+	tracker.Review(table, all, origin.Lifetime+2*time.Second)
+	_, ok = tracker.Only("llm", origin.Lifetime+2*time.Second)
+	is.True(!ok)
+}
+
+// TestStreamsAreNeverJoined simulates entry nodes that are cut off from the leader, upstreams that come,
+// leave or fall silent while they still serve, and changes of the leader. Whatever the leader says of
+// a stream must be the version that began it.
+func TestStreamsAreNeverJoined(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { simulate(t, seed) })
+	}
+}
+
+// simulatedNode is an entry node with what it believes.
+type simulatedNode struct {
+	view      origin.View
+	upstreams []fleet.Upstream
+	cutUntil  time.Duration
+}
+
+type begunStream struct {
+	key      origin.Key
+	software string
+	at       time.Duration
+}
+
+func simulate(t *testing.T, seed uint64) {
+	const duration, step = 90 * time.Minute, 5 * time.Second
+	random := rand.New(rand.NewPCG(seed, 1))
+	table, tracker := origin.NewTable(), origin.NewTracker(0)
+	nodes := []*simulatedNode{{}, {}, {}, {}}
+	// serving are the upstreams that serve calls; listed are those that the leader knows.
+	serving, listed := map[string]fleet.Upstream{}, map[string]fleet.Upstream{}
+	version, lastID := 1, 0
+	var streams []begunStream
+	checked, found, begun, recorded := 0, 0, 0, 0
+	for now := time.Duration(0); now < duration; now += step {
+		if random.IntN(150) == 0 {
+			version++
+		}
+		if len(serving) < 5 {
+			lastID++
+			// A version may come back.
+			u := upstream(fmt.Sprint("u", lastID), fmt.Sprint("v", max(1, version-random.IntN(2))))
+			serving[u.ID], listed[u.ID] = u, u
+		}
+		for id, u := range serving {
+			switch random.IntN(200) {
+			case 0, 1:
+				u.Gone = true
+				listed[id] = u
+				delete(serving, id)
+			case 2:
+				if len(listed) > 1 {
+					u.Gone, u.Silent = true, true
+					listed[id] = u // it goes on serving
+				}
+			}
+		}
+		if random.IntN(200) == 0 {
+			tracker = origin.NewTracker(now)
+			for id, u := range listed {
+				if u.Gone {
+					delete(listed, id) // the new leader does not know
+				}
+			}
+		}
+		var all, live []fleet.Upstream
+		for _, u := range listed {
+			all = append(all, u)
+			if !u.Gone {
+				live = append(live, u)
+			}
+		}
+		if c := tracker.Review(table, func() []fleet.Upstream { return all }, now); c != nil {
+			table.Apply(c)
+		}
+		for _, n := range nodes {
+			if n.cutUntil <= now && random.IntN(100) == 0 {
+				n.cutUntil = now + time.Duration(random.IntN(1500))*time.Second
+			}
+			inTouch := n.cutUntil <= now
+			if inTouch {
+				n.upstreams = live
+				n.view.Set(table.Bases(), now)
+			}
+			for _, u := range n.upstreams {
+				if _, serves := serving[u.ID]; !serves || !n.view.MayBegin("llm", u.Software, now) {
+					continue
+				}
+				lastID++
+				s := begunStream{origin.Key(random.Uint64()), u.Software, now}
+				begun++
+				if n.view.MustRecord("llm", u.Software, now) {
+					if !inTouch {
+						continue // not recorded, so the caller gets no event
+					}
+					table.Apply(recordOf(u.Software, s.key))
+					recorded++
+				}
+				streams = append(streams, s)
+			}
+		}
+		var left []begunStream
+		for _, s := range streams {
+			if now-s.at > origin.Lifetime {
+				continue
+			}
+			left = append(left, s)
+			checked++
+			software, known := table.Find("llm", s.key)
+			if known && software != s.software {
+				t.Fatalf("at %s: a stream that began at %s at %s would go on at %s", now, s.software, s.at, software)
+			}
+			if known {
+				found++
+			}
+		}
+		streams = left
+	}
+	if found < checked*9/10 || begun < 1000 {
+		t.Fatalf("of %d looks, %d found the origin of a stream; %d began", checked, found, begun)
+	}
+	t.Logf("%d streams began, %d of them recorded", begun, recorded)
+}
--- /dev/null
+++ b/origin/tracker.go
@@ -0,0 +1,159 @@
+package origin
+
+import (
+	"maps"
+	"time"
+
+	"github.com/agateslip/agateslip/fleet"
+)
+
+const (
+	// Lifetime is how long after its beginning a stream may be taken up again.
+	Lifetime = time.Minute
+	// BaseLease is how long after it asked the leader an entry node may take a version for the
+	// base version. Without a leader, entry nodes begin no streams after that time.
+	BaseLease = 10 * time.Minute
+	// departureGrace covers the time for which an upstream that has announced its departure may
+	// still serve entry nodes that do not know of it.
+	departureGrace = 30 * time.Second
+	// reviewInterval is the time between two reviews of the upstreams.
+	reviewInterval = time.Second
+)
+
+// Tracker decides when the base versions change and when records expire. It belongs to one leader's
+// term.
+type Tracker struct {
+	began time.Duration
+	// reviewAt is when the upstreams are reviewed next, and expireAt when records expire next.
+	reviewAt, expireAt time.Duration
+	// inUseUntil is, by service, until when an entry node may begin a stream at the base version
+	// without a record.
+	inUseUntil map[string]time.Duration
+	// versions counts the upstreams of each service that have not ended, by version, at the latest
+	// review. seen holds the versions that were listed at any time since Lifetime before it.
+	versions map[string]map[string]int
+	seen     map[string]map[string]time.Duration
+}
+
+// NewTracker returns the tracker of a term that begins at now.
+func NewTracker(now time.Duration) *Tracker {
+	return &Tracker{
+		began: now, expireAt: now + Lifetime, inUseUntil: map[string]time.Duration{},
+		versions: map[string]map[string]int{}, seen: map[string]map[string]time.Duration{},
+	}
+}
+
+// Review returns the change to propose; nil if there is none. upstreams returns all upstreams that
+// are known, including those that have ended.
+func (t *Tracker) Review(table *Table, upstreams func() []fleet.Upstream, now time.Duration) *Change {
+	if now < t.reviewAt {
+		return nil
+	}
+	t.reviewAt = now + reviewInterval
+	bases := table.Bases()
+	t.observe(bases, upstreams(), now)
+	change := &Change{}
+	next := t.nextBases(bases, now)
+	if !maps.Equal(next, bases) {
+		change.Before, change.Bases = bases, &next
+	}
+	if now >= t.expireAt {
+		t.expireAt = now + Lifetime
+		change.Expire = !table.Empty()
+	}
+	if change.Bases == nil && !change.Expire {
+		return nil
+	}
+	return change
+}
+
+// observe counts the versions in service, and notes until when those that are the base may begin
+// streams.
+func (t *Tracker) observe(bases map[string]string, upstreams []fleet.Upstream, now time.Duration) {
+	clear(t.versions)
+	for i := range upstreams {
+		u := &upstreams[i]
+		if u.Service == "" {
+			continue // a departure whose upstream was never heard of
+		}
+		if t.seen[u.Service] == nil {
+			t.seen[u.Service] = map[string]time.Duration{}
+		}
+		t.seen[u.Service][u.Software] = now
+		if !u.Gone {
+			if t.versions[u.Service] == nil {
+				t.versions[u.Service] = map[string]int{}
+			}
+			t.versions[u.Service][u.Software]++
+		}
+		if base, ok := bases[u.Service]; !ok || base != u.Software {
+			continue
+		}
+		switch {
+		case !u.Gone:
+			t.useUntil(u.Service, now+departureGrace)
+		case u.Silent:
+			// Cut off from the leader, it may still serve entry nodes that are cut off too.
+			t.useUntil(u.Service, now+BaseLease)
+		}
+	}
+	for _, versions := range t.seen {
+		maps.DeleteFunc(versions, func(_ string, at time.Duration) bool { return now-at > Lifetime })
+	}
+}
+
+func (t *Tracker) useUntil(service string, at time.Duration) {
+	t.inUseUntil[service] = max(t.inUseUntil[service], at)
+}
+
+// nextBases returns the base versions that shall be in force.
+func (t *Tracker) nextBases(bases map[string]string, now time.Duration) map[string]string {
+	next := maps.Clone(bases)
+	for service, versions := range t.versions {
+		base, ok := bases[service]
+		if ok && (versions[base] > 0 || !t.mayReplaceBase(service, now)) {
+			continue
+		}
+		next[service] = mostCommon(versions)
+		delete(t.inUseUntil, service)
+	}
+	for service := range bases {
+		// Without a base version, all streams are recorded.
+		if len(t.versions[service]) == 0 && t.mayReplaceBase(service, now) {
+			delete(next, service)
+			delete(t.inUseUntil, service)
+			delete(t.seen, service)
+		}
+	}
+	return next
+}
+
+// mayReplaceBase reports whether no stream without a record is left that began at the base version.
+// A new leader does not know which upstreams fell silent before its term.
+func (t *Tracker) mayReplaceBase(service string, now time.Duration) bool {
+	return now > max(t.inUseUntil[service], t.began+BaseLease)+Lifetime
+}
+
+// mostCommon returns the version with the most upstreams, the first of them by name.
+func mostCommon(versions map[string]int) string {
+	best, most := "", 0
+	for software, n := range versions {
+		if n > most || n == most && software < best {
+			best, most = software, n
+		}
+	}
+	return best
+}
+
+// Only returns the version at which any stream of a service must have begun that can still be taken
+// up, if there is just one.
+func (t *Tracker) Only(service string, now time.Duration) (software string, ok bool) {
+	versions := t.seen[service]
+	if len(versions) != 1 || now-t.began < Lifetime {
+		return "", false
+	}
+	for software := range versions {
+		return software, true
+	}
+	return "", false
+}
