gateway, routing: streams of the product's own nodes stay at their software version too

The engines' protocol names the version of their software now, and a search for another engine is restricted to the one that began the stream.

TestStreamIsNotContinuedByOtherSoftware fails without the restriction (tried on a copy).

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -93,6 +93,8 @@
 	Kind Kind `json:"kind"`
 	// Service is the name of the service. It is set for plain services only.
 	Service string `json:"service,omitempty"`
+	// Software is the version of the upstream's software; empty if it does not say.
+	Software string `json:"software,omitempty"`
 	// Memory is the total accelerator memory, in bytes.
 	Memory int64 `json:"memory,omitempty"`
 	// Slots is the number of requests that the upstream runs concurrently.
--- a/internal/engine/check.go
+++ b/internal/engine/check.go
@@ -68,6 +68,9 @@
 	c.require(a.Incarnation > 0, "incarnation", "must be positive")
 	c.require(a.Seq > 0, "seq", "must be positive")
 	c.require(validAddr(a.Addr), "addr", "must be an IP address and port, as in 10.0.0.1:8000")
+	if a.Software != "" {
+		c.requireName(a.Software, "software")
+	}
 	c.require(a.Memory >= 0, "memory", "must not be negative")
 	c.require(a.Slots > 0, "slots", "must be positive")
 	c.require(a.Load.Running >= 0, "load.running", "must not be negative")
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -89,6 +89,8 @@
 	Upstream string
 	// Addr is the upstream's IP address and port.
 	Addr string
+	// Software is the version of the upstream's software.
+	Software string
 	// Resumes reports whether the upstream can resume a stream at a given token.
 	Resumes bool
 	// Lost reports that the connection ended after the call was sent and before its answer was
@@ -135,9 +137,10 @@
 
 // Router chooses the upstream for each attempt of a call.
 type Router interface {
-	// Pick chooses an upstream that is not in tried. Its error wraps a *Refusal, and is
+	// Pick chooses an upstream that is not in tried and, unless software is nil, runs that
+	// version of its software: the one that began the call's stream. Its error wraps a *Refusal, and is
 	// marked with ErrBusy if a later Pick may succeed.
-	Pick(c *Call, tried []string) (Route, error)
+	Pick(c *Call, tried []string, software *string) (Route, error)
 	// MayRetry reports whether another attempt may follow the failed attempt f, and
 	// returns the backoff before it.
 	MayRetry(c *Call, f FailedAttempt) (time.Duration, bool)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -50,7 +50,7 @@
 	return f, f.admitErr
 }
 
-func (f *fakeNode) Pick(c *Call, tried []string) (Route, error) {
+func (f *fakeNode) Pick(c *Call, tried []string, _ *string) (Route, error) {
 	for _, u := range f.upstreams {
 		if !strings.Contains(strings.Join(tried, ","), u) {
 			return Route{Upstream: u, Addr: u, Resumes: c.Service == "", Done: func(AttemptResult) {}}, nil
--- a/internal/gateway/pick.go
+++ b/internal/gateway/pick.go
@@ -29,6 +29,8 @@
 	call   *Call
 	// tried lists the upstreams that are skipped until the next backoff.
 	tried []string
+	// software is the version of the software that began the stream; nil before its first event.
+	software *string
 	// deadline is when the search ends.
 	deadline time.Time
 	// answerStarted reports whether the header of the answer was sent to the caller.
@@ -53,7 +55,7 @@
 		if !s.answerStarted && time.Until(s.deadline) <= 0 {
 			return Route{}, refuse(ReasonDeadline, "the call could not start in time").withDefaultRetryAfter()
 		}
-		route, err := s.sender.router.Pick(s.call, s.tried)
+		route, err := s.sender.router.Pick(s.call, s.tried, s.software)
 		if err == nil || !errors.Is(err, ErrBusy) {
 			return route, err
 		}
--- a/internal/gateway/repeatable.go
+++ b/internal/gateway/repeatable.go
@@ -65,6 +65,9 @@
 		}
 		search.recordFailure(route.Upstream, err)
 		search.answerStarted = out.headerSent
+		if out.tokensSent > 0 && search.software == nil {
+			search.software = &route.Software
+		}
 		if ctx.Err() != nil || errors.Is(err, errAnswerAborted) || (out.headerSent && !route.Resumes) {
 			return finalError(search, out, err)
 		}
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -23,8 +23,8 @@
 }
 
 // Pick implements gateway.Router.
-func (r *router) Pick(c *gateway.Call, tried []string) (gateway.Route, error) {
-	q := routing.Query{Customer: c.Customer(), Service: c.Service, Domain: r.loop.node.cfg.Domain, Exclude: tried}
+func (r *router) Pick(c *gateway.Call, tried []string, software *string) (gateway.Route, error) {
+	q := routing.Query{Customer: c.Customer(), Service: c.Service, Domain: r.loop.node.cfg.Domain, Software: software, Exclude: tried}
 	if c.Service == "" {
 		q.Model = targetKey(c.Customer(), c.Model.Name, "")
 		q.Adapter = c.Adapter
@@ -51,6 +51,7 @@
 	return gateway.Route{
 		Upstream: p.choice.Upstream,
 		Addr:     p.choice.Addr,
+		Software: p.choice.Software,
 		Resumes:  c.Service == "",
 		Lost: func() {
 			r.loop.post(context.Background(), func() { r.loop.recordLoss(c, p.choice.Upstream) })
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -35,6 +35,8 @@
 	Incarnation uint64
 	// AnnounceEvery is the interval between announcements; zero selects 500 ms.
 	AnnounceEvery time.Duration
+	// Software is the version of the engine's software.
+	Software string
 	// Memory is the accelerator memory in bytes.
 	Memory int64
 	// Slots is the number of requests that run concurrently, Queue the number of
@@ -218,6 +220,7 @@
 		Addr:          e.advertisedAddr(e.config.Advertise),
 		Domain:        e.config.Domain,
 		Kind:          directory.Engine,
+		Software:      e.config.Software,
 		Memory:        e.config.Memory,
 		Slots:         e.config.Slots,
 		ChecksFencing: e.config.ChecksFencing,
--- a/routing/select.go
+++ b/routing/select.go
@@ -110,6 +110,8 @@
 	switch {
 	case !u.acceptsWork:
 		return NotTaking
+	case q.Software != nil && *q.Software != u.software:
+		return OtherSoftware
 	case slices.Contains(q.Exclude, u.id):
 		return Excluded
 	case !u.breaker.Allows(now):
--- a/routing/selector.go
+++ b/routing/selector.go
@@ -39,6 +39,9 @@
 	Priority Priority
 	// Domain is the failure domain of this node.
 	Domain string
+	// Software is the version of its software that the upstream must have, because the request
+	// goes on with a stream; nil for any.
+	Software *string
 	// Exclude lists the IDs of upstreams that have been tried already.
 	Exclude []string
 }
@@ -51,6 +54,8 @@
 	Incarnation uint64
 	// Addr is the address that the request is sent to.
 	Addr string
+	// Software is the version of the upstream's software.
+	Software string
 	// Grant is the grant of the chosen replica; zero for a plain service.
 	Grant uint64
 	// HasAdapter is set when the query's adapter is loaded there.
@@ -70,6 +75,8 @@
 	// NotTaking means that all upstreams of the model or service take no new work: they
 	// are leaving or silent.
 	NotTaking
+	// OtherSoftware means that no upstream has the version of the software that the request needs.
+	OtherSoftware
 	// Excluded means that all others have been tried already.
 	Excluded
 	// Broken means that the circuit breakers of all others are open.
@@ -81,7 +88,7 @@
 // String returns the result's name.
 func (r Result) String() string {
 	names := [...]string{
-		"chosen", "no replica", "not taking", "excluded", "broken", "overloaded",
+		"chosen", "no replica", "not taking", "other software", "excluded", "broken", "overloaded",
 	}
 	return names[r]
 }
--- a/routing/upstream.go
+++ b/routing/upstream.go
@@ -22,6 +22,7 @@
 	incarnation uint64
 	addr        string
 	domain      string
+	software    string
 	slots       int
 	acceptsWork bool
 	service     string
@@ -59,7 +60,7 @@
 
 // choice returns the Choice of this upstream for a request.
 func (u *upstream) choice(q Query) Choice {
-	c := Choice{Upstream: u.id, Incarnation: u.incarnation, Addr: u.addr}
+	c := Choice{Upstream: u.id, Incarnation: u.incarnation, Addr: u.addr, Software: u.software}
 	if r := u.replica(q.Model); r != nil {
 		c.Grant = r.Grant
 		c.HasAdapter = slices.Contains(r.Adapters, q.Adapter)
@@ -91,7 +92,7 @@
 		return
 	}
 	u.hasReport, u.reportSeq = true, a.Seq
-	u.addr, u.domain, u.slots = a.Addr, a.Domain, a.Slots
+	u.addr, u.domain, u.software, u.slots = a.Addr, a.Domain, a.Software, a.Slots
 	// The report includes this node's requests; they are assumed not to have changed since.
 	u.othersRequests = max(0, a.Load.Running+a.Load.Queued-u.ownRequests)
 	if !u.listedAs(a) {
--- a/test/integration/stream_test.go
+++ b/test/integration/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -283,3 +284,30 @@
 		}
 	}
 }
+
+// TestStreamIsNotContinuedByOtherSoftware has engines of two versions cut streams off. A stream may be
+// continued only by the version that began it, which here is the engine that cuts it off again.
+func TestStreamIsNotContinuedByOtherSoftware(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	versions := []string{"v1", "v2"}
+	c, engines := startEnginePair(t, func(config *standin.EngineConfig) {
+		config.Software, versions = versions[0], versions[1:]
+	})
+	for _, e := range engines {
+		e.SetFaults(standin.Faults{CutAfter: 7})
+	}
+	got := c.nodes[0].send(t.Context(), chat("two", true, 18), nil)
+	is.NoErr(got.err)
+	is.True(got.complete)
+	is.Equal(got.body, chatAnswer("two", 18))
+	first, second := engines[0].Journal(), engines[1].Journal()
+	resumed := slices.ContainsFunc(first, func(entry standin.Entry) bool { return entry.ResumeFrom > 0 })
+	if !resumed {
+		first, second = second, first
+	}
+	is.True(slices.ContainsFunc(first, func(entry standin.Entry) bool { return entry.ResumeFrom == 14 }))
+	for _, entry := range second {
+		is.True(entry.Request != first[len(first)-1].Request)
+	}
+}
