residency: the model of a stream is loaded at the version that began it

The planner did not know that calls can be bound to a version: engines of another one that held the model counted as serving them, so that the calls waited until they were refused. Calls that are pinned have queues of their own, by version.

TestModelIsLoadedAtTheVersionOfItsStreams failed on the planner before.

--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -32,20 +32,37 @@
 	}
 	for _, model := range e.modelsAwaitingAdapters(r) {
 		key := modelKey{e.desc.Service, model}
-		for _, a := range r.queues[key].waitingAdapters() {
-			if !shouldLoadAdapter(e, r.adapterServers[key], model, a, r.now) {
-				continue
-			}
-			step, ok := p.orderAdapter(e, model, a, r.now)
-			if ok && step.Order.Load {
-				r.adapterLoads++
-			}
+		servers := r.adapterServers[key]
+		if step, ok, found := p.nextAdapterFor(e, r, model, r.queues[key], servers); found {
+			return step, ok
+		}
+		pinned := r.queues[key].pinned[e.desc.Software]
+		if step, ok, found := p.nextAdapterFor(e, r, model, pinned, withVersion(servers, e.desc.Software)); found {
 			return step, ok
 		}
 	}
 	return Step{}, false
 }
 
+// nextAdapterFor returns the next adapter order for an engine from the calls of one queue, which any of
+// the servers can run. found is set if the engine should load an adapter for them, ok if it can now.
+func (p *Planner) nextAdapterFor(e *engine, r *round, model string, q *queue, servers []*engine) (step Step, ok, found bool) {
+	if q == nil {
+		return Step{}, false, false
+	}
+	for _, a := range q.waitingAdapters() {
+		if !shouldLoadAdapter(e, servers, model, a, r.now) {
+			continue
+		}
+		step, ok := p.orderAdapter(e, model, a, r.now)
+		if ok && step.Order.Load {
+			r.adapterLoads++
+		}
+		return step, ok, true
+	}
+	return Step{}, false, false
+}
+
 // modelsAwaitingAdapters returns the models that an engine serves and for whose
 // adapters calls wait, sorted by name. It returns none once the engine has reached
 // its limit of adapter loads.
@@ -68,7 +85,7 @@
 // in progress.
 func (p *Planner) findAdapterServers(r *round) {
 	for key, q := range r.queues {
-		if len(q.adapters) == 0 {
+		if !q.wantsAdapters() {
 			continue
 		}
 		if r.adapterServers == nil {
--- a/residency/choose.go
+++ b/residency/choose.go
@@ -116,6 +116,7 @@
 	e := c.engine
 	e.job = &job{model: c.model.spec.Name, tier: c.tier, evict: c.evict}
 	c.model.plannedLoads++
+	c.model.queue.serve(e.desc.Software)
 	if c.tier != Store {
 		e.service.copyLoadGain.add(c.gain, now)
 	}
@@ -145,7 +146,7 @@
 		if m.gainBound <= minGain || m.gainBound <= best.score*s.shortestLoad {
 			break // sorted by gainBound: no later model has a higher score
 		}
-		if m.plannedLoads > 0 || e.held.models[m.spec.Name] {
+		if m.plannedLoads > 0 && m.queue.wants(e.desc.Software) == nil || e.held.models[m.spec.Name] {
 			continue
 		}
 		if c, ok := p.evaluate(e, m, &memory, now); ok && c.score > best.score {
@@ -159,7 +160,8 @@
 // false if the load is not possible now or not worth what it evicts.
 func (p *Planner) evaluate(e *engine, m *modelState, memory *engineMemory, now time.Duration) (candidate, bool) {
 	c := candidate{engine: e, model: m, tier: e.tier(m.spec.Name)}
-	if c.tier == Store && (m.copyAvailable || !e.service.storeAvailable) {
+	pinned := m.queue.wants(e.desc.Software)
+	if c.tier == Store && (m.copyAvailable && pinned == nil || !e.service.storeAvailable) {
 		return candidate{}, false
 	}
 	evict, loss, wait, ok := memory.chooseVictims(m.spec.SizeMB)
@@ -167,7 +169,10 @@
 		return candidate{}, false
 	}
 	duration := loadTime(m.spec, c.tier)
-	gain := p.gain(e, m, c.tier, m.queue.loadValue(duration+wait))
+	gain := resumedCallValue * pinned.loadValue(duration+wait)
+	if m.plannedLoads == 0 {
+		gain += p.gain(e, m, c.tier, m.queue.loadValue(duration+wait))
+	}
 	if gain <= 0 {
 		return candidate{}, false
 	}
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -191,8 +191,15 @@
 	groups []waitingGroup
 	// adapters counts the waiting calls by adapter.
 	adapters map[string]int
+	// pinned holds the calls that can run only at upstreams with one version of their software,
+	// by that version; they do not count in the fields above. served is set in such a queue if
+	// an engine of the version will serve its calls.
+	pinned map[string]*queue
+	served bool
 }
 
+func newQueue() *queue { return &queue{adapters: map[string]int{}} }
+
 // waitingGroup is a number of waiting calls, with the time until they are late and
 // the time until they are given up. Both are negative once they have passed.
 type waitingGroup struct {
@@ -208,9 +215,12 @@
 			key := modelKey{w.Service, w.Model}
 			q := all[key]
 			if q == nil {
-				q = &queue{adapters: map[string]int{}}
+				q = newQueue()
 				all[key] = q
 			}
+			if w.Pinned {
+				q = q.pinnedTo(w.Software)
+			}
 			q.calls += w.Waiting
 			age := now - d.reportedAt
 			q.groups = append(q.groups, waitingGroup{w.Waiting, w.Slack - age, w.Patience - age})
--- a/residency/overview.go
+++ b/residency/overview.go
@@ -65,7 +65,7 @@
 func (p *Planner) DemandOverview(now time.Duration) []DemandOverview {
 	var list []DemandOverview
 	for key, q := range p.queues(now) {
-		o := DemandOverview{Service: key.service, Model: key.model, Waiting: q.calls, PerSecond: p.expectedRate(key.service, key.model, now)}
+		o := DemandOverview{Service: key.service, Model: key.model, Waiting: q.total(), PerSecond: p.expectedRate(key.service, key.model, now)}
 		in, known := p.Forecast(key.service, key.model, now)
 		o.In, o.Known = contract.Duration(in), known
 		list = append(list, o)
--- a/residency/simulation_test.go
+++ b/residency/simulation_test.go
@@ -283,7 +283,7 @@
 		a := s.waiting[node]
 		a.demand.Slack = a.due - s.now
 		r := residency.NodeReport{Waiting: []dispatch.Demand{a.demand}}
-		if s.serves(a.demand.Model, a.demand.Adapter) {
+		if d := a.demand; !d.Pinned && s.serves(d.Model, d.Adapter) || d.Pinned && s.holdsAt(d.Software, d.Model, d.Adapter) {
 			r.Waiting = nil
 		}
 		for model, calls := range s.arrivals {
--- a/residency/survey.go
+++ b/residency/survey.go
@@ -125,6 +125,7 @@
 	if e.job != nil && !e.needsReport {
 		if m := e.service.byName[e.job.model]; m != nil {
 			m.plannedLoads++
+			m.queue.serve(e.desc.Software)
 		}
 	}
 	spareSlots := float64(e.running.total) < maxSpareLoad*float64(e.desc.Slots)
@@ -135,6 +136,9 @@
 		}
 		m.holders = append(m.holders, e)
 		m.hasSpareSlots = m.hasSpareSlots || spareSlots
+		if spareSlots {
+			m.queue.serve(e.desc.Software)
+		}
 	}
 	availableSoon := e.active == nil || e.active.due-now < maxCopyWait
 	for name := range e.tiers {
@@ -200,14 +204,14 @@
 func (p *Planner) listLoadable(s *service) {
 	s.loadable, s.smallestMB = s.loadable[:0], 0
 	for _, m := range s.models {
-		if m.plannedLoads > 0 {
-			continue
-		}
-		bestValue := 0.0
-		for _, t := range []Tier{Memory, Disk, Store} {
-			bestValue = max(bestValue, m.queue.loadValue(loadTime(m.spec, t)))
+		m.gainBound = s.pinnedValue(m)
+		if m.plannedLoads == 0 {
+			bestValue := 0.0
+			for _, t := range []Tier{Memory, Disk, Store} {
+				bestValue = max(bestValue, m.queue.loadValue(loadTime(m.spec, t)))
+			}
+			m.gainBound += p.gainBound(m, bestValue)
 		}
-		m.gainBound = p.gainBound(m, bestValue)
 		if m.gainBound <= 0 {
 			continue
 		}
