dispatch, edge: streams that go on come before new calls, and wait for as long as they can

Such calls were refused after half of the time that they had, as if the whole answer were still to be generated, and stood behind new calls of their priority.

They are sorted first, may exceed an engine's slots by an eighth, which then queues them first, and wait until the rest of their answer cannot be had in time.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -168,6 +168,20 @@
 	return max(1, u.desc.Slots)
 }
 
+// resumeReserve is the share of an upstream's slots by which calls that go on with a stream may exceed
+// them. Their callers have a part of the answer, which few upstreams can complete; the upstream
+// queues them before new calls of the same priority.
+const resumeReserve = 0.125
+
+// capacityFor returns the load below which the upstream takes a call.
+func (u *upstream) capacityFor(c *Call) float64 {
+	slots := float64(u.slotCount())
+	if c.Pinned {
+		return slots + max(1, slots*resumeReserve)
+	}
+	return slots
+}
+
 // estimatedLoad returns the estimated number of calls at the upstream: this node's, and
 // those of other nodes in its latest load report. The latter are assumed to end evenly
 // over LoadReportTTL.
@@ -238,7 +252,7 @@
 			outcome = allBusy
 		}
 		load := u.estimatedLoad(&d.limits, now)
-		if max(u.pausedUntil, u.request.pausedUntil) > now || u.probing || load >= float64(u.slotCount()) || u.lacksPermit(now) {
+		if max(u.pausedUntil, u.request.pausedUntil) > now || u.probing || load >= u.capacityFor(c) || u.lacksPermit(now) {
 			continue
 		}
 		candidates = append(candidates, candidate{upstream: u, cost: d.cost(u, c, load, now)})
--- a/dispatch/version_test.go
+++ b/dispatch/version_test.go
@@ -44,7 +44,7 @@
 func TestPinnedCallsGoToTheirVersion(t *testing.T) {
 	is := is.New(t)
 	d := versions("v1", "v2")
-	for i := range 4 {
+	for i := range 5 { // one more than it has slots
 		is.Equal(started(d.Submit(pinned(i, "v2", 0), 0))[dispatch.CallID(i)], "v2")
 	}
 	is.Equal(len(d.Submit(pinned(5, "v2", 0), 0)), 0)
@@ -53,6 +53,25 @@
 	is.Equal(started(d.Finish(0, dispatch.Served, 10*ms)), map[dispatch.CallID]string{5: "v2"})
 }
 
+// TestPinnedCallsComeBeforeNewOnes fills the only engine with new calls. A call that goes on with a stream
+// may exceed the slots; the next one starts before new calls of its priority that have waited longer,
+// and waits for as long as its caller does.
+func TestPinnedCallsComeBeforeNewOnes(t *testing.T) {
+	is := is.New(t)
+	d := versions("v1")
+	for i := range 4 {
+		is.Equal(len(started(d.Submit(stream(i, 0), 0))), 1)
+	}
+	is.Equal(len(d.Submit(stream(4, 0), 0)), 0)
+	is.Equal(started(d.Submit(pinned(5, "v1", 10*ms), 10*ms))[5], "v1")
+	is.Equal(len(d.Submit(pinned(6, "v1", 20*ms), 20*ms)), 0)
+	d.Finish(5, dispatch.Served, 30*ms)
+	is.Equal(started(d.Finish(0, dispatch.Served, 30*ms)), map[dispatch.CallID]string{})
+	verdicts := d.Tick(5 * second) // the new call has waited for half of its time
+	is.Equal(len(verdicts), 1)
+	is.Equal(verdicts[0].ID, dispatch.CallID(4))
+}
+
 // TestPinnedCallWithoutItsVersionIsRefusedAtOnce checks both a version that was never there and one
 // that leaves while a call waits.
 func TestPinnedCallWithoutItsVersionIsRefusedAtOnce(t *testing.T) {
@@ -61,7 +80,7 @@
 	verdicts := d.Submit(pinned(1, "v0", 0), 0)
 	is.Equal(len(verdicts), 1)
 	is.Equal(verdicts[0].Reason, dispatch.NoVersion)
-	for i := range 4 {
+	for i := range 5 {
 		d.Submit(pinned(10+i, "v2", 0), 0)
 	}
 	is.Equal(len(d.Submit(pinned(2, "v2", 0), 0)), 0)
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -16,7 +16,8 @@
 	permitFrom *upstream
 }
 
-// enqueue inserts a call into the queue, which is sorted by priority, then by target.
+// enqueue inserts a call into the queue, which is sorted by priority, then by target. Of
+// equal priority, calls that go on with a stream come first.
 func (d *Dispatcher) enqueue(w *queuedCall) {
 	at, _ := slices.BinarySearchFunc(d.queue, w, compareQueued)
 	d.queue = slices.Insert(d.queue, at, w)
@@ -25,11 +26,20 @@
 func compareQueued(a, b *queuedCall) int {
 	return cmp.Or(
 		cmp.Compare(a.call.Priority, b.call.Priority),
+		cmp.Compare(resumeRank(&a.call), resumeRank(&b.call)),
 		cmp.Compare(a.call.Target, b.call.Target),
 		cmp.Compare(a.call.ID, b.call.ID),
 	)
 }
 
+// resumeRank is 0 for calls that go on with a stream and 1 for others.
+func resumeRank(c *Call) int {
+	if c.Pinned {
+		return 0
+	}
+	return 1
+}
+
 // processQueue starts the waiting calls for which there is an upstream and refuses those
 // that cannot start in time. Once no upstream was found for a requirement, later calls with
 // the same one are not tried. Calls that avoid upstreams are tried by themselves: what they
@@ -120,6 +130,10 @@
 			return v, true
 		}
 	}
+	if c.Pinned {
+		// No other node has more upstreams of its version.
+		return v, now > c.LatestStart
+	}
 	return v, now > c.Arrived+time.Duration(float64(c.LatestStart-c.Arrived)*d.limits.NoForecastWaitFraction)
 }
 
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -39,6 +39,8 @@
 	// arrived and deadline are on the clock of package boottime.
 	arrived  time.Duration
 	deadline time.Duration
+	// forEngine is set if the call is for a model engine.
+	forEngine bool
 	// dispatchCall describes the call to the dispatcher.
 	dispatchCall dispatch.Call
 	// attemptID identifies the current attempt to the dispatcher.
@@ -187,6 +189,7 @@
 // caller left, or because the call came into quarantine.
 func (c *call) waitForVerdict() (dispatch.Verdict, bool) {
 	e := c.edge
+	c.dispatchCall.LatestStart = c.latestStart()
 	submitted := c.dispatchCall
 	submitted.ID = dispatch.CallID(e.lastCallID.Add(1))
 	c.attemptID = submitted.ID
@@ -347,6 +350,7 @@
 		Upstream:    u.ID,
 		Remaining:   c.deadline - boottime.Now(),
 		Priority:    c.route.Priority,
+		Resumes:     c.dispatchCall.Pinned,
 		ForModel:    c.dispatchCall.Model != "",
 		LastEventID: c.lastEventID,
 	})
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -43,6 +43,8 @@
 	Remaining time.Duration
 	// Priority is the priority of the call's route; zero is the most urgent.
 	Priority int
+	// Resumes is set if the call goes on with a stream. It comes before others of its priority.
+	Resumes bool
 	// ForModel is set if the call is for a model engine.
 	ForModel bool
 	// LastEventID is the id of the last event that the caller received; empty unless a
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -174,25 +174,38 @@
 	c.deadline = c.arrived + min(patience, c.route.Timeout)
 	service := c.route.Backend(c.streamID())
 	c.dispatchCall = dispatch.Call{
-		Service:     service,
-		Priority:    c.route.Priority,
-		Arrived:     c.arrived,
-		Target:      c.arrived + c.route.Target,
-		LatestStart: c.deadline - answerReserve,
-		Stream:      c.route.Kind == routes.Stream,
+		Service:  service,
+		Stream:   c.route.Kind == routes.Stream,
+		Priority: c.route.Priority,
+		Arrived:  c.arrived,
+		Target:   c.arrived + c.route.Target,
 	}
 	if s := c.routing.table.Service(service); s != nil && s.Engine != nil {
 		c.dispatchCall.Model, c.dispatchCall.Adapter = c.caller.Model, c.caller.Adapter
-		c.dispatchCall.LatestStart = c.deadline - estimateRunTime(c.route, &c.caller, c.deadline-c.arrived)
-		if c.route.StartPatience > 0 {
-			c.dispatchCall.LatestStart = min(c.dispatchCall.LatestStart, c.arrived+c.route.StartPatience-startReserve)
-		}
+		c.forEngine = true
 		if c.route.Affinity {
 			c.dispatchCall.Affinity = c.caller.Affinity
 		}
 	}
 }
 
+// latestStart returns the last time at which the call, or what its caller lacks of the answer, can
+// start in time.
+func (c *call) latestStart() time.Duration {
+	if !c.forEngine {
+		return c.deadline - answerReserve
+	}
+	runTime := estimateRunTime(c.route, &c.caller, c.deadline-c.arrived)
+	if c.events > 0 || c.takesUpStream() {
+		runTime = time.Duration(float64(runTime) * averageRestShare)
+	}
+	latest := c.deadline - runTime
+	if c.route.StartPatience > 0 {
+		latest = min(latest, max(c.arrived, c.lastEventTime)+c.route.StartPatience-startReserve)
+	}
+	return latest
+}
+
 const (
 	// timePerToken is the approximate time that an engine takes for one token of a
 	// stream. Engines state 8 to 10 ms and become slower with more calls.
@@ -200,6 +213,8 @@
 	// averageOutputShare is the average share of its output token limit that a call
 	// generates.
 	averageOutputShare = 0.5
+	// averageRestShare is the average share of a stream that its caller lacks when it breaks off.
+	averageRestShare = 0.5
 	// answerReserve is the approximate running time of a short call.
 	answerReserve = 100 * time.Millisecond
 	// startReserve is the time that a busy engine takes until the first event.
