residency: streams that few engines can serve come before new calls

The value of a pinned call rises with the share of the engines that cannot serve it.

TestBrokenStreamsComeBeforeNewCallsAtFewEngines failed on the planner before.

--- a/residency/choose.go
+++ b/residency/choose.go
@@ -169,7 +169,7 @@
 		return candidate{}, false
 	}
 	duration := loadTime(m.spec, c.tier)
-	gain := resumedCallValue * pinned.loadValue(duration+wait)
+	gain := e.service.pinnedCallValue(e.desc.Software) * pinned.loadValue(duration+wait)
 	if m.plannedLoads == 0 {
 		gain += p.gain(e, m, c.tier, m.queue.loadValue(duration+wait))
 	}
--- a/residency/survey.go
+++ b/residency/survey.go
@@ -21,6 +21,8 @@
 	copyLoadGain rate
 	// engineCount is the number of engines of the service.
 	engineCount int
+	// byVersion counts the engines that can take calls, by the version of their software.
+	byVersion map[string]int
 	// storeAvailable reports whether one more load from the weight store may begin.
 	storeAvailable bool
 	// loadable holds the models that an engine might load, highest gainBound first.
@@ -58,7 +60,7 @@
 
 // newService returns a service with the given configuration.
 func newService(spec *routes.Engine) *service {
-	s := &service{spec: spec, byName: map[string]*modelState{}}
+	s := &service{spec: spec, byName: map[string]*modelState{}, byVersion: map[string]int{}}
 	largestAdapterMB, shortestLoad := 0.0, time.Duration(math.MaxInt64)
 	for i := range spec.Models {
 		m := &modelState{spec: &spec.Models[i]}
@@ -101,17 +103,18 @@
 			s.byName[key.model].queue = q
 		}
 	}
-	for _, e := range p.byID {
-		if e.service != nil && !e.desc.Leaving {
-			p.surveyEngine(e, r.now)
-		}
-	}
 	for _, s := range p.services {
 		s.engineCount = 0
+		clear(s.byVersion)
 	}
 	for _, e := range p.byID {
-		if e.service != nil {
-			e.service.engineCount++
+		if e.service == nil {
+			continue
+		}
+		e.service.engineCount++
+		if !e.desc.Leaving {
+			e.service.byVersion[e.desc.Software]++
+			p.surveyEngine(e, r.now)
 		}
 	}
 	for _, s := range p.services {
--- a/residency/versions.go
+++ b/residency/versions.go
@@ -4,6 +4,16 @@
 // been generated is lost with it.
 const resumedCallValue = 8
 
+// pinnedCallValue returns the value of a call that only engines with the given version of their software
+// can serve, relative to a new one: the fewer of the engines they are, the higher.
+func (s *service) pinnedCallValue(software string) float64 {
+	total := 0
+	for _, engines := range s.byVersion {
+		total += engines
+	}
+	return resumedCallValue * float64(total) / float64(max(1, s.byVersion[software]))
+}
+
 // pinnedTo returns the queue of the calls that can run only at upstreams with the given version of
 // their software, and creates it if there is none.
 func (q *queue) pinnedTo(software string) *queue {
@@ -64,7 +74,7 @@
 	best := 0.0
 	for software := range m.queue.pinned {
 		for _, t := range []Tier{Memory, Disk, Store} {
-			best = max(best, resumedCallValue*m.queue.wants(software).loadValue(loadTime(m.spec, t)))
+			best = max(best, s.pinnedCallValue(software)*m.queue.wants(software).loadValue(loadTime(m.spec, t)))
 		}
 	}
 	return best
--- a/residency/versions_test.go
+++ b/residency/versions_test.go
@@ -51,3 +51,21 @@
 	is.True(s.holdsAt(other, "m8", "a1"))
 	is.True(!s.holdsAt(held, "m8", "a1"))
 }
+
+// TestBrokenStreamsComeBeforeNewCallsAtFewEngines has one engine in three left at the version of a
+// stream, after others crashed. It loads the model of the stream, which no other can serve, before those
+// that more new calls wait for.
+func TestBrokenStreamsComeBeforeNewCallsAtFewEngines(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(t, 3, 10, true) // they hold m0 to m5
+	for i, software := range []string{"v1", "v2", "v2"} {
+		s.engines[fmt.Sprint("e", i)].desc.Software = software
+	}
+	s.run(second)
+	for i := 6; i < 9; i++ {
+		s.addWaiting(fmt.Sprint("n", i), fmt.Sprint("m", i), "", 6)
+	}
+	s.addPinned("p", "m9", "", "v1")
+	s.run(second)
+	is.True(s.holdsAt("v1", "m9", ""))
+}
