origin: streams of routes longer than twenty seconds are remembered for as long as they last

Found by reading: a stream was remembered for one to two minutes whatever the time of its route. Callers with a route of five minutes got it joined once the base had changed or the record had expired. Streams are remembered for three times the longest route for streams, a minute at least.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -181,6 +181,9 @@
 	if v := c.stateMachine.decoded.Load(); v != nil && v.version != c.plannedVersion {
 		c.plannedVersion = v.version
 		c.planner.SetServices(v.conf.Services)
+		c.log.Event("configuration planned", eventlog.Fields{
+			"version": v.version, "streamSeconds": c.origins.Cover(v.conf.LongestStream()).Seconds(),
+		})
 	}
 	if c.fence == 0 || now < c.ordersAllowedAt {
 		return
--- a/internal/controller/streams_test.go
+++ b/internal/controller/streams_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,8 +12,36 @@
 	"github.com/agateslip/agateslip/confstate"
 	"github.com/agateslip/agateslip/internal/controller"
 	"github.com/agateslip/agateslip/origin"
+	"github.com/agateslip/agateslip/routes"
 )
 
+// TestLeaderRemembersStreamsForTheLongestRoute puts a route in force on which callers wait for five minutes. The
+// leader must remember streams for three times as long.
+func TestLeaderRemembersStreamsForTheLongestRoute(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCluster(t, 17830, 3)
+	c.decode = func([]byte) (*routes.Configuration, error) {
+		return &routes.Configuration{
+			Version: 1, Services: []routes.Service{{Name: "s"}},
+			Routes: []routes.Route{
+				{Name: "plain", Kind: routes.Repeatable, Timeout: time.Hour},
+				{Name: "stream", Kind: routes.Stream, Timeout: 5 * time.Minute},
+			},
+		}, nil
+	}
+	c.start(0, 1, 2)
+	is.Equal(c.configure(0, 1, "x"), confstate.Accepted)
+	c.waitFor("the leader to plan by the configuration", func() bool {
+		for _, n := range c.nodes {
+			if strings.Contains(n.log.Tail(1<<20), `"streamSeconds":900`) {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 // TestNewLeaderKnowsRecordedStreams records streams and restarts all nodes, which take a while to apply their
 // logs. Whatever node answers must know the first of the streams.
 func TestNewLeaderKnowsRecordedStreams(t *testing.T) {
--- a/origin/doc.go
+++ b/origin/doc.go
@@ -10,7 +10,7 @@
 //
 // The base version may change only when no stream without a record can be left that began at the
 // old one. An entry node may take a version for the base for BaseLease after it asked the leader; a
-// caller may take a stream up until Lifetime after it began.
+// caller may take a stream up until Lifetime after it began, or longer where its route lets it wait longer.
 //
 // [Table] is the replicated part, [Tracker] decides on the leader when the base changes and when
 // records expire, and [View] is an entry node's part. None has a clock, goroutine or I/O.
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -128,7 +128,14 @@
 // a stream must be the version that began it.
 func TestStreamsAreNeverJoined(t *testing.T) {
 	for seed := range uint64(40) {
-		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { simulate(t, seed) })
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { simulate(t, seed, origin.Lifetime/3) })
+	}
+}
+
+// TestLongStreamsAreNeverJoined has callers wait for five minutes for each answer.
+func TestLongStreamsAreNeverJoined(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) { simulate(t, seed, 5*time.Minute) })
 	}
 }
 
@@ -145,7 +152,8 @@
 	at       time.Duration
 }
 
-func simulate(t *testing.T, seed uint64) {
+// simulate has callers take streams up for three times the given time.
+func simulate(t *testing.T, seed uint64, timeout time.Duration) {
 	const duration, step = 90 * time.Minute, 5 * time.Second
 	random := rand.New(rand.NewPCG(seed, 1))
 	table, tracker := origin.NewTable(), origin.NewTracker(0)
@@ -193,6 +201,7 @@
 				live = append(live, u)
 			}
 		}
+		tracker.Cover(timeout)
 		if c := tracker.Review(table, func() []fleet.Upstream { return all }, now); c != nil {
 			table.Apply(c)
 		}
@@ -224,7 +233,7 @@
 		}
 		var left []begunStream
 		for _, s := range streams {
-			if now-s.at > origin.Lifetime {
+			if now-s.at > 3*timeout {
 				continue
 			}
 			left = append(left, s)
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -8,8 +8,11 @@
 )
 
 const (
-	// Lifetime is how long after its beginning a stream may be taken up again.
+	// Lifetime is how long after its beginning a stream may be taken up again, where callers do not wait for
+	// answers for so long that it takes more; see [Tracker.Cover].
 	Lifetime = time.Minute
+	// triesPerCaller is how often a caller may wait for the whole time of its route.
+	triesPerCaller = 3
 	// BaseLease is how long after it asked the leader an entry node may take a version for the
 	// base version. Without a leader, entry nodes begin no streams after that time.
 	BaseLease = 10 * time.Minute
@@ -24,6 +27,8 @@
 // term.
 type Tracker struct {
 	began time.Duration
+	// lifetime is how long after its beginning a stream may be taken up again.
+	lifetime time.Duration
 	// reviewAt is when the upstreams are reviewed next, and expireAt when records expire next.
 	reviewAt, expireAt time.Duration
 	// inUseUntil is, by service, until when an entry node may begin a stream at the base version
@@ -38,11 +43,21 @@
 // NewTracker returns the tracker of a term that begins at now.
 func NewTracker(now time.Duration) *Tracker {
 	return &Tracker{
-		began: now, expireAt: now + Lifetime, inUseUntil: map[string]time.Duration{},
+		began: now, lifetime: Lifetime, expireAt: now + Lifetime, inUseUntil: map[string]time.Duration{},
 		versions: map[string]map[string]int{}, seen: map[string]map[string]time.Duration{},
 	}
 }
 
+// Cover has streams be remembered for as long as their callers may take them up, if these wait for each answer
+// for up to the given time. Within a term that does not get shorter. It returns how long that is.
+func (t *Tracker) Cover(timeout time.Duration) time.Duration {
+	if lifetime := triesPerCaller * timeout; lifetime > t.lifetime {
+		t.expireAt += lifetime - t.lifetime
+		t.lifetime = lifetime
+	}
+	return t.lifetime
+}
+
 // Review returns the change to propose; nil if there is none. upstreams returns all upstreams that
 // are known, including those that have ended.
 func (t *Tracker) Review(table *Table, upstreams func() []fleet.Upstream, now time.Duration) *Change {
@@ -58,7 +73,7 @@
 		change.Before, change.Bases = bases, &next
 	}
 	if now >= t.expireAt {
-		t.expireAt = now + Lifetime
+		t.expireAt = now + t.lifetime
 		change.Expire = !table.Empty()
 	}
 	if change.Bases == nil && !change.Expire {
@@ -98,7 +113,7 @@
 		}
 	}
 	for _, versions := range t.seen {
-		maps.DeleteFunc(versions, func(_ string, at time.Duration) bool { return now-at > Lifetime })
+		maps.DeleteFunc(versions, func(_ string, at time.Duration) bool { return now-at > t.lifetime })
 	}
 }
 
@@ -131,7 +146,7 @@
 // mayReplaceBase reports whether no stream without a record is left that began at the base version.
 // A new leader does not know which upstreams fell silent before its term.
 func (t *Tracker) mayReplaceBase(service string, now time.Duration) bool {
-	return now > max(t.inUseUntil[service], t.began+BaseLease)+Lifetime
+	return now > max(t.inUseUntil[service], t.began+BaseLease)+t.lifetime
 }
 
 // mostCommon returns the version with the most upstreams, the first of them by name.
@@ -149,7 +164,7 @@
 // up, if there is just one.
 func (t *Tracker) Only(service string, now time.Duration) (software string, ok bool) {
 	versions := t.seen[service]
-	if len(versions) != 1 || now-t.began < Lifetime {
+	if len(versions) != 1 || now-t.began < t.lifetime {
 		return "", false
 	}
 	for software := range versions {
--- a/routes/configuration.go
+++ b/routes/configuration.go
@@ -28,6 +28,17 @@
 	Limits Limits
 }
 
+// LongestStream returns the longest time that a caller waits for a stream; zero without routes for any.
+func (c *Configuration) LongestStream() time.Duration {
+	longest := time.Duration(0)
+	for i := range c.Routes {
+		if c.Routes[i].Kind == Stream {
+			longest = max(longest, c.Routes[i].Timeout)
+		}
+	}
+	return longest
+}
+
 // Limits bound the requests and connections of callers. Entry nodes enforce BodyBytes
 // only; callers are expected to keep to the others.
 type Limits struct {
