--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -91,10 +91,14 @@
 // and applies them until ctx ends.
 func (e *Edge) followLeader(ctx context.Context) error {
 	request := nodelink.WatchRequest{Entry: true}
+	// stateAt is when the latest answer arrived that told more than a configuration. The wait for the next one
+	// is not prolonged by configurations that come meanwhile.
+	stateAt := boottime.Now()
 	for ctx.Err() == nil {
 		target := e.leader.current()
 		e.mesh.SetPeers([]peer.Peer{{Name: target, Addr: target}})
 		askedAt := boottime.Now()
+		request.WaitMillis = max(0, watchWait-(askedAt-stateAt)).Milliseconds()
 		answer, err := e.watchControlNode(ctx, target, request)
 		if err != nil {
 			if ctx.Err() == nil {
@@ -122,6 +126,7 @@
 				e.applyQuarantine(answer.Quarantine)
 			}
 			if answer.Bases != nil {
+				stateAt = boottime.Now()
 				e.applyBases(*answer.Bases, askedAt)
 			}
 			e.applyUpstreams(answer.Whole, upstreams)
@@ -144,7 +149,6 @@
 	if v := e.routing.Load(); v != nil {
 		r.Version = v.version
 	}
-	r.WaitMillis = watchWait.Milliseconds()
 	start := time.Now()
 	for {
 		answer, err := e.watchOnce(ctx, target, r)
