controller: a node that joins reaches a leader that is no seed

A new control node could fail to join for good while a seed was down: it asked its peers in turn by a counter while their list changed, and forgot the leader that one of them had named as soon as another named none, so that the leader was never asked. The hint stays until its node itself denies it, and the rotation goes by name.

--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -62,6 +62,13 @@
 	return links
 }
 
+// hintedLeader returns the link address set by setLeaderHint.
+func (b *addressBook) hintedLeader() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.leaderHint
+}
+
 // setLeaderHint sets the link address of the leader as another node named it; "" clears
 // it.
 func (b *addressBook) setLeaderHint(link string) {
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -36,7 +36,8 @@
 	defer ticker.Stop()
 	var peers []peer.Peer
 	leaderHeardAt := boottime.Now()
-	for turn := 0; ; turn++ {
+	var targets joinTargets
+	for {
 		if next := c.peerList(); !slices.Equal(peers, next) {
 			peers = next
 			c.mesh.SetPeers(peers)
@@ -49,7 +50,7 @@
 		case status.Role == raft.Leader:
 			c.adjustMembership(ctx, status)
 		case !c.isMember(status) || boottime.Now()-leaderHeardAt > leaderlessTimeout || c.registrationOutdated():
-			if err := c.join(ctx, turn, c.neverJoined(status)); err != nil {
+			if err := c.join(ctx, &targets, c.neverJoined(status)); err != nil {
 				return supervisor.Permanent(err)
 			}
 		}
@@ -107,21 +108,22 @@
 	return slices.Compact(links)
 }
 
-// join asks the leader for membership or, while the leader is unknown, the peer selected
-// by turn.
-func (c *Controller) join(ctx context.Context, turn int, fresh bool) error {
+// join asks the leader for membership or, while the leader is unknown, the node that
+// joinTargets selects.
+func (c *Controller) join(ctx context.Context, targets *joinTargets, fresh bool) error {
+	hint := c.addresses.hintedLeader()
 	target := c.leader()
 	if target == "" || target == c.cfg.Listen.Links {
-		peers := c.peerList()
-		if len(peers) == 0 {
-			return nil
-		}
-		target = peers[turn%len(peers)].Name
+		target = targets.next(c.peerList(), hint, hint != "" && c.mesh.Reachable(hint))
+	}
+	if target == "" {
+		return nil
 	}
 	answer, err := c.requestJoin(ctx, target, fresh)
 	if err != nil {
-		c.addresses.setLeaderHint(leaderHintFrom(err))
-		c.log.Event("join request failed", eventlog.Fields{"asked": target, "hint": leaderHintFrom(err), "error": err.Error()})
+		named := leaderHintFrom(err)
+		c.addresses.setLeaderHint(nextHint(hint, target, named))
+		c.log.Event("join request failed", eventlog.Fields{"asked": target, "hint": named, "error": err.Error()})
 		return nil
 	}
 	c.addresses.add(answer.Members)
@@ -132,6 +134,35 @@
 	return nil
 }
 
+// nextHint returns the hinted leader after a node was asked and named a leader, or none. A node
+// that names none replaces the hint only if it is the hinted leader itself.
+func nextHint(hint, asked, named string) string {
+	if named == "" && asked != hint {
+		return hint
+	}
+	return named
+}
+
+// joinTargets selects the nodes to ask for membership while the leader is unknown.
+type joinTargets struct {
+	// last is the peer that was selected last in rotation.
+	last string
+}
+
+// next returns the hinted leader if it is reachable, and otherwise the peer after the last
+// one in the sorted list; "" if there is none. The list may change between calls.
+func (t *joinTargets) next(peers []peer.Peer, hint string, reachable bool) string {
+	if reachable {
+		return hint
+	}
+	if len(peers) == 0 {
+		return ""
+	}
+	next := slices.IndexFunc(peers, func(p peer.Peer) bool { return p.Name > t.last })
+	t.last = peers[max(0, next)].Name
+	return t.last
+}
+
 func (c *Controller) requestJoin(ctx context.Context, target string, fresh bool) (nodelink.JoinAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
