residency: models of engines that nodes cannot reach are loaded elsewhere

An engine that has crashed is announced as long as it may just be silent. The streams that it held waited for its models meanwhile, though several entry nodes had found its connection refused. Engines that two nodes cannot reach are doubted: they take no jobs and do not count as holders.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -78,6 +78,8 @@
 	// consecutiveLost and consecutiveUnreachable count the Lost and Unreachable results
 	// since the upstream's latest answer.
 	consecutiveLost, consecutiveUnreachable int
+	// unreachableAt is when a call last could not be sent there.
+	unreachableAt time.Duration
 	// probing is set while one call tests whether an unreachable upstream answers again;
 	// no other call is sent there meanwhile.
 	probing bool
@@ -138,6 +140,7 @@
 	case Unreachable:
 		failed = 1
 		u.consecutiveUnreachable++
+		u.unreachableAt = now
 		u.backOff(l, u.consecutiveUnreachable-1, now)
 	}
 	recent := u.recentFailureRate(now)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -221,6 +221,21 @@
 	return now - d.firstArrival
 }
 
+// unreachableTTL is how long an upstream that could not be reached counts as unreachable without
+// another try. It exceeds the longest pause between two tries.
+const unreachableTTL = 4 * time.Second
+
+// Unreachable returns the upstreams that this node could not reach when it last tried.
+func (d *Dispatcher) Unreachable(now time.Duration) []fleet.Incarnation {
+	var all []fleet.Incarnation
+	for _, u := range d.upstreams {
+		if u.consecutiveUnreachable > 0 && now-u.unreachableAt < unreachableTTL {
+			all = append(all, u.incarnation())
+		}
+	}
+	return all
+}
+
 // Running returns the number of calls for models that run, by upstream ID and by model
 // and adapter.
 func (d *Dispatcher) Running() map[string]map[ModelKey]int {
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -75,7 +75,7 @@
 
 // empty reports whether the report says only that nothing waits or runs.
 func (r *demandReport) empty() bool {
-	return len(r.Report.Waiting)+len(r.Report.Arrivals)+len(r.Report.Running)+len(r.Report.Quality)+
+	return len(r.Report.Waiting)+len(r.Report.Arrivals)+len(r.Report.Running)+len(r.Report.Quality)+len(r.Report.Unreachable)+
 		len(r.Leaving)+len(r.Losses)+len(r.Served)+len(r.Alive)+len(r.RateLimits)+len(r.PermitWants)+len(r.Trials) == 0
 }
 
@@ -109,7 +109,9 @@
 // the leader last received them. It runs on the loop.
 func (e *Edge) nodeReport() residency.NodeReport {
 	now := boottime.Now()
-	report := residency.NodeReport{Waiting: e.dispatcher.Demand(now), CountedFor: e.dispatcher.CountedFor(now)}
+	report := residency.NodeReport{
+		Waiting: e.dispatcher.Demand(now), CountedFor: e.dispatcher.CountedFor(now), Unreachable: e.dispatcher.Unreachable(now),
+	}
 	for key, calls := range e.dispatcher.Arrivals() {
 		if e.reportedArrivals[key] != calls {
 			report.Arrivals = append(report.Arrivals, residency.Count{
--- a/residency/choose.go
+++ b/residency/choose.go
@@ -107,7 +107,7 @@
 // canTakeJob reports whether the engine is ready for a new job: it has none, carries
 // out no model order, is not leaving, and its state is known.
 func (e *engine) canTakeJob() bool {
-	return e.service != nil && !e.desc.Leaving && !e.needsReport && e.active == nil && e.job == nil && e.ordersKnown
+	return e.service != nil && !e.desc.Leaving && !e.doubted && !e.needsReport && e.active == nil && e.job == nil && e.ordersKnown
 }
 
 // assign gives the candidate's engine its job and stops calls to the models to be
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/agateslip/agateslip/dispatch"
+	"github.com/agateslip/agateslip/fleet"
 )
 
 const (
@@ -34,6 +35,8 @@
 	// Quality counts the streams that upstreams have finished since the node
 	// started.
 	Quality []Quality `json:"quality,omitempty"`
+	// Unreachable lists the upstreams that the node could not reach when it last tried.
+	Unreachable []fleet.Incarnation `json:"unreachable,omitempty"`
 }
 
 // Quality counts the streams that an upstream finished, and those of them that paused
@@ -95,7 +98,8 @@
 	arrivals map[Count]uint64
 	running  []Count
 	// quality holds the last reported stream counts by upstream.
-	quality map[string]Quality
+	quality     map[string]Quality
+	unreachable []fleet.Incarnation
 }
 
 func newDemandState() demandState {
@@ -111,7 +115,7 @@
 		demand.byNode[from] = report
 	}
 	report.reportedAt = now
-	report.waiting = r.Waiting
+	report.waiting, report.unreachable = r.Waiting, r.Unreachable
 	for _, c := range r.Arrivals {
 		demand.addArrivals(report, c, r.CountedFor, now)
 	}
@@ -167,8 +171,8 @@
 // reported within reportTimeout.
 func (p *Planner) expireReports(now time.Duration) {
 	for _, d := range p.demand.byNode {
-		if now-d.reportedAt > reportTimeout && (d.waiting != nil || d.running != nil) {
-			d.waiting = nil
+		if now-d.reportedAt > reportTimeout && (d.waiting != nil || d.running != nil || d.unreachable != nil) {
+			d.waiting, d.unreachable = nil, nil
 			p.setRunning(d, nil, now)
 		}
 	}
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -103,6 +103,8 @@
 	held holdings
 	// adapterLastUsed is when each MODEL/ADAPTER was last reported to run.
 	adapterLastUsed map[string]time.Duration
+	// doubted is set while entry nodes cannot reach the engine.
+	doubted bool
 	// rate is the expected calls per second at this engine.
 	rate    float64
 	running *callCounts
@@ -283,6 +285,7 @@
 // unanswered order or report request gets none.
 func (p *Planner) Plan(now time.Duration) []Step {
 	p.expireReports(now)
+	p.doubtUnreachable(now)
 	p.noteUsableAdapters(now)
 	p.countStoreLoads(now)
 	r := &round{now: now, queues: p.queues(now)}
--- a/residency/survey.go
+++ b/residency/survey.go
@@ -112,7 +112,7 @@
 			continue
 		}
 		e.service.engineCount++
-		if !e.desc.Leaving {
+		if !e.desc.Leaving && !e.doubted {
 			e.service.byVersion[e.desc.Software]++
 			p.surveyEngine(e, r.now)
 		}
