origin: a new base version stays until no stream without a record is left, in any case

Callers' view: streams that began in the second after a change of the base version could go on at another one, if all upstreams of the new base left before the leader looked again.

A base that no review had seen in service counted as unused. The class: no knowledge taken for knowledge that there is nothing.

The first review that sees a base version notes that it may be in use, whether or not its upstreams are still there; also where the change took effect late or another term had proposed it.

--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -34,6 +34,8 @@
 	// inUseUntil is, by service, until when an entry node may begin a stream at the base version
 	// without a record.
 	inUseUntil map[string]time.Duration
+	// bases are the base versions as of the latest review.
+	bases map[string]string
 	// versions counts the upstreams of each service that have not ended, by version, at the latest
 	// review. seen holds the versions that were listed at any time since Lifetime before it.
 	versions map[string]map[string]int
@@ -85,6 +87,13 @@
 // observe counts the versions in service, and notes until when those that are the base may begin
 // streams.
 func (t *Tracker) observe(bases map[string]string, upstreams []fleet.Upstream, now time.Duration) {
+	for service, base := range bases {
+		// Streams may have begun at a new base version whose upstreams have all left since.
+		if previous, ok := t.bases[service]; !ok || previous != base {
+			t.useUntil(service, now+departureGrace)
+		}
+	}
+	t.bases = bases
 	clear(t.versions)
 	for i := range upstreams {
 		u := &upstreams[i]
