origin: an expiry of records that takes effect late does not shorten the next one

In service this needs a proposal that takes seconds.

Cause: the next expiry was due a lifetime after the one before had been proposed, not after it had taken effect. The table counts expiries now, an expiry names the count that it follows, so that it takes effect once, and the tracker waits from when it sees it.

--- a/origin/bench_test.go
+++ b/origin/bench_test.go
@@ -71,7 +71,7 @@
 		size = len(data)
 		t.Apply(&c)
 		if t.RecentRecords() > origin.MaxRecords {
-			t.Apply(&origin.Change{Expire: true})
+			t.Apply(&origin.Change{Expire: true, Expiries: t.Expiries()})
 		}
 	}
 	b.ReportMetric(float64(size)/together, "B/stream")
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -34,7 +34,9 @@
 		is.NoErr(json.Unmarshal(data, table))
 		software, known := table.Find("llm", key)
 		is.True(known && software == "v3")
-		table.Apply(&origin.Change{Expire: true})
+		expire := &origin.Change{Expire: true, Expiries: table.Expiries()}
+		table.Apply(expire)
+		table.Apply(expire) // takes effect once
 	}
 	software, known := table.Find("llm", key)
 	is.True(known && software == "v1" && table.Empty())
@@ -191,6 +193,8 @@
 	serving, listed := map[string]fleet.Upstream{}, map[string]fleet.Upstream{}
 	version, lastID := 1, 0
 	var streams []begunStream
+	// late is a change that has been proposed and takes effect later.
+	var late *origin.Change
 	checked, found, begun, recorded := 0, 0, 0, 0
 	for now := time.Duration(0); now < duration; now += step {
 		if random.IntN(150) == 0 {
@@ -214,6 +218,8 @@
 					u.Gone, u.Silent = true, true
 					listed[id] = u // it goes on serving
 				}
+			case 3:
+				listed[id] = u // it is heard again
 			}
 		}
 		if random.IntN(200) == 0 {
@@ -233,8 +239,16 @@
 			}
 		}
 		tracker.Cover(timeout)
+		if late != nil && random.IntN(3) == 0 {
+			table.Apply(late)
+			late = nil
+		}
 		if c := tracker.Review(table, func() []fleet.Upstream { return all }, now); c != nil {
-			table.Apply(c)
+			if late == nil && random.IntN(4) == 0 {
+				late = c // the outcome of its proposal is not known in time
+			} else {
+				table.Apply(c)
+			}
 		}
 		for _, n := range nodes {
 			if n.cutUntil <= now && random.IntN(100) == 0 {
--- a/origin/table.go
+++ b/origin/table.go
@@ -57,8 +57,9 @@
 	// Bases replaces the base versions, by service, if they still are Before.
 	Before map[string]string  `json:"before,omitempty"`
 	Bases  *map[string]string `json:"bases,omitempty"`
-	// Expire drops the records from before the last Expire.
-	Expire bool `json:"expire,omitempty"`
+	// Expire drops the records from before the last Expire, if there have been Expiries of them so far.
+	Expire   bool   `json:"expire,omitempty"`
+	Expiries uint64 `json:"expiries,omitempty"`
 }
 
 // MaxRecords bounds the records between two Expire steps: more than a minute of streams at 1,500
@@ -70,6 +71,8 @@
 	bases map[string]string
 	// recent holds the records since the last Expire, and older those of the time before.
 	recent, older records
+	// expiries is the number of Expire steps that have taken effect.
+	expiries uint64
 }
 
 // records holds streams by their key, with an index into versions.
@@ -93,8 +96,9 @@
 	if c.Bases != nil && maps.Equal(c.Before, t.bases) {
 		t.bases = maps.Clone(*c.Bases)
 	}
-	if c.Expire {
+	if c.Expire && c.Expiries == t.expiries {
 		t.recent, t.older = newRecords(), t.recent
+		t.expiries++
 	}
 }
 
@@ -137,23 +141,26 @@
 // Bases returns a copy of the base versions, by service.
 func (t *Table) Bases() map[string]string { return maps.Clone(t.bases) }
 
-// RecentRecords returns the number of records since the last Expire, and Empty reports whether
-// there is no record at all.
+// RecentRecords returns the number of records since the last Expire.
 func (t *Table) RecentRecords() int { return len(t.recent.byKey) }
 
+// Expiries returns the number of Expire steps that have taken effect.
+func (t *Table) Expiries() uint64 { return t.expiries }
+
 // Empty reports whether there are no records.
 func (t *Table) Empty() bool { return len(t.recent.byKey)+len(t.older.byKey) == 0 }
 
 // tableJSON is the encoding of a Table.
 type tableJSON struct {
-	Bases  map[string]string `json:"bases,omitempty"`
-	Recent []Batch           `json:"recent,omitempty"`
-	Older  []Batch           `json:"older,omitempty"`
+	Bases    map[string]string `json:"bases,omitempty"`
+	Recent   []Batch           `json:"recent,omitempty"`
+	Older    []Batch           `json:"older,omitempty"`
+	Expiries uint64            `json:"expiries,omitempty"`
 }
 
 // MarshalJSON implements json.Marshaler.
 func (t *Table) MarshalJSON() ([]byte, error) {
-	return json.Marshal(tableJSON{t.bases, t.recent.batches(), t.older.batches()})
+	return json.Marshal(tableJSON{t.bases, t.recent.batches(), t.older.batches(), t.expiries})
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -164,6 +171,7 @@
 	}
 	*t = *NewTable()
 	maps.Copy(t.bases, decoded.Bases)
+	t.expiries = decoded.Expiries
 	for i := range decoded.Recent {
 		t.recent.add(&decoded.Recent[i])
 	}
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -31,6 +31,8 @@
 	lifetime time.Duration
 	// reviewAt is when the upstreams are reviewed next, and expireAt when records expire next.
 	reviewAt, expireAt time.Duration
+	// expiries is the number of expiries that had taken effect at the latest review.
+	expiries uint64
 	// inUseUntil is, by service, until when an entry node may begin a stream at the base version
 	// without a record.
 	inUseUntil map[string]time.Duration
@@ -74,9 +76,8 @@
 	if !maps.Equal(next, bases) {
 		change.Before, change.Bases = bases, &next
 	}
-	if now >= t.expireAt {
-		t.expireAt = now + t.lifetime
-		change.Expire = !table.Empty()
+	if t.expiryDue(table, now) {
+		change.Expire, change.Expiries = true, t.expiries
 	}
 	if change.Bases == nil && !change.Expire {
 		return nil
@@ -84,6 +85,15 @@
 	return change
 }
 
+// expiryDue reports whether all records from before the last expiry are older than the lifetime. It counts from
+// when that took effect, which may be long after it was proposed.
+func (t *Tracker) expiryDue(table *Table, now time.Duration) bool {
+	if table.Expiries() != t.expiries || table.Empty() {
+		t.expiries, t.expireAt = table.Expiries(), max(t.expireAt, now+t.lifetime)
+	}
+	return now >= t.expireAt
+}
+
 // observe counts the versions in service, and notes until when those that are the base may begin
 // streams.
 func (t *Tracker) observe(bases map[string]string, upstreams []fleet.Upstream, now time.Duration) {
