origin, controller: a base version is not used while its replacement is undecided

Nodes are told no base for a service while a change of it may still take effect, so that they record all of its streams. Nodes learn of upstreams and bases in one answer: those that know of the upstream know of this too. A change whose outcome stays unknown is decided by another one.

--- a/internal/controller/streams.go
+++ b/internal/controller/streams.go
@@ -146,9 +146,9 @@
 	c.proposeForTerm(ctx, "base versions not changed", confstate.Command{Streams: change}, func() { c.proposingOrigins = false })
 }
 
-// baseVersions returns the base versions for the entry nodes.
+// baseVersions returns the base versions for the entry nodes. It runs on the loop of the leader.
 func (c *Controller) baseVersions() *map[string]string {
 	var bases map[string]string
-	c.stateMachine.streams(func(t *origin.Table) { bases = t.Bases() })
+	c.stateMachine.streams(func(t *origin.Table) { bases = c.origins.Bases(t) })
 	return &bases
 }
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -125,6 +125,34 @@
 	}
 }
 
+// TestReplacedBaseIsNotUsed has an upstream of the base version come back after a change of the base was proposed,
+// which takes effect later. A stream that begins there must be recorded.
+func TestReplacedBaseIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	table, tracker := origin.NewTable(), origin.NewTracker(0)
+	table.Apply(&origin.Change{Bases: &map[string]string{"llm": "v1"}})
+	upstreams := []fleet.Upstream{upstream("a", "v2")}
+	now := time.Duration(0)
+	review := func() *origin.Change {
+		now += time.Second
+		return tracker.Review(table, func() []fleet.Upstream { return upstreams }, now)
+	}
+	var change *origin.Change
+	for change == nil && now < time.Hour {
+		is.Equal(tracker.Bases(table)["llm"], "v1")
+		change = review()
+	}
+	upstreams = append(upstreams, upstream("b", "v1"), upstream("c", "v1"))
+	for range 5 {
+		is.Equal(len(tracker.Bases(table)), 0)
+		again := review()
+		is.True(again != nil && len(*again.Bases) == 0) // so that the change is decided
+	}
+	table.Apply(change)
+	review()
+	is.Equal(tracker.Bases(table)["llm"], "v2")
+}
+
 // TestNewLeaderKeepsBase begins a term without the base version in service: an upstream of it may have
 // fallen silent before.
 func TestNewLeaderKeepsBase(t *testing.T) {
@@ -257,7 +285,7 @@
 			inTouch := n.cutUntil <= now
 			if inTouch {
 				n.upstreams = live
-				n.view.Set(table.Bases(), now)
+				n.view.Set(tracker.Bases(table), now)
 			}
 			for _, u := range n.upstreams {
 				if _, serves := serving[u.ID]; !serves || !n.view.MayBegin("llm", u.Software, now) {
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -36,8 +36,10 @@
 	// inUseUntil is, by service, until when an entry node may begin a stream at the base version
 	// without a record.
 	inUseUntil map[string]time.Duration
-	// bases are the base versions as of the latest review.
-	bases map[string]string
+	// bases are the base versions as of the latest review. replacing holds the services of which a change
+	// has been proposed that may still take effect, however long ago that was.
+	bases     map[string]string
+	replacing map[string]bool
 	// versions counts the upstreams of each service that have not ended, by version, at the latest
 	// review. seen holds the versions that were listed at any time since Lifetime before it.
 	versions map[string]map[string]int
@@ -48,7 +50,8 @@
 func NewTracker(now time.Duration) *Tracker {
 	return &Tracker{
 		began: now, lifetime: Lifetime, expireAt: now + Lifetime, inUseUntil: map[string]time.Duration{},
-		versions: map[string]map[string]int{}, seen: map[string]map[string]time.Duration{},
+		replacing: map[string]bool{},
+		versions:  map[string]map[string]int{}, seen: map[string]map[string]time.Duration{},
 	}
 }
 
@@ -75,6 +78,9 @@
 	next := t.nextBases(bases, now)
 	if !maps.Equal(next, bases) {
 		change.Before, change.Bases = bases, &next
+		for service := range bases {
+			t.replacing[service] = t.replacing[service] || !sameBase(bases, next, service)
+		}
 	}
 	if t.expiryDue(table, now) {
 		change.Expire, change.Expiries = true, t.expiries
@@ -85,6 +91,21 @@
 	return change
 }
 
+// Bases returns the base versions at which entry nodes may begin streams without a record. Those that a change
+// may replace at any moment are not among them: an upstream of theirs may have come back since it was proposed.
+func (t *Tracker) Bases(table *Table) map[string]string {
+	bases := table.Bases()
+	maps.DeleteFunc(bases, func(service, _ string) bool { return t.replacing[service] })
+	return bases
+}
+
+// sameBase reports whether a service has the same base version, or none, in both maps.
+func sameBase(a, b map[string]string, service string) bool {
+	inA, okA := a[service]
+	inB, okB := b[service]
+	return okA == okB && inA == inB
+}
+
 // expiryDue reports whether all records from before the last expiry are older than the lifetime. It counts from
 // when that took effect, which may be long after it was proposed.
 func (t *Tracker) expiryDue(table *Table, now time.Duration) bool {
@@ -97,12 +118,13 @@
 // observe counts the versions in service, and notes until when those that are the base may begin
 // streams.
 func (t *Tracker) observe(bases map[string]string, upstreams []fleet.Upstream, now time.Duration) {
-	for service, base := range bases {
+	for service := range bases {
 		// Streams may have begun at a new base version whose upstreams have all left since.
-		if previous, ok := t.bases[service]; !ok || previous != base {
+		if !sameBase(t.bases, bases, service) {
 			t.useUntil(service, now+departureGrace)
 		}
 	}
+	maps.DeleteFunc(t.replacing, func(service string, _ bool) bool { return !sameBase(t.bases, bases, service) })
 	t.bases = bases
 	clear(t.versions)
 	for i := range upstreams {
@@ -145,15 +167,18 @@
 	next := maps.Clone(bases)
 	for service, versions := range t.versions {
 		base, ok := bases[service]
-		if ok && (versions[base] > 0 || !t.mayReplaceBase(service, now)) {
+		if ok && !t.replacing[service] && (versions[base] > 0 || !t.mayReplaceBase(service, now)) {
 			continue
 		}
 		next[service] = mostCommon(versions)
+		if ok && next[service] == base {
+			delete(next, service) // the old version came back; the earlier change must not take effect later
+		}
 		delete(t.inUseUntil, service)
 	}
 	for service := range bases {
 		// Without a base version, all streams are recorded.
-		if len(t.versions[service]) == 0 && t.mayReplaceBase(service, now) {
+		if len(t.versions[service]) == 0 && (t.replacing[service] || t.mayReplaceBase(service, now)) {
 			delete(next, service)
 			delete(t.inUseUntil, service)
 			delete(t.seen, service)
