upstreamconn, edge, cli: how a node connects to upstreams can be given

No change of behaviour: the pool of connections gets the function that opens them, so that tests can put each entry node on paths of its own, and another way to an upstream can take its place.

--- a/internal/cli/managed.go
+++ b/internal/cli/managed.go
@@ -45,13 +45,18 @@
 }
 
 func (c *entryCmd) run(ctx context.Context, out, _ io.Writer) error {
-	return runManaged(ctx, c.Config, out, "entry", func(ctx context.Context, cfg config.Managed, log *eventlog.Log, page *overviewPage) error {
-		e, err := edge.New(cfg, log, platform.Calls{}, platform.DecodeConfiguration)
+	return RunEntry(ctx, c.Config, out)
+}
+
+// RunEntry runs an entry node with the settings at path until ctx ends, and logs to out.
+func RunEntry(ctx context.Context, path string, out io.Writer, options ...edge.Option) error {
+	return runManaged(ctx, path, out, "entry", func(ctx context.Context, cfg config.Managed, log *eventlog.Log, page *overviewPage) error {
+		e, err := edge.New(cfg, log, platform.Calls{}, platform.DecodeConfiguration, options...)
 		if err != nil {
 			return err
 		}
 		page.setSource(func(ctx context.Context) (any, error) { return e.Overview(ctx) })
-		go reloadOnHangup(ctx, c.Config, log, e.Reload)
+		go reloadOnHangup(ctx, path, log, e.Reload)
 		context.AfterFunc(ctx, e.Stop)
 		return e.Run(ctx)
 	})
@@ -64,7 +69,7 @@
 
 func (c *controlCmd) run(ctx context.Context, out, _ io.Writer) error {
 	return runManaged(ctx, c.Config, out, "control", func(ctx context.Context, cfg config.Managed, log *eventlog.Log, page *overviewPage) error {
-		engines := platform.Engines{Pool: upstreamconn.NewPool(orderDialTimeout)}
+		engines := platform.Engines{Pool: upstreamconn.NewPool(upstreamconn.NewDial(orderDialTimeout))}
 		node, err := controller.New(ctx, cfg, log, platform.DecodeConfiguration, engines)
 		if err != nil {
 			return err
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -59,6 +59,7 @@
 	decode  controller.Decoder
 	metrics *metrics.Set
 	mesh    *peer.Mesh
+	dial    upstreamconn.Dial
 	pool    *upstreamconn.Pool
 	loop    *owner.Loop
 	leader  *leaderFinder
@@ -117,9 +118,15 @@
 	saidLeaving bool
 }
 
+// Option overrides a dependency of an entry node.
+type Option func(*Edge)
+
+// WithDial opens connections to upstreams with the given function.
+func WithDial(dial upstreamconn.Dial) Option { return func(e *Edge) { e.dial = dial } }
+
 // New returns an entry node that is not running yet. It fails if the seeds of cfg are
 // invalid or the links to other nodes cannot be set up.
-func New(cfg config.Managed, log *eventlog.Log, dialect Dialect, decode controller.Decoder) (*Edge, error) {
+func New(cfg config.Managed, log *eventlog.Log, dialect Dialect, decode controller.Decoder, options ...Option) (*Edge, error) {
 	seeds, err := cfg.SeedLinkAddrs()
 	if err != nil {
 		return nil, err
@@ -127,7 +134,7 @@
 	e := &Edge{
 		cfg: cfg, log: log, dialect: dialect, decode: decode,
 		metrics:          metrics.New("entry." + cfg.Node),
-		pool:             upstreamconn.NewPool(dialTimeout),
+		dial:             upstreamconn.NewDial(dialTimeout),
 		loop:             owner.New(),
 		leader:           newLeaderFinder(seeds),
 		demandChanged:    make(chan struct{}, 1),
@@ -145,6 +152,10 @@
 
 		unreportedLeaving: map[fleet.Incarnation]bool{},
 	}
+	for _, change := range options {
+		change(e)
+	}
+	e.pool = upstreamconn.NewPool(e.dial)
 	e.entryNodes.Store(1)
 	e.registerGauges()
 	e.mesh, err = peer.New(peer.Options{
--- a/internal/upstreamconn/conn_test.go
+++ b/internal/upstreamconn/conn_test.go
@@ -93,7 +93,7 @@
 	addr := serveRaw(t, func(conn, n int, r *http.Request) string {
 		return okAnswer(r.Header.Get("Id"), fmt.Sprint(conn, n, r.RequestURI))
 	})
-	pool := upstreamconn.NewPool(time.Second)
+	pool := upstreamconn.NewPool(upstreamconn.NewDial(time.Second))
 	for n := range 3 {
 		body, err := call(pool, addr, fmt.Sprint("c", n))
 		is.NoErr(err)
@@ -107,7 +107,7 @@
 	addr := serveRaw(t, func(_, _ int, r *http.Request) string {
 		return okAnswer("another", "not yours") + okAnswer(r.Header.Get("Id"), "yours")
 	})
-	body, err := call(upstreamconn.NewPool(time.Second), addr, "mine")
+	body, err := call(upstreamconn.NewPool(upstreamconn.NewDial(time.Second)), addr, "mine")
 	is.NoErr(err)
 	is.Equal(body, "yours")
 }
@@ -117,7 +117,7 @@
 	addr := serveRaw(t, func(conn, _ int, r *http.Request) string {
 		return okAnswer(r.Header.Get("Id"), fmt.Sprint(conn)) + "HTTP/1.1 200 OK\r\nId: stray\r\nContent-Length: 2\r\n\r\nno"
 	})
-	pool := upstreamconn.NewPool(time.Second)
+	pool := upstreamconn.NewPool(upstreamconn.NewDial(time.Second))
 	for n := range 3 {
 		body, err := call(pool, addr, fmt.Sprint("c", n))
 		is.NoErr(err)
@@ -133,7 +133,7 @@
 		}
 		return "HTTP/1.1 200 OK\r\nId: " + r.Header.Get("Id") + "\r\nContent-Length: 10\r\n\r\nshort"
 	})
-	pool := upstreamconn.NewPool(time.Second)
+	pool := upstreamconn.NewPool(upstreamconn.NewDial(time.Second))
 	c, err := pool.Get(context.Background(), addr, false)
 	is.NoErr(err)
 	is.NoErr(c.SetDeadline(time.Now().Add(300 * time.Millisecond)))
@@ -148,7 +148,7 @@
 func TestGetErrorsAreMarkedNotSent(t *testing.T) {
 	is := is.New(t)
 	addr := serveRaw(t, func(_, _ int, r *http.Request) string { return okAnswer(r.Header.Get("Id"), "") })
-	pool := upstreamconn.NewPool(time.Second)
+	pool := upstreamconn.NewPool(upstreamconn.NewDial(time.Second))
 	pool.SetLimit(addr, 1)
 	c, err := pool.Get(context.Background(), addr, false)
 	is.NoErr(err)
@@ -187,7 +187,7 @@
 			}
 		}
 	}()
-	pool := upstreamconn.NewPool(time.Second)
+	pool := upstreamconn.NewPool(upstreamconn.NewDial(time.Second))
 	c, err := pool.Get(context.Background(), listener.Addr().String(), false)
 	is.NoErr(err)
 	is.NoErr(c.SetDeadline(time.Now().Add(5 * time.Second)))
@@ -236,7 +236,7 @@
 					disturbed <- disturb(conn)
 				}
 			}()
-			pool := upstreamconn.NewPool(time.Second)
+			pool := upstreamconn.NewPool(upstreamconn.NewDial(time.Second))
 			for _, id := range []string{"a", "b"} {
 				body, err := call(pool, listener.Addr().String(), id)
 				is.NoErr(err)
--- a/internal/upstreamconn/endless_test.go
+++ b/internal/upstreamconn/endless_test.go
@@ -58,7 +58,7 @@
 			is := is.New(t)
 			addr, written := serveEndless(t, text[0], text[1])
 			began := time.Now()
-			_, err := call(upstreamconn.NewPool(time.Second), addr, "mine")
+			_, err := call(upstreamconn.NewPool(upstreamconn.NewDial(time.Second)), addr, "mine")
 			is.True(err != nil)
 			is.True(time.Since(began) < 2*time.Second) // the call's deadline is 5 s
 			is.True(<-written < maxBytes)
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -50,7 +50,8 @@
 
 // Pool holds connections by address. Its methods are safe for concurrent use.
 type Pool struct {
-	dialer net.Dialer
+	// dial opens a connection to an address.
+	dial Dial
 
 	mu    sync.Mutex
 	hosts map[string]*host
@@ -68,26 +69,31 @@
 	idle  []*Conn
 }
 
-// NewPool returns an empty pool. dialTimeout bounds the setup of a connection.
-func NewPool(dialTimeout time.Duration) *Pool {
-	return &Pool{
-		hosts: map[string]*host{},
-		dialer: net.Dialer{
-			Timeout: dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-			},
-			Control: func(_, _ string, raw syscall.RawConn) error {
-				var err error
-				controlErr := raw.Control(func(fd uintptr) {
-					err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-				})
-				return errors.CombineErrors(controlErr, err)
-			},
+// Dial opens a TCP connection to an IP address and port.
+type Dial func(ctx context.Context, addr string) (net.Conn, error)
+
+// NewDial returns a Dial that detects dead connections within 2.5 s. timeout bounds the setup of
+// a connection.
+func NewDial(timeout time.Duration) Dial {
+	dialer := net.Dialer{
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var err error
+			controlErr := raw.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+			})
+			return errors.CombineErrors(controlErr, err)
 		},
 	}
+	return func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) }
 }
 
+// NewPool returns an empty pool that opens connections with dial.
+func NewPool(dial Dial) *Pool { return &Pool{hosts: map[string]*host{}, dial: dial} }
+
 // SetLimit limits the connections to an address; zero means no limit.
 func (p *Pool) SetLimit(addr string, limit int) {
 	p.mu.Lock()
@@ -150,7 +156,7 @@
 	if err := p.reserve(addr); err != nil {
 		return nil, err
 	}
-	conn, err := p.dialer.DialContext(ctx, "tcp", addr)
+	conn, err := p.dial(ctx, addr)
 	if err != nil {
 		p.connClosed(addr)
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", addr), ErrNotSent)
