detour, edge, controller: nodes that are cut off reach upstreams through other entry nodes

A node counts as cut off once new connections to two upstreams failed and none succeeded since; it learns this from its traffic, without probes.

--- a/internal/config/managed.go
+++ b/internal/config/managed.go
@@ -134,6 +134,30 @@
 	return faults
 }
 
+// DetourAddrs returns the address at which an entry node accepts detours of others, and the one to listen
+// on: the port after that of its links.
+func (c *Managed) DetourAddrs() (reached, bind string, err error) {
+	if reached, err = nextPort(c.Listen.LinksBindAddr()); err != nil {
+		return "", "", err
+	}
+	host, _, err := net.SplitHostPort(c.Listen.Links)
+	if err != nil {
+		return "", "", errors.Wrap(err, "listen.links")
+	}
+	_, port, err := net.SplitHostPort(reached)
+	return net.JoinHostPort(host, port), reached, errors.Wrap(err, "listen.links")
+}
+
+// nextPort returns an address with its port increased by one.
+func nextPort(addr string) (string, error) {
+	host, text, err := net.SplitHostPort(addr)
+	if err != nil {
+		return "", errors.Wrap(err, "listen.links")
+	}
+	port, err := strconv.Atoi(text)
+	return net.JoinHostPort(host, strconv.Itoa(port+1)), errors.Wrap(err, "listen.links")
+}
+
 // LinkAddrFor returns the link address of the node with the given listen.operators
 // address: the host of that address with the port of Listen.Links, which is the
 // same on all nodes.
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -122,8 +122,9 @@
 	// claimPending is set while the command that makes this node the orderer is being
 	// proposed.
 	claimPending bool
-	// entryNodes holds, by entry node, the time of its latest watch request.
-	entryNodes map[string]time.Duration
+	// entryNodes holds the entry nodes that watch; detoursRevision counts their changes.
+	entryNodes      map[string]entryNode
+	detoursRevision uint64
 	// silence tracks the unreachable voters. Unlike the fields above, it is accessed only
 	// by the membership part.
 	silence silence
@@ -150,7 +151,7 @@
 		cfg: cfg, log: log, orders: orders, seeds: seeds, files: storage.OS{},
 		metrics:    metrics.New("control." + cfg.Node),
 		loop:       owner.New(),
-		entryNodes: map[string]time.Duration{},
+		entryNodes: map[string]entryNode{},
 	}
 	for _, change := range options {
 		change(c)
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -129,7 +129,10 @@
 			since = 0
 		}
 		if r.Entry {
-			c.entryNodes[from] = boottime.Now()
+			c.noteEntryNode(from, r.Detours)
+			if r.DetoursRevision != c.detoursRevision || answer.Whole {
+				answer.Detours, answer.DetoursRevision = c.detoursFor(from), c.detoursRevision
+			}
 			answer.Quarantine = c.quarantineSince(r.QuarantineRevision, answer.Whole)
 			answer.Bases = c.baseVersions()
 		}
@@ -387,9 +390,10 @@
 // expireEntryNodes removes the entry nodes that no longer watch, and updates the number
 // of watchers.
 func (c *Controller) expireEntryNodes(now time.Duration) {
-	for name, at := range c.entryNodes {
-		if now-at > entryNodeTTL {
+	for name, n := range c.entryNodes {
+		if now-n.watchedAt > entryNodeTTL {
 			delete(c.entryNodes, name)
+			c.detoursRevision++
 		}
 	}
 	c.notifier.setWatchers(len(c.entryNodes))
--- /dev/null
+++ b/internal/detour/detour_test.go
@@ -0,0 +1,224 @@
+package detour_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/internal/detour"
+	"github.com/agateslip/agateslip/internal/upstreamconn"
+)
+
+const secret = "0123456789abcdef"
+
+// listen starts a TCP server whose connections are handled by handle.
+func listen(t *testing.T, handle func(net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go handle(conn)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// helper starts a node that accepts detours to the given upstreams.
+func helper(t *testing.T, dial upstreamconn.Dial, upstreams ...string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	paths := detour.NewPaths(dial, nil, func(bool) {})
+	s := &detour.Server{Secret: secret, Paths: paths, Serves: func(addr string) bool {
+		for _, u := range upstreams {
+			if u == addr {
+				return true
+			}
+		}
+		return false
+	}}
+	go func() { _ = s.Serve(l) }()
+	return l.Addr().String()
+}
+
+func echo(conn net.Conn) {
+	_, _ = io.Copy(conn, conn)
+	conn.Close()
+}
+
+func client(secret string, helpers ...string) *detour.Client {
+	c := detour.NewClient(secret)
+	c.SetHelpers(helpers)
+	return c
+}
+
+var direct = upstreamconn.NewDial(time.Second)
+
+func TestDetourCarriesBytesBothWays(t *testing.T) {
+	is := is.New(t)
+	upstream := listen(t, echo)
+	conn, err := client(secret, helper(t, direct, upstream)).Dial(t.Context(), upstream)
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = conn.Write([]byte("hello"))
+	is.NoErr(err)
+	got := make([]byte, 5)
+	_, err = io.ReadFull(conn, got)
+	is.NoErr(err)
+	is.Equal(string(got), "hello")
+}
+
+// TestResetOfUpstreamIsPassedOn guards against an answer that ends with its connection and was reset on
+// the way: it must not look complete.
+func TestResetOfUpstreamIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	for wantReset, end := range map[bool]func(*net.TCPConn){
+		true:  func(c *net.TCPConn) { _ = c.SetLinger(0); c.Close() },
+		false: func(c *net.TCPConn) { c.Close() },
+	} {
+		upstream := listen(t, func(conn net.Conn) {
+			_, _ = conn.Write([]byte("part"))
+			time.Sleep(50 * time.Millisecond)
+			end(conn.(*net.TCPConn))
+		})
+		conn, err := client(secret, helper(t, direct, upstream)).Dial(t.Context(), upstream)
+		is.NoErr(err)
+		_, err = io.ReadAll(conn)
+		is.Equal(errors.Is(err, syscall.ECONNRESET), wantReset)
+		conn.Close()
+	}
+}
+
+// TestEndOfCallerReachesUpstream guards against upstreams that go on working for a caller who has left.
+func TestEndOfCallerReachesUpstream(t *testing.T) {
+	is := is.New(t)
+	left := make(chan struct{})
+	upstream := listen(t, func(conn net.Conn) {
+		_, _ = io.Copy(io.Discard, conn)
+		close(left)
+	})
+	conn, err := client(secret, helper(t, direct, upstream)).Dial(t.Context(), upstream)
+	is.NoErr(err)
+	conn.Close()
+	select {
+	case <-left:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the upstream did not learn that the caller left")
+	}
+}
+
+func TestDetourIsRefused(t *testing.T) {
+	is := is.New(t)
+	var reached atomic.Bool
+	upstream := listen(t, func(conn net.Conn) { reached.Store(true); conn.Close() })
+	for _, c := range []*detour.Client{
+		client(secret, helper(t, direct)),                               // not an upstream
+		client("another secret 1", helper(t, direct, upstream)),         // not one of the nodes
+		client(secret, listen(t, func(conn net.Conn) { conn.Close() })), // no helper at all
+		client(secret),
+	} {
+		_, err := c.Dial(t.Context(), upstream)
+		is.True(err != nil)
+	}
+	is.True(!reached.Load())
+}
+
+// TestNodesThatCannotHelpArePassedOver has most of the other nodes cut off, too.
+func TestNodesThatCannotHelpArePassedOver(t *testing.T) {
+	is := is.New(t)
+	upstream := listen(t, echo)
+	hang := listen(t, func(conn net.Conn) { time.Sleep(5 * time.Second); conn.Close() })
+	c := client(secret, helper(t, direct), helper(t, direct), helper(t, direct), hang, helper(t, direct, upstream))
+	served := 0
+	for range 20 {
+		ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
+		if conn, err := c.Dial(ctx, upstream); err == nil {
+			served++
+			conn.Close()
+		}
+		cancel()
+	}
+	is.True(served >= 18)
+}
+
+// TestPathsTellCutOffNodeFromCrashedUpstreams fails connections to one, and then to two upstreams. Detours
+// are taken to those alone, and no more once a connection succeeds.
+func TestPathsTellCutOffNodeFromCrashedUpstreams(t *testing.T) {
+	is := is.New(t)
+	failing := map[string]bool{"a": true}
+	var directly, detoured []string
+	_, end := net.Pipe()
+	paths := detour.NewPaths(func(_ context.Context, addr string) (net.Conn, error) {
+		directly = append(directly, addr)
+		if failing[addr] {
+			return nil, syscall.ECONNREFUSED
+		}
+		return end, nil
+	}, func(_ context.Context, addr string) (net.Conn, error) {
+		detoured = append(detoured, addr)
+		return end, nil
+	}, func(bool) {})
+	_, err := paths.Dial(t.Context(), "a")
+	is.True(err != nil)
+	_, err = paths.Dial(t.Context(), "b")
+	is.NoErr(err)
+	is.Equal(len(detoured), 0)
+	failing["b"] = true
+	_, err = paths.Dial(t.Context(), "a")
+	is.True(err != nil)
+	_, err = paths.Dial(t.Context(), "b")
+	is.NoErr(err)
+	is.Equal(detoured, []string{"b"})
+	is.True(paths.Blocked("a") && paths.Blocked("b") && !paths.Blocked("c"))
+	directly = nil
+	_, err = paths.Dial(t.Context(), "a")
+	is.NoErr(err)
+	is.Equal(len(directly), 0)
+	_, err = paths.Dial(t.Context(), "c")
+	is.NoErr(err)
+	is.Equal(directly, []string{"c"})
+	is.True(!paths.Blocked("a"))
+}
+
+// TestHelpersThatAreCutOffAreRecognized has five of six other nodes cut off too, which have not noticed it.
+// They must not make sound upstreams seem to be unreachable.
+func TestHelpersThatAreCutOffAreRecognized(t *testing.T) {
+	is := is.New(t)
+	const upstreams = 40
+	var addrs, helpers []string
+	for range upstreams {
+		addrs = append(addrs, listen(t, echo))
+	}
+	cutOff := func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+	for _, dial := range []upstreamconn.Dial{direct, cutOff, cutOff, cutOff, cutOff, cutOff} {
+		helpers = append(helpers, helper(t, dial, addrs...))
+	}
+	c := client(secret, helpers...)
+	served := 0
+	for _, addr := range addrs {
+		if conn, err := c.Dial(t.Context(), addr); err == nil {
+			served++
+			conn.Close()
+		}
+	}
+	t.Logf("%d of %d upstreams were reached", served, upstreams)
+	is.True(3*served >= 2*upstreams)
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -22,6 +22,7 @@
 	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/config"
 	"github.com/agateslip/agateslip/internal/controller"
+	"github.com/agateslip/agateslip/internal/detour"
 	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/internal/metrics"
 	"github.com/agateslip/agateslip/internal/owner"
@@ -60,6 +61,11 @@
 	metrics *metrics.Set
 	mesh    *peer.Mesh
 	dial    upstreamconn.Dial
+	// paths opens connections to upstreams with dial, or through other entry nodes that detours
+	// knows; helper lets those connect through this node.
+	paths   *detour.Paths
+	detours *detour.Client
+	helper  *detour.Server
 	pool    *upstreamconn.Pool
 	loop    *owner.Loop
 	leader  *leaderFinder
@@ -155,7 +161,10 @@
 	for _, change := range options {
 		change(e)
 	}
-	e.pool = upstreamconn.NewPool(e.dial)
+	e.detours = detour.NewClient(cfg.Secret)
+	e.paths = detour.NewPaths(e.dial, e.detours.Dial, e.noteCutOff)
+	e.helper = &detour.Server{Secret: cfg.Secret, Paths: e.paths, Serves: e.mayHelp}
+	e.pool = upstreamconn.NewPool(e.paths.Dial)
 	e.entryNodes.Store(1)
 	e.registerGauges()
 	e.mesh, err = peer.New(peer.Options{
@@ -193,6 +202,7 @@
 			{Name: "news", Run: e.followLeader},
 			{Name: "demand", Run: e.reportDemand},
 			{Name: "streams", Run: e.recordStreams},
+			{Name: "detours", Run: e.serveDetours},
 			{Name: "ticker", Run: e.tick},
 			{Name: "readiness", Run: func(ctx context.Context) error { return e.serve(ctx, e.cfg.Listen.Ready, e.readiness(), 0) }},
 			{Name: "callers", Run: e.serveCallers},
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -90,7 +90,11 @@
 // followLeader watches the leader for changes of configuration, upstreams and members,
 // and applies them until ctx ends.
 func (e *Edge) followLeader(ctx context.Context) error {
-	request := nodelink.WatchRequest{Entry: true}
+	reached, _, err := e.cfg.DetourAddrs()
+	if err != nil {
+		return err
+	}
+	request := nodelink.WatchRequest{Entry: true, Detours: reached}
 	// stateAt is when the latest answer arrived that told more than a configuration. The wait for the next one
 	// is not prolonged by configurations that come meanwhile.
 	stateAt := boottime.Now()
@@ -107,6 +111,10 @@
 			continue
 		}
 		e.leader.setMembers(answer.Members)
+		if answer.DetoursRevision != 0 {
+			e.detours.SetHelpers(answer.Detours)
+			request.DetoursRevision = answer.DetoursRevision
+		}
 		if answer.Configuration != nil {
 			e.applyConfiguration(answer.Configuration)
 		}
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -62,6 +62,10 @@
 	Revision uint64 `json:"revision"`
 	// QuarantineRevision is that of the latest QuarantineState that the node received.
 	QuarantineRevision uint64 `json:"prompts,omitempty"`
+	// Detours is the address at which an entry node accepts detours of others; DetoursRevision
+	// is that of the latest list of them that the node received.
+	Detours         string `json:"detours,omitempty"`
+	DetoursRevision uint64 `json:"detoursRevision,omitempty"`
 	// WaitMillis is how long the answer may be held back while nothing changes.
 	WaitMillis int64 `json:"wait"`
 }
@@ -80,6 +84,10 @@
 	// Bases are the base versions of the services' software; see package origin. It is nil if the
 	// answer does not tell them.
 	Bases *map[string]string `json:"bases,omitempty"`
+	// Detours are the addresses at which some other entry nodes accept detours; nil if the asking
+	// node has the list of this revision.
+	Detours         []string `json:"detours,omitempty"`
+	DetoursRevision uint64   `json:"detoursRevision,omitempty"`
 	// Members are the link addresses of the control nodes.
 	Members []string `json:"members,omitempty"`
 	// Entries is the number of entry nodes that watch the leader.
