--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -58,6 +58,9 @@
 	Operators string `yaml:"operators" validate:"required,hostport"`
 	// Peers accepts connections from the other nodes of the group.
 	Peers string `yaml:"peers" validate:"required,hostport"`
+	// Detours accepts connections of other nodes that are cut off from the upstreams and
+	// reach them through this node. If it is empty, this node does not help.
+	Detours string `yaml:"detours,omitempty" validate:"omitempty,hostport"`
 }
 
 // Peer describes one node of the group.
@@ -68,6 +71,9 @@
 	Addr string `yaml:"addr" validate:"required,hostport"`
 	// Domain is the node's failure domain.
 	Domain string `yaml:"domain" validate:"required,slug"`
+	// Detours is the address at which the other nodes reach the node's listen.detours; empty if it has
+	// none.
+	Detours string `yaml:"detours,omitempty" validate:"omitempty,hostport"`
 	// Voter is the node's member id in the control group; 0 if the node has no vote.
 	Voter uint64 `yaml:"voter,omitempty"`
 }
@@ -182,6 +188,9 @@
 		{"listen.operators", c.Listen.Operators},
 		{"listen.peers", c.Listen.Peers},
 	}
+	if c.Listen.Detours != "" {
+		listenAddrs = append(listenAddrs, struct{ field, addr string }{"listen.detours", c.Listen.Detours})
+	}
 	for _, l := range listenAddrs {
 		if first, ok := fieldByAddr[l.addr]; ok && !hasPortZero(l.addr) {
 			add(l.field, "is the same address as "+first)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/agateslip/agateslip/internal/upstreamconn"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
@@ -67,23 +68,22 @@
 	streamStallTimeout time.Duration
 }
 
-func newSender(router Router, claims Claims, log logrus.FieldLogger, metrics *Metrics) *sender {
+func newSender(router Router, claims Claims, log logrus.FieldLogger, metrics *Metrics, dial upstreamconn.Dial) *sender {
 	return &sender{
 		router:            router,
 		claims:            claims,
 		log:               log,
 		metrics:           metrics,
-		pooledTransport:   newTransport(false),
-		unpooledTransport: newTransport(true),
+		pooledTransport:   newTransport(dial, false),
+		unpooledTransport: newTransport(dial, true),
 
 		reusedStallTimeout: defaultReusedStallTimeout,
 		streamStallTimeout: defaultStreamStallTimeout,
 	}
 }
 
-// newTransport returns a transport to upstreams. With disableKeepAlives each request
-// uses a new connection.
-func newTransport(disableKeepAlives bool) *http.Transport {
+// Dial connects to an upstream directly. It implements upstreamconn.Dial.
+func Dial(ctx context.Context, addr string) (net.Conn, error) {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -93,8 +93,14 @@
 			Count:    3,
 		},
 	}
+	return dialer.DialContext(ctx, "tcp", addr)
+}
+
+// newTransport returns a transport to upstreams, to which dial connects. With disableKeepAlives each
+// request uses a new connection.
+func newTransport(dial upstreamconn.Dial, disableKeepAlives bool) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         func(ctx context.Context, _, addr string) (net.Conn, error) { return dial(ctx, addr) },
 		DisableCompression:  true,
 		DisableKeepAlives:   disableKeepAlives,
 		MaxIdleConnsPerHost: maxIdleConnsPerUpstream,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -94,7 +94,7 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	g := New(f, f, f, f, log, NewMetrics(new(expvar.Map).Init()))
+	g := New(f, f, f, f, log, NewMetrics(new(expvar.Map).Init()), Dial)
 	g.SetReady(true)
 	front := httptest.NewServer(g.Handler())
 	t.Cleanup(front.Close)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/agateslip/agateslip/contract"
+	"github.com/agateslip/agateslip/internal/upstreamconn"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
@@ -58,14 +59,15 @@
 	recordTimeout time.Duration
 }
 
-// New returns a gateway that reports itself not ready until SetReady(true).
-func New(contracts Contracts, admitter Admitter, router Router, claims Claims, log logrus.FieldLogger, metrics *Metrics) *Gateway {
+// New returns a gateway that reports itself not ready until SetReady(true). dial connects to upstreams, as
+// Dial does.
+func New(contracts Contracts, admitter Admitter, router Router, claims Claims, log logrus.FieldLogger, metrics *Metrics, dial upstreamconn.Dial) *Gateway {
 	closeCtx, cancelCloseCtx := context.WithCancel(context.Background())
 	return &Gateway{
 		contracts:      contracts,
 		admitter:       admitter,
 		claims:         claims,
-		sender:         newSender(router, claims, log, metrics),
+		sender:         newSender(router, claims, log, metrics, dial),
 		log:            log,
 		metrics:        metrics,
 		closeCtx:       closeCtx,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,12 +16,14 @@
 	"github.com/agateslip/agateslip/control"
 	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/config"
+	"github.com/agateslip/agateslip/internal/detour"
 	"github.com/agateslip/agateslip/internal/gateway"
 	"github.com/agateslip/agateslip/internal/operator"
 	"github.com/agateslip/agateslip/internal/peer"
 	"github.com/agateslip/agateslip/internal/replica"
 	"github.com/agateslip/agateslip/internal/storage"
 	"github.com/agateslip/agateslip/internal/supervisor"
+	"github.com/agateslip/agateslip/internal/upstreamconn"
 	"github.com/agateslip/agateslip/ledger"
 	"github.com/agateslip/agateslip/raft"
 	"github.com/cockroachdb/errors"
@@ -72,9 +74,17 @@
 	gateway *gateway.Gateway
 	metrics *expvar.Map
 
+	// dial connects to upstreams directly, and connect also through other nodes. helper lets other
+	// nodes do so through this one.
+	dial, connect upstreamconn.Dial
+	paths         *detour.Paths
+	helper        *detour.Server
+
 	callers   net.Listener
 	upstreams net.Listener
 	operators net.Listener
+	// detourListener is nil if the node does not help others.
+	detourListener net.Listener
 
 	// nextVoter rotates the voters that anyVoter returns. Only the sync and follow
 	// parts use it.
@@ -84,8 +94,14 @@
 	draining chan struct{}
 }
 
+// Option changes how a node works.
+type Option func(*Node)
+
+// WithDial sets the function that connects to upstreams directly.
+func WithDial(dial upstreamconn.Dial) Option { return func(n *Node) { n.dial = dial } }
+
 // New opens the node's data folder and listeners. Run must be called next.
-func New(cfg config.Config, log logrus.FieldLogger) (*Node, error) {
+func New(cfg config.Config, log logrus.FieldLogger, options ...Option) (*Node, error) {
 	n := &Node{
 		cfg:      cfg,
 		log:      log.WithFields(logrus.Fields{"node": cfg.Node, "domain": cfg.Domain}),
@@ -97,6 +113,10 @@
 		members:  newMemberNodes(),
 		metrics:  new(expvar.Map).Init(),
 		draining: make(chan struct{}),
+		dial:     gateway.Dial,
+	}
+	for _, option := range options {
+		option(n)
 	}
 	for _, p := range cfg.Peers {
 		n.members.set(raft.MemberID(p.Voter), p.Node)
@@ -120,6 +140,7 @@
 		}
 	}
 	n.loop = newControlLoop(n)
+	n.openPaths()
 	n.handle(mux)
 	n.gateway = gateway.New(
 		&contracts{node: n},
@@ -128,6 +149,7 @@
 		&claims{group: n.group, owner: ledger.Owner{Node: n.cfg.Node, Boot: n.boot}},
 		n.log,
 		gateway.NewMetrics(n.metrics),
+		n.connect,
 	)
 	return n.listen()
 }
@@ -223,8 +245,12 @@
 		{"listen.callers", n.cfg.Listen.Callers, &n.callers},
 		{"listen.upstreams", n.cfg.Listen.Upstreams, &n.upstreams},
 		{"listen.operators", n.cfg.Listen.Operators, &n.operators},
+		{"listen.detours", n.cfg.Listen.Detours, &n.detourListener},
 	}
 	for _, l := range listens {
+		if l.addr == "" {
+			continue
+		}
 		ln, err := net.Listen("tcp", l.addr)
 		if err != nil {
 			return errors.Wrap(err, l.field)
@@ -236,7 +262,7 @@
 
 // close releases what New opened if New fails.
 func (n *Node) close() {
-	for _, ln := range []net.Listener{n.callers, n.upstreams, n.operators} {
+	for _, ln := range []net.Listener{n.callers, n.upstreams, n.operators, n.detourListener} {
 		if ln != nil {
 			_ = ln.Close()
 		}
@@ -330,6 +356,9 @@
 		supervisor.Part{Name: "operators", Run: serve(s.operators, n.operators)},
 		supervisor.Part{Name: "callers", Run: serve(s.callers, n.callers)},
 	)
+	if n.detourListener != nil {
+		parts = append(parts, supervisor.Part{Name: "detours", Run: n.serveDetours})
+	}
 	return supervisor.Tree{Parts: parts, Log: n.log}
 }
 
--- a/test/integration/harness_test.go
+++ b/test/integration/harness_test.go
@@ -245,14 +245,29 @@
 // startClusterOfSize starts size nodes and waits until they are ready. Only the first
 // clusterVoters nodes have a data folder and a vote.
 func startClusterOfSize(t *testing.T, size int, link func(from, to int, addr string) string) *cluster {
+	t.Helper()
+	c := newCluster(t, size, link)
+	for _, n := range c.nodes {
+		n.start(t, "--init")
+	}
+	for _, n := range c.nodes {
+		c.waitReady(t, n)
+	}
+	return c
+}
+
+// newCluster writes the settings of size nodes and does not start them.
+func newCluster(t *testing.T, size int, link func(from, to int, addr string) string) *cluster {
 	t.Helper()
 	dir := t.TempDir()
-	ports := testutil.ReservePorts(t, host, 4*size)
+	const portsPerNode = 5
+	ports := testutil.ReservePorts(t, host, portsPerNode*size)
+	port := func(node, i int) string { return ports[portsPerNode*node+i] }
 	c := &cluster{}
 	for i := range size {
 		var peers strings.Builder
 		for j := range size {
-			addr := ports[4*j+3]
+			addr := port(j, 3)
 			if i != j {
 				addr = link(i, j, addr)
 			}
@@ -260,13 +275,13 @@
 			if j < clusterVoters {
 				vote = fmt.Sprintf(", voter: %d", j+1)
 			}
-			fmt.Fprintf(&peers, "  - {node: n%d, addr: %q, domain: d%d%s}\n", j+1, addr, j+1, vote)
+			fmt.Fprintf(&peers, "  - {node: n%d, addr: %q, domain: d%d, detours: %q%s}\n", j+1, addr, j+1, port(j, 4), vote)
 		}
 		n := &node{
 			name:         fmt.Sprintf("n%d", i+1),
-			callerAddr:   ports[4*i],
-			upstreamAddr: ports[4*i+1],
-			operatorAddr: ports[4*i+2],
+			callerAddr:   port(i, 0),
+			upstreamAddr: port(i, 1),
+			operatorAddr: port(i, 2),
 		}
 		n.configFile = filepath.Join(dir, n.name+".yaml")
 		if i < clusterVoters {
@@ -275,13 +290,13 @@
 		configText := fmt.Sprintf(`group: integration
 node: %s
 domain: d%d
-listen: {callers: %q, upstreams: %q, operators: %q, peers: %q}
+listen: {callers: %q, upstreams: %q, operators: %q, peers: %q, detours: %q}
 secret: integration-shared-secret
 operatorToken: %s
 stop: {balancerLag: 300ms}
 log: {level: info, format: text}
 peers:
-%s`, n.name, i+1, n.callerAddr, n.upstreamAddr, n.operatorAddr, ports[4*i+3], operatorToken, peers.String())
+%s`, n.name, i+1, n.callerAddr, n.upstreamAddr, n.operatorAddr, port(i, 3), port(i, 4), operatorToken, peers.String())
 		if n.dataDir != "" {
 			configText += fmt.Sprintf("data: %q\n", n.dataDir)
 		}
@@ -289,12 +304,8 @@
 		n.client = operator.NewClient(n.operatorAddr, operatorToken, "integration")
 		n.staleClient = operator.NewClient(n.operatorAddr, operatorToken, "integration")
 		n.staleClient.OnStale = func(time.Duration, bool) {}
-		n.start(t, "--init")
 		c.nodes = append(c.nodes, n)
 	}
-	for _, n := range c.nodes {
-		c.waitReady(t, n)
-	}
 	return c
 }
 
