controller: a new leader does not tell too small a number of entry nodes

Entry nodes divide retries, connections and brittle upstreams by the number of entry nodes. It tells no number for three seconds, and nodes keep to the one that they know.

TestNewLeaderDoesNotUndercountEntryNodes fails without the wait.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -122,6 +122,8 @@
 	// claimPending is set while the command that makes this node the orderer is being
 	// proposed.
 	claimPending bool
+	// ledSince is the beginning of this node's term of leadership.
+	ledSince time.Duration
 	// entryNodes holds the entry nodes that watch; detoursRevision counts their changes.
 	entryNodes      map[string]entryNode
 	detoursRevision uint64
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -99,7 +99,7 @@
 	for _, u := range c.registry.Live() {
 		c.planner.SetUpstream(u, now)
 	}
-	c.term, c.leaseWaitStart, c.fence = term, now, 0
+	c.term, c.ledSince, c.leaseWaitStart, c.fence = term, now, now, 0
 	c.metrics.Count("terms led")
 	c.log.Event("leading", eventlog.Fields{"term": term, "upstreams": len(upstreams)})
 	c.notifier.notify()
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -20,6 +20,9 @@
 	// entryNodeTTL is how long an entry node counts as watching after its latest watch
 	// request.
 	entryNodeTTL = 5 * time.Second
+	// entryNodeSurvey is how long after the beginning of a term some entry nodes may not have found the new
+	// leader. A node tries all control nodes within that time.
+	entryNodeSurvey = 3 * time.Second
 )
 
 // registerHandlers registers the handlers of requests from other nodes.
@@ -137,7 +140,7 @@
 			answer.Bases = c.baseVersions()
 		}
 		list = c.changes.changedSince(c.registry, changeKey{since, r.Entry})
-		answer.Entries = len(c.entryNodes)
+		answer.Entries = c.countEntryNodes(r.Term == 0, boottime.Now())
 	})
 	if doErr != nil {
 		return answer, false, doErr
@@ -387,6 +390,16 @@
 	}
 }
 
+// countEntryNodes returns the number of entry nodes, or zero while a new leader has not heard of all of them:
+// nodes divide what they share by it, and keep to the number that they know. A node that has just started knows
+// none.
+func (c *Controller) countEntryNodes(justStarted bool, now time.Duration) int {
+	if now-c.ledSince < entryNodeSurvey && !justStarted {
+		return 0
+	}
+	return len(c.entryNodes)
+}
+
 // expireEntryNodes removes the entry nodes that no longer watch, and updates the number
 // of watchers.
 func (c *Controller) expireEntryNodes(now time.Duration) {
--- a/internal/controller/watch_test.go
+++ b/internal/controller/watch_test.go
@@ -52,3 +52,17 @@
 	is.True(rounds.Load() >= 1)
 	is.True(rounds.Load() <= int64(span/(followers*notifyDelayPerWatcher))+1)
 }
+
+// TestNewLeaderDoesNotUndercountEntryNodes has a node that has just been elected tell the number of entry nodes,
+// among which these divide retries, connections and brittle upstreams, before all of them have found it.
+func TestNewLeaderDoesNotUndercountEntryNodes(t *testing.T) {
+	is := is.New(t)
+	c := &Controller{ledSince: time.Minute, entryNodes: map[string]entryNode{"front-1": {}}}
+	is.Equal(c.countEntryNodes(false, time.Minute), 0)
+	is.Equal(c.countEntryNodes(false, time.Minute+2*time.Second), 0)
+	is.Equal(c.countEntryNodes(true, time.Minute), 1)
+	for i := range 8 {
+		c.entryNodes[fmt.Sprint("front-", i)] = entryNode{}
+	}
+	is.Equal(c.countEntryNodes(false, time.Minute+3*time.Second), 8)
+}
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -90,7 +90,7 @@
 	DetoursRevision uint64   `json:"detoursRevision,omitempty"`
 	// Members are the link addresses of the control nodes.
 	Members []string `json:"members,omitempty"`
-	// Entries is the number of entry nodes that watch the leader.
+	// Entries is the number of entry nodes that watch the leader; zero if it does not know it yet.
 	Entries int `json:"entries"`
 	// Prompts is set if the asking entry node has an older one.
 	Quarantine *QuarantineState `json:"prompts,omitempty"`
