--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -66,6 +66,10 @@
 	Leaving bool
 	// Pause is how long the upstream wants no calls from this node; zero if not stated.
 	Pause time.Duration
+	// Brittle is set if the upstream may fall over when it has to turn away more than
+	// BearsRejections calls in a second.
+	Brittle         bool
+	BearsRejections float64
 	// RateLimit is what the answer says of the upstream's rate limit.
 	RateLimit RateLimitStatement
 }
