ratelimit, dispatch, edge, controller: slots of brittle upstreams are granted by the leader

Cause: each node fills the slots that it sees free.

While the upstreams of a service say that they are brittle, the leader grants their slots, once it has heard for long enough which of them are taken, and nodes send no call without one; the check stands beside those of pauses and permits, which every choice passes. Without a leader each upstream belongs to few nodes, by a hash. An engine that lets calls wait before its slots are full counts as smaller.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -72,6 +72,10 @@
 	plannerCount int
 	// reportedSlots is the number of slots in the latest load report; zero without one.
 	reportedSlots int
+	// crowdedRunning is the number of calls that ran when the upstream last let calls wait though it had
+	// free slots, at crowdedAt; zero if it never did.
+	crowdedRunning int
+	crowdedAt      time.Duration
 	// failureRate is the moving average of failed calls, 0 to 1, as of failureRateAt.
 	failureRate   float64
 	failureRateAt time.Duration
@@ -88,8 +92,12 @@
 	// it gets no calls for that one.
 	pausedUntil  time.Duration
 	missingUntil map[ModelKey]time.Duration
-	request      upstreamRequest
-	permits      ratelimit.Permits
+	// brittlePausedUntil is the end of the pause after a brittle upstream turned a call away.
+	brittlePausedUntil time.Duration
+	request            upstreamRequest
+	permits            ratelimit.Permits
+	// slots are the slots that the leader has granted to this node and that no call has taken.
+	slots ratelimit.Permits
 	// sinceAsked is the number of calls since this node last asked for permits that went to
 	// the upstream or would have with a permit.
 	sinceAsked int
@@ -255,7 +263,7 @@
 			outcome = allBusy
 		}
 		load := u.estimatedLoad(&d.limits, now)
-		if max(u.pausedUntil, u.request.pausedUntil) > now || u.probing || load >= u.capacityFor(c) || u.lacksPermit(now) {
+		if load >= u.capacityFor(c) || !d.takesCalls(u, now) {
 			continue
 		}
 		candidates = append(candidates, candidate{upstream: u, cost: d.cost(u, c, load, now)})
@@ -264,6 +272,17 @@
 	return pick(candidates, uint64(c.ID), d.unseenCalls(candidates, now)), outcome
 }
 
+// takesCalls reports whether this node may send an upstream a call now, as far as its slots are free.
+func (d *Dispatcher) takesCalls(u *upstream, now time.Duration) bool {
+	return d.mayBeSent(u, now) && !d.lacksSlot(u, now) && !d.exceedsBrittleShare(u, now)
+}
+
+// mayBeSent reports whether the upstream is neither paused nor being probed nor beyond its rate limit.
+func (d *Dispatcher) mayBeSent(u *upstream, now time.Duration) bool {
+	paused := max(u.pausedUntil, u.request.pausedUntil) > now || d.isBrittlePaused(u, now)
+	return !paused && !u.probing && !u.lacksPermit(now)
+}
+
 // cost returns the cost of running the call at an upstream with free slots, as a share
 // of its slots.
 func (d *Dispatcher) cost(u *upstream, c *Call, load float64, now time.Duration) float64 {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -27,6 +27,14 @@
 	plannerCountAt time.Duration
 	// departed holds the requests of upstreams that were removed, by ID.
 	departed map[string]departed
+	// brittle holds what upstreams say of the rejections that they bear, by service, to this node or
+	// others, and observedBrittle what they said to this node.
+	brittle, observedBrittle map[string]brittleness
+	// granted holds the services of whose upstreams the leader grants the slots.
+	granted map[string]slotGrants
+	// entryNodes is the number of nodes that send calls, and selfHash identifies this one.
+	entryNodes int
+	selfHash   uint64
 	// origins tells which streams must be recorded.
 	origins origin.View
 }
@@ -57,6 +65,9 @@
 		forecasts: map[ModelKey]forecast{},
 		arrivals:  map[ModelKey]uint64{},
 		departed:  map[string]departed{},
+
+		brittle: map[string]brittleness{}, observedBrittle: map[string]brittleness{},
+		granted: map[string]slotGrants{}, entryNodes: 1,
 	}
 }
 
@@ -132,6 +143,9 @@
 	u.othersReported = max(0, l.Running+l.Waiting-u.ownRunning)
 	u.reportedAt = now
 	u.reportedSlots = l.Slots
+	if l.Waiting > 0 && l.Running < l.Slots {
+		u.crowdedRunning, u.crowdedAt = max(1, l.Running), now
+	}
 }
 
 // ObservePlannerCounts records the planner's counts of the calls of all nodes, by engine
@@ -170,6 +184,9 @@
 	delete(d.running, id)
 	r.upstream.ownRunning--
 	r.upstream.recordResult(&d.limits, &r.call, result, now)
+	if result == Rejected {
+		d.pauseBrittle(r.upstream, now)
+	}
 	return d.processQueue(now)
 }
 
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -20,6 +20,9 @@
 //   - Upstreams that name a rate for all nodes together: calls go to other upstreams, or wait
 //     for a permit of the leader in order of priority, or are refused at once with the time
 //     at which one can be expected (ratelimit.go).
+//   - Upstreams that are brittle: of several nodes that see the same free slots most calls would be
+//     turned away. The leader grants the slots; without it, each node keeps to its part of
+//     them (slots.go, brittle.go).
 //   - Streams that go on: only upstreams with the software that began one are chosen, and they
 //     come before new calls (version.go).
 //   - Upstreams that fall silent while their connections stay open: a call that may
--- a/dispatch/herd_test.go
+++ b/dispatch/herd_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/agateslip/agateslip/dispatch"
 	"github.com/agateslip/agateslip/fleet"
+	"github.com/agateslip/agateslip/ratelimit"
 )
 
 // herd replays a model that many nodes call at a few engines. Every node reports its
@@ -22,14 +23,25 @@
 	// random makes every call choose an engine at random, whatever its load.
 	random bool
 	seed   uint64
+	// brittle, unless it is zero, is the number of rejections in a second that an engine bears. From
+	// brittleNotice on it lets one call wait only.
+	brittle float64
+	// room, unless it is zero, is the number of calls that an engine runs at once for want of memory, though
+	// it states more slots.
+	room int
+	// leaderLostAt, unless it is zero, is when there is no leader any more, for leaderless.
+	leaderLostAt, leaderless time.Duration
 }
 
+// brittleNotice is how long engines say that they are brittle before they fall over.
+const brittleNotice = 3 * time.Second
+
 // engineQueue is how many calls an engine lets wait for a slot before it rejects more.
 const engineQueue = 6
 
 // herdResult is the number of calls, those that found all slots of their engine taken, and
 // those that it rejected.
-type herdResult struct{ calls, full, rejected int }
+type herdResult struct{ calls, full, rejected, falls int }
 
 // herdEvent is an event of the replay.
 type herdEvent struct {
@@ -67,14 +79,21 @@
 	waiting map[string][]func()
 	ids     []string
 	lastID  int
-	result  herdResult
+	// rejections holds when each engine rejected calls, since it last fell over.
+	rejections map[string][]time.Duration
+	// leader divides the slots of brittle engines; nil if there is none. asking is set for nodes that
+	// are about to report to it.
+	leader *ratelimit.Slots
+	asking map[int]bool
+	result herdResult
 }
 
 // run replays the given time and returns the counts from the second second on.
 func (h herd) run(d time.Duration) herdResult {
 	r := &herdRun{
 		herd: h, arrivals: rand.New(rand.NewPCG(h.seed, 1)), chance: rand.New(rand.NewPCG(h.seed, 2)),
-		present: map[string]int{}, waiting: map[string][]func(){},
+		present: map[string]int{}, waiting: map[string][]func(){}, rejections: map[string][]time.Duration{},
+		leader: ratelimit.NewSlots(-time.Minute), asking: map[int]bool{},
 	}
 	var upstreams []fleet.Upstream
 	for i := range h.engines {
@@ -84,9 +103,15 @@
 	}
 	for i := range h.nodes {
 		r.nodes = append(r.nodes, newDispatcher(upstreams...))
+		r.nodes[i].SetEntryNodes(h.nodes, fmt.Sprint("n", i))
+		r.after(time.Duration(r.chance.Int64N(int64(watchInterval))), func() { r.watch(i) })
 		r.reported = append(r.reported, map[string]int{})
 		r.after(time.Duration(r.chance.Int64N(int64(h.reportInterval))), func() { r.report(i) })
 	}
+	if h.leaderLostAt > 0 {
+		r.after(h.leaderLostAt, func() { r.leader = nil })
+		r.after(h.leaderLostAt+h.leaderless, func() { r.leader = ratelimit.NewSlots(r.now) })
+	}
 	r.after(0, r.arrive)
 	for len(r.events) > 0 && r.now < d {
 		e := heap.Pop(&r.events).(herdEvent)
@@ -116,9 +141,61 @@
 		}
 	}
 	r.nodes[node].ObservePlannerCounts(total, true, r.now)
+	r.askForSlots(node)
 	r.after(r.reportInterval, func() { r.report(node) })
 }
 
+const (
+	// askDelay and askInterval are when a node asks for slots after a call began to wait, and how often
+	// it does as long as it wants or has some.
+	askDelay    = 20 * ms
+	askInterval = 150 * ms
+	// watchInterval is how often a node hears from the leader.
+	watchInterval = time.Second
+)
+
+// watch tells a node what the leader knows of brittle services.
+func (r *herdRun) watch(node int) {
+	if r.leader != nil {
+		r.leader.Expire(r.now)
+		services, _ := r.leader.Services(r.now)
+		r.nodes[node].SetBrittle(services, r.now)
+	}
+	r.start(node, r.nodes[node].Tick(r.now))
+	r.after(watchInterval, func() { r.watch(node) })
+}
+
+// askForSlots has a node report its slots to the leader and start the calls for which it gets some.
+func (r *herdRun) askForSlots(node int) {
+	d := r.nodes[node]
+	if r.leader != nil {
+		for service, perSecond := range d.ObservedBrittle(r.now) {
+			r.leader.ObserveBrittle(service, perSecond, r.now)
+		}
+		grants := r.leader.Grant(fmt.Sprint(node), d.SlotWants(r.now), r.find, r.now)
+		r.start(node, d.GrantSlots(grants, r.now, r.now))
+	}
+	r.askSoon(node, askInterval)
+}
+
+// find returns an engine for the leader.
+func (r *herdRun) find(i fleet.Incarnation) *fleet.Upstream {
+	u := engine(i.ID, r.slots, "m")
+	return &u
+}
+
+// askSoon has a node ask for slots after a time if it wants or has some, unless it is about to.
+func (r *herdRun) askSoon(node int, after time.Duration) {
+	if r.asking[node] || len(r.nodes[node].SlotWants(r.now)) == 0 {
+		return
+	}
+	r.asking[node] = true
+	r.after(after, func() {
+		r.asking[node] = false
+		r.askForSlots(node)
+	})
+}
+
 // arrive submits a call at some node and schedules the next one.
 func (r *herdRun) arrive() {
 	node := r.arrivals.IntN(r.herd.nodes)
@@ -129,6 +206,7 @@
 
 func (r *herdRun) submit(node int, c dispatch.Call) {
 	r.start(node, r.nodes[node].Submit(c, r.now))
+	r.askSoon(node, askDelay)
 }
 
 // start carries out the verdicts of a node.
@@ -153,26 +231,67 @@
 	}
 	run := func() {
 		r.present[id]++
-		r.nodes[node].Observe(c, dispatch.Load{Running: r.present[id], Waiting: len(r.waiting[id]), Slots: r.slots}, r.now)
+		r.observeBrittle(node, c)
+		r.observeLoad(id, node, c)
 		r.after(r.callTime/2+time.Duration(r.chance.Int64N(int64(r.callTime))), func() { r.finish(id, node, c) })
 	}
-	if r.present[id] < r.slots {
+	if r.present[id] < r.slots && (r.room == 0 || r.present[id] < r.room) {
 		run()
 		return
 	}
 	if count {
 		r.result.full++
 	}
-	if len(r.waiting[id]) < engineQueue {
+	if len(r.waiting[id]) < r.queueLength() {
 		r.waiting[id] = append(r.waiting[id], run)
 		return
 	}
 	if count {
 		r.result.rejected++
+		r.reject(id)
 	}
+	r.observeBrittle(node, c)
+	r.observeLoad(id, node, c)
 	r.start(node, r.nodes[node].Finish(c, dispatch.Rejected, r.now))
 }
 
+// observeLoad tells a node the load of an engine, with the answer to a call.
+func (r *herdRun) observeLoad(id string, node int, c dispatch.CallID) {
+	r.nodes[node].Observe(c, dispatch.Load{Running: r.present[id], Waiting: len(r.waiting[id]), Slots: r.slots}, r.now)
+}
+
+func (r *herdRun) observeBrittle(node int, c dispatch.CallID) {
+	if r.brittle > 0 {
+		r.nodes[node].ObserveBrittle(c, r.brittle, r.now)
+	}
+}
+
+func (r *herdRun) queueLength() int {
+	if r.isBrittle() {
+		return 1
+	}
+	return engineQueue
+}
+
+// isBrittle reports whether engines fall over if they reject too many calls.
+func (r *herdRun) isBrittle() bool { return r.brittle > 0 && r.now >= brittleNotice }
+
+// reject counts a rejection, and a fall where a brittle engine bears no more of them.
+func (r *herdRun) reject(id string) {
+	recent := r.rejections[id][:0]
+	for _, at := range r.rejections[id] {
+		if r.now-at < second {
+			recent = append(recent, at)
+		}
+	}
+	recent = append(recent, r.now)
+	if r.isBrittle() && float64(len(recent)) > r.brittle {
+		r.result.falls++
+		recent = recent[:0]
+	}
+	r.rejections[id] = recent
+}
+
 // finish ends a call and starts the next one that waits at its engine.
 func (r *herdRun) finish(id string, node int, c dispatch.CallID) {
 	r.present[id]--
--- a/dispatch/ratelimit.go
+++ b/dispatch/ratelimit.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/agateslip/agateslip/fleet"
@@ -130,18 +128,12 @@
 // for upstreams that its latest calls could have gone to. It sets the counts of these calls
 // back to zero.
 func (d *Dispatcher) PermitWants(now time.Duration) []ratelimit.Want {
-	byUpstream := map[*upstream]*ratelimit.Want{}
-	want := func(u *upstream) *ratelimit.Want {
-		if byUpstream[u] == nil {
-			byUpstream[u] = &ratelimit.Want{Upstream: u.incarnation()}
-		}
-		return byUpstream[u]
-	}
+	wants := newWants(func(i fleet.Incarnation) ratelimit.Want { return ratelimit.Want{Upstream: i} })
 	for _, w := range d.queue {
 		if w.permitFrom == nil || !w.permitFrom.lacksPermit(now) {
 			continue
 		}
-		asked := want(w.permitFrom)
+		asked := wants.of(w.permitFrom)
 		if asked.Waiting == 0 {
 			asked.Priority = w.call.Priority // the queue is sorted by priority
 		}
@@ -153,27 +145,14 @@
 		recent := u.sinceAsked - u.permits.Held(now)
 		u.sinceAsked = 0
 		if u.request.rateLimit.Limited && recent > 0 {
-			want(u).Recent = recent
+			wants.of(u).Recent = recent
 		}
 	}
-	wants := make([]ratelimit.Want, 0, len(byUpstream))
-	for _, w := range byUpstream {
-		wants = append(wants, *w)
-	}
-	slices.SortFunc(wants, func(a, b ratelimit.Want) int { return cmp.Compare(a.Upstream.ID, b.Upstream.ID) })
-	return wants
+	return wants.sorted()
 }
 
 // GrantPermits adds the permits that this node asked for at askedAt, and returns the decisions
 // on waiting calls that follow.
 func (d *Dispatcher) GrantPermits(grants []ratelimit.Grant, askedAt, now time.Duration) []Verdict {
-	for _, g := range grants {
-		if u := d.upstreams[g.Upstream.ID]; u != nil && u.desc.Born == g.Upstream.Born {
-			u.permits.Add(g, askedAt, now)
-		}
-	}
-	if len(grants) == 0 {
-		return nil
-	}
-	return d.processQueue(now)
+	return d.applyGrants(grants, func(u *upstream, g ratelimit.Grant) { u.permits.Add(g, askedAt, now) }, now)
 }
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -84,6 +84,9 @@
 	u.ownRunning++
 	u.probing = u.consecutiveUnreachable > 0
 	u.usePermit(now)
+	if d.slotsGranted(u.desc.Service, now) {
+		u.slots.Use(now)
+	}
 	d.countPassedOver(&w.call, now)
 	d.running[w.call.ID] = &runningCall{call: w.call, upstream: u, limitSeq: u.request.rateLimit.Seq}
 	desc := *u.desc
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -89,9 +89,12 @@
 	// proposingOrigins is set while its decision is being proposed.
 	origins          *origin.Tracker
 	proposingOrigins bool
-	// permits hands out permits for upstreams that named a rate limit; nil unless this node
-	// leads.
+	// permits hands out permits for upstreams that named a rate limit, and slots those of brittle
+	// upstreams; nil unless this node leads.
 	permits *ratelimit.Allocator
+	slots   *ratelimit.Slots
+	// brittleRevision is the revision of slots of which the entry nodes were told.
+	brittleRevision uint64
 	// plannedVersion is the configuration version that the planner was last given.
 	plannedVersion uint64
 	// loggedWidths holds, by service, the limit of parallel loads from the weight store
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -72,6 +72,7 @@
 	}
 	c.removeGoneUpstreams(before)
 	c.expireEntryNodes(now)
+	c.reviewBrittle(now)
 	c.reviewQuarantine(ctx, now)
 	c.reviewOrigins(ctx, now)
 	c.plan(now)
@@ -93,7 +94,8 @@
 	limits.MaxStoreLoads, limits.MaxAdapterLoads = c.cfg.Store.Width, min(c.cfg.Store.AdapterWidth, limits.MaxAdapterLoads)
 	c.planner = residency.New(limits)
 	c.quarantine = newQuarantineWatch(c.stateMachine.evidence(), now)
-	c.permits = ratelimit.NewAllocator()
+	c.permits, c.slots = ratelimit.NewAllocator(), ratelimit.NewSlots(now)
+	c.brittleRevision = 0
 	c.origins, c.proposingOrigins = origin.NewTracker(now), false
 	c.plannedVersion, c.loggedWidths = 0, map[string]int{}
 	for _, u := range c.registry.Live() {
@@ -109,7 +111,7 @@
 func (c *Controller) stepDown(status raft.Status) {
 	c.log.Event("no longer leading", eventlog.Fields{"term": c.term, "now": status.Term, "leader": status.Leader})
 	c.term, c.fence = 0, 0
-	c.planner, c.permits, c.origins = nil, nil, nil
+	c.planner, c.permits, c.slots, c.origins = nil, nil, nil, nil
 	c.notifier.notify()
 }
 
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -138,6 +138,8 @@
 			}
 			answer.Quarantine = c.quarantineSince(r.QuarantineRevision, answer.Whole)
 			answer.Bases = c.baseVersions()
+			brittle, revision := c.slots.Services(boottime.Now())
+			answer.Brittle, answer.BrittleRevision = &brittle, revision
 		}
 		list = c.changes.changedSince(c.registry, changeKey{since, r.Entry})
 		answer.Entries = c.countEntryNodes(r.Term == 0, boottime.Now())
@@ -148,7 +150,7 @@
 	if !leading {
 		return answer, false, c.notLeaderError()
 	}
-	changed = answer.Whole || len(list.upstreams) > 0 || answer.Quarantine != nil
+	changed = len(list.upstreams) > 0 || tellsNews(&answer, &r)
 	if answer.Upstreams, err = list.encode(); err != nil {
 		return answer, false, err
 	}
@@ -158,6 +160,11 @@
 	return answer, changed, nil
 }
 
+// tellsNews reports whether an answer tells a node at once what it does not know, apart from upstreams.
+func tellsNews(answer *nodelink.WatchAnswer, r *nodelink.WatchRequest) bool {
+	return answer.Whole || answer.Quarantine != nil || answer.BrittleRevision != r.BrittleRevision
+}
+
 // serveDemand passes an entry node's report to the planner and answers with the running
 // calls of the engines and forecasts for the models that calls wait for.
 func (c *Controller) serveDemand(ctx context.Context, from string, r nodelink.DemandRequest) (any, error) {
@@ -174,7 +181,9 @@
 		now := boottime.Now()
 		c.markLeaving(from, r.Leaving, now)
 		c.recordRateLimits(from, r.RateLimits)
+		c.recordBrittle(from, r.Brittle, now)
 		answer.Permits = c.grantPermits(from, r.PermitWants, now)
+		answer.Slots = c.grantSlots(from, r.SlotWants, now)
 		c.recordCrashEvidence(from, &r, now)
 		answer.Trials = c.grantTrials(from, r.Trials, now)
 		c.planner.SetDemand(from, r.Report, now)
--- a/internal/controller/watch_test.go
+++ b/internal/controller/watch_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/agateslip/agateslip/fleet"
+	"github.com/agateslip/agateslip/internal/nodelink"
 )
 
 // TestChangeCacheSharesLists checks that the nodes of one round share one list while
@@ -66,3 +67,13 @@
 	}
 	is.Equal(c.countEntryNodes(false, time.Minute+3*time.Second), 8)
 }
+
+// TestBrittleServicesAreToldAtOnce has a node that waits for changes know an earlier word on brittle services.
+func TestBrittleServicesAreToldAtOnce(t *testing.T) {
+	is := is.New(t)
+	knows := &nodelink.WatchRequest{BrittleRevision: 2}
+	is.True(!tellsNews(&nodelink.WatchAnswer{BrittleRevision: 2}, knows))
+	is.True(tellsNews(&nodelink.WatchAnswer{BrittleRevision: 3}, knows))
+	is.True(tellsNews(&nodelink.WatchAnswer{BrittleRevision: 2, Whole: true}, knows))
+	is.True(tellsNews(&nodelink.WatchAnswer{BrittleRevision: 2, Quarantine: &nodelink.QuarantineState{}}, knows))
+}
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -21,10 +21,9 @@
 	// minReportGap is the least time between two reports, so that calls that arrive
 	// together cause a single one.
 	minReportGap = 15 * time.Millisecond
-	// reportInterval is the time between reports while no calls wait.
-	reportInterval = 400 * time.Millisecond
-	// waitingReportInterval is the time between reports while calls wait.
-	waitingReportInterval = 150 * time.Millisecond
+	// reportInterval is the time between reports, and urgentReportInterval that while calls wait.
+	reportInterval       = 400 * time.Millisecond
+	urgentReportInterval = 150 * time.Millisecond
 	// reportTimeout bounds the sending of a report.
 	reportTimeout = 800 * time.Millisecond
 )
@@ -53,8 +52,8 @@
 		}
 		lastEmpty = empty
 		next := reportInterval
-		if r.callsWait() {
-			next = waitingReportInterval
+		if r.urgent() {
+			next = urgentReportInterval
 		}
 		pause.For(ctx, minReportGap)
 		timer.Reset(next)
@@ -76,12 +75,13 @@
 // empty reports whether the report says only that nothing waits or runs.
 func (r *demandReport) empty() bool {
 	return len(r.Report.Waiting)+len(r.Report.Arrivals)+len(r.Report.Running)+len(r.Report.Quality)+len(r.Report.Unreachable)+
-		len(r.Leaving)+len(r.Losses)+len(r.Served)+len(r.Alive)+len(r.RateLimits)+len(r.PermitWants)+len(r.Trials) == 0
+		len(r.Brittle)+len(r.SlotWants)+len(r.Leaving)+len(r.Losses)+len(r.Served)+len(r.Alive)+len(r.RateLimits)+len(r.PermitWants)+len(r.Trials) == 0
 }
 
-// callsWait reports whether calls wait for a model or a permit.
-func (r *demandReport) callsWait() bool {
-	return len(r.Report.Waiting) > 0 ||
+// urgent reports whether calls wait for a model or a permit, or whether the node wants or has slots that the
+// leader grants: those that its calls leave are free for other nodes once the leader knows.
+func (r *demandReport) urgent() bool {
+	return len(r.Report.Waiting)+len(r.SlotWants) > 0 ||
 		slices.ContainsFunc(r.PermitWants, func(w ratelimit.Want) bool { return w.Waiting > 0 })
 }
 
@@ -99,6 +99,7 @@
 	request := nodelink.DemandRequest{
 		Report: e.nodeReport(), Leaving: slices.Collect(maps.Keys(e.unreportedLeaving)),
 		RateLimits: limits, PermitWants: e.dispatcher.PermitWants(now),
+		Brittle: e.dispatcher.ObservedBrittle(now), SlotWants: e.dispatcher.SlotWants(now),
 		Losses: losses, Served: slices.Collect(maps.Keys(served)), Alive: e.aliveUpstreams(),
 		Trials: wantedTrials(waiters),
 	}
@@ -171,6 +172,7 @@
 			e.reportedQuality[q.Upstream] = q
 		}
 		e.deliver(e.dispatcher.GrantPermits(answer.Permits, askedAt, now))
+		e.deliver(e.dispatcher.GrantSlots(answer.Slots, askedAt, now))
 		for _, f := range answer.Forecasts {
 			e.dispatcher.Forecast(dispatch.ModelKey{Service: f.Service, Model: f.Model}, f.In, now)
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -30,6 +30,7 @@
 	"github.com/agateslip/agateslip/internal/supervisor"
 	"github.com/agateslip/agateslip/internal/upstreamconn"
 	"github.com/agateslip/agateslip/quarantine"
+	"github.com/agateslip/agateslip/ratelimit"
 	"github.com/agateslip/agateslip/residency"
 	"github.com/agateslip/agateslip/routes"
 )
@@ -109,6 +110,8 @@
 	crashEvidence   quarantine.Reporter
 	// trialWaiters are the calls whose wish for a trial the leader does not know yet.
 	trialWaiters []trialWaiter
+	// brittle is the leader's latest word on the services whose upstreams are brittle.
+	brittle map[string]ratelimit.Brittle
 	// unreportedLeaving holds the upstreams that said that they are leaving and of which
 	// the leader does not know it yet.
 	unreportedLeaving map[fleet.Incarnation]bool
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/agateslip/agateslip/internal/nodelink"
 	"github.com/agateslip/agateslip/internal/pause"
 	"github.com/agateslip/agateslip/internal/peer"
+	"github.com/agateslip/agateslip/ratelimit"
 )
 
 const (
@@ -133,6 +135,10 @@
 			if answer.Quarantine != nil {
 				e.applyQuarantine(answer.Quarantine)
 			}
+			e.dispatcher.SetEntryNodes(int(e.entryNodes.Load()), e.cfg.Node)
+			if answer.Brittle != nil {
+				e.applyBrittle(*answer.Brittle)
+			}
 			if answer.Bases != nil {
 				stateAt = boottime.Now()
 				e.applyBases(*answer.Bases, askedAt)
@@ -143,6 +149,9 @@
 			continue
 		}
 		request.Term, request.Revision = answer.Term, answer.Revision
+		if answer.Brittle != nil {
+			request.BrittleRevision = answer.BrittleRevision
+		}
 		if answer.Quarantine != nil {
 			request.QuarantineRevision = answer.Quarantine.Revision
 		}
@@ -196,6 +205,15 @@
 	}
 }
 
+// applyBrittle applies the leader's word on the services whose upstreams are brittle. It runs on the loop.
+func (e *Edge) applyBrittle(services map[string]ratelimit.Brittle) {
+	if !maps.Equal(e.brittle, services) {
+		e.log.Event("brittle services", eventlog.Fields{"services": services})
+	}
+	e.brittle = services
+	e.dispatcher.SetBrittle(services, boottime.Now())
+}
+
 // applyUpstreams applies changed upstreams. If whole is set, the list is complete, and
 // upstreams that it does not contain count as unlisted from now on. It runs on the
 // loop.
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -47,6 +47,9 @@
 		if answer.Leaving {
 			c.edge.noteLeaving(id, u)
 		}
+		if answer.Brittle {
+			c.edge.dispatcher.ObserveBrittle(id, answer.BearsRejections, now)
+		}
 		if answer.Pause > 0 {
 			c.edge.dispatcher.ObservePause(id, answer.Pause, now)
 		}
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -66,6 +66,8 @@
 	// is that of the latest list of them that the node received.
 	Detours         string `json:"detours,omitempty"`
 	DetoursRevision uint64 `json:"detoursRevision,omitempty"`
+	// BrittleRevision is that of the latest answer that told the brittle services.
+	BrittleRevision uint64 `json:"brittleRevision,omitempty"`
 	// WaitMillis is how long the answer may be held back while nothing changes.
 	WaitMillis int64 `json:"wait"`
 }
@@ -84,6 +86,10 @@
 	// Bases are the base versions of the services' software; see package origin. It is nil if the
 	// answer does not tell them.
 	Bases *map[string]string `json:"bases,omitempty"`
+	// Brittle holds the services whose upstreams are brittle. It is nil if the answer does not tell them.
+	Brittle *map[string]ratelimit.Brittle `json:"brittle,omitempty"`
+	// BrittleRevision counts the changes of Brittle in the leader's term.
+	BrittleRevision uint64 `json:"brittleRevision,omitempty"`
 	// Detours are the addresses at which some other entry nodes accept detours; nil if the asking
 	// node has the list of this revision.
 	Detours         []string `json:"detours,omitempty"`
@@ -125,6 +131,11 @@
 	RateLimits []RateLimit `json:"limits,omitempty"`
 	// PermitWants are the permits that the node asks for.
 	PermitWants []ratelimit.Want `json:"permits,omitempty"`
+	// Brittle holds the services whose upstreams said to the node lately that they are brittle, with the number
+	// of calls a second that each of them can turn away. SlotWants are the slots of these upstreams that the
+	// node asks for and has taken.
+	Brittle   map[string]float64   `json:"brittle,omitempty"`
+	SlotWants []ratelimit.SlotWant `json:"slots,omitempty"`
 	// Losses are calls that were lost with their upstreams. Served are suspects, by the
 	// latest QuarantineState, that calls were served with.
 	Losses []quarantine.Loss  `json:"losses,omitempty"`
@@ -149,6 +160,8 @@
 	Whole   bool           `json:"whole,omitempty"`
 	// Permits answers the wants of the request for upstreams that have a rate limit.
 	Permits []ratelimit.Grant `json:"permits,omitempty"`
+	// Slots answers the wants for slots of brittle upstreams.
+	Slots []ratelimit.Grant `json:"slots,omitempty"`
 	// Trials are those signatures of the request of which the node may send one call.
 	Trials []quarantine.Signature `json:"trials,omitempty"`
 }
--- a/ratelimit/doc.go
+++ b/ratelimit/doc.go
@@ -13,5 +13,7 @@
 // come first, by priority; without any, permits go to nodes that send calls elsewhere
 // meanwhile, so that it shows when the upstream names another limit or none.
 //
+// [Slots] divides what upstreams take at once, where these must not turn calls away.
+//
 // The package has no clock, goroutine, I/O or randomness.
 package ratelimit
