controller: a test that base versions which may be replaced are not told

That the controller asks the tracker and not the table was noticed by no test; it is by this one now.

--- a/internal/controller/watch_test.go
+++ b/internal/controller/watch_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/agateslip/agateslip/fleet"
 	"github.com/agateslip/agateslip/internal/nodelink"
+	"github.com/agateslip/agateslip/origin"
 )
 
 // TestChangeCacheSharesLists checks that the nodes of one round share one list while
@@ -77,3 +78,17 @@
 	is.True(tellsNews(&nodelink.WatchAnswer{BrittleRevision: 2, Whole: true}, knows))
 	is.True(tellsNews(&nodelink.WatchAnswer{BrittleRevision: 2, Quarantine: &nodelink.QuarantineState{}}, knows))
 }
+
+// TestReplacedBaseVersionsAreNotTold proposes another base version, which does not take effect.
+func TestReplacedBaseVersionsAreNotTold(t *testing.T) {
+	is := is.New(t)
+	c := &Controller{origins: origin.NewTracker(0), stateMachine: newStateMachine(nil, nil, nil)}
+	c.stateMachine.state.Streams.Apply(&origin.Change{Bases: &map[string]string{"llm": "v1"}})
+	is.Equal(*c.baseVersions(), map[string]string{"llm": "v1"})
+	upstreams := func() []fleet.Upstream { return []fleet.Upstream{{ID: "a", Service: "llm", Software: "v2"}} }
+	var change *origin.Change
+	for now := time.Duration(0); change == nil && now < time.Hour; now += time.Second {
+		c.stateMachine.streams(func(t *origin.Table) { change = c.origins.Review(t, upstreams, now) })
+	}
+	is.Equal(len(*c.baseVersions()), 0)
+}
