origin: a stream whose request is not named is known only where no other version can have begun it

Callers' view: a caller that takes a stream up without naming the request that began it could get it joined from two versions.

Cause: one version seen for a minute counted as the only one. A version was forgotten together with a base version, and one that fell silent before the leader's term was never seen. Until when streams may begin is kept for each version now, not for the base alone, and a version counts as the only one once no other can have begun a stream that is left. Where no stream is recorded all began at the base: that is known at once, also to a new leader, so that fewer such calls are refused than before. The special case for a base that no review had seen is not needed any more.

--- a/internal/controller/streams.go
+++ b/internal/controller/streams.go
@@ -116,7 +116,9 @@
 		c.stateMachine.streams(func(t *origin.Table) { answer.Software, answer.Known = t.Find(r.Service, *r.Key) })
 	} else if err := c.loop.Do(ctx, func() {
 		if c.origins != nil {
-			answer.Software, answer.Known = c.origins.Only(r.Service, boottime.Now())
+			c.stateMachine.streams(func(t *origin.Table) {
+				answer.Software, answer.Known = c.origins.Only(t, r.Service, boottime.Now())
+			})
 		}
 	}); err != nil {
 		return nil, err
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -169,17 +169,22 @@
 	is := is.New(t)
 	table, tracker := origin.NewTable(), origin.NewTracker(0)
 	upstreams := []fleet.Upstream{upstream("a", "v1")}
-	all := func() []fleet.Upstream { return upstreams }
-	tracker.Review(table, all, 0)
-	_, ok := tracker.Only("llm", time.Second) // another may have left before the term
-	is.True(!ok)
-	tracker.Review(table, all, origin.Lifetime)
-	software, ok := tracker.Only("llm", origin.Lifetime)
-	is.True(ok && software == "v1")
+	known := func(now time.Duration) bool {
+		tracker.Review(table, func() []fleet.Upstream { return upstreams }, now)
+		software, ok := tracker.Only(table, "llm", now)
+		is.True(!ok || software == "v1")
+		return ok
+	}
+	is.True(!known(0)) // another version may have been in service before the term
+	table.Apply(&origin.Change{Bases: &map[string]string{"llm": "v1"}})
+	is.True(known(time.Second)) // all streams at other versions are recorded
+	table.Apply(recordOf("v2", 1))
+	is.True(!known(2 * time.Second))
+	const settled = origin.BaseLease + origin.Lifetime
+	is.True(!known(settled - time.Second))
+	is.True(known(settled)) // the record is one of another service
 	upstreams = append(upstreams, upstream("b", "v2"))
-	tracker.Review(table, all, origin.Lifetime+2*time.Second)
-	_, ok = tracker.Only("llm", origin.Lifetime+2*time.Second)
-	is.True(!ok)
+	is.True(!known(settled + 2*time.Second))
 }
 
 // TestStreamsAreNeverJoined simulates entry nodes that are cut off from the leader, upstreams that come,
@@ -318,6 +323,9 @@
 			if known {
 				found++
 			}
+			if only, ok := tracker.Only(table, "llm", now); ok && only != s.software {
+				t.Fatalf("at %s: a stream that began at %s at %s and is not named would go on at %s", now, s.software, s.at, only)
+			}
 		}
 		streams = left
 	}
--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -33,25 +33,23 @@
 	reviewAt, expireAt time.Duration
 	// expiries is the number of expiries that had taken effect at the latest review.
 	expiries uint64
-	// inUseUntil is, by service, until when an entry node may begin a stream at the base version
-	// without a record.
-	inUseUntil map[string]time.Duration
+	// inUseUntil is, by service and version, until when streams may begin there, for as long as they may be
+	// taken up after that.
+	inUseUntil map[string]map[string]time.Duration
 	// bases are the base versions as of the latest review. replacing holds the services of which a change
 	// has been proposed that may still take effect, however long ago that was.
 	bases     map[string]string
 	replacing map[string]bool
 	// versions counts the upstreams of each service that have not ended, by version, at the latest
-	// review. seen holds the versions that were listed at any time since Lifetime before it.
+	// review.
 	versions map[string]map[string]int
-	seen     map[string]map[string]time.Duration
 }
 
 // NewTracker returns the tracker of a term that begins at now.
 func NewTracker(now time.Duration) *Tracker {
 	return &Tracker{
-		began: now, lifetime: Lifetime, expireAt: now + Lifetime, inUseUntil: map[string]time.Duration{},
-		replacing: map[string]bool{},
-		versions:  map[string]map[string]int{}, seen: map[string]map[string]time.Duration{},
+		began: now, lifetime: Lifetime, expireAt: now + Lifetime, inUseUntil: map[string]map[string]time.Duration{},
+		replacing: map[string]bool{}, versions: map[string]map[string]int{},
 	}
 }
 
@@ -115,15 +113,9 @@
 	return now >= t.expireAt
 }
 
-// observe counts the versions in service, and notes until when those that are the base may begin
-// streams.
+// observe counts the versions in service, and notes until when streams may begin at each. A version that has
+// become the base was in service when that was decided.
 func (t *Tracker) observe(bases map[string]string, upstreams []fleet.Upstream, now time.Duration) {
-	for service := range bases {
-		// Streams may have begun at a new base version whose upstreams have all left since.
-		if !sameBase(t.bases, bases, service) {
-			t.useUntil(service, now+departureGrace)
-		}
-	}
 	maps.DeleteFunc(t.replacing, func(service string, _ bool) bool { return !sameBase(t.bases, bases, service) })
 	t.bases = bases
 	clear(t.versions)
@@ -132,34 +124,34 @@
 		if u.Service == "" {
 			continue // a departure whose upstream was never heard of
 		}
-		if t.seen[u.Service] == nil {
-			t.seen[u.Service] = map[string]time.Duration{}
+		until := now + departureGrace
+		if u.Silent {
+			until = now + BaseLease // it may still serve entry nodes that are cut off too
 		}
-		t.seen[u.Service][u.Software] = now
+		t.noteInUse(u, until)
 		if !u.Gone {
 			if t.versions[u.Service] == nil {
 				t.versions[u.Service] = map[string]int{}
 			}
 			t.versions[u.Service][u.Software]++
 		}
-		if base, ok := bases[u.Service]; !ok || base != u.Software {
-			continue
-		}
-		switch {
-		case !u.Gone:
-			t.useUntil(u.Service, now+departureGrace)
-		case u.Silent:
-			// Cut off from the leader, it may still serve entry nodes that are cut off too.
-			t.useUntil(u.Service, now+BaseLease)
-		}
 	}
-	for _, versions := range t.seen {
-		maps.DeleteFunc(versions, func(_ string, at time.Duration) bool { return now-at > t.lifetime })
+	for service, versions := range t.inUseUntil {
+		maps.DeleteFunc(versions, func(_ string, until time.Duration) bool { return now > until+t.lifetime })
+		if len(versions) == 0 {
+			delete(t.inUseUntil, service)
+		}
 	}
 }
 
-func (t *Tracker) useUntil(service string, at time.Duration) {
-	t.inUseUntil[service] = max(t.inUseUntil[service], at)
+// noteInUse notes that streams may begin at the version of an upstream until the given time.
+func (t *Tracker) noteInUse(u *fleet.Upstream, until time.Duration) {
+	versions := t.inUseUntil[u.Service]
+	if versions == nil {
+		versions = map[string]time.Duration{}
+		t.inUseUntil[u.Service] = versions
+	}
+	versions[u.Software] = max(versions[u.Software], until)
 }
 
 // nextBases returns the base versions that shall be in force.
@@ -167,30 +159,27 @@
 	next := maps.Clone(bases)
 	for service, versions := range t.versions {
 		base, ok := bases[service]
-		if ok && !t.replacing[service] && (versions[base] > 0 || !t.mayReplaceBase(service, now)) {
+		if ok && !t.mayReplaceBase(service, base, now) {
 			continue
 		}
 		next[service] = mostCommon(versions)
 		if ok && next[service] == base {
 			delete(next, service) // the old version came back; the earlier change must not take effect later
 		}
-		delete(t.inUseUntil, service)
 	}
-	for service := range bases {
+	for service, base := range bases {
 		// Without a base version, all streams are recorded.
-		if len(t.versions[service]) == 0 && (t.replacing[service] || t.mayReplaceBase(service, now)) {
+		if len(t.versions[service]) == 0 && t.mayReplaceBase(service, base, now) {
 			delete(next, service)
-			delete(t.inUseUntil, service)
-			delete(t.seen, service)
 		}
 	}
 	return next
 }
 
-// mayReplaceBase reports whether no stream without a record is left that began at the base version.
+// mayReplaceBase reports whether no stream without a record is left that began at the base version of a service.
 // A new leader does not know which upstreams fell silent before its term.
-func (t *Tracker) mayReplaceBase(service string, now time.Duration) bool {
-	return now > max(t.inUseUntil[service], t.began+BaseLease)+t.lifetime
+func (t *Tracker) mayReplaceBase(service, base string, now time.Duration) bool {
+	return t.replacing[service] || now > max(t.inUseUntil[service][base], t.began+BaseLease)+t.lifetime
 }
 
 // mostCommon returns the version with the most upstreams, the first of them by name.
@@ -205,10 +194,13 @@
 }
 
 // Only returns the version at which any stream of a service must have begun that can still be taken
-// up, if there is just one.
-func (t *Tracker) Only(service string, now time.Duration) (software string, ok bool) {
-	versions := t.seen[service]
-	if len(versions) != 1 || now-t.began < t.lifetime {
+// up, if there is just one: no stream is recorded, or no other version has been in service.
+func (t *Tracker) Only(table *Table, service string, now time.Duration) (software string, ok bool) {
+	if base, known := table.bases[service]; known && table.Empty() {
+		return base, true
+	}
+	versions := t.inUseUntil[service]
+	if len(versions) != 1 || now-t.began < BaseLease+t.lifetime {
 		return "", false
 	}
 	for software := range versions {
