origin: a test for a base version whose upstream is forgotten at once

The grace is what counts where it does not: TestBaseChangesOnceNoStreamOfItIsLeft/forgotten fails without it.

--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -61,7 +61,15 @@
 // TestBaseChangesOnceNoStreamOfItIsLeft lets a version leave. The base must stay until no entry node
 // can begin a stream at it without a record, and until the last of these cannot be taken up any more.
 func TestBaseChangesOnceNoStreamOfItIsLeft(t *testing.T) {
-	for name, silent := range map[string]bool{"left": false, "silent": true} {
+	for name, c := range map[string]struct {
+		silent, forgotten bool
+		// inUse is how long entry nodes may begin streams after the upstream ended.
+		inUse time.Duration
+	}{
+		"left":      {inUse: 0},
+		"forgotten": {forgotten: true, inUse: 25 * time.Second},
+		"silent":    {silent: true, inUse: origin.BaseLease},
+	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			table, tracker := origin.NewTable(), origin.NewTracker(0)
@@ -77,21 +85,21 @@
 			}
 			is.Equal(table.Bases()["llm"], "v1")
 			gone := upstream("a", "v1")
-			gone.Gone, gone.Silent = true, silent
+			gone.Gone, gone.Silent = true, c.silent
 			upstreams = []fleet.Upstream{gone, upstream("b", "v2"), upstream("c", "v2")}
+			if c.forgotten {
+				upstreams = upstreams[1:]
+			}
 			ended := now
 			for ; now < ended+time.Minute; now += time.Second {
 				review(now)
 			}
-			upstreams = upstreams[1:] // the registry forgets it
+			upstreams = []fleet.Upstream{upstream("b", "v2"), upstream("c", "v2")} // the registry forgets it
 			for ; table.Bases()["llm"] == "v1" && now < ended+time.Hour; now += time.Second {
 				review(now)
 			}
 			is.Equal(table.Bases()["llm"], "v2")
-			least := origin.Lifetime
-			if silent {
-				least += origin.BaseLease
-			}
+			least := origin.Lifetime + c.inUse
 			is.True(now-ended > least)
 			is.True(now-ended < least+3*time.Minute)
 		})
