fleet: a test that an incarnation keeps the version of its software

Three promises were removed on a copy, one at a time. That an engine short of memory counts as smaller is noticed by TestBrittleEnginesShortOfMemoryAreNotOverrun. That an announcement of a known incarnation cannot name another version of its software was noticed by no test; TestIncarnationKeepsItsSoftware fails without it. No code changes.

--- a/fleet/registry_test.go
+++ b/fleet/registry_test.go
@@ -36,6 +36,30 @@
 	is.True(!got.Leaving)
 }
 
+// TestIncarnationKeepsItsSoftware has later announcements of one incarnation name no version of its software, or
+// another one. Streams that began there must not be taken for those of another version.
+func TestIncarnationKeepsItsSoftware(t *testing.T) {
+	is := is.New(t)
+	r := newRegistry()
+	announce := func(born int64, seq uint64, software string) fleet.Outcome {
+		u := upstream("u", "a:1", born, seq)
+		u.Software = software
+		return r.Announce(u, 0)
+	}
+	software := func() string {
+		u, ok := r.Get("u")
+		is.True(ok)
+		return u.Software
+	}
+	is.Equal(announce(5, 1, "v1"), fleet.Taken)
+	announce(5, 2, "")
+	is.Equal(software(), "v1")
+	is.Equal(announce(5, 3, "v2"), fleet.Stale)
+	is.Equal(software(), "v1")
+	is.Equal(announce(6, 1, "v2"), fleet.Taken)
+	is.Equal(software(), "v2")
+}
+
 // TestNewerUpstreamTakesAddress checks that an upstream at a used address ends the older
 // one there, whose late announcements do not end the newer one.
 func TestNewerUpstreamTakesAddress(t *testing.T) {
