review: requests that crash runners silently are never quarantined

Code at fault: internal/edge/quarantine.go (reportCrashEvidence) takes a loss for evidence only if the attempt did not end by the stall watch and not at the deadline. On routes whose time limit is below the 2.5 s after which a dead connection is detected, one of the two ends every attempt.

--- a/review/standin/late_copy.go
+++ b/review/standin/late_copy.go
@@ -4,13 +4,13 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -64,10 +64,13 @@
 }
 
 // post sends a call to an entry node and returns the status, or 0 without a whole answer.
-func (d *deployment) post(n *node, id string) int {
+func (d *deployment) post(n *node, id string) int { return d.postBody(n, id, "amount=1") }
+
+// postBody is post with the given body.
+func (d *deployment) postBody(n *node, id, body string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), callPatience)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.addr(n, 0)+"/case/transfer", bytes.NewReader([]byte("amount=1")))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.addr(n, 0)+"/case/transfer", strings.NewReader(body))
 	must(err)
 	r.Host = routeHost
 	r.Header.Set("Request-Id", id)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -17,6 +17,7 @@
 	"helper-killed":  helperKilled,
 	"departure-lost": departureLost,
 	"large-bodies":   largeBodies,
+	"silent-crash":   silentCrash,
 }
 
 // Exit statuses of a case.
