--- a/review/standin/departure_lost.go
+++ b/review/standin/departure_lost.go
@@ -17,9 +17,9 @@
 
 const (
 	// leavers of the stayers+leavers upstreams leave, one each leaveInterval.
-	stayers, leavers = 10, 20
-	leaveInterval    = 2 * time.Millisecond
-	departureEntries = 3
+	stayers, leavers = 10, 30
+	leaveInterval    = time.Millisecond
+	departureEntries = 9
 	// drainTime is DrainMs, and contactTime is ContactMs, of the users' settings.
 	drainTime   = 2 * time.Second
 	contactTime = 3 * time.Second
@@ -58,7 +58,7 @@
 	}()
 	if trouble {
 		<-acknowledged
-		time.Sleep(time.Duration(10+rand.IntN(20)) * time.Millisecond)
+		time.Sleep(time.Duration(8+rand.IntN(15)) * time.Millisecond)
 		d.signal(leader, syscall.SIGKILL)
 		d.record("kill %s", leader.name)
 		time.Sleep(restartDelay)
