--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review-case ] && [ -x target/agateslip ] || exit 2
-exec target/review-case departure-lost "$here"
+exec target/review-case silent-crash "$here"
--- a/review/standin/silent_crash.go
+++ b/review/standin/silent_crash.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -187,8 +188,8 @@
 	}
 }
 
-// crash makes the upstream go dark: open connections fall silent, nothing more is answered. The next incarnation
-// starts after darkTime, when the old connections are gone.
+// crash makes the upstream go dark: open connections fall silent, and new ones are not established. The next
+// incarnation starts after darkTime, when the old connections are gone.
 func (u *crashingUpstream) crash() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -196,9 +197,10 @@
 		return
 	}
 	u.dark = true
-	silent := u.listener
+	u.listener.Close()
+	unblock := blockAddr(u.addr)
 	time.AfterFunc(darkTime, func() {
-		silent.Close()
+		unblock()
 		u.mu.Lock()
 		for _, conn := range u.conns {
 			conn.Close()
@@ -218,6 +220,31 @@
 	})
 }
 
+// blockAddr lets new connections to an address hang, as those to a machine without power, until the returned
+// function is called: a listener with a full queue drops what asks for a connection.
+func blockAddr(addr string) (unblock func()) {
+	to, err := net.ResolveTCPAddr("tcp4", addr)
+	must(err)
+	target := &syscall.SockaddrInet4{Port: to.Port, Addr: [4]byte(to.IP.To4())}
+	listener, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	must(err)
+	must(syscall.SetsockoptInt(listener, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1))
+	must(syscall.Bind(listener, target))
+	must(syscall.Listen(listener, 0))
+	fds := []int{listener}
+	for range 4 {
+		fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_NONBLOCK, 0)
+		must(err)
+		_ = syscall.Connect(fd, target) // it is under way, or hangs once the queue is full
+		fds = append(fds, fd)
+	}
+	return func() {
+		for _, fd := range fds {
+			_ = syscall.Close(fd)
+		}
+	}
+}
+
 func (u *crashingUpstream) end() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
