--- a/review/standin/late_copy.go
+++ b/review/standin/late_copy.go
@@ -27,18 +27,21 @@
 	lateCopyEntries = 4
 )
 
-// lateCopy has callers press on an upstream that is often full. Some of the upstreams' answers,
-// rejections included, come a second time when the next answer is expected on the connection.
-// No request may run twice.
+// lateCopy has callers press on an upstream that is often full. Some of its answers, rejections
+// included, come a second time when the next answer is expected on the connection. The upstream of
+// the other service is sound. No request may run twice.
 func lateCopy(d *deployment, trouble bool) bool {
-	d.start(lateCopyEntries, configuration("ledger", "non_idempotent", 1500*time.Millisecond))
+	d.start(lateCopyEntries, configuration("ledger", "non_idempotent", 1500*time.Millisecond, "other"))
 	u := &fullUpstream{d: d, id: "i-1", slots: 2, queue: 1, work: workTime, runs: map[string]int{}}
-	l, err := net.Listen("tcp", host(100)+":0")
-	must(err)
-	go u.serve(l)
-	stop := d.announce(u.id, "ledger", l.Addr().String(), u.slots)
-	defer stop()
+	sound := &fullUpstream{d: d, id: "i-2", slots: 2, queue: 1, work: workTime, runs: map[string]int{}}
+	for i, up := range []*fullUpstream{u, sound} {
+		l, err := net.Listen("tcp", host(100+i)+":0")
+		must(err)
+		go up.serve(l)
+		defer d.announce(up.id, []string{"ledger", "other"}[i], l.Addr().String(), up.slots)()
+	}
 	d.await("first call answered", func() bool { return d.post(d.entries()[0], "warm-up") == http.StatusOK })
+	d.settle()
 	ctx, cancel := context.WithCancel(context.Background())
 	var callers sync.WaitGroup
 	for i := range lateCopyEntries {
--- a/review/standin/silent_crash.go
+++ b/review/standin/silent_crash.go
@@ -51,6 +51,7 @@
 	for _, n := range d.entries() {
 		d.await(n.name+" serves", func() bool { return d.post(n, "warm-up-"+n.name) == http.StatusOK })
 	}
+	d.settle()
 	ctx, cancel := context.WithCancel(context.Background())
 	var sound sync.WaitGroup
 	for i, n := range d.entries() {
