detour: only the upstream's own end ends an answer

Cause: a detour passed on bytes only, and the callers' node took every end of its connection for the end of an answer without a length. The kernel ends the connections of a killed process without a reset. The record shows the upstreams at work on the rest, and the node's log has the streams as answered, which rules out an end of the upstream and a node that gives up.

The node in between now sends the answer in frames and the upstream's end as a frame of its own; any other end of the connection is an error. It also resets its connections on every other end, for nodes of earlier builds, which know no frames, and at the end of its grace.

--- a/internal/detour/client.go
+++ b/internal/detour/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -104,8 +105,9 @@
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
 	nonce, err := readLine(conn)
+	framed := strings.HasSuffix(nonce, offersFrames)
 	if err == nil {
-		_, err = fmt.Fprintf(conn, "%s %s\n", addr, proof(c.secret, nonce, addr))
+		_, err = fmt.Fprintf(conn, "%s %s\n", addr, proof(c.secret, nonce, addr, framed))
 	}
 	answer := ""
 	if err == nil {
@@ -113,8 +115,10 @@
 	}
 	switch {
 	case err != nil:
+	case answer == answerConnected && framed:
+		return &framedConn{Conn: conn}, nil
 	case answer == answerConnected:
-		return conn, nil
+		return &unframedConn{Conn: conn}, nil
 	case answer == answerFailed:
 		err = errUpstreamFailed
 	default:
--- a/internal/detour/doc.go
+++ b/internal/detour/doc.go
@@ -9,6 +9,9 @@
 // call was sent. The node in between connects to the upstream itself, so that a detour never has a
 // second hop.
 //
+// An answer without a length ends with the connection of its upstream. The node in between says so in the bytes
+// that it passes on, because its own connection ends as well when it stops or is killed.
+//
 // [Paths] tells a node whose paths are down from upstreams that are down: it takes detours while new
 // connections to several upstreams fail and none succeeds. [Server] is the node in between.
 package detour
--- /dev/null
+++ b/internal/detour/frame.go
@@ -0,0 +1,132 @@
+package detour
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+)
+
+// The bytes of the upstream reach the node in frames: the length in two bytes, big-endian, and as many bytes.
+// A frame of length zero says that the upstream ended its side, as it does to end an answer without a
+// length. Only that frame is an end; the connection between the nodes ends with either process, too.
+
+// offersFrames ends the nonce of a node that can send frames. Nodes without frames take it for a part of the
+// nonce.
+const offersFrames = " framed"
+
+const (
+	frameHeaderBytes = 2
+	// maxFrameBytes is the largest number of bytes that one frame carries.
+	maxFrameBytes = 1<<16 - 1
+)
+
+// frameWriter writes each piece of bytes as one or more frames.
+type frameWriter struct {
+	w      io.Writer
+	buffer []byte
+}
+
+// Write implements io.Writer.
+func (f *frameWriter) Write(p []byte) (int, error) {
+	written := 0
+	for len(p) > 0 {
+		n := min(len(p), maxFrameBytes)
+		f.buffer = binary.BigEndian.AppendUint16(f.buffer[:0], uint16(n))
+		f.buffer = append(f.buffer, p[:n]...)
+		if _, err := f.w.Write(f.buffer); err != nil {
+			return written, err
+		}
+		written += n
+		p = p[n:]
+	}
+	return written, nil
+}
+
+// writeEnd writes the frame that says that the upstream ended its side.
+func writeEnd(w io.Writer) error {
+	_, err := w.Write(make([]byte, frameHeaderBytes))
+	return err
+}
+
+// errHelperEnded means that a detour ended, of which it is not known whether its upstream did.
+var errHelperEnded = errors.New("the detour ended before its upstream")
+
+// framedConn is a detour through a node that sends frames. Its Read returns io.EOF only if the upstream ended
+// its side.
+type framedConn struct {
+	net.Conn
+	// header holds the first headerRead bytes of the next frame's header.
+	header     [frameHeaderBytes]byte
+	headerRead int
+	// left is the number of bytes of the current frame that were not read yet.
+	left  int
+	ended bool
+}
+
+// Read implements net.Conn.
+func (c *framedConn) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	if c.left == 0 && !c.ended {
+		if err := c.readHeader(); err != nil {
+			return 0, helperError(err)
+		}
+	}
+	if c.ended {
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.left)])
+	c.left -= n
+	return n, helperError(err)
+}
+
+// readHeader reads the header of the next frame. It can be called again after a timeout.
+func (c *framedConn) readHeader() error {
+	for c.headerRead < frameHeaderBytes {
+		n, err := c.Conn.Read(c.header[c.headerRead:])
+		c.headerRead += n
+		if err != nil && c.headerRead < frameHeaderBytes {
+			return err
+		}
+	}
+	c.headerRead = 0
+	c.left = int(binary.BigEndian.Uint16(c.header[:]))
+	c.ended = c.left == 0
+	return nil
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *framedConn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
+
+// unframedConn is a detour through a node that sends no frames. The end of such a detour does not show whether
+// its upstream ended or the node, so that it is always an error.
+type unframedConn struct{ net.Conn }
+
+// Read implements net.Conn.
+func (c *unframedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	return n, helperError(err)
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *unframedConn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
+
+// helperError returns errHelperEnded in place of io.EOF.
+func helperError(err error) error {
+	if errors.Is(err, io.EOF) {
+		return errHelperEnded
+	}
+	return err
+}
+
+func rawConn(conn net.Conn) (syscall.RawConn, error) {
+	raw, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.Newf("%T has no descriptor", conn)
+	}
+	return raw.SyscallConn()
+}
--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -10,7 +10,7 @@
 	"io"
 	"net"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +25,8 @@
 	openPollInterval = 20 * time.Millisecond
 	// copyBufferBytes is the size of the buffer of one direction.
 	copyBufferBytes = 4 << 10
+	// finishTimeout bounds the wait for a node to close its side after the upstream has ended.
+	finishTimeout = time.Second
 )
 
 // keepAlive detects within 2.5 s that the node at the other end is gone, so that its calls end.
@@ -51,14 +53,43 @@
 	// Serves reports whether the node connects to the address.
 	Serves func(addr string) bool
 
-	open atomic.Int64
+	mu sync.Mutex
+	// open holds the connections to other nodes that are joined with an upstream.
+	open map[net.Conn]struct{}
 }
 
 // Open returns the number of open detours.
-func (s *Server) Open() int64 { return s.open.Load() }
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
+// setOpen records whether a connection is joined with an upstream.
+func (s *Server) setOpen(conn net.Conn, open bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !open {
+		delete(s.open, conn)
+		return
+	}
+	if s.open == nil {
+		s.open = map[net.Conn]struct{}{}
+	}
+	s.open[conn] = struct{}{}
+}
 
-// Run accepts detours until ctx ends, and then waits for those that are open to end, for at most the given
-// time.
+// resetOpen resets the detours that are open.
+func (s *Server) resetOpen() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.open {
+		conn.Close()
+	}
+}
+
+// Run accepts detours until ctx ends, waits for those that are open to end, for at most the given time, and
+// resets the others.
 func (s *Server) Run(ctx context.Context, listener net.Listener, grace time.Duration) error {
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(listener) }()
@@ -71,6 +102,7 @@
 	for start := time.Now(); s.Open() > 0 && time.Since(start) < grace; {
 		time.Sleep(openPollInterval)
 	}
+	s.resetOpen()
 	return <-served
 }
 
@@ -96,18 +128,18 @@
 	if conn.SetDeadline(time.Now().Add(handshakeTimeout)) != nil || conn.SetKeepAliveConfig(keepAlive) != nil {
 		return
 	}
-	addr, ok := s.receiveRequest(conn)
+	r, ok := s.receiveRequest(conn)
 	if !ok {
 		return
 	}
-	if !s.Serves(addr) {
+	if !s.Serves(r.addr) {
 		_, _ = fmt.Fprintln(conn, answerRefused)
 		return
 	}
-	upstream, err := s.Paths.dialDirect(ctx, addr)
+	upstream, err := s.Paths.dialDirect(ctx, r.addr)
 	if err != nil {
 		answer := answerFailed
-		if s.Paths.Blocked(addr) {
+		if s.Paths.Blocked(r.addr) {
 			answer = answerRefused // this node is cut off, which says nothing about the upstream
 		}
 		_, _ = fmt.Fprintln(conn, answer)
@@ -117,33 +149,51 @@
 	if _, err := fmt.Fprintln(conn, answerConnected); err != nil || conn.SetDeadline(time.Time{}) != nil {
 		return
 	}
-	s.open.Add(1)
-	defer s.open.Add(-1)
-	join(conn, upstream.(*net.TCPConn))
+	// From here on every end but that of the upstream resets the connection to the node, the death of this
+	// process included: an answer without a length must not look complete.
+	if conn.SetLinger(0) != nil {
+		return
+	}
+	s.setOpen(conn, true)
+	defer s.setOpen(conn, false)
+	join(conn, upstream.(*net.TCPConn), r.framed)
 }
 
-// receiveRequest returns the address that an entry node wants to be connected to. It fails if the other
-// side does not know the secret.
-func (s *Server) receiveRequest(conn net.Conn) (addr string, ok bool) {
+// request is what another entry node asks for.
+type request struct {
+	// addr is the address to connect to.
+	addr string
+	// framed is set if the node reads frames.
+	framed bool
+}
+
+// receiveRequest returns what another entry node asks for. It fails if the other side does not know the
+// secret.
+func (s *Server) receiveRequest(conn net.Conn) (r request, ok bool) {
 	random := make([]byte, 16)
 	if _, err := rand.Read(random); err != nil {
-		return "", false
+		return request{}, false
 	}
-	nonce := hex.EncodeToString(random)
+	nonce := hex.EncodeToString(random) + offersFrames
 	if _, err := fmt.Fprintln(conn, nonce); err != nil {
-		return "", false
+		return request{}, false
 	}
 	line, err := readLine(conn)
 	if err != nil {
-		return "", false
+		return request{}, false
 	}
 	addr, given, _ := strings.Cut(line, " ")
-	return addr, hmac.Equal([]byte(given), []byte(proof([]byte(s.Secret), nonce, addr)))
+	for _, framed := range []bool{true, false} {
+		if hmac.Equal([]byte(given), []byte(proof([]byte(s.Secret), nonce, addr, framed))) {
+			return request{addr: addr, framed: framed}, true
+		}
+	}
+	return request{}, false
 }
 
-// join copies the bytes of both directions until either side ends. An end of the upstream is passed on
-// as what it is: an answer that ends with a reset must not look complete.
-func join(node, upstream *net.TCPConn) {
+// join copies the bytes of both directions until either side ends. Only an end of the upstream is passed on
+// as an end; closing the connection to the node after anything else resets it.
+func join(node, upstream *net.TCPConn, framed bool) {
 	requests := make(chan struct{})
 	go func() {
 		defer close(requests)
@@ -151,24 +201,45 @@
 		_, _ = io.CopyBuffer(onlyWriter{upstream}, onlyReader{node}, make([]byte, copyBufferBytes))
 		upstream.Close()
 	}()
-	_, err := io.CopyBuffer(onlyWriter{node}, onlyReader{upstream}, make([]byte, copyBufferBytes))
-	if err != nil {
-		_ = node.SetLinger(0)
+	answers := io.Writer(onlyWriter{node})
+	if framed {
+		answers = &frameWriter{w: node}
+	}
+	_, err := io.CopyBuffer(answers, onlyReader{upstream}, make([]byte, copyBufferBytes))
+	if err == nil && framed {
+		err = writeEnd(node)
+	}
+	if err == nil {
+		finish(node)
 	}
 	node.Close()
 	<-requests
 }
 
+// finish ends the answers to the node in the usual way. It reads what the node still sends, because closing
+// a connection with unread bytes would reset it and lose the end of the answer.
+func finish(node *net.TCPConn) {
+	if node.SetLinger(-1) != nil || node.CloseWrite() != nil || node.SetReadDeadline(time.Now().Add(finishTimeout)) != nil {
+		return
+	}
+	_, _ = io.CopyBuffer(io.Discard, onlyReader{node}, make([]byte, copyBufferBytes))
+}
+
 // onlyReader and onlyWriter hide the methods by which io.CopyBuffer would use buffers of its own.
 type (
 	onlyReader struct{ io.Reader }
 	onlyWriter struct{ io.Writer }
 )
 
-// proof shows that a request for a detour comes from a node that knows the secret.
-func proof(secret []byte, nonce, addr string) string {
+// proof shows that a request for a detour comes from a node that knows the secret, and whether that node
+// reads frames.
+func proof(secret []byte, nonce, addr string, framed bool) string {
 	mac := hmac.New(sha256.New, secret)
-	_, _ = fmt.Fprintf(mac, "detour %s %s", nonce, addr)
+	purpose := "detour"
+	if framed {
+		purpose = "framed detour"
+	}
+	_, _ = fmt.Fprintf(mac, "%s %s %s", purpose, nonce, addr)
 	return hex.EncodeToString(mac.Sum(nil))
 }
 
