upstreamconn: no connection carries two calls with one ID

A connection now remembers the calls that it has carried and is not used for another one with the same ID. An answer that names no call, which was taken for any, is accepted only on a connection that has carried no other call. A connection is not kept if its upstream does not name the calls, if it answered another call, or after HEAD.

Ruled out: a repeat after a loss, since the node logs a rejection between the second and the third attempt.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -320,7 +320,7 @@
 func (c *call) exchange(u *fleet.Upstream) (dispatch.Result, attemptOutcome) {
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline-boottime.Now())
 	defer cancel()
-	conn, err := c.edge.pool.Get(ctx, u.Addr, false)
+	conn, err := c.edge.pool.Get(ctx, u.Addr, c.caller.ID)
 	if err != nil {
 		return c.endUnsent(u, err)
 	}
@@ -336,7 +336,7 @@
 		return c.endLost(u, err)
 	}
 	defer c.watchForStall(u, conn)()
-	resp, err := conn.Receive(func(h http.Header) bool { return c.edge.dialect.Answers(h, c.caller) })
+	resp, err := conn.Receive(func(h http.Header) upstreamconn.Owner { return c.edge.dialect.Owner(h, c.caller) })
 	if err != nil {
 		conn.Close()
 		return c.endLost(u, err)
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -6,6 +6,7 @@
 
 	"github.com/agateslip/agateslip/dispatch"
 	"github.com/agateslip/agateslip/fleet"
+	"github.com/agateslip/agateslip/internal/upstreamconn"
 )
 
 // Caller is what the header of a caller's request states.
@@ -106,8 +107,8 @@
 	// Forward returns the header of an attempt, made from the caller's. It does not
 	// modify h.
 	Forward(h http.Header, a Attempt) http.Header
-	// Answers reports whether an upstream's answer belongs to the call of c.
-	Answers(h http.Header, c Caller) bool
+	// Owner tells whether an upstream's answer belongs to the call of c.
+	Owner(h http.Header, c Caller) upstreamconn.Owner
 	// Answer reads the status and header of an upstream's answer.
 	Answer(status int, h http.Header) Answer
 }
--- a/internal/edge/stall_test.go
+++ b/internal/edge/stall_test.go
@@ -32,7 +32,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { listener.Close() })
-	conn, err := upstreamconn.NewPool(upstreamconn.NewDial(time.Second)).Get(context.Background(), listener.Addr().String(), false)
+	conn, err := upstreamconn.NewPool(upstreamconn.NewDial(time.Second)).Get(context.Background(), listener.Addr().String(), "a")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -48,9 +49,14 @@
 	source *source
 	// lastRead is shared by all connections to the address; see LastRead.
 	lastRead *atomic.Int64
-	reused   bool
 	closed   atomic.Bool
 
+	// carried holds the hashes of the IDs of all calls on this connection, the current one last.
+	carried []uint64
+	// verified is set if the current answer names the call. disturbed is set once an answer to
+	// another call arrived.
+	verified, disturbed bool
+
 	method string
 	// bodyWritten gets the result of a concurrent write of the request body; nil if there
 	// is no such write.
@@ -61,8 +67,12 @@
 	idleUntil time.Time
 }
 
-// Reused reports whether the connection has carried an earlier call.
-func (c *Conn) Reused() bool { return c.reused }
+// reused reports whether the connection has carried an earlier call.
+func (c *Conn) reused() bool { return len(c.carried) > 1 }
+
+// hasCarried reports whether a call with the given hash of its ID was sent on this connection. An answer to
+// that call may still arrive, and could not be told from the answer to another one with the same ID.
+func (c *Conn) hasCarried(call uint64) bool { return slices.Contains(c.carried, call) }
 
 // usable reports whether an idle connection is open, not expired, and has no bytes to
 // read, which would belong to no call.
@@ -119,10 +129,23 @@
 	return nil
 }
 
-// Receive reads the header of the answer to the call. It reads and discards answers for
-// which belongs returns false, as they are answers to other calls. It fails if more than
-// maxPreambleBytes come first.
-func (c *Conn) Receive(belongs func(http.Header) bool) (*http.Response, error) {
+// Owner tells to which call an answer belongs.
+type Owner uint8
+
+// The owners. An answer that names no call is unidentified.
+const (
+	ThisCall Owner = iota + 1
+	AnotherCall
+	Unidentified
+)
+
+// errUnidentified means that an answer names no call and may belong to an earlier one.
+var errUnidentified = errors.New("answer names no call on a connection that has carried others")
+
+// Receive reads the header of the answer to the call, whose owner the given function tells. It reads and
+// discards answers to other calls. It fails if more than maxPreambleBytes come first, or if the answer is
+// unidentified and may belong to an earlier call.
+func (c *Conn) Receive(owner func(http.Header) Owner) (*http.Response, error) {
 	c.source.left = maxPreambleBytes
 	defer func() { c.source.left = math.MaxInt64 }()
 	request := &http.Request{Method: c.method}
@@ -134,10 +157,14 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if belongs(resp.Header) {
-			c.response = resp
+		switch by := owner(resp.Header); {
+		case by == Unidentified && c.reused():
+			return nil, errors.Wrap(errUnidentified, c.addr)
+		case by != AnotherCall:
+			c.response, c.verified = resp, by == ThisCall
 			return resp, nil
 		}
+		c.disturbed = true
 		if resp.Close {
 			return nil, errors.Newf("%s answered another call", c.addr)
 		}
@@ -147,10 +174,13 @@
 	}
 }
 
+// maxCalls bounds the calls on one connection, whose IDs it remembers.
+const maxCalls = 4096
+
 // Release returns the connection to the pool after the body of the answer was read to
 // its end. It closes a connection that cannot carry another call.
 func (c *Conn) Release() {
-	if !c.bodySent() || c.response.Close || c.reader.Buffered() > 0 {
+	if !c.bodySent() || c.response.Close || c.reader.Buffered() > 0 || !c.tellsAnswersApart() {
 		c.Close()
 		return
 	}
@@ -163,6 +193,12 @@
 	c.pool.putIdle(c)
 }
 
+// tellsAnswersApart reports whether the answer to a later call could be told from one more answer to an
+// earlier call. A late answer to a HEAD request would be misread, since it has no body.
+func (c *Conn) tellsAnswersApart() bool {
+	return c.verified && !c.disturbed && c.method != http.MethodHead && len(c.carried) < maxCalls
+}
+
 // bodySent reports whether the whole request body was written.
 func (c *Conn) bodySent() bool {
 	if c.bodyWritten == nil {
--- a/internal/upstreamconn/conn_test.go
+++ b/internal/upstreamconn/conn_test.go
@@ -61,9 +61,22 @@
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nKeep-Alive: timeout=5\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
+// ownedBy tells whether an answer names the call with the given ID.
+func ownedBy(id string) func(http.Header) upstreamconn.Owner {
+	return func(h http.Header) upstreamconn.Owner {
+		switch h.Get("Id") {
+		case "":
+			return upstreamconn.Unidentified
+		case id:
+			return upstreamconn.ThisCall
+		}
+		return upstreamconn.AnotherCall
+	}
+}
+
 // call sends a call and returns the body of its answer.
 func call(pool *upstreamconn.Pool, addr, id string) (string, error) {
-	c, err := pool.Get(context.Background(), addr, false)
+	c, err := pool.Get(context.Background(), addr, id)
 	if err != nil {
 		return "", err
 	}
@@ -74,7 +87,7 @@
 		c.Close()
 		return "", err
 	}
-	resp, err := c.Receive(func(h http.Header) bool { return h.Get("Id") == id })
+	resp, err := c.Receive(ownedBy(id))
 	if err != nil {
 		c.Close()
 		return "", err
@@ -134,11 +147,11 @@
 		return "HTTP/1.1 200 OK\r\nId: " + r.Header.Get("Id") + "\r\nContent-Length: 10\r\n\r\nshort"
 	})
 	pool := upstreamconn.NewPool(upstreamconn.NewDial(time.Second))
-	c, err := pool.Get(context.Background(), addr, false)
+	c, err := pool.Get(context.Background(), addr, "a")
 	is.NoErr(err)
 	is.NoErr(c.SetDeadline(time.Now().Add(300 * time.Millisecond)))
 	is.NoErr(c.Send(&upstreamconn.Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{"Id": {"a"}}}))
-	resp, err := c.Receive(func(http.Header) bool { return true })
+	resp, err := c.Receive(func(http.Header) upstreamconn.Owner { return upstreamconn.ThisCall })
 	is.NoErr(err)
 	_, err = io.ReadAll(resp.Body)
 	is.True(err != nil)
@@ -150,9 +163,9 @@
 	addr := serveRaw(t, func(_, _ int, r *http.Request) string { return okAnswer(r.Header.Get("Id"), "") })
 	pool := upstreamconn.NewPool(upstreamconn.NewDial(time.Second))
 	pool.SetLimit(addr, 1)
-	c, err := pool.Get(context.Background(), addr, false)
+	c, err := pool.Get(context.Background(), addr, "a")
 	is.NoErr(err)
-	_, err = pool.Get(context.Background(), addr, false)
+	_, err = pool.Get(context.Background(), addr, "a")
 	is.True(errors.Is(err, upstreamconn.ErrNotSent) && errors.Is(err, upstreamconn.ErrFull))
 	c.Close()
 	_, err = call(pool, addr, "a")
@@ -188,17 +201,17 @@
 		}
 	}()
 	pool := upstreamconn.NewPool(upstreamconn.NewDial(time.Second))
-	c, err := pool.Get(context.Background(), listener.Addr().String(), false)
+	c, err := pool.Get(context.Background(), listener.Addr().String(), "a")
 	is.NoErr(err)
 	is.NoErr(c.SetDeadline(time.Now().Add(5 * time.Second)))
 	is.NoErr(c.Send(&upstreamconn.Request{Method: "POST", URI: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 32<<20)}))
-	resp, err := c.Receive(func(http.Header) bool { return true })
+	resp, err := c.Receive(func(http.Header) upstreamconn.Owner { return upstreamconn.ThisCall })
 	is.NoErr(err)
 	body, err := io.ReadAll(resp.Body)
 	is.NoErr(err)
 	is.Equal(string(body), "early")
 	c.Release()
-	_, err = pool.Get(context.Background(), listener.Addr().String(), false)
+	_, err = pool.Get(context.Background(), listener.Addr().String(), "a")
 	is.NoErr(err)
 	is.Equal(pool.Stats().Reused, uint64(0))
 }
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -5,11 +5,13 @@
 	"context"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
@@ -138,23 +140,33 @@
 	return h
 }
 
-// Get returns a connection to an address: an idle one that is still usable, or a new
-// one. If fresh is set, it always opens a new one. Its errors are marked ErrNotSent.
-func (p *Pool) Get(ctx context.Context, addr string, fresh bool) (*Conn, error) {
-	for !fresh {
-		c := p.takeIdle(addr)
+// Get returns a connection to an address for the call with the given ID: an idle one that is still
+// usable and has carried no call with that ID, or a new one. A call without an ID gets a new one. Its
+// errors are marked ErrNotSent.
+func (p *Pool) Get(ctx context.Context, addr, callID string) (*Conn, error) {
+	call := xxhash.Sum64String(callID)
+	for callID != "" {
+		c := p.takeIdle(addr, func(c *Conn) bool { return !c.hasCarried(call) })
 		if c == nil {
 			break
 		}
 		if c.usable(time.Now()) {
 			p.count(func(s *Stats) { s.Reused++ })
-			c.reused = true
+			c.carried = append(c.carried, call)
 			return c, nil
 		}
 		c.Close()
 	}
 	if err := p.reserve(addr); err != nil {
-		return nil, err
+		// An idle connection that cannot carry this call takes up the place of one that can.
+		c := p.takeIdle(addr, func(*Conn) bool { return true })
+		if c == nil {
+			return nil, err
+		}
+		c.Close()
+		if err := p.reserve(addr); err != nil {
+			return nil, err
+		}
 	}
 	conn, err := p.dial(ctx, addr)
 	if err != nil {
@@ -165,7 +177,7 @@
 	lastRead := p.lastReadOf(addr)
 	source := &source{conn: conn, lastRead: lastRead, left: math.MaxInt64}
 	return &Conn{
-		pool: p, addr: addr, conn: conn, lastRead: lastRead, source: source,
+		pool: p, addr: addr, conn: conn, lastRead: lastRead, source: source, carried: []uint64{call},
 		reader: bufio.NewReaderSize(source, readBufferSize),
 	}, nil
 }
@@ -220,18 +232,21 @@
 	update(&p.stats)
 }
 
-// takeIdle removes and returns the connection that became idle last, or nil.
-func (p *Pool) takeIdle(addr string) *Conn {
+// takeIdle removes and returns the connection that became idle last, of those that fit, or nil.
+func (p *Pool) takeIdle(addr string, fits func(*Conn) bool) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[addr]
-	if h == nil || len(h.idle) == 0 {
+	if h == nil {
 		return nil
 	}
-	last := len(h.idle) - 1
-	c := h.idle[last]
-	h.idle = h.idle[:last]
-	return c
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		if c := h.idle[i]; fits(c) {
+			h.idle = slices.Delete(h.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
 }
 
 // reserve counts a new connection, or returns ErrFull if the address has reached its
