upstreamconn: an answer broken off in its header is not the next one's; a stand-in that stutters

Callers were told that a call had not run, or got an empty success, where an upstream began a late copy of an answer, broke it off in its header and went on with the right one: net/http reads one header, with the status of the first and the ID of the second answer.

TestAnswerThatBreaksOffInItsHeader fails without the change.

--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/http"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -157,6 +158,9 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
+		if isSpliced(resp) {
+			return nil, errors.Wrap(errSpliced, c.addr)
+		}
 		switch by := owner(resp.Header); {
 		case by == Unidentified && c.reused():
 			return nil, errors.Wrap(errUnidentified, c.addr)
@@ -174,6 +178,27 @@
 	}
 }
 
+// errSpliced means that the header of one answer ends within that of another.
+var errSpliced = errors.New("header contains the beginning of another answer")
+
+// statusLine is the beginning of an answer.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+
+// isSpliced reports whether the header of an answer contains the beginning of another one. An upstream that
+// breaks off one answer and goes on with the next produces a header with the status of the first and the ID of
+// the second.
+func isSpliced(resp *http.Response) bool {
+	if statusLine.MatchString(resp.Status) {
+		return true
+	}
+	for _, values := range resp.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // maxCalls bounds the calls on one connection, whose IDs it remembers.
 const maxCalls = 4096
 
