gateway: an unnamed answer on a reused connection is not the caller's

A caller could get the answer to an earlier attempt: a late copy without the ID of its attempt was taken for the right answer, on any connection. It is now dropped if the connection was reused, as a loss; upstreams that do not name attempts get a connection for each call.

Evidence: TestUnnamedAnswerOnReusedConnectionIsDropped fails without the change, with the copy delivered.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -59,8 +60,11 @@
 	pooledTransport *http.Transport
 	// unpooledTransport carries calls that may run at most once. net/http resends a
 	// request on its own only after a reused connection failed, so this transport
-	// reuses none.
+	// reuses none. It also carries the calls to upstreams that do not name attempts.
 	unpooledTransport *http.Transport
+	// unnamed holds the addresses of upstreams that answered without the ID of the attempt. On a
+	// reused connection, a late answer to an earlier attempt could not be told from the right one.
+	unnamed sync.Map
 	// reusedStallTimeout and streamStallTimeout bound the silence of an upstream
 	// connection: of a reused one before the header of the answer, and of a stream
 	// between two events.
@@ -134,9 +138,10 @@
 // roundTrip sends the call once and returns the answer after its header has arrived. A
 // returned error is an *attemptError.
 func (s *sender) roundTrip(ctx context.Context, c *Call, a attempt) (*answer, error) {
-	var connected atomic.Bool
+	var connected, reused atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		connected.Store(true)
+		reused.Store(info.Reused)
 		if a.watchdog != nil && info.Reused {
 			a.watchdog.arm(s.reusedStallTimeout)
 		}
@@ -146,7 +151,7 @@
 		return nil, &attemptError{ran: NotRun, err: err}
 	}
 	transport := s.pooledTransport
-	if c.RunsOnce {
+	if _, unnamed := s.unnamed.Load(a.route.Addr); c.RunsOnce || unnamed {
 		transport = s.unpooledTransport
 	}
 	resp, err := transport.RoundTrip(req)
@@ -165,7 +170,7 @@
 		}
 		return nil, &attemptError{ran: ran, err: errors.Wrapf(err, "upstream %s", a.route.Upstream)}
 	}
-	return s.checkAnswer(newAnswer(resp), a)
+	return s.checkAnswer(newAnswer(resp), a, reused.Load())
 }
 
 // newRequest builds the attempt's request to the upstream.
@@ -185,9 +190,14 @@
 }
 
 // checkAnswer returns resp, or closes it and returns an *attemptError if it belongs to
-// another attempt or is a refusal that proves that the call was not run.
-func (s *sender) checkAnswer(resp *answer, a attempt) (*answer, error) {
-	if id := resp.header.Get(headerAttempt); id != "" && id != a.id {
+// another attempt or is a refusal that proves that the call was not run. An answer without an ID may belong
+// to an earlier attempt if its connection was reused.
+func (s *sender) checkAnswer(resp *answer, a attempt, reused bool) (*answer, error) {
+	id := resp.header.Get(headerAttempt)
+	if id == "" && !reused {
+		s.unnamed.Store(a.route.Addr, struct{}{})
+	}
+	if id != a.id && (id != "" || reused) {
 		s.metrics.ForeignAnswers.Add(1)
 		resp.close()
 		return nil, &attemptError{ran: RanUnknown, err: errors.Newf("upstream %s answered another attempt", a.route.Upstream)}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -274,6 +274,26 @@
 	is.Equal(g.metrics.ForeignAnswers.Value(), int64(1))
 }
 
+// TestUnnamedAnswerOnReusedConnectionIsDropped has an upstream answer without the ID of the attempt once it has
+// named earlier ones on the connection, as a late copy of another answer might.
+func TestUnnamedAnswerOnReusedConnectionIsDropped(t *testing.T) {
+	is := is.New(t)
+	var calls atomic.Int32
+	g, _, url := newGateway(t, func(w http.ResponseWriter, r *http.Request) {
+		n := calls.Add(1)
+		if n != 2 {
+			w.Header().Set(headerAttempt, r.Header.Get(headerAttempt))
+		}
+		_, _ = fmt.Fprint(w, "answer ", n)
+	})
+	for _, want := range []string{"answer 1", "answer 3", "answer 4"} {
+		_, body, err := sendRequest(t, "POST", url+"/v1/completions", `{"model":"m"}`)
+		is.NoErr(err)
+		is.Equal(body, want)
+	}
+	is.Equal(g.metrics.ForeignAnswers.Value(), int64(1))
+}
+
 func TestRunOnceReplaysAnswer(t *testing.T) {
 	is := is.New(t)
 	var runs atomic.Int32
