quarantine, edge: calls that were lost with upstreams that went dark count as evidence

Cause: an attempt counted as evidence only if the node did not end it itself. It ended each one, by the stall watch or at the deadline, before the silent connection was noticed. The leader logs no loss at all, which rules out that it drops them; the same request is refused if upstreams close their connections, which rules out its fingerprint.

Such an attempt is now kept as a suspicion while nothing is heard of its upstream. It becomes a loss when the upstream accepts no connection after a second of silence, while others are heard, or is listed as ended without having left. The evidence comes late, so that calls sent until then take the place of the first trial.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -45,6 +45,8 @@
 	dispatchCall dispatch.Call
 	// attemptID identifies the current attempt to the dispatcher.
 	attemptID dispatch.CallID
+	// sentAt is when the current attempt was sent to its upstream; zero before that.
+	sentAt time.Duration
 
 	// mayHaveRun is set once an attempt failed that may have run at its upstream.
 	mayHaveRun bool
@@ -303,6 +305,7 @@
 	c.sends++
 	c.answerStarted.Store(false)
 	c.movedOnStall.Store(false)
+	c.sentAt = 0
 	result, end := c.exchange(u)
 	c.finishAttempt(result)
 	c.reportCrashEvidence(u, result)
@@ -335,6 +338,7 @@
 		}
 		return c.endLost(u, err)
 	}
+	c.sentAt = boottime.Now()
 	defer c.watchForStall(u, conn)()
 	resp, err := conn.Receive(func(h http.Header) upstreamconn.Owner { return c.edge.dialect.Owner(h, c.caller) })
 	if err != nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -108,6 +108,8 @@
 	streamQuality   map[string]residency.Quality
 	reportedQuality map[string]residency.Quality
 	crashEvidence   quarantine.Reporter
+	// suspicions are calls that may have been lost with their upstreams.
+	suspicions quarantine.Suspicions
 	// trialWaiters are the calls whose wish for a trial the leader does not know yet.
 	trialWaiters []trialWaiter
 	// brittle is the leader's latest word on the services whose upstreams are brittle.
@@ -266,7 +268,10 @@
 			if now.Sub(lastCleanup) > cleanupInterval {
 				lastCleanup = now
 				e.pool.CloseExpired(now)
-				e.loop.Post(func() { e.dropUnlisted(boottime.Now()) })
+				e.loop.Post(func() {
+					e.dropUnlisted(boottime.Now())
+					e.reviewSuspicions(boottime.Now())
+				})
 			}
 		}
 		if e.waitingCalls.Load() == 0 {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -254,6 +254,7 @@
 		u.Leaving = true
 	}
 	if u.Gone {
+		e.noteEnded(u)
 		delete(e.upstreams, u.ID)
 		delete(e.streamQuality, u.ID)
 		delete(e.reportedQuality, u.ID)
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -21,6 +22,14 @@
 	// soundEvents is the number of events after which the parts of a call's prompt have not
 	// crashed its engine: an engine crashes on them when it begins to write the answer.
 	soundEvents = 2
+	// minSilence is the least silence of an upstream at the end of an attempt that makes it suspect.
+	minSilence = 400 * time.Millisecond
+	// maxProbes and probePause are the number of connections that a silent upstream must not accept, and the
+	// time between them; a lost packet must not count.
+	maxProbes  = 3
+	probePause = 300 * time.Millisecond
+	// maxUnheard is how recently a node must have heard some upstream to judge others by their silence.
+	maxUnheard = 2 * time.Second
 	// trialTimeout bounds the wait for the leader's word on whether a call is sent on trial.
 	trialTimeout = 300 * time.Millisecond
 )
@@ -185,26 +194,91 @@
 // have crashed its upstream.
 func (c *call) reportCrashEvidence(u *fleet.Upstream, result dispatch.Result) {
 	traits, service := c.traits(), c.dispatchCall.Service
-	// What this node ends itself shows nothing about the upstream.
-	lost := result == dispatch.Lost && !c.movedOnStall.Load() && boottime.Now() < c.deadline
+	now := boottime.Now()
+	// What this node ends itself shows nothing yet about the upstream.
+	endedHere := result == dispatch.Abandoned || c.movedOnStall.Load() || now >= c.deadline
+	lost := result == dispatch.Lost && !endedHere
 	served := result == dispatch.Served
 	request, parts := traits[:1], traits[1:]
 	if c.events >= soundEvents && !served {
 		c.edge.loop.Post(func() { c.edge.noteServed(service, parts) })
 	}
-	if lost && c.events > 0 {
+	if !served && c.events > 0 {
 		traits = request
 	}
+	loss := quarantine.Loss{Engine: fleet.Incarnation{ID: u.ID, Born: u.Born}, Service: service, Traits: traits}
 	switch {
 	case served:
 		c.edge.loop.Post(func() { c.edge.noteServed(service, traits) })
 	case lost:
-		c.edge.loop.Post(func() {
-			engine := fleet.Incarnation{ID: u.ID, Born: u.Born}
-			c.edge.crashEvidence.RecordLoss(quarantine.Loss{Engine: engine, Service: service, Traits: traits})
-			c.edge.signalDemand()
-		})
+		c.edge.loop.Post(func() { c.edge.recordLosses([]quarantine.Loss{loss}) })
+	case endedHere && (result == dispatch.Lost || result == dispatch.Abandoned):
+		c.suspect(u, loss, now)
+	}
+}
+
+// suspect records that the call may have been lost with its upstream, if that was silent when this node ended the
+// attempt. A node that was suspended may have bytes that it has not read.
+func (c *call) suspect(u *fleet.Upstream, loss quarantine.Loss, now time.Duration) {
+	silentSince := max(c.sentAt, c.edge.pool.LastRead(u.Addr))
+	if c.sentAt == 0 || now-silentSince < minSilence || now-c.deadline > maxCheckDelay {
+		return
+	}
+	c.log("upstream silent at the end of an attempt", eventlog.Fields{"upstream": u.ID, "silentMillis": (now - silentSince).Milliseconds()})
+	c.edge.loop.Post(func() { c.edge.suspicions.Add(loss, u.Addr, silentSince) })
+}
+
+// recordLosses records calls that were lost with their upstreams. It runs on the loop.
+func (e *Edge) recordLosses(losses []quarantine.Loss) {
+	for _, l := range losses {
+		e.crashEvidence.RecordLoss(l)
+	}
+	if len(losses) > 0 {
+		e.signalDemand()
+	}
+}
+
+// reviewSuspicions begins to probe the upstreams that have been silent for long. It runs on the loop.
+func (e *Edge) reviewSuspicions(now time.Duration) {
+	for _, u := range e.suspicions.Review(e.pool.LastRead, now) {
+		go e.probeSilent(u)
+	}
+}
+
+// probeSilent finds out whether a silent upstream accepts connections. If not, it has ended, unless this node hears no
+// upstream at all.
+func (e *Edge) probeSilent(u quarantine.SilentUpstream) {
+	for i := range maxProbes {
+		if i > 0 {
+			time.Sleep(probePause)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+		conn, err := e.paths.Dial(ctx, u.Addr)
+		cancel()
+		if err == nil {
+			conn.Close()
+			e.log.Event("silent upstream accepts connections", eventlog.Fields{"upstream": u.Incarnation.ID})
+			return
+		}
+	}
+	e.loop.Post(func() {
+		now := boottime.Now()
+		if now-e.pool.LastReadFromAny() > maxUnheard {
+			return
+		}
+		losses := e.suspicions.Ended(u.Incarnation, e.pool.LastRead, now)
+		e.log.Event("silent upstream accepts no connection", eventlog.Fields{"upstream": u.Incarnation.ID, "lostCalls": len(losses)})
+		e.recordLosses(losses)
+	})
+}
+
+// noteEnded records the calls that were lost with an upstream that the leader lists as ended. It runs on the loop.
+func (e *Edge) noteEnded(u *fleet.Upstream) {
+	known, ok := e.upstreams[u.ID]
+	if ok && (known.desc.Leaving || known.saidLeaving) {
+		return // it ended as announced
 	}
+	e.recordLosses(e.suspicions.Ended(fleet.Incarnation{ID: u.ID, Born: u.Born}, e.pool.LastRead, boottime.Now()))
 }
 
 // noteServed records that a call with the given traits was served. It runs on the loop.
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -69,6 +69,8 @@
 	limit int
 	open  int
 	idle  []*Conn
+	// forgotten is set if the state is dropped with the last connection.
+	forgotten bool
 }
 
 // Dial opens a TCP connection to an IP address and port.
@@ -114,7 +116,7 @@
 	idle := h.idle
 	h.idle = nil
 	h.open -= len(idle)
-	if h.open == 0 {
+	if h.forgotten = true; h.open == 0 {
 		delete(p.hosts, addr)
 	}
 	p.mu.Unlock()
@@ -193,6 +195,17 @@
 	return 0
 }
 
+// LastReadFromAny is LastRead over all addresses in use.
+func (p *Pool) LastReadFromAny() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var last int64
+	for _, h := range p.hosts {
+		last = max(last, h.lastRead.Load())
+	}
+	return time.Duration(last)
+}
+
 // lastReadOf returns the variable that holds the time of the last read from an address.
 // All connections to the address share it.
 func (p *Pool) lastReadOf(addr string) *atomic.Int64 {
@@ -255,6 +268,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.host(addr)
+	h.forgotten = false
 	if h.limit > 0 && h.open >= h.limit {
 		return errors.Mark(errors.Wrapf(ErrFull, "%s has %d connections", addr, h.open), ErrNotSent)
 	}
@@ -272,7 +286,7 @@
 		return
 	}
 	h.open--
-	if h.open == 0 && h.limit == 0 {
+	if h.open == 0 && h.forgotten {
 		delete(p.hosts, addr)
 	}
 }
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -42,6 +42,8 @@
 	// enoughAt is when the crashes first were enough for a quarantine; zero until then.
 	enoughAt time.Duration
 	lastAt   time.Duration
+	// late is set if a crash became known late.
+	late bool
 }
 
 // Detector collects the evidence of all entry nodes. The zero value is not usable; New
@@ -101,7 +103,7 @@
 	}
 	s.companions = slices.DeleteFunc(s.companions, func(id string) bool { return !slices.Contains(l.Traits, id) })
 	maps.DeleteFunc(s.crashes, func(_ fleet.Incarnation, at time.Duration) bool { return now-at > evidenceTTL })
-	s.crashes[l.Engine], s.lastAt = now, now
+	s.crashes[l.Engine], s.lastAt, s.late = now, now, s.late || l.Late
 	switch {
 	case len(s.crashes) < minCrashes:
 		s.enoughAt = 0
@@ -302,7 +304,12 @@
 	slices.SortFunc(enough, compareTrait)
 	var signatures []Signature
 	for _, trait := range enough {
-		signatures = append(signatures, Signature{Service: trait.Service, Traits: []string{trait.ID}})
+		signature := Signature{Service: trait.Service, Traits: []string{trait.ID}}
+		if d.suspects[trait].late {
+			// The calls that were sent until the crashes were known take the place of the first trial.
+			signature.Trials = 1
+		}
+		signatures = append(signatures, signature)
 		for engine := range d.suspects[trait].crashes {
 			d.dropCrash(engine, func(t Trait) bool { return !IsRequest(t.ID) })
 		}
--- a/quarantine/trait.go
+++ b/quarantine/trait.go
@@ -63,6 +63,9 @@
 	Engine  fleet.Incarnation `json:"e"`
 	Service string            `json:"s"`
 	Traits  []string          `json:"p"`
+	// Late is set if the node learned only after the attempt that the upstream had ended. Further calls may
+	// have been sent until then.
+	Late bool `json:"l,omitempty"`
 }
 
 // Evidence is what a detector knows against a trait. It outlasts the detector's leader.
