controller: a departure is acknowledged once it outlasts the leader

Cause: a departure was acknowledged from the leader's memory; the other control nodes and the entry nodes learn of it later. The new leader's log lists the upstreams and shows no announcement of them since, which rules out a late announcement and entry nodes with an older list.

Departures are now commands of the replicated log, acknowledged on one disk more than may be lost. New leaders apply them, and correct late announcements by them.

--- a/confstate/confstate.go
+++ b/confstate/confstate.go
@@ -1,7 +1,7 @@
 // Package confstate holds the replicated state of a managed deployment: the configuration
 // in force, the addresses of the control group's members, the member that may send orders
-// to upstreams, the calls that crash upstreams, and at which software version streams began. Only commands of a replicated log change
-// it, with the same result on every member.
+// to upstreams, the calls that crash upstreams, at which software version streams began, and which upstreams
+// leave. Only commands of a replicated log change it, with the same result on every member.
 //
 // Load pattern: several operators at once send whole configurations in quick succession,
 // and resend each whose answer is lost.
@@ -55,6 +55,8 @@
 	Evidence *[]quarantine.Evidence `json:"evidence,omitempty"`
 	// Streams changes what is known of the origins of streams.
 	Streams *origin.Change `json:"streams,omitempty"`
+	// Depart records that an upstream leaves. Members of builds before it change nothing.
+	Depart *Departure `json:"depart,omitempty"`
 }
 
 // SetQuarantine returns the command that replaces the signatures in quarantine. A nil list would
@@ -123,11 +125,14 @@
 	Evidence   []quarantine.Evidence  `json:"evidence,omitempty"`
 	// Streams tells at which software version streams began.
 	Streams *origin.Table `json:"streams"`
+	// Departures holds the latest departures, by the ID of the upstream. Nothing else in the state
+	// depends on them, so that a member which lacks some does not part from the others.
+	Departures map[string]Departure `json:"departures,omitempty"`
 }
 
 // New returns the state of a new control group with its first members.
 func New(founders ...Member) *State {
-	s := &State{Members: map[uint64]Member{}, Streams: origin.NewTable()}
+	s := &State{Members: map[uint64]Member{}, Streams: origin.NewTable(), Departures: map[string]Departure{}}
 	for _, m := range founders {
 		s.Members[m.ID] = m
 	}
@@ -151,6 +156,8 @@
 		s.Evidence = *c.Evidence
 	case c.Streams != nil:
 		s.Streams.Apply(c.Streams)
+	case c.Depart != nil:
+		s.depart(index, *c.Depart)
 	}
 	return Accepted
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -125,6 +125,8 @@
 	// claimPending is set while the command that makes this node the orderer is being
 	// proposed.
 	claimPending bool
+	// departuresUntil is the log index of the latest departure that is in the registry of this term.
+	departuresUntil uint64
 	// ledSince is the beginning of this node's term of leadership.
 	ledSince time.Duration
 	// entryNodes holds the entry nodes that watch; detoursRevision counts their changes.
--- a/internal/controller/export_test.go
+++ b/internal/controller/export_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/agateslip/agateslip/fleet"
 	"github.com/agateslip/agateslip/internal/nodelink"
 	"github.com/agateslip/agateslip/origin"
 )
@@ -32,3 +33,11 @@
 	}
 	return answer.(nodelink.FindStreamAnswer), nil
 }
+
+// Upstreams returns the upstreams that this node takes to be there.
+func (c *Controller) Upstreams() []fleet.Upstream {
+	var live []fleet.Upstream
+	// Do fails only once the node has stopped, which lists none.
+	_ = c.loop.Do(context.Background(), func() { live = c.registry.Live() })
+	return live
+}
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -70,6 +70,7 @@
 		c.metrics.Count("upstream fell silent")
 		c.log.Event("upstream fell silent", eventlog.Fields{"upstream": id})
 	}
+	c.applyDepartures(now)
 	c.removeGoneUpstreams(before)
 	c.expireEntryNodes(now)
 	c.reviewBrittle(now)
@@ -93,6 +94,8 @@
 	limits := residency.DefaultLimits()
 	limits.MaxStoreLoads, limits.MaxAdapterLoads = c.cfg.Store.Width, min(c.cfg.Store.AdapterWidth, limits.MaxAdapterLoads)
 	c.planner = residency.New(limits)
+	c.departuresUntil = 0
+	c.applyDepartures(now)
 	c.quarantine = newQuarantineWatch(c.stateMachine.evidence(), now)
 	c.permits, c.slots = ratelimit.NewAllocator(), ratelimit.NewSlots(now)
 	c.brittleRevision = 0
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -214,20 +214,26 @@
 }
 
 // announceAsLeader records an announcement. Only the leader acknowledges one, so that all
-// connected entry nodes learn of it.
+// connected entry nodes learn of it, and a departure only once the next leader will know of it, too.
 func (c *Controller) announceAsLeader(ctx context.Context, r nodelink.AnnounceRequest) (nodelink.AnnounceAnswer, error) {
 	answer := nodelink.AnnounceAnswer{Address: c.cfg.Listen.Operators}
 	if err := c.requireLeader(); err != nil {
 		return answer, err
 	}
-	leading := false
+	var departure confstate.Departure
+	leading, departs := false, false
 	err := c.loop.Do(ctx, func() {
 		if leading = c.term != 0; leading {
+			departure, departs = c.departureOf(&r)
 			c.recordAnnouncement(r, boottime.Now())
 		}
 	})
-	if err == nil && !leading {
+	switch {
+	case err != nil:
+	case !leading:
 		err = c.notLeaderError()
+	case departs:
+		err = c.keepDeparture(ctx, departure)
 	}
 	return answer, err
 }
@@ -282,7 +288,10 @@
 	if ok {
 		u.Closing = known.Closing
 	}
-	outcome := c.registry.Announce(u, now)
+	outcome := fleet.Stale
+	if !c.correctAnnouncement(&u) {
+		outcome = c.registry.Announce(u, now)
+	}
 	c.metrics.Count("announcement: " + outcome.String())
 	if outcome != fleet.Taken {
 		c.log.Event("announcement dropped", eventlog.Fields{"upstream": u.ID, "born": u.Born, "seq": u.Seq})
--- a/internal/controller/statemachine.go
+++ b/internal/controller/statemachine.go
@@ -101,6 +101,8 @@
 		return "evidence"
 	case c.Streams != nil:
 		return "streams"
+	case c.Depart != nil:
+		return "departure"
 	default:
 		return "order"
 	}
@@ -217,6 +219,27 @@
 	return s.state.Evidence
 }
 
+// departure returns what is known of the departure of an upstream.
+func (s *stateMachine) departure(id string) (d confstate.Departure, ok bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	d, ok = s.state.Departures[id]
+	return d, ok
+}
+
+// departuresSince returns the departures that were applied after a log index, in no order.
+func (s *stateMachine) departuresSince(index uint64) []confstate.Departure {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var since []confstate.Departure
+	for _, d := range s.state.Departures {
+		if d.Index > index {
+			since = append(since, d)
+		}
+	}
+	return since
+}
+
 // streams calls fn with what is known of the origins of streams. fn must not keep the table.
 func (s *stateMachine) streams(fn func(t *origin.Table)) {
 	s.mu.RLock()
