edge: the bodies that a node holds share a bound

Cause: each body had a bound, their sum had none. All bodies that the calls of a node hold now share a quarter of its memory. A caller's body that does not fit is refused at once, as not run; an answer that does not fit is lost.

--- /dev/null
+++ b/internal/bodybuffer/bodybuffer_test.go
@@ -0,0 +1,71 @@
+package bodybuffer
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/iotest"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+func TestBodiesAreRead(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(1 << 20)
+	for _, n := range []int{0, 1, firstBytes - 1, firstBytes, firstBytes + 1, 100_000} {
+		want := bytes.Repeat([]byte("x"), n)
+		for _, size := range []int64{-1, int64(n)} {
+			s := b.NewShare()
+			got, err := s.Read(iotest.HalfReader(bytes.NewReader(want)), size, 100_000)
+			is.NoErr(err)
+			is.True(bytes.Equal(got, want))
+			is.True(size < 0 || b.Used() <= size+1)
+			s.Release()
+		}
+	}
+	is.Equal(b.Used(), int64(0))
+}
+
+func TestBodyErrors(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(50_000)
+	s := b.NewShare()
+	_, err := s.Read(strings.NewReader("12345"), 5, 4)
+	is.True(errors.Is(err, ErrTooLarge))
+	_, err = s.Read(strings.NewReader("12345"), -1, 4)
+	is.True(errors.Is(err, ErrTooLarge))
+	_, err = s.Read(iotest.ErrReader(io.ErrUnexpectedEOF), -1, 4)
+	is.True(errors.Is(err, io.ErrUnexpectedEOF))
+	_, err = s.Read(endless{}, -1, 1<<40)
+	is.True(errors.Is(err, ErrNoMemory))
+	s.Release()
+	is.True(b.Fits(50_000) && !b.Fits(50_001))
+}
+
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestBudgetBoundsAllBodies has many calls read bodies without end at once.
+func TestBudgetBoundsAllBodies(t *testing.T) {
+	is := is.New(t)
+	const limit = 1 << 20
+	b := NewBudget(limit)
+	var calls sync.WaitGroup
+	for range 50 {
+		calls.Go(func() {
+			for range 100 {
+				s := b.NewShare()
+				if _, err := s.Read(endless{}, -1, 1<<40); !errors.Is(err, ErrNoMemory) {
+					t.Error(err)
+				}
+				s.Release()
+			}
+		})
+	}
+	calls.Wait()
+	is.Equal(b.Used(), int64(0))
+}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/agateslip/agateslip/dispatch"
 	"github.com/agateslip/agateslip/fleet"
+	"github.com/agateslip/agateslip/internal/bodybuffer"
 	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/internal/upstreamconn"
@@ -34,6 +35,8 @@
 	route   *routes.Route
 	caller  Caller
 	body    []byte
+	// held is the memory that the call takes for bodies, of its request and of answers.
+	held *bodybuffer.Share
 	// fingerprint is the same for all repeats of the request.
 	fingerprint string
 	// arrived and deadline are on the clock of package boottime.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,6 +19,7 @@
 	"github.com/agateslip/agateslip/confstate"
 	"github.com/agateslip/agateslip/dispatch"
 	"github.com/agateslip/agateslip/fleet"
+	"github.com/agateslip/agateslip/internal/bodybuffer"
 	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/config"
 	"github.com/agateslip/agateslip/internal/controller"
@@ -44,6 +45,9 @@
 	// cleanupInterval is the interval at which expired idle connections are closed and
 	// upstreams that the leader no longer lists are dropped.
 	cleanupInterval = 250 * time.Millisecond
+	// bodiesShare is the ratio of the process's memory to that which bodies may take. Buffers that were replaced by
+	// larger ones take as much until they are collected.
+	bodiesShare = 4
 )
 
 // routingConfig is a version of the configuration with its route table. It is
@@ -83,6 +87,8 @@
 	streams *streamRecorder
 	// stopping is set once Stop was called: the node reports itself as not ready.
 	stopping atomic.Bool
+	// bodies bounds the bodies that the calls in progress hold.
+	bodies *bodybuffer.Budget
 	// activeCalls is the number of callers' requests in progress.
 	activeCalls atomic.Int64
 	// closing is closed during a stop. From then on, calls that have not started are
@@ -147,6 +153,7 @@
 		metrics:          metrics.New("entry." + cfg.Node),
 		dial:             upstreamconn.NewDial(dialTimeout),
 		loop:             owner.New(),
+		bodies:           bodybuffer.NewBudget(int64(cfg.MemoryMB<<20) / bodiesShare),
 		leader:           newLeaderFinder(seeds),
 		demandChanged:    make(chan struct{}, 1),
 		configured:       make(chan struct{}),
@@ -187,6 +194,7 @@
 func (e *Edge) registerGauges() {
 	e.metrics.Gauge("callsActive", e.activeCalls.Load)
 	e.metrics.Gauge("callsWaiting", e.waitingCalls.Load)
+	e.metrics.Gauge("bytesHeld", e.bodies.Used)
 	e.metrics.Gauge("entryNodes", e.entryNodes.Load)
 	e.metrics.Gauge("configurationVersion", func() int64 {
 		if v := e.routing.Load(); v != nil {
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -107,13 +107,10 @@
 // relayWhole reads the whole answer before the caller gets any of it, so that the call
 // can be sent again if the answer is cut off.
 func (c *call) relayWhole(u *fleet.Upstream, conn *upstreamconn.Conn, resp *http.Response) (dispatch.Result, attemptOutcome) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errors.Newf("answer is larger than %d bytes", maxAnswerBytes)
-	}
+	body, err := c.held.Read(resp.Body, resp.ContentLength, maxAnswerBytes)
 	if err != nil {
 		conn.Close()
-		return c.endLost(u, err)
+		return c.endLost(u, errors.Wrap(err, "read answer"))
 	}
 	conn.Release()
 	whole := wholeAnswer{resp: resp, body: body, upstream: u}
@@ -173,18 +170,21 @@
 		c.flush()
 	}
 	reader := bufio.NewReaderSize(resp.Body, 2<<10)
-	var event bytes.Buffer
+	var event []byte
 	checked := false
 	for {
 		line, err := reader.ReadSlice('\n')
-		event.Write(line)
+		var full error
+		if event, full = c.held.Append(event, line); full != nil {
+			err = full
+		}
 		switch {
-		case event.Len() > maxEventBytes:
+		case len(event) > maxEventBytes:
 			conn.Close()
 			return c.endLost(u, errors.Newf("event is larger than %d bytes", maxEventBytes))
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && event.Len() == 0:
+		case errors.Is(err, io.EOF) && len(event) == 0:
 			conn.Release()
 			c.recordAnswered(u, resp.StatusCode)
 			return dispatch.Served, outcomeAnswered
@@ -200,11 +200,11 @@
 			return c.endLost(u, errors.New("the software version of the upstream is uncertain"))
 		}
 		checked = true
-		if !c.relayEvent(event.Bytes()) {
+		if !c.relayEvent(event) {
 			conn.Close()
 			return dispatch.Abandoned, outcomeCallerLeft
 		}
-		event.Reset()
+		event = event[:0]
 	}
 }
 
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/agateslip/agateslip/dispatch"
+	"github.com/agateslip/agateslip/internal/bodybuffer"
 	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/routes"
@@ -71,7 +71,8 @@
 func (e *Edge) handle(w http.ResponseWriter, r *http.Request) {
 	e.activeCalls.Add(1)
 	defer e.activeCalls.Add(-1)
-	c := &call{edge: e, w: w, r: r, arrived: boottime.Now(), caller: e.dialect.Caller(r.Header)}
+	c := &call{edge: e, w: w, r: r, arrived: boottime.Now(), caller: e.dialect.Caller(r.Header), held: e.bodies.NewShare()}
+	defer c.held.Release()
 	// A chunked request that also states a length could smuggle another request. net/http
 	// does not show that length, so no connection is kept after a chunked request.
 	if e.stopping.Load() || len(r.TransferEncoding) > 0 {
@@ -146,16 +147,19 @@
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
-	if c.r.ContentLength > limit {
-		c.fail(http.StatusRequestEntityTooLarge, "body too large")
-		return false
+	var body []byte
+	err := bodybuffer.ErrNoMemory
+	if c.r.ContentLength > limit || c.edge.bodies.Fits(c.r.ContentLength) {
+		body, err = c.held.Read(http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength, limit)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.As(err, &tooLarge), errors.Is(err, bodybuffer.ErrTooLarge):
 		c.fail(http.StatusRequestEntityTooLarge, "body too large")
 		return false
+	case errors.Is(err, bodybuffer.ErrNoMemory):
+		c.refuse("no memory for the body", defaultRetryAfter)
+		return false
 	case err != nil:
 		c.fail(http.StatusBadRequest, "body unreadable")
 		return false
