detour: a stopping node asks for no further calls through it

A node kept its idle detours through another one that was stopping, sent calls that way until the other one's grace was over, and lost them then; the other one waited for idle detours for its whole grace.

The stopping node now says so with a frame of its own on each detour. The pool of the node at the other end does not keep such a connection, and takes none with that frame unread.

Evidence: TestStoppingHelperAsksForNoFurtherCalls; without the notice the idle connection is used for the next call.

--- a/internal/detour/end_test.go
+++ b/internal/detour/end_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"strings"
@@ -21,6 +22,7 @@
 
 	"github.com/agateslip/agateslip/internal/detour"
 	"github.com/agateslip/agateslip/internal/faultproxy"
+	"github.com/agateslip/agateslip/internal/upstreamconn"
 )
 
 // helperVariable holds the address of the upstream in the environment of a helper process.
@@ -257,3 +259,59 @@
 	_, err = io.ReadAll(reader)
 	is.True(errors.Is(err, syscall.ECONNRESET))
 }
+
+// TestStoppingHelperAsksForNoFurtherCalls stops a node while a call runs through it, and one whose connection is
+// idle. The call must end as usual, and its connection carry no further call.
+func TestStoppingHelperAsksForNoFurtherCalls(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	upstream := listen(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if r.URL.Path == "/slow" {
+				<-release
+			}
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nKeep-Alive: timeout=9\r\nContent-Length: 4\r\n\r\nfine", r.Header.Get("Id"))
+		}
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := &detour.Server{
+		Secret: secret, Paths: detour.NewPaths(direct, nil, func(bool) {}), Serves: func(string) bool { return true },
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx, l, 5*time.Second) }()
+	pool := upstreamconn.NewPool(client(secret, l.Addr().String()).Dial)
+	call := func(path, id string) (*upstreamconn.Conn, func() error) {
+		c, err := pool.Get(t.Context(), upstream, id)
+		is.NoErr(err)
+		is.NoErr(c.SetDeadline(time.Now().Add(5 * time.Second)))
+		is.NoErr(c.Send(&upstreamconn.Request{Method: "GET", URI: path, Host: "h", Header: http.Header{"Id": {id}}}))
+		return c, func() error {
+			resp, err := c.Receive(func(http.Header) upstreamconn.Owner { return upstreamconn.ThisCall })
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+			}
+			return err
+		}
+	}
+	slow, slowAnswer := call("/slow", "a")
+	idle, answer := call("/", "b")
+	is.NoErr(answer())
+	idle.Release()
+	stop()
+	time.Sleep(100 * time.Millisecond)
+	_, err = pool.Get(t.Context(), upstream, "c") // the idle connection is not used, and the node accepts no other
+	is.True(errors.Is(err, upstreamconn.ErrNotSent))
+	close(release)
+	is.NoErr(slowAnswer())
+	slow.Release()
+	_, err = pool.Get(t.Context(), upstream, "d")
+	is.True(errors.Is(err, upstreamconn.ErrNotSent))
+	is.NoErr(<-ended) // the detours have ended, long before the grace is over
+}
--- a/internal/detour/frame.go
+++ b/internal/detour/frame.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -11,7 +13,8 @@
 
 // The bytes of the upstream reach the node in frames: the length in two bytes, big-endian, and as many bytes.
 // A frame of length zero says that the upstream ended its side, as it does to end an answer without a
-// length. Only that frame is an end; the connection between the nodes ends with either process, too.
+// length. Only that frame is an end; the connection between the nodes ends with either process, too. A header
+// of stopNotice, without bytes, says that the node in between stops.
 
 // offersFrames ends the nonce of a node that can send frames. Nodes without frames take it for a part of the
 // nonce.
@@ -19,13 +22,16 @@
 
 const (
 	frameHeaderBytes = 2
+	stopNotice       = 1<<16 - 1
 	// maxFrameBytes is the largest number of bytes that one frame carries.
-	maxFrameBytes = 1<<16 - 1
+	maxFrameBytes = stopNotice - 1
 )
 
-// frameWriter writes each piece of bytes as one or more frames.
+// frameWriter writes each piece of bytes as one or more frames. It is safe for concurrent use.
 type frameWriter struct {
-	w      io.Writer
+	w io.Writer
+
+	mu     sync.Mutex
 	buffer []byte
 }
 
@@ -34,9 +40,7 @@
 	written := 0
 	for len(p) > 0 {
 		n := min(len(p), maxFrameBytes)
-		f.buffer = binary.BigEndian.AppendUint16(f.buffer[:0], uint16(n))
-		f.buffer = append(f.buffer, p[:n]...)
-		if _, err := f.w.Write(f.buffer); err != nil {
+		if err := f.writeFrame(uint16(n), p[:n]); err != nil {
 			return written, err
 		}
 		written += n
@@ -45,12 +49,21 @@
 	return written, nil
 }
 
-// writeEnd writes the frame that says that the upstream ended its side.
-func writeEnd(w io.Writer) error {
-	_, err := w.Write(make([]byte, frameHeaderBytes))
+func (f *frameWriter) writeFrame(header uint16, p []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.buffer = binary.BigEndian.AppendUint16(f.buffer[:0], header)
+	f.buffer = append(f.buffer, p...)
+	_, err := f.w.Write(f.buffer)
 	return err
 }
 
+// writeEnd writes the frame that says that the upstream ended its side.
+func (f *frameWriter) writeEnd() error { return f.writeFrame(0, nil) }
+
+// writeStopNotice writes that this node stops.
+func (f *frameWriter) writeStopNotice() error { return f.writeFrame(stopNotice, nil) }
+
 // errHelperEnded means that a detour ended, of which it is not known whether its upstream did.
 var errHelperEnded = errors.New("the detour ended before its upstream")
 
@@ -64,14 +77,19 @@
 	// left is the number of bytes of the current frame that were not read yet.
 	left  int
 	ended bool
+	// retiring is set once the node in between said that it stops.
+	retiring atomic.Bool
 }
 
+// Retiring reports whether the connection must carry no further call.
+func (c *framedConn) Retiring() bool { return c.retiring.Load() }
+
 // Read implements net.Conn.
 func (c *framedConn) Read(p []byte) (int, error) {
 	if len(p) == 0 {
 		return 0, nil
 	}
-	if c.left == 0 && !c.ended {
+	for c.left == 0 && !c.ended {
 		if err := c.readHeader(); err != nil {
 			return 0, helperError(err)
 		}
@@ -94,8 +112,12 @@
 		}
 	}
 	c.headerRead = 0
-	c.left = int(binary.BigEndian.Uint16(c.header[:]))
-	c.ended = c.left == 0
+	header := int(binary.BigEndian.Uint16(c.header[:]))
+	if header == stopNotice {
+		c.retiring.Store(true)
+		return nil
+	}
+	c.left, c.ended = header, header == 0
 	return nil
 }
 
--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -55,7 +55,9 @@
 
 	mu sync.Mutex
 	// open holds the connections to other nodes that are joined with an upstream.
-	open map[net.Conn]struct{}
+	open map[net.Conn]*frameWriter
+	// stopping is set once no more detours are accepted.
+	stopping bool
 }
 
 // Open returns the number of open detours.
@@ -65,18 +67,41 @@
 	return len(s.open)
 }
 
-// setOpen records whether a connection is joined with an upstream.
-func (s *Server) setOpen(conn net.Conn, open bool) {
+// add records a connection that is joined with an upstream, and the writer of its frames; nil if it has none.
+func (s *Server) add(conn net.Conn, frames *frameWriter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !open {
-		delete(s.open, conn)
-		return
-	}
 	if s.open == nil {
-		s.open = map[net.Conn]struct{}{}
+		s.open = map[net.Conn]*frameWriter{}
+	}
+	s.open[conn] = frames
+	if s.stopping {
+		notifyStop(frames)
+	}
+}
+
+func (s *Server) remove(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, conn)
+}
+
+// notifyOpen tells the nodes at the other ends of the detours that this one stops, so that they send no further calls
+// that way.
+func (s *Server) notifyOpen() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	for _, frames := range s.open {
+		notifyStop(frames)
+	}
+}
+
+// notifyStop does not wait for a node that does not read. If the notice is not written, neither is what follows it.
+func notifyStop(frames *frameWriter) {
+	if frames != nil {
+		go func() { _ = frames.writeStopNotice() }()
 	}
-	s.open[conn] = struct{}{}
 }
 
 // resetOpen resets the detours that are open.
@@ -88,8 +113,8 @@
 	}
 }
 
-// Run accepts detours until ctx ends, waits for those that are open to end, for at most the given time, and
-// resets the others.
+// Run accepts detours until ctx ends, announces the stop to the nodes that use them, waits for those that are open
+// to end, for at most the given time, and resets the others.
 func (s *Server) Run(ctx context.Context, listener net.Listener, grace time.Duration) error {
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(listener) }()
@@ -99,6 +124,7 @@
 	case <-ctx.Done():
 	}
 	listener.Close()
+	s.notifyOpen()
 	for start := time.Now(); s.Open() > 0 && time.Since(start) < grace; {
 		time.Sleep(openPollInterval)
 	}
@@ -154,9 +180,13 @@
 	if conn.SetLinger(0) != nil {
 		return
 	}
-	s.setOpen(conn, true)
-	defer s.setOpen(conn, false)
-	join(conn, upstream.(*net.TCPConn), r.framed)
+	var frames *frameWriter
+	if r.framed {
+		frames = &frameWriter{w: conn}
+	}
+	s.add(conn, frames)
+	defer s.remove(conn)
+	join(conn, upstream.(*net.TCPConn), frames)
 }
 
 // request is what another entry node asks for.
@@ -192,8 +222,9 @@
 }
 
 // join copies the bytes of both directions until either side ends. Only an end of the upstream is passed on
-// as an end; closing the connection to the node after anything else resets it.
-func join(node, upstream *net.TCPConn, framed bool) {
+// as an end; closing the connection to the node after anything else resets it. frames is nil for a node that
+// reads none.
+func join(node, upstream *net.TCPConn, frames *frameWriter) {
 	requests := make(chan struct{})
 	go func() {
 		defer close(requests)
@@ -202,12 +233,12 @@
 		upstream.Close()
 	}()
 	answers := io.Writer(onlyWriter{node})
-	if framed {
-		answers = &frameWriter{w: node}
+	if frames != nil {
+		answers = frames
 	}
 	_, err := io.CopyBuffer(answers, onlyReader{upstream}, make([]byte, copyBufferBytes))
-	if err == nil && framed {
-		err = writeEnd(node)
+	if err == nil && frames != nil {
+		err = frames.writeEnd()
 	}
 	if err == nil {
 		finish(node)
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -205,7 +205,7 @@
 // Release returns the connection to the pool after the body of the answer was read to
 // its end. It closes a connection that cannot carry another call.
 func (c *Conn) Release() {
-	if !c.bodySent() || c.response.Close || c.reader.Buffered() > 0 || !c.tellsAnswersApart() {
+	if c.retiring() || !c.bodySent() || c.response.Close || c.reader.Buffered() > 0 || !c.tellsAnswersApart() {
 		c.Close()
 		return
 	}
@@ -218,6 +218,12 @@
 	c.pool.putIdle(c)
 }
 
+// retiring reports whether the connection leads through a node that stops.
+func (c *Conn) retiring() bool {
+	r, ok := c.conn.(interface{ Retiring() bool })
+	return ok && r.Retiring()
+}
+
 // tellsAnswersApart reports whether the answer to a later call could be told from one more answer to an
 // earlier call. A late answer to a HEAD request would be misread, since it has no body.
 func (c *Conn) tellsAnswersApart() bool {
