edge: a stopping node takes no call that outlasts it, and answers what it ends

A stopping node now refuses, as not run, a call whose deadline and whose likely end lie behind its own. Calls that still run at the end get 502 rather than a closed connection.

TestNodeThatIsCutOffDoesNotHelp now also checks that a stopping node refuses detours, which was done but not tested.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -157,6 +157,8 @@
 		why = "no answer from any attempt"
 	case boottime.Now() >= c.deadline:
 		why = "time is up"
+	case c.edge.ending.Err() != nil:
+		why = "node stops"
 	case c.movedOnStall.Load():
 		return true
 	case outcome != outcomeUnsent && !c.edge.spendRetry(c.r.Context(), c.dispatchCall.Service):
@@ -334,6 +336,7 @@
 	// the deadline passes.
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
+	defer context.AfterFunc(c.edge.ending, conn.Close)()
 	if err := conn.Send(c.upstreamRequest(u)); err != nil {
 		conn.Close()
 		if errors.Is(err, upstreamconn.ErrNotSent) {
--- a/internal/edge/detours_test.go
+++ b/internal/edge/detours_test.go
@@ -14,11 +14,11 @@
 )
 
 // TestNodeThatIsCutOffDoesNotHelp has a node lose its paths to two upstreams, which it knows, and not to a third.
-// Another node must not wait for it to find out again.
+// Another node must not wait for it to find out again. A node that stops helps with none.
 func TestNodeThatIsCutOffDoesNotHelp(t *testing.T) {
 	is := is.New(t)
 	refused := func(context.Context, string) (net.Conn, error) { return nil, errors.New("refused") }
-	e := &Edge{loop: owner.New(), upstreams: map[string]knownUpstream{}, paths: detour.NewPaths(refused, refused, func(bool) {})}
+	e := &Edge{ending: t.Context(), loop: owner.New(), upstreams: map[string]knownUpstream{}, paths: detour.NewPaths(refused, refused, func(bool) {})}
 	for _, id := range []string{"a", "b", "c"} {
 		e.upstreams[id] = knownUpstream{desc: fleet.Upstream{ID: id, Addr: id + ":1"}}
 	}
@@ -33,6 +33,8 @@
 	}
 	is.True(!e.mayHelp("a:1"))
 	is.True(e.mayHelp("c:1"))
+	e.Stop() // a detour that begins now would be cut off at the end of the stop
+	is.True(!e.mayHelp("c:1"))
 	stop()
 	is.NoErr(<-ended)
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -94,6 +94,11 @@
 	// closing is closed during a stop. From then on, calls that have not started are
 	// turned away, because the node would end before it could relay their answers.
 	closing chan struct{}
+	// ending ends with the time for a stop: calls that still run then end with an answer of this node.
+	ending context.Context
+	end    context.CancelFunc
+	// stopAt is when Stop was called, on the clock of package boottime; zero before that.
+	stopAt atomic.Int64
 	// waitingCalls is the number of calls that wait for the dispatcher's verdict.
 	waitingCalls atomic.Int64
 	// demandChanged wakes reportDemand.
@@ -170,6 +175,7 @@
 
 		unreportedLeaving: map[fleet.Incarnation]bool{},
 	}
+	e.ending, e.end = context.WithCancel(context.Background())
 	for _, change := range options {
 		change(e)
 	}
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -196,7 +196,7 @@
 	traits, service := c.traits(), c.dispatchCall.Service
 	now := boottime.Now()
 	// What this node ends itself shows nothing yet about the upstream.
-	endedHere := result == dispatch.Abandoned || c.movedOnStall.Load() || now >= c.deadline
+	endedHere := result == dispatch.Abandoned || c.movedOnStall.Load() || now >= c.deadline || c.edge.ending.Err() != nil
 	lost := result == dispatch.Lost && !endedHere
 	served := result == dispatch.Served
 	request, parts := traits[:1], traits[1:]
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -61,11 +61,32 @@
 	for time.Since(start) < maxDrain && e.activeCalls.Load() > 0 {
 		time.Sleep(tickInterval)
 	}
+	e.end()
 	e.log.Event("drained", eventlog.Fields{"left": e.activeCalls.Load(), "millis": time.Since(start).Milliseconds()})
 }
 
 // Stop makes the readiness check fail, so that the load balancer sends no more callers.
-func (e *Edge) Stop() { e.stopping.Store(true) }
+func (e *Edge) Stop() {
+	e.stopAt.CompareAndSwap(0, int64(boottime.Now()))
+	e.stopping.Store(true)
+}
+
+// outlastsStop reports whether the node stops and may have to cut the call off.
+func (c *call) outlastsStop() bool {
+	if !c.edge.stopping.Load() {
+		return false
+	}
+	end := time.Duration(c.edge.stopAt.Load()) + time.Duration(c.edge.cfg.Stop) - 2*stopReserve
+	return c.deadline > end && c.arrived+longestRun(c.route, &c.caller) > end
+}
+
+// longestRun estimates how long a call runs, waits included, if its upstreams are busy.
+func longestRun(r *routes.Route, c *Caller) time.Duration {
+	if r.Kind == routes.Stream {
+		return startReserve + busyFactor*time.Duration(c.OutputTokens)*timePerToken
+	}
+	return busyFactor * r.Target
+}
 
 // handle serves one request of a caller.
 func (e *Edge) handle(w http.ResponseWriter, r *http.Request) {
@@ -96,6 +117,10 @@
 		return
 	}
 	c.prepareDispatch()
+	if c.outlastsStop() {
+		c.refuse("node stops", otherNodeRetryAfter)
+		return
+	}
 	c.run()
 }
 
@@ -223,6 +248,8 @@
 	answerReserve = 100 * time.Millisecond
 	// startReserve is the time that a busy engine takes until the first event.
 	startReserve = 400 * time.Millisecond
+	// busyFactor is how much longer than usual a call runs at a busy upstream.
+	busyFactor = 3
 	// maxRunShare bounds the estimated running time, as a share of the time from
 	// arrival to deadline.
 	maxRunShare = 0.5
--- a/internal/edge/stall_test.go
+++ b/internal/edge/stall_test.go
@@ -42,6 +42,7 @@
 		cfg:        config.Managed{Retry: config.RetryBudget{Ratio: 0.2, Extra: 50, Window: contract.Duration(10 * time.Second)}},
 		log:        log,
 		loop:       owner.New(),
+		ending:     t.Context(),
 		metrics:    metrics.New(t.Name()),
 		dispatcher: dispatch.New(dispatch.DefaultLimits(), "d"),
 		budgets:    map[string]*retryBudget{},
