edge: a stream is taken up only by a recent list of upstreams

A node that stood still, or was cut off, after it had asked at which software version a stream began chose an upstream by a list from before.

Events of a stream that is taken up now wait for a list of upstreams that is at most 2.5 s old, and the attempt ends if the upstream has started again.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -112,6 +112,8 @@
 	waiters   map[dispatch.CallID]chan dispatch.Verdict
 	budgets   map[string]*retryBudget
 	upstreams map[string]knownUpstream
+	// upstreamsAskedAt is when this node asked for the latest list of upstreams that it received.
+	upstreamsAskedAt time.Duration
 	// reportedArrivals holds the arrivals that the leader has received.
 	reportedArrivals map[dispatch.ModelKey]uint64
 	// streamQuality counts finished streams by upstream ID; reportedQuality holds the
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -144,6 +144,9 @@
 				e.applyBases(*answer.Bases, askedAt)
 			}
 			e.applyUpstreams(answer.Whole, upstreams)
+			if answer.Configuration == nil { // such an answer tells nothing else
+				e.upstreamsAskedAt = askedAt
+			}
 		})
 		if err != nil {
 			continue
--- a/internal/edge/streams.go
+++ b/internal/edge/streams.go
@@ -21,6 +21,9 @@
 	originTimeout = 1500 * time.Millisecond
 	// originWaitShare is the share of the time until a call's deadline for which it waits.
 	originWaitShare = 0.5
+	// maxListAge is the age of the list of upstreams up to which a stream that was begun elsewhere may go on
+	// by it. The leader answers within watchWait.
+	maxListAge = 2*watchWait + 500*time.Millisecond
 	// recordTimeout bounds one request to record streams.
 	recordTimeout = 800 * time.Millisecond
 )
@@ -93,12 +96,32 @@
 	if !c.pinned.Load() && !c.pin(u) {
 		return false
 	}
-	same := false
-	err := c.edge.loop.Do(c.r.Context(), func() {
-		known, ok := c.edge.upstreams[u.ID]
-		same = !ok || known.desc.Born == u.Born
-	})
-	return err == nil && same
+	for {
+		same, recent := false, false
+		err := c.edge.loop.Do(c.r.Context(), func() {
+			known, ok := c.edge.upstreams[u.ID]
+			same = !ok || known.desc.Born == u.Born
+			recent = boottime.Now()-c.edge.upstreamsAskedAt <= maxListAge
+		})
+		if err != nil || !same {
+			return false
+		}
+		if recent || !c.takesUpStream() {
+			return true
+		}
+		if boottime.Now() >= c.deadline || c.edge.ending.Err() != nil {
+			return false
+		}
+		c.awaitList()
+	}
+}
+
+// awaitList pauses an attempt that must not go on before this node has a recent list of upstreams. A node that stood
+// still, or is cut off from the leader, does not know of upstreams that have started again under their IDs.
+func (c *call) awaitList() {
+	c.awaitsRecord.Store(true)
+	defer c.awaitsRecord.Store(false)
+	pause.For(c.r.Context(), retryPause)
 }
 
 // pin waits until the call's stream is recorded, if it must be, and restricts the call to the software
