detour: a lack of descriptors does not end the node

A node that was out of descriptors for a moment ended by itself: an error on accepting a detour ended its part, and with it the process. It is now logged and accepting goes on, as net/http does for callers.

Evidence: TestServerOutlastsLackOfDescriptors; Serve returned the error before.

--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -222,3 +222,39 @@
 	t.Logf("%d of %d upstreams were reached", served, upstreams)
 	is.True(3*served >= 2*upstreams)
 }
+
+// failingListener fails to accept a connection some times, as a process without free descriptors does.
+type failingListener struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// TestServerOutlastsLackOfDescriptors guards against a node that ends because it cannot accept a detour for a moment.
+func TestServerOutlastsLackOfDescriptors(t *testing.T) {
+	is := is.New(t)
+	upstream := listen(t, echo)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	failing := &failingListener{Listener: l}
+	failing.failures.Store(1)
+	var failed atomic.Int32
+	s := &detour.Server{
+		Secret: secret, Paths: detour.NewPaths(direct, nil, func(bool) {}), Serves: func(string) bool { return true },
+		Failed: func(error) { failed.Add(1) },
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(failing) }()
+	conn, err := client(secret, l.Addr().String()).Dial(t.Context(), upstream)
+	is.NoErr(err)
+	conn.Close()
+	is.Equal(failed.Load(), int32(1))
+	l.Close()
+	is.NoErr(<-ended)
+}
--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -25,6 +25,8 @@
 	openPollInterval = 20 * time.Millisecond
 	// copyBufferBytes is the size of the buffer of one direction.
 	copyBufferBytes = 4 << 10
+	// acceptPause is the pause after a connection could not be accepted.
+	acceptPause = 100 * time.Millisecond
 	// finishTimeout bounds the wait for a node to close its side after the upstream has ended.
 	finishTimeout = time.Second
 )
@@ -52,6 +54,8 @@
 	Paths *Paths
 	// Serves reports whether the node connects to the address.
 	Serves func(addr string) bool
+	// Failed is told of connections that cannot be accepted.
+	Failed func(error)
 
 	mu sync.Mutex
 	// open holds the connections to other nodes that are joined with an upstream.
@@ -140,7 +144,10 @@
 			return nil
 		}
 		if err != nil {
-			return errors.Wrap(err, "accept a detour")
+			// The process may be out of descriptors, which other connections are about to free.
+			s.Failed(errors.Wrap(err, "accept a detour"))
+			time.Sleep(acceptPause)
+			continue
 		}
 		go s.handle(conn.(*net.TCPConn))
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -183,7 +183,9 @@
 	}
 	e.detours = detour.NewClient(cfg.Secret)
 	e.paths = detour.NewPaths(e.dial, e.detours.Dial, e.noteCutOff)
-	e.helper = &detour.Server{Secret: cfg.Secret, Paths: e.paths, Serves: e.mayHelp}
+	e.helper = &detour.Server{Secret: cfg.Secret, Paths: e.paths, Serves: e.mayHelp, Failed: func(err error) {
+		e.log.Event("detour not accepted", eventlog.Fields{"error": err.Error()})
+	}}
 	e.pool = upstreamconn.NewPool(e.paths.Dial)
 	e.entryNodes.Store(1)
 	e.registerGauges()
--- a/internal/node/detours.go
+++ b/internal/node/detours.go
@@ -25,7 +25,9 @@
 	client := detour.NewClient(n.cfg.Secret)
 	client.SetHelpers(helpers)
 	n.paths = detour.NewPaths(n.dial, client.Dial, n.noteCutOff)
-	n.helper = &detour.Server{Secret: n.cfg.Secret, Paths: n.paths, Serves: n.mayHelp}
+	n.helper = &detour.Server{Secret: n.cfg.Secret, Paths: n.paths, Serves: n.mayHelp, Failed: func(err error) {
+		n.log.WithError(err).Warn("detour not accepted")
+	}}
 	if n.connect = n.paths.Dial; len(helpers) == 0 {
 		n.connect = n.dial
 	}
