edge: callers without chunks can tell an answer that was cut short

A caller that speaks HTTP/1.0 gets no chunks: an answer without a length ends with its connection, also when this node is killed, and a stream that is broken off looked complete.

Whole answers now always carry their length, and a stream for such a caller is refused with 505. Evidence: TestCallersWithoutChunksCanTellCutAnswers; without the change the answer has no length and the stream is begun.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -134,6 +135,10 @@
 
 // writeWhole sends a complete answer to the caller.
 func (c *call) writeWhole(a wholeAnswer) attemptOutcome {
+	if c.r.Method != http.MethodHead && a.resp.StatusCode != http.StatusNoContent && a.resp.StatusCode != http.StatusNotModified {
+		// Without it, a caller that knows no chunks could not tell an answer that was cut short.
+		c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	}
 	c.writeHeader(a.resp)
 	if _, err := c.w.Write(a.body); err != nil {
 		c.log("caller left", eventlog.Fields{"while": "answering", "error": err.Error()})
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -109,6 +109,11 @@
 		return
 	}
 	limits := c.routing.table.Configuration().Limits
+	if c.route.Kind == routes.Stream && !r.ProtoAtLeast(1, 1) {
+		// Without chunks, a stream that breaks off would look complete.
+		c.fail(http.StatusHTTPVersionNotSupported, "stream without chunks")
+		return
+	}
 	if !c.readBody(limits.BodyBytes) {
 		return
 	}
