upstreamconn: the state of closed addresses is bounded

Since suspicions need to know when an address was last heard, its state outlasts its last connection. Control nodes never forget an address, so that this would have grown with each upstream that comes and goes. Beyond 1,024 addresses the state of one without a limit is dropped as before.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -63,9 +63,9 @@
 	streamStarted bool
 	// answerStarted is set once the header of the current attempt's answer was received.
 	// pinned is set once the caller has an event, and awaitsRecord while the first one waits
-	// for the stream to be recorded or for a recent list of upstreams. movedOnStall is set if the stall watch ended the attempt
-	// because its upstream was silent; the retry budget was then already charged for the next
-	// attempt.
+	// for the stream to be recorded or for a recent list of upstreams. movedOnStall is set if
+	// the stall watch ended the attempt because its upstream was silent; the retry budget was
+	// then already charged for the next attempt.
 	answerStarted, pinned, awaitsRecord, movedOnStall atomic.Bool
 	// firstEventWait is the time from arrival to the first event of a stream;
 	// longestPause is the longest time between two events.
--- a/internal/upstreamconn/late_test.go
+++ b/internal/upstreamconn/late_test.go
@@ -1,7 +1,10 @@
 package upstreamconn_test
 
 import (
+	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -120,3 +123,14 @@
 	opened := pool.Stats().Opened
 	is.True(opened >= 2 && opened <= calls/1000)
 }
+
+// TestClosedAddressesAreBounded calls ever other upstreams once, as a node does whose upstreams come and go.
+func TestClosedAddressesAreBounded(t *testing.T) {
+	is := is.New(t)
+	pool := upstreamconn.NewPool(func(context.Context, string) (net.Conn, error) { return nil, io.EOF })
+	for n := range 20_000 {
+		_, err := pool.Get(t.Context(), fmt.Sprint("addr", n), "a")
+		is.True(err != nil)
+	}
+	is.True(pool.Hosts() <= 1100)
+}
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -35,6 +35,9 @@
 	// readBufferSize is the size of the read buffer in bytes. It usually holds a header
 	// or an event.
 	readBufferSize = 4 << 10
+	// maxHosts is the number of addresses beyond which the state of one without a limit is dropped with its
+	// last connection. Until then, it tells when the address was last heard.
+	maxHosts = 1024
 )
 
 var (
@@ -69,7 +72,7 @@
 	limit int
 	open  int
 	idle  []*Conn
-	// forgotten is set if the state is dropped with the last connection.
+	// forgotten is set if the address is no longer used: the state is dropped with the last connection.
 	forgotten bool
 }
 
@@ -286,7 +289,7 @@
 		return
 	}
 	h.open--
-	if h.open == 0 && h.forgotten {
+	if h.open == 0 && (h.forgotten || h.limit == 0 && len(p.hosts) > maxHosts) {
 		delete(p.hosts, addr)
 	}
 }
