gateway: the header of an answer is bounded

The bound is 256 KiB now, as in upstreamconn.

Evidence: TestEndlessHeaderIsCutOff fails without the change.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -32,6 +32,8 @@
 	// connBufferBytes is the size of the read buffer and of the write buffer of one
 	// connection.
 	connBufferBytes = 2 << 10
+	// maxAnswerHeaderBytes bounds the header of an answer.
+	maxAnswerHeaderBytes = 256 << 10
 )
 
 // errAnswerAborted marks an error after which the answer can neither be completed nor
@@ -111,6 +113,8 @@
 		IdleConnTimeout:     idleUpstreamTimeout,
 		ReadBufferSize:      connBufferBytes,
 		WriteBufferSize:     connBufferBytes,
+
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 	}
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -294,6 +294,29 @@
 	is.Equal(g.metrics.ForeignAnswers.Value(), int64(1))
 }
 
+// TestEndlessHeaderIsCutOff has an upstream send a header without end. The call must end long before its deadline.
+func TestEndlessHeaderIsCutOff(t *testing.T) {
+	is := is.New(t)
+	var sent atomic.Int64
+	_, f, url := newGateway(t, func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		n, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nA: ")
+		for err == nil {
+			sent.Add(int64(n))
+			n, err = io.WriteString(conn, strings.Repeat("x", 32<<10))
+		}
+	})
+	f.contract.Wait = contract.Duration(400 * time.Millisecond)
+	resp, _, err := sendRequest(t, "POST", url+"/services/s/pay", "{}", headerIdempotencyKey, "k1")
+	is.NoErr(err)
+	is.True(resp.StatusCode >= 500)
+	is.True(sent.Load() < 8<<20) // buffers of the sockets included
+}
+
 func TestRunOnceReplaysAnswer(t *testing.T) {
 	is := is.New(t)
 	var runs atomic.Int32
