--- a/internal/detour/client.go
+++ b/internal/detour/client.go
@@ -18,6 +18,8 @@
 const (
 	// helperTimeout bounds the connection to another entry node.
 	helperTimeout = 250 * time.Millisecond
+	// helperPatience is how long another entry node may take to connect to an upstream.
+	helperPatience = 400 * time.Millisecond
 	// maxHelpers is the number of entry nodes that are tried for one connection.
 	maxHelpers = 6
 	// maxFailed is the number of entry nodes that must have failed to connect to an upstream for it
@@ -79,11 +81,15 @@
 func (c *Client) Dial(ctx context.Context, addr string) (net.Conn, error) {
 	err, failed := errNoHelper, 0
 	for _, helper := range c.candidates() {
+		asked := time.Now()
 		conn, failure := c.dialThrough(ctx, helper, addr)
 		if failure == nil {
 			return conn, nil
 		}
 		err = errors.Wrapf(failure, "through %s", helper)
+		if ctx.Err() != nil && time.Since(asked) < helperPatience {
+			break // that says nothing about the helper
+		}
 		if !errors.Is(failure, errUpstreamFailed) {
 			c.pause(helper)
 		} else if failed++; failed == maxFailed {
--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -258,3 +258,25 @@
 	l.Close()
 	is.NoErr(<-ended)
 }
+
+// TestCallerWhoLeavesDoesNotPauseHelper has a caller leave while the only helper connects to an upstream that does not
+// answer. The next caller must be helped at once.
+func TestCallerWhoLeavesDoesNotPauseHelper(t *testing.T) {
+	is := is.New(t)
+	upstream := listen(t, echo)
+	dial := func(ctx context.Context, addr string) (net.Conn, error) {
+		if addr == upstream {
+			return direct(ctx, addr)
+		}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	c := client(secret, helper(t, dial, upstream, "192.0.2.1:80"))
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := c.Dial(ctx, "192.0.2.1:80")
+	is.True(err != nil)
+	conn, err := c.Dial(t.Context(), upstream)
+	is.NoErr(err)
+	conn.Close()
+}
--- a/internal/detour/frame.go
+++ b/internal/detour/frame.go
@@ -121,6 +121,9 @@
 	return nil
 }
 
+// Relayed reports that the connection leads through another node.
+func (c *framedConn) Relayed() bool { return true }
+
 // SyscallConn implements syscall.Conn.
 func (c *framedConn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
 
@@ -134,6 +137,9 @@
 	return n, helperError(err)
 }
 
+// Relayed reports that the connection leads through another node.
+func (c *unframedConn) Relayed() bool { return true }
+
 // SyscallConn implements syscall.Conn.
 func (c *unframedConn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
 
