edge: silent upstreams are probed directly, and judged only by a node that is not cut off

It now probes directly, and takes a failed probe for the end of the upstream only if it has heard another one directly since that fell silent.

--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -28,7 +28,7 @@
 	// time between them; a lost packet must not count.
 	maxProbes  = 3
 	probePause = 300 * time.Millisecond
-	// maxUnheard is how recently a node must have heard some upstream to judge others by their silence.
+	// maxUnheard is how recently a node must have heard some upstream directly to judge others by their silence.
 	maxUnheard = 2 * time.Second
 	// trialTimeout bounds the wait for the leader's word on whether a call is sent on trial.
 	trialTimeout = 300 * time.Millisecond
@@ -245,15 +245,15 @@
 	}
 }
 
-// probeSilent finds out whether a silent upstream accepts connections. If not, it has ended, unless this node hears no
-// upstream at all.
+// probeSilent finds out whether a silent upstream accepts connections. If not, it has ended, unless this node is cut
+// off itself: then it hears no other upstream directly.
 func (e *Edge) probeSilent(u quarantine.SilentUpstream) {
 	for i := range maxProbes {
 		if i > 0 {
 			time.Sleep(probePause)
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
-		conn, err := e.paths.Dial(ctx, u.Addr)
+		conn, err := e.dial(ctx, u.Addr)
 		cancel()
 		if err == nil {
 			conn.Close()
@@ -263,7 +263,8 @@
 	}
 	e.loop.Post(func() {
 		now := boottime.Now()
-		if now-e.pool.LastReadFromAny() > maxUnheard {
+		heard := e.pool.LastDirectRead()
+		if heard < u.Since+minSilence || now-heard > maxUnheard {
 			return
 		}
 		losses := e.suspicions.Ended(u.Incarnation, e.pool.LastRead, now)
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -58,6 +58,8 @@
 	// dial opens a connection to an address.
 	dial Dial
 
+	lastDirectRead atomic.Int64
+
 	mu    sync.Mutex
 	hosts map[string]*host
 	stats Stats
@@ -181,6 +183,9 @@
 	p.count(func(s *Stats) { s.Opened++ })
 	lastRead := p.lastReadOf(addr)
 	source := &source{conn: conn, lastRead: lastRead, left: math.MaxInt64}
+	if _, relayed := conn.(interface{ Relayed() bool }); !relayed {
+		source.lastDirectRead = &p.lastDirectRead
+	}
 	return &Conn{
 		pool: p, addr: addr, conn: conn, lastRead: lastRead, source: source, carried: []uint64{call},
 		reader: bufio.NewReaderSize(source, readBufferSize),
@@ -198,16 +203,9 @@
 	return 0
 }
 
-// LastReadFromAny is LastRead over all addresses in use.
-func (p *Pool) LastReadFromAny() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var last int64
-	for _, h := range p.hosts {
-		last = max(last, h.lastRead.Load())
-	}
-	return time.Duration(last)
-}
+// LastDirectRead returns when a byte was last read from any connection that does not lead through another node, on
+// the clock of package boottime; zero if none was.
+func (p *Pool) LastDirectRead() time.Duration { return time.Duration(p.lastDirectRead.Load()) }
 
 // lastReadOf returns the variable that holds the time of the last read from an address.
 // All connections to the address share it.
@@ -222,7 +220,9 @@
 type source struct {
 	conn     net.Conn
 	lastRead *atomic.Int64
-	left     int64
+	// lastDirectRead is nil for a connection through another node.
+	lastDirectRead *atomic.Int64
+	left           int64
 }
 
 // errTooManyBytes means that an upstream sent too much before the answer to a call began.
@@ -236,7 +236,11 @@
 	n, err := s.conn.Read(p[:min(int64(len(p)), s.left)])
 	if n > 0 {
 		s.left -= int64(n)
-		s.lastRead.Store(int64(boottime.Now()))
+		now := int64(boottime.Now())
+		s.lastRead.Store(now)
+		if s.lastDirectRead != nil {
+			s.lastDirectRead.Store(now)
+		}
 	}
 	return n, err
 }
--- a/quarantine/suspicion.go
+++ b/quarantine/suspicion.go
@@ -36,6 +36,8 @@
 type SilentUpstream struct {
 	Incarnation fleet.Incarnation
 	Addr        string
+	// Since is when it was last heard, or the call was sent.
+	Since time.Duration
 }
 
 // LastRead tells when a byte was last read from an address; zero if none was.
@@ -59,9 +61,8 @@
 			continue
 		}
 		p.probed = true
-		u := SilentUpstream{Incarnation: p.loss.Engine, Addr: p.addr}
-		if !slices.Contains(due, u) {
-			due = append(due, u)
+		if !slices.ContainsFunc(due, func(u SilentUpstream) bool { return u.Incarnation == p.loss.Engine }) {
+			due = append(due, SilentUpstream{Incarnation: p.loss.Engine, Addr: p.addr, Since: p.silentSince})
 		}
 	}
 	return due
