--- a/internal/detour/end_test.go
+++ b/internal/detour/end_test.go
@@ -214,7 +214,7 @@
 }
 
 // dialWithoutFrames takes a detour as a node of an earlier build does.
-func dialWithoutFrames(t *testing.T, helper, upstream string) (net.Conn, *bufio.Reader) {
+func dialWithoutFrames(t *testing.T, helper, upstream string) *bufio.Reader {
 	t.Helper()
 	conn, err := net.Dial("tcp", helper)
 	if err != nil {
@@ -233,7 +233,7 @@
 	if err != nil || answer != "connected\n" {
 		t.Fatal(answer, err)
 	}
-	return conn, reader
+	return reader
 }
 
 // TestNodeWithoutFrames has a node of an earlier build take detours through this one. Such a node takes every
@@ -244,14 +244,14 @@
 		_, _ = io.WriteString(conn, part)
 		conn.Close()
 	})
-	_, reader := dialWithoutFrames(t, helper(t, direct, ending), ending)
+	reader := dialWithoutFrames(t, helper(t, direct, ending), ending)
 	got, err := io.ReadAll(reader)
 	is.NoErr(err)
 	is.Equal(string(got), part)
 
 	upstream := unfinished(t)
 	addr, kill := startHelper(t, upstream)
-	_, reader = dialWithoutFrames(t, addr, upstream)
+	reader = dialWithoutFrames(t, addr, upstream)
 	got = make([]byte, len(part))
 	_, err = io.ReadFull(reader, got)
 	is.NoErr(err)
--- a/internal/edge/streams_test.go
+++ b/internal/edge/streams_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -73,7 +74,7 @@
 			defer stop()
 			go func() { _ = e.loop.Run(ctx) }()
 			call := &call{
-				edge: e, r: httptest.NewRequest("POST", "/", nil), route: &routes.Route{Kind: routes.Stream},
+				edge: e, r: httptest.NewRequest(http.MethodPost, "/", nil), route: &routes.Route{Kind: routes.Stream},
 				deadline: boottime.Now() + 500*time.Millisecond,
 			}
 			call.pinned.Store(true)
