--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -179,9 +179,9 @@
 	checked := false
 	for {
 		line, err := reader.ReadSlice('\n')
-		var full error
-		if event, full = c.held.Append(event, line); full != nil {
-			err = full
+		var noMemory error
+		if event, noMemory = c.held.Append(event, line); noMemory != nil {
+			err = noMemory
 		}
 		switch {
 		case len(event) > maxEventBytes:
--- a/internal/edge/streams.go
+++ b/internal/edge/streams.go
@@ -116,8 +116,8 @@
 	}
 }
 
-// awaitList pauses an attempt that must not go on before this node has a recent list of upstreams. A node that stood
-// still, or is cut off from the leader, does not know of upstreams that have started again under their IDs.
+// awaitList pauses an attempt that must not go on before this node has a recent list of upstreams. A node that was
+// suspended, or is cut off from the leader, does not know of upstreams that have started again under their IDs.
 func (c *call) awaitList() {
 	c.awaitsRecord.Store(true)
 	defer c.awaitsRecord.Store(false)
