--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -48,6 +48,8 @@
 	dispatchCall dispatch.Call
 	// attemptID identifies the current attempt to the dispatcher.
 	attemptID dispatch.CallID
+	// conn is the connection of the current attempt; nil until there is one.
+	conn *upstreamconn.Conn
 	// sentAt is when the current attempt was sent to its upstream; zero before that.
 	sentAt time.Duration
 
@@ -310,7 +312,7 @@
 	c.sends++
 	c.answerStarted.Store(false)
 	c.movedOnStall.Store(false)
-	c.sentAt = 0
+	c.sentAt, c.conn = 0, nil
 	result, end := c.exchange(u)
 	c.finishAttempt(result)
 	c.reportCrashEvidence(u, result)
@@ -332,6 +334,7 @@
 	if err != nil {
 		return c.endUnsent(u, err)
 	}
+	c.conn = conn
 	// Closing the connection cancels the call at the upstream when the caller leaves or
 	// the deadline passes.
 	stop := context.AfterFunc(ctx, conn.Close)
@@ -396,6 +399,10 @@
 		c.edge.loop.Post(func() { c.edge.recordStreamQuality(u.ID, true) })
 	}
 	fields := eventlog.Fields{"upstream": u.ID, "error": err.Error(), "lastEvent": c.lastEventID, "request": c.fingerprint}
+	if c.conn != nil {
+		from := c.conn.Provenance()
+		fields["conn"], fields["connCalls"], fields["detour"] = from.Conn, from.Calls, from.Relayed
+	}
 	if len(c.caller.SharedParts) > 0 {
 		fields["parts"] = c.caller.SharedParts
 	}
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -55,8 +55,9 @@
 
 // Answer is what the header of an upstream's answer states in addition to the status.
 type Answer struct {
-	// NotRun is set if the upstream did not run the call.
-	NotRun bool
+	// NotRun is set if the upstream did not run the call. StatesNotRun is set if the answer says so in its header,
+	// and not by its status alone.
+	NotRun, StatesNotRun bool
 	// Genuine is set if the answer bears the upstream's signature and its body was not
 	// re-encoded on the way.
 	Genuine bool
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -42,8 +42,10 @@
 // Conn is a connection to an upstream. It is used by one goroutine at a time; only
 // Close may be called from any.
 type Conn struct {
-	pool   *Pool
-	addr   string
+	pool *Pool
+	addr string
+	// number counts the connections of the pool, from 1.
+	number int
 	conn   net.Conn
 	reader *bufio.Reader
 	// source is what reader reads from.
@@ -68,6 +70,26 @@
 	idleUntil time.Time
 }
 
+// Provenance tells what is known of the origin of the current answer.
+type Provenance struct {
+	// Conn is the number of the connection in its pool, from 1. Calls counts the calls that it has carried, the
+	// current one included.
+	Conn, Calls int
+	// Relayed is set if the connection leads through another node.
+	Relayed bool
+	// Named is set if the answer names the call. Disturbed is set if an answer to another call came on the
+	// connection before.
+	Named, Disturbed bool
+}
+
+// Provenance returns what is known of the origin of the answer that Receive returned last.
+func (c *Conn) Provenance() Provenance {
+	_, relayed := c.conn.(interface{ Relayed() bool })
+	return Provenance{
+		Conn: c.number, Calls: len(c.carried), Relayed: relayed, Named: c.verified, Disturbed: c.disturbed,
+	}
+}
+
 // reused reports whether the connection has carried an earlier call.
 func (c *Conn) reused() bool { return len(c.carried) > 1 }
 
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -180,14 +180,18 @@
 		p.connClosed(addr)
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", addr), ErrNotSent)
 	}
-	p.count(func(s *Stats) { s.Opened++ })
+	number := 0
+	p.count(func(s *Stats) {
+		s.Opened++
+		number = int(s.Opened)
+	})
 	lastRead := p.lastReadOf(addr)
 	source := &source{conn: conn, lastRead: lastRead, left: math.MaxInt64}
 	if _, relayed := conn.(interface{ Relayed() bool }); !relayed {
 		source.lastDirectRead = &p.lastDirectRead
 	}
 	return &Conn{
-		pool: p, addr: addr, conn: conn, lastRead: lastRead, source: source, carried: []uint64{call},
+		pool: p, addr: addr, number: number, conn: conn, lastRead: lastRead, source: source, carried: []uint64{call},
 		reader: bufio.NewReaderSize(source, readBufferSize),
 	}, nil
 }
