edge: only the upstream's own word on an attempt proves that a call did not run

Callers were told 503, 429, 408 or 421, which promise that a call has not run and will not, for calls that ran (REFUSED), and such calls were sent once more (TWICE).

Cause: a refusal needed nothing to be believed. The edge took for "not run" an answer without the call's ID on a new connection, any 421, and passed on 503, 429 and 408 that an upstream gave without stating that it did not run the call. A success has to be signed; so late or foreign bytes gave REFUSED and TWICE and never MIXED.

Now a refusal counts only if it names the call, states that the call did not run, and comes on a connection on which no answer to another call came before. After any other the outcome is unknown: the call is sent again only where it may be repeated, and the caller gets 502 or 504. The dispatcher pauses an upstream that gives such answers (Doubtful), from 200 ms up to 3 s, until it serves a call, so that callers don't pay each time; it is not counted as evidence that the call crashed its upstream.

TestUpstreamOfDoubtfulRefusalsGetsFewCalls replays the load at the dispatcher.

Ruled out: waiting for a named answer after an unnamed one; a sound upstream that names none would be waited for until the deadline.

Beside: nothing changes on links or in replicated state; its entry nodes keep the fault.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -82,6 +82,8 @@
 	// consecutiveLost and consecutiveUnreachable count the Lost and Unreachable results
 	// since the upstream's latest answer.
 	consecutiveLost, consecutiveUnreachable int
+	// consecutiveDoubtful counts the Doubtful results since the latest call that was served.
+	consecutiveDoubtful int
 	// unreachableAt is when a call last could not be sent there.
 	unreachableAt time.Duration
 	// probing is set while one call tests whether an unreachable upstream answers again;
@@ -125,7 +127,7 @@
 	u.probing = false
 	switch result {
 	case Served:
-		u.consecutiveLost, u.consecutiveUnreachable = 0, 0
+		u.consecutiveLost, u.consecutiveUnreachable, u.consecutiveDoubtful = 0, 0, 0
 	case Abandoned:
 		return
 	case Rejected:
@@ -145,6 +147,11 @@
 		if u.consecutiveLost >= lossesBeforePause {
 			u.backOff(l, u.consecutiveLost-lossesBeforePause, now)
 		}
+	case Doubtful:
+		// Whatever refuses calls without proof does so again, and each time a caller cannot know whether to repeat.
+		failed = 1
+		u.consecutiveDoubtful++
+		u.backOff(l, u.consecutiveDoubtful-1, now)
 	case Unreachable:
 		failed = 1
 		u.consecutiveUnreachable++
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -150,6 +150,41 @@
 	is.Equal(d.Health("a", limits.Backoff).PausedFor, 2*limits.Backoff)
 }
 
+// TestUpstreamOfDoubtfulRefusalsGetsFewCalls guards against an upstream whose refusals prove nothing taking call after
+// call, each with an unknown outcome, while another one has room.
+func TestUpstreamOfDoubtfulRefusalsGetsFewCalls(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("a", 64, "m"), engine("b", 64, "m"))
+	const calls, interval = 1000, 10 * ms
+	doubtful, pauses := 0, []time.Duration{}
+	for id := 1; id <= calls; id++ {
+		now := time.Duration(id) * interval
+		result := dispatch.Served
+		if started(d.Submit(call(id, "m", 1, now), now))[dispatch.CallID(id)] == "a" {
+			doubtful++
+			result = dispatch.Doubtful
+		}
+		d.Finish(dispatch.CallID(id), result, now)
+		if result == dispatch.Doubtful {
+			pauses = append(pauses, d.Health("a", now).PausedFor)
+		}
+	}
+	limits := dispatch.DefaultLimits()
+	is.True(doubtful > 0 && doubtful <= 8) // the first pauses and one try in each longest one
+	is.Equal(pauses[0], limits.Backoff)
+	for _, p := range pauses {
+		is.True(p <= limits.MaxBackoff)
+	}
+	// A call that is served ends the doubts.
+	now := calls*interval + limits.MaxBackoff
+	d.Update([]fleet.Upstream{{ID: "b", Gone: true}}, now)
+	is.Equal(len(started(d.Submit(call(calls+1, "m", 1, now), now))), 1)
+	d.Finish(calls+1, dispatch.Served, now)
+	is.Equal(len(started(d.Submit(call(calls+2, "m", 1, now), now))), 1)
+	d.Finish(calls+2, dispatch.Doubtful, now)
+	is.Equal(d.Health("a", now).PausedFor, limits.Backoff)
+}
+
 func TestLeavingAndGoneUpstreamsGetNoCalls(t *testing.T) {
 	is := is.New(t)
 	a, b := engine("a", 4, "m"), engine("b", 4, "m")
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -102,6 +102,8 @@
 	Failed
 	// Lost calls were sent and got no answer, or only part of one.
 	Lost
+	// Doubtful calls were answered with a refusal that does not prove that they did not run.
+	Doubtful
 	// Unreachable calls could not be sent.
 	Unreachable
 	// Abandoned calls were ended on this side, so that they show nothing about the
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -67,12 +67,9 @@
 		})
 	}
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
-	if answer.NotRun || promisesNotRun(resp.StatusCode) {
-		c.logRefusal(u, conn, resp.StatusCode, answer)
-	}
 	switch {
-	case answer.NotRun:
-		return c.endRejected(u, conn, resp)
+	case answer.NotRun || promisesNotRun(resp.StatusCode):
+		return c.endRefused(u, conn, resp, answer)
 	case success && !answer.Genuine:
 		conn.Close()
 		return c.endLost(u, errors.Newf("answer with status %d is not from the upstream", resp.StatusCode))
@@ -86,46 +83,6 @@
 	return c.relayWhole(u, conn, resp)
 }
 
-// promisesNotRun reports whether callers take an answer with the given status for a promise that their call has not
-// run and will not run.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
-// logRefusal logs and counts an answer that may mean that the call did not run, with all that tells whether it comes
-// from the upstream and answers this attempt.
-func (c *call) logRefusal(u *fleet.Upstream, conn *upstreamconn.Conn, status int, answer Answer) {
-	from := conn.Provenance()
-	kind := "stated"
-	switch {
-	case !from.Named:
-		kind = "unnamed"
-	case from.Disturbed:
-		kind = "after an answer to another call"
-	case !answer.StatesNotRun:
-		kind = "not stated"
-	}
-	c.edge.metrics.Count("upstream refusal: " + kind)
-	c.log("upstream refuses", eventlog.Fields{
-		"upstream": u.ID, "status": status, "conn": from.Conn, "connCalls": from.Calls, "detour": from.Relayed,
-		"named": from.Named, "disturbed": from.Disturbed, "stated": answer.StatesNotRun, "signed": answer.Genuine,
-	})
-}
-
-// endRejected ends an attempt whose upstream answered that it did not run the call.
-func (c *call) endRejected(u *fleet.Upstream, conn *upstreamconn.Conn, resp *http.Response) (dispatch.Result, attemptOutcome) {
-	c.discardRejection(conn, resp)
-	c.log("rejected", eventlog.Fields{"upstream": u.ID, "status": resp.StatusCode})
-	if resp.StatusCode == http.StatusMisdirectedRequest {
-		return dispatch.NotServed, outcomeNotRun
-	}
-	return dispatch.Rejected, outcomeNotRun
-}
-
 // discardRejection reads the rest of an answer that the caller does not get, so that its
 // connection can be used again. It closes the connection if that takes too long.
 func (c *call) discardRejection(conn *upstreamconn.Conn, resp *http.Response) {
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -161,7 +161,7 @@
 
 func (c *call) failed(last *Line) string {
 	text := fmt.Sprintf("The call ended after %s without a whole answer: %s. ", ms(last.number("age")), last.text("why"))
-	failure := c.last("lost", "not sent", "upstream silent", "failed at upstream", "rejected")
+	failure := c.last("lost", "not sent", "upstream silent", "failed at upstream", "upstream refuses", "rejected")
 	if failure == nil {
 		return strings.TrimSpace(text)
 	}
