edge: what an answer of unknown origin says of an upstream is not believed

An answer that named no call, on a new connection, took an upstream out for everyone: "Server-Leaving" was told to the leader and all nodes, for good; "Retry-After: 3600" stopped this node's calls for an hour; a rate limit of 0 went to all nodes. Callers were refused although the upstream was sound.

Load, leaving, pauses, limits and brittleness are recorded now only from an answer that names the call or is signed.

Beside: links and state are unchanged.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -38,10 +38,32 @@
 // relay handles the answer whose header resp holds, and passes it on to the caller
 // where possible.
 func (c *call) relay(u *fleet.Upstream, conn *upstreamconn.Conn, resp *http.Response) (dispatch.Result, attemptOutcome) {
-	now := boottime.Now()
 	answer := c.edge.dialect.Answer(resp.StatusCode, resp.Header)
-	id := c.attemptID
 	c.answerStarted.Store(true)
+	if conn.Provenance().Named || answer.Genuine {
+		c.observe(u, answer)
+	}
+	success := resp.StatusCode >= 200 && resp.StatusCode < 300
+	switch {
+	case answer.NotRun || promisesNotRun(resp.StatusCode):
+		return c.endRefused(u, conn, resp, answer)
+	case success && !answer.Genuine:
+		conn.Close()
+		return c.endLost(u, errors.Newf("answer with status %d is not from the upstream", resp.StatusCode))
+	case success && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream):
+		return c.relayStream(u, conn, resp)
+	case c.streamStarted:
+		// The caller already has the header of a stream, so that no other answer can follow.
+		conn.Close()
+		return c.endLost(u, errors.Newf("resumed stream was answered with status %d", resp.StatusCode))
+	}
+	return c.relayWhole(u, conn, resp)
+}
+
+// observe records what the upstream says of itself with its answer. What an answer says that neither names the call nor
+// is signed may not come from the upstream, and is not recorded.
+func (c *call) observe(u *fleet.Upstream, answer Answer) {
+	now, id := boottime.Now(), c.attemptID
 	c.edge.loop.Post(func() {
 		c.edge.dispatcher.Observe(id, answer.Load, now)
 		c.edge.dispatcher.FirstByte(id)
@@ -66,21 +88,6 @@
 			"upstream": u.ID, "leaving": answer.Leaving, "pauseMillis": answer.Pause.Milliseconds(),
 		})
 	}
-	success := resp.StatusCode >= 200 && resp.StatusCode < 300
-	switch {
-	case answer.NotRun || promisesNotRun(resp.StatusCode):
-		return c.endRefused(u, conn, resp, answer)
-	case success && !answer.Genuine:
-		conn.Close()
-		return c.endLost(u, errors.Newf("answer with status %d is not from the upstream", resp.StatusCode))
-	case success && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream):
-		return c.relayStream(u, conn, resp)
-	case c.streamStarted:
-		// The caller already has the header of a stream, so that no other answer can follow.
-		conn.Close()
-		return c.endLost(u, errors.Newf("resumed stream was answered with status %d", resp.StatusCode))
-	}
-	return c.relayWhole(u, conn, resp)
 }
 
 // discardRejection reads the rest of an answer that the caller does not get, so that its
