edge: an answer that neither names the call nor is signed is not passed on

Bytes of unknown origin on a new connection were passed on as the upstream's answer if they looked like a failure: a caller got 404, which it does not repeat, for a call that ran. Such an answer is a loss now: the call is repeated elsewhere where it may be, and is 502 otherwise.

TestUnnamedFailureIsNotPassedOn: 404 before; now 20 of 20 repeatable calls are served beside an upstream that is disturbed, and calls that may run once get 200 or 502.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -40,14 +40,15 @@
 func (c *call) relay(u *fleet.Upstream, conn *upstreamconn.Conn, resp *http.Response) (dispatch.Result, attemptOutcome) {
 	answer := c.edge.dialect.Answer(resp.StatusCode, resp.Header)
 	c.answerStarted.Store(true)
-	if conn.Provenance().Named || answer.Genuine {
+	certain := conn.Provenance().Named || answer.Genuine
+	if certain {
 		c.observe(u, answer)
 	}
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	switch {
 	case answer.NotRun || promisesNotRun(resp.StatusCode):
 		return c.endRefused(u, conn, resp, answer)
-	case success && !answer.Genuine:
+	case !certain || success && !answer.Genuine:
 		conn.Close()
 		return c.endLost(u, errors.Newf("answer with status %d is not from the upstream", resp.StatusCode))
 	case success && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream):
