gateway: a refusal that does not name the attempt is no proof

The product's own nodes told callers "not-run", recorded that in the ledger and sent calls again, although the calls had run: a call that may run at most once ran twice.

Cause: an answer without an attempt ID on a new connection was taken for the attempt's, X-Not-Run included; so were a header that breaks off and goes on with another answer, and a success that says that it did not run.

Now X-Not-Run counts only with the ID of the attempt and a status of 400 or above. After any other the outcome is unknown: a repeatable call goes elsewhere within the retry budget, any other is 502 with "unknown", and its claim is settled as unknown, so that no repeat runs it. The upstream counts as failed, which opens its breaker after three. The stand-in engines and services refused without the ID, against docs/PROTOCOLS.md; they name the attempt now.

An operator can tell the cases apart by proved_refusals, doubtful_refusals and the log line of the latter.

Beside: nothing changes on links or in replicated state.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -201,28 +201,44 @@
 	if id == "" && !reused {
 		s.unnamed.Store(a.route.Addr, struct{}{})
 	}
-	if id != a.id && (id != "" || reused) {
+	if id != a.id && (id != "" || reused) || resp.spliced {
 		s.metrics.ForeignAnswers.Add(1)
 		resp.close()
 		return nil, &attemptError{ran: RanUnknown, err: errors.Newf("upstream %s answered another attempt", a.route.Upstream)}
 	}
 	if resp.header.Get(headerNotRun) == "true" {
-		resp.close()
-		return nil, &attemptError{ran: NotRun, refused: true, err: errors.Newf("upstream %s refused with status %d", a.route.Upstream, resp.status)}
+		return nil, s.endRefused(resp, a, id == a.id)
 	}
 	return resp, nil
 }
 
+// endRefused closes an answer that says that the call was not run, and returns the *attemptError. Only the upstream can
+// know that: an answer that does not name the attempt may come from anyone, and one with a status of success contradicts
+// itself. After such an answer the call may have run.
+func (s *sender) endRefused(resp *answer, a attempt, named bool) error {
+	resp.close()
+	if named && resp.status >= http.StatusBadRequest {
+		s.metrics.ProvedRefusals.Add(1)
+		return &attemptError{ran: NotRun, refused: true, err: errors.Newf("upstream %s refused with status %d", a.route.Upstream, resp.status)}
+	}
+	s.metrics.DoubtfulRefusals.Add(1)
+	s.log.WithFields(logrus.Fields{"upstream": a.route.Upstream, "attempt": a.id, "status": resp.status, "named": named}).
+		Warn("refusal proves nothing, the call may have run")
+	return &attemptError{ran: RanUnknown, err: errors.Newf("refusal with status %d is not proved to be from upstream %s", resp.status, a.route.Upstream)}
+}
+
 // answer is an upstream's response whose header has arrived and whose body is still to
 // be read.
 type answer struct {
 	status int
 	header http.Header
 	body   io.ReadCloser
+	// spliced reports whether the header contains the beginning of another answer.
+	spliced bool
 }
 
 func newAnswer(resp *http.Response) *answer {
-	return &answer{status: resp.StatusCode, header: resp.Header, body: resp.Body}
+	return &answer{status: resp.StatusCode, header: resp.Header, body: resp.Body, spliced: upstreamconn.IsSpliced(resp)}
 }
 
 // close closes the body. If the body was not read to its end, this also closes the
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -210,10 +210,7 @@
 
 func TestUpstreamRefusalIsRetried(t *testing.T) {
 	is := is.New(t)
-	_, _, url := newGateway(t, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set(headerNotRun, "true")
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	_, _, url := newGateway(t, refuseCall, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
 	resp, body, err := sendRequest(t, "POST", url+"/v1/completions", `{"model":"a"}`)
 	is.NoErr(err)
 	is.Equal(body, "ok")
@@ -226,10 +223,9 @@
 func TestBusyUpstreamIsRetried(t *testing.T) {
 	is := is.New(t)
 	var asked atomic.Int32
-	_, _, url := newGateway(t, func(w http.ResponseWriter, _ *http.Request) {
+	_, _, url := newGateway(t, func(w http.ResponseWriter, r *http.Request) {
 		if asked.Add(1) <= 10 {
-			w.Header().Set(headerNotRun, "true")
-			w.WriteHeader(http.StatusServiceUnavailable)
+			refuseCall(w, r)
 			return
 		}
 		_, _ = io.WriteString(w, "ok")
@@ -244,14 +240,13 @@
 func TestRefusalReportsUnknownRun(t *testing.T) {
 	is := is.New(t)
 	var cut atomic.Bool
-	_, f, url := newGateway(t, func(w http.ResponseWriter, _ *http.Request) {
+	_, f, url := newGateway(t, func(w http.ResponseWriter, r *http.Request) {
 		if cut.CompareAndSwap(false, true) {
 			conn, _, _ := w.(http.Hijacker).Hijack()
 			_ = conn.Close()
 			return
 		}
-		w.Header().Set(headerNotRun, "true")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		refuseCall(w, r)
 	})
 	f.contract.Wait = contract.Duration(400 * time.Millisecond)
 	resp, _, err := sendRequest(t, "POST", url+"/v1/completions", `{"model":"m"}`)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,10 @@
 	// ForeignAnswers counts answers that were dropped because they carried the ID of
 	// another attempt.
 	ForeignAnswers *expvar.Int
+	// ProvedRefusals counts answers that prove that the attempt was not run. DoubtfulRefusals
+	// counts those that say so and prove nothing.
+	ProvedRefusals   *expvar.Int
+	DoubtfulRefusals *expvar.Int
 	// Replayed counts recorded answers that were sent to repeated calls.
 	Replayed *expvar.Int
 }
@@ -31,12 +35,14 @@
 	refused := new(expvar.Map).Init()
 	m.Set("refused", refused)
 	return &Metrics{
-		Answered:       counter("answered"),
-		Refused:        refused,
-		Broken:         counter("broken"),
-		Retries:        counter("retries"),
-		Resumed:        counter("resumed"),
-		ForeignAnswers: counter("foreign_answers"),
-		Replayed:       counter("replayed"),
+		Answered:         counter("answered"),
+		Refused:          refused,
+		Broken:           counter("broken"),
+		Retries:          counter("retries"),
+		Resumed:          counter("resumed"),
+		ForeignAnswers:   counter("foreign_answers"),
+		ProvedRefusals:   counter("proved_refusals"),
+		DoubtfulRefusals: counter("doubtful_refusals"),
+		Replayed:         counter("replayed"),
 	}
 }
--- a/internal/gateway/outage_test.go
+++ b/internal/gateway/outage_test.go
@@ -109,9 +109,9 @@
 	is := is.New(t)
 	var lateCalls atomic.Int32
 	asked := make(chan struct{})
-	g, f, url := newGateway(t, func(w http.ResponseWriter, _ *http.Request) {
+	g, f, url := newGateway(t, func(w http.ResponseWriter, r *http.Request) {
 		<-asked
-		w.Header().Set(headerNotRun, "true")
+		refuseCall(w, r)
 	}, func(http.ResponseWriter, *http.Request) { lateCalls.Add(1) })
 	release := sync.OnceFunc(func() { close(asked) })
 	t.Cleanup(release) // closing the upstream waits for its handlers
--- a/internal/standin/announce_test.go
+++ b/internal/standin/announce_test.go
@@ -96,6 +96,7 @@
 	is.NoErr(err)
 	is.NoErr(r.Body.Close())
 	is.Equal(r.Header.Get(engine.HeaderNotRun), engine.NotRun)
+	is.Equal(r.Header.Get(engine.HeaderAttempt), "a1") // or the refusal would prove nothing
 	is.Equal(len(s.Journal()), 0)
 
 	s.SetFaults(Faults{CutAfter: 1})
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -57,17 +57,17 @@
 		return
 	}
 	if faults.Refuse {
-		writeNotRun(w, http.StatusServiceUnavailable, "refused", "refused by script")
+		writeNotRun(w, r, http.StatusServiceUnavailable, "refused", "refused by script")
 		return
 	}
 	replica := e.acquireReplica(g.Model)
 	if replica == nil {
-		writeNotRun(w, http.StatusServiceUnavailable, "model_not_loaded", "no replica serves "+g.Model)
+		writeNotRun(w, r, http.StatusServiceUnavailable, "model_not_loaded", "no replica serves "+g.Model)
 		return
 	}
 	defer e.releaseReplica(replica)
 	if err := e.slots.acquire(r.Context(), g.priority); err != nil {
-		writeNotRun(w, http.StatusTooManyRequests, "slots_full", err.Error())
+		writeNotRun(w, r, http.StatusTooManyRequests, "slots_full", err.Error())
 		return
 	}
 	defer e.slots.release()
@@ -83,11 +83,11 @@
 func (g *generationRequest) decode(w http.ResponseWriter, r *http.Request) bool {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
-		writeNotRun(w, http.StatusBadRequest, "unreadable_body", err.Error())
+		writeNotRun(w, r, http.StatusBadRequest, "unreadable_body", err.Error())
 		return false
 	}
 	if err := json.Unmarshal(body, g); err != nil {
-		writeNotRun(w, http.StatusBadRequest, "invalid_body", err.Error())
+		writeNotRun(w, r, http.StatusBadRequest, "invalid_body", err.Error())
 		return false
 	}
 	g.body = body
@@ -102,7 +102,7 @@
 	if from := r.Header.Get(engine.HeaderResumeFrom); from != "" {
 		g.resumeFrom, err = strconv.Atoi(from)
 		if err != nil || g.resumeFrom < 0 || g.resumeFrom > g.MaxTokens {
-			writeNotRun(w, http.StatusBadRequest, "invalid_resume", "resume index is out of range")
+			writeNotRun(w, r, http.StatusBadRequest, "invalid_resume", "resume index is out of range")
 			return false
 		}
 		w.Header().Set(engine.HeaderResumeFrom, from)
@@ -110,7 +110,7 @@
 	if priority := r.Header.Get(engine.HeaderPriority); priority != "" {
 		g.priority, err = strconv.Atoi(priority)
 		if err != nil {
-			writeNotRun(w, http.StatusBadRequest, "invalid_priority", "priority is not a number")
+			writeNotRun(w, r, http.StatusBadRequest, "invalid_priority", "priority is not a number")
 			return false
 		}
 	}
--- a/internal/standin/main_test.go
+++ b/internal/standin/main_test.go
@@ -185,11 +185,12 @@
 func TestNotRunWithoutReplica(t *testing.T) {
 	is := is.New(t)
 	e := startEngine(t, nil)
-	r, err := requestChat(t, e.Addr(), false, 3)
+	r, err := requestChat(t, e.Addr(), false, 3, engine.HeaderAttempt, "a1")
 	is.NoErr(err)
 	defer r.Body.Close()
 	is.Equal(r.StatusCode, http.StatusServiceUnavailable)
 	is.Equal(r.Header.Get(engine.HeaderNotRun), engine.NotRun)
+	is.Equal(r.Header.Get(engine.HeaderAttempt), "a1") // or the refusal would prove nothing
 	is.Equal(len(e.Journal()), 0)
 }
 
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -176,9 +176,10 @@
 	_ = json.NewEncoder(w).Encode(value)
 }
 
-// writeNotRun writes an OpenAI error response with the header that states that the
-// request did not run.
-func writeNotRun(w http.ResponseWriter, status int, code, message string) {
+// writeNotRun writes an OpenAI error response with the headers that name the attempt r and
+// state that it did not run.
+func writeNotRun(w http.ResponseWriter, r *http.Request, status int, code, message string) {
+	w.Header().Set(engine.HeaderAttempt, r.Header.Get(engine.HeaderAttempt))
 	w.Header().Set(engine.HeaderNotRun, engine.NotRun)
 	writeError(w, status, code, message)
 }
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -145,16 +145,16 @@
 		return
 	}
 	if faults.Refuse {
-		writeNotRun(w, http.StatusServiceUnavailable, "refused", "refused by script")
+		writeNotRun(w, r, http.StatusServiceUnavailable, "refused", "refused by script")
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
-		writeNotRun(w, http.StatusBadRequest, "unreadable_body", err.Error())
+		writeNotRun(w, r, http.StatusBadRequest, "unreadable_body", err.Error())
 		return
 	}
 	if err := s.slots.acquire(r.Context(), 0); err != nil {
-		writeNotRun(w, http.StatusTooManyRequests, "slots_full", err.Error())
+		writeNotRun(w, r, http.StatusTooManyRequests, "slots_full", err.Error())
 		return
 	}
 	defer s.slots.release()
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -180,7 +180,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if isSpliced(resp) {
+		if IsSpliced(resp) {
 			return nil, errors.Wrap(errSpliced, c.addr)
 		}
 		switch by := owner(resp.Header); {
@@ -206,10 +206,10 @@
 // statusLine is the beginning of an answer.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
 
-// isSpliced reports whether the header of an answer contains the beginning of another one. An upstream that
+// IsSpliced reports whether the header of an answer contains the beginning of another one. An upstream that
 // breaks off one answer and goes on with the next produces a header with the status of the first and the ID of
 // the second.
-func isSpliced(resp *http.Response) bool {
+func IsSpliced(resp *http.Response) bool {
 	if statusLine.MatchString(resp.Status) {
 		return true
 	}
