gateway: clients aren't invited to repeat a call that may have run

The OpenAI client libraries repeat a call by themselves after 408, 409, 429 and any status from 500 on, unless X-Should-Retry says no. A call that may run at most once, whose upstream ran it and answered with such a status, reached the caller without that header, or with the upstream's "true"; sent again without a key it ran twice. And 408, 421, 429 and 503 without X-Not-Run carried X-Agateslip-Ran: ran, which nobody knows.

Now errors that answer such a call carry X-Should-Retry: false, replays too, and those four statuses "unknown". The status stays the upstream's: here the promise is X-Agateslip-Ran, not the status. Repeatable calls keep what the upstream says of repeats.

Evidence: go test ./internal/gateway -run 'NoProof|Unproved'. Before: the five status cases but 421 failed ("status 503, ran, X-Should-Retry "", and it ran"), TestUnprovedStatusIsNotSaidToHaveRun "ran != unknown". Both pass now, as does the package.

Beside: the ledger is unchanged. The headers are set when an answer is sent, so records of older nodes get them too.

--- a/internal/gateway/cost_test.go
+++ b/internal/gateway/cost_test.go
@@ -29,7 +29,7 @@
 func relayEvents(events []byte) error {
 	_, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
-	out := newRelay(&discardWriter{header: http.Header{}})
+	out := newRelay(&discardWriter{header: http.Header{}}, false)
 	out.watchdog = newWatchdog(cancel)
 	out.watchdog.arm(time.Minute)
 	defer out.watchdog.disarm()
--- a/internal/gateway/doubtful_test.go
+++ b/internal/gateway/doubtful_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -83,6 +84,18 @@
 	return listener.Addr().String()
 }
 
+// clientRepeats reports whether the OpenAI client libraries would repeat a call with this answer by themselves.
+func clientRepeats(resp *http.Response) bool {
+	switch resp.Header.Get("X-Should-Retry") {
+	case "true":
+		return true
+	case "false":
+		return false
+	}
+	return slices.Contains([]int{http.StatusRequestTimeout, http.StatusConflict, http.StatusTooManyRequests}, resp.StatusCode) ||
+		resp.StatusCode >= http.StatusInternalServerError
+}
+
 // TestRefusalsOfCallsThatRanAreNoProof guards against calls that ran and are refused as not run, or sent again, because
 // an answer looks like a refusal. One of two upstreams gives such answers.
 func TestRefusalsOfCallsThatRanAreNoProof(t *testing.T) {
@@ -103,7 +116,12 @@
 		"refusal that another answer goes on": {answer: func(h http.Header) string {
 			return "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: true\r\nX-Cut: " + served(h)
 		}},
-		"success that says it was not run": {answer: answerWith("200 OK", "X-Not-Run: true\r\n")},
+		"success that says it was not run":     {answer: answerWith("200 OK", "X-Not-Run: true\r\n")},
+		"status 503 only":                      {answer: answerWith("503 Service Unavailable", "Retry-After: 1\r\n")},
+		"status 429 only":                      {answer: answerWith("429 Too Many Requests", "")},
+		"status 408 only":                      {answer: answerWith("408 Request Timeout", "")},
+		"status 421 only":                      {answer: answerWith("421 Misdirected Request", "")},
+		"status 500, which clients may repeat": {answer: answerWith("500 Internal Server Error", "X-Should-Retry: true\r\n")},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var log runLog
@@ -123,8 +141,8 @@
 					if runs > 1 {
 						t.Fatalf("%s ran %d times", call, runs)
 					}
-					if runs == 1 && ran == string(NotRun) {
-						t.Fatalf("%s, try %d: status %d, %s, and it ran", call, try, resp.StatusCode, ran)
+					if runs == 1 && (ran == string(NotRun) || resp.StatusCode >= http.StatusBadRequest && clientRepeats(resp)) {
+						t.Fatalf("%s, try %d: status %d, %s, X-Should-Retry %q, and it ran", call, try, resp.StatusCode, ran, resp.Header.Get("X-Should-Retry"))
 					}
 				}
 				// Without a key nothing but the answer tells the caller that it must not repeat the call.
@@ -140,6 +158,24 @@
 	}
 }
 
+// TestUnprovedStatusIsNotSaidToHaveRun guards against answers of upstreams that callers are told to have run, although
+// their status says otherwise and proves nothing.
+func TestUnprovedStatusIsNotSaidToHaveRun(t *testing.T) {
+	for _, path := range []string{"/services/s/pay", "/services/s/list"} {
+		for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+			is := is.New(t)
+			_, _, url := newGateway(t, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(headerAttempt, r.Header.Get(headerAttempt))
+				w.WriteHeader(status)
+			})
+			resp, _, err := sendRequest(t, "POST", url+path, "{}")
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, status)
+			is.Equal(resp.Header.Get(HeaderRan), string(RanUnknown))
+		}
+	}
+}
+
 // TestSoundRefusalIsSentElsewhereAtOnce guards against distrust of full upstreams, whose refusals are the usual case.
 func TestSoundRefusalIsSentElsewhereAtOnce(t *testing.T) {
 	is := is.New(t)
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -32,6 +32,9 @@
 	HeaderReason = "X-Agateslip-Reason"
 	// HeaderRequestID holds the request ID, which also appears in the logs.
 	HeaderRequestID = engine.HeaderRequest
+	// headerShouldRetry tells the OpenAI client libraries whether to repeat the request by
+	// themselves, which they must not do for one that may have run.
+	headerShouldRetry = "X-Should-Retry"
 )
 
 // Reason tells why a request was refused or failed.
@@ -163,16 +166,14 @@
 	}
 }
 
-// write sends the refusal to the caller. X-Should-Retry tells the OpenAI client
-// libraries whether to retry on their own, which they must not do for a request that
-// may have run.
+// write sends the refusal to the caller.
 func (r *Refusal) write(w http.ResponseWriter) {
 	status := r.Status()
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderRan, string(r.Ran))
 	h.Set(HeaderReason, string(r.Reason))
-	h.Set("X-Should-Retry", strconv.FormatBool(r.Ran == NotRun && r.RetryAfter > 0))
+	h.Set(headerShouldRetry, strconv.FormatBool(r.Ran == NotRun && r.RetryAfter > 0))
 	if r.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
 		h.Set("Retry-After-Ms", strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -29,6 +29,8 @@
 type relay struct {
 	w          http.ResponseWriter
 	controller *http.ResponseController
+	// runsOnce reports whether the call may run at most once.
+	runsOnce bool
 	// headerSent reports whether the header of the answer was sent, after which the
 	// call can no longer be refused.
 	headerSent bool
@@ -41,8 +43,26 @@
 	watchdog *watchdog
 }
 
-func newRelay(w http.ResponseWriter) *relay {
-	return &relay{w: w, controller: http.NewResponseController(w)}
+func newRelay(w http.ResponseWriter, runsOnce bool) *relay {
+	return &relay{w: w, controller: http.NewResponseController(w), runsOnce: runsOnce}
+}
+
+// setOutcome sets the headers that tell the caller whether its call ran and, after an answer with an error to a call
+// that may run at most once, that the OpenAI client libraries must not repeat it by themselves.
+func (r *relay) setOutcome(status int) {
+	r.w.Header().Set(HeaderRan, string(ranFromStatus(status)))
+	if r.runsOnce && status >= http.StatusBadRequest {
+		r.w.Header().Set(headerShouldRetry, "false")
+	}
+}
+
+// ranFromStatus returns whether an upstream that answers with the given status, and states nothing else, ran the call.
+func ranFromStatus(status int) Ran {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return RanUnknown
+	}
+	return DidRun
 }
 
 // sendWhole sends an answer whose body was read in full.
@@ -80,7 +100,7 @@
 // it.
 func (r *relay) sendHead(status int, body []byte) error {
 	r.headerSent = true
-	r.w.Header().Set(HeaderRan, string(DidRun))
+	r.setOutcome(status)
 	r.w.WriteHeader(status)
 	return r.write(body)
 }
@@ -120,7 +140,7 @@
 func (r *relay) startStream(resp *answer) {
 	copyAnswerHeader(r.w.Header(), resp.header)
 	r.w.Header().Del("Content-Length")
-	r.w.Header().Set(HeaderRan, string(DidRun))
+	r.setOutcome(resp.status)
 	r.w.WriteHeader(resp.status)
 	r.headerSent = true
 	// If the caller is gone, the next write fails.
--- a/internal/gateway/repeatable.go
+++ b/internal/gateway/repeatable.go
@@ -49,7 +49,7 @@
 // retry budget. An attempt that delivered a part of the answer resets the count of
 // attempts, so that a long stream survives the failure of several upstreams.
 func (s *sender) runRepeatable(ctx context.Context, w http.ResponseWriter, c *Call) error {
-	out := newRelay(w)
+	out := newRelay(w, false)
 	search := s.newUpstreamSearch(c)
 	stallTimeout := s.streamStallTimeout
 	for attemptNumber := 1; ; attemptNumber++ {
--- a/internal/gateway/runonce.go
+++ b/internal/gateway/runonce.go
@@ -182,7 +182,7 @@
 	for _, f := range a.Header {
 		header.Add(f.Name, f.Value)
 	}
-	return newRelay(w).sendWhole(&answer{status: a.Status, header: header}, a.Body)
+	return newRelay(w, true).sendWhole(&answer{status: a.Status, header: header}, a.Body)
 }
 
 // sendClaimed sends a claimed call. Sending continues after the caller has gone or its
@@ -230,7 +230,7 @@
 	switch {
 	case outcome.resp != nil:
 		defer outcome.resp.close()
-		return newRelay(w).sendAndStream(outcome.resp, outcome.head)
+		return newRelay(w, true).sendAndStream(outcome.resp, outcome.head)
 	case outcome.state == ledger.Ran:
 		return writeAnswer(w, outcome.answer)
 	case outcome.state == ledger.NotRun:
