gateway: a refusal costs no connection

A refusal of a full upstream closed its connection whenever it had a body, as the body was never read: each call that came next opened a new one, at an upstream that is short of everything. It is the price of refusals, and an upstream that is full is the common case.

Now the body of a proved refusal is read, up to 64 KiB and 100 ms, unless the connection ends with it anyway. Other refusals still close theirs.

Evidence: TestSoundRefusalIsSentElsewhereAtOnce, which counts connections now, go test ./internal/gateway -run SoundRefusal: failed before, passes now, as does the package, and the tests of refusals under -race. Beside nothing changes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -34,6 +34,10 @@
 	connBufferBytes = 2 << 10
 	// maxAnswerHeaderBytes bounds the header of an answer.
 	maxAnswerHeaderBytes = 256 << 10
+	// maxRefusalBytes and refusalReadTimeout bound the body of a refusal, which is read so that its connection can be
+	// used again.
+	maxRefusalBytes    = 64 << 10
+	refusalReadTimeout = 100 * time.Millisecond
 )
 
 // errAnswerAborted marks an error after which the answer can neither be completed nor
@@ -216,11 +220,12 @@
 // know that: an answer that does not name the attempt may come from anyone, and one with a status of success contradicts
 // itself. After such an answer the call may have run.
 func (s *sender) endRefused(resp *answer, a attempt, named bool) error {
-	resp.close()
 	if named && resp.status >= http.StatusBadRequest {
+		resp.discard()
 		s.metrics.ProvedRefusals.Add(1)
 		return &attemptError{ran: NotRun, refused: true, err: errors.Newf("upstream %s refused with status %d", a.route.Upstream, resp.status)}
 	}
+	resp.close()
 	s.metrics.DoubtfulRefusals.Add(1)
 	s.log.WithFields(logrus.Fields{"upstream": a.route.Upstream, "attempt": a.id, "status": resp.status, "named": named}).
 		Warn("refusal proves nothing, the call may have run")
@@ -235,12 +240,27 @@
 	body   io.ReadCloser
 	// spliced reports whether the header contains the beginning of another answer.
 	spliced bool
+	// last reports whether the connection ends with this answer.
+	last bool
 }
 
 func newAnswer(resp *http.Response) *answer {
-	return &answer{status: resp.StatusCode, header: resp.Header, body: resp.Body, spliced: upstreamconn.IsSpliced(resp)}
+	return &answer{status: resp.StatusCode, header: resp.Header, body: resp.Body, spliced: upstreamconn.IsSpliced(resp), last: resp.Close}
 }
 
 // close closes the body. If the body was not read to its end, this also closes the
 // connection, which cancels the call at the upstream.
 func (a *answer) close() { _ = a.body.Close() }
+
+// discard reads the body to its end, so that the connection can be used again, and closes it. It gives up on a body that
+// is large or slow, or that is the last on its connection.
+func (a *answer) discard() {
+	defer a.close()
+	if a.last {
+		return
+	}
+	timer := time.AfterFunc(refusalReadTimeout, a.close)
+	defer timer.Stop()
+	// An error means that the connection is not used again.
+	_, _ = io.Copy(io.Discard, io.LimitReader(a.body, maxRefusalBytes))
+}
--- a/internal/gateway/doubtful_test.go
+++ b/internal/gateway/doubtful_test.go
@@ -179,7 +179,9 @@
 // TestSoundRefusalIsSentElsewhereAtOnce guards against distrust of full upstreams, whose refusals are the usual case.
 func TestSoundRefusalIsSentElsewhereAtOnce(t *testing.T) {
 	is := is.New(t)
+	var conns sync.Map
 	_, f, url := newGateway(t, func(w http.ResponseWriter, r *http.Request) {
+		conns.Store(r.RemoteAddr, true)
 		_, _ = io.Copy(io.Discard, r.Body)
 		w.Header().Set(headerAttempt, r.Header.Get(headerAttempt))
 		w.Header().Set(headerNotRun, "true")
@@ -199,4 +201,7 @@
 			is.Equal(resp.Header.Get(HeaderRan), string(DidRun))
 		}
 	}
+	opened := 0
+	conns.Range(func(_, _ any) bool { opened++; return true })
+	is.True(opened <= calls+5) // one for each call that may run once, and few for all others
 }
