controller: a test for departures that one disk too few holds

TestDepartureNeedsThreeDisks has upstreams leave and drain before two of three nodes, where two disks may be lost, first and again once both have applied it. No fault was found.

--- a/internal/controller/departure_test.go
+++ b/internal/controller/departure_test.go
@@ -82,3 +82,48 @@
 		}
 	}
 }
+
+// TestDepartureNeedsThreeDisks guards against acknowledging a departure that is on two disks only, when it is applied or
+// when it is repeated after that. Those are a majority of a group of three, but both may be lost at once.
+func TestDepartureNeedsThreeDisks(t *testing.T) {
+	const upstreams = 2 // one leaves, the other drains
+	is := is.New(t)
+	c := newCluster(t, 19880, 3)
+	c.start(0, 1)
+	depart := func(node, i int) error {
+		u := departing(i)
+		if i%2 == 0 {
+			return c.nodes[node].node.Leave(context.Background(), u.ID, u.Born)
+		}
+		u.Seq, u.Leaving = 2, true
+		_, err := c.nodes[node].node.Announce(context.Background(), u)
+		return err
+	}
+	kept := func(i int) bool {
+		for _, n := range c.nodes[:2] {
+			if !n.node.KeepsDeparture(departing(i).ID) {
+				return false
+			}
+		}
+		return true
+	}
+	for i := range upstreams {
+		c.waitFor("announcement", func() bool {
+			_, err := c.nodes[0].node.Announce(context.Background(), departing(i))
+			return err == nil
+		})
+	}
+	for i := range upstreams {
+		c.waitFor("a departure on two disks", func() bool {
+			is.True(depart(i%2, i) != nil) // two disks are too few
+			return kept(i)
+		})
+		for node := range 2 {
+			is.True(depart(node, i) != nil) // for a repeat, too
+		}
+	}
+	c.start(2)
+	for i := range upstreams {
+		c.waitFor("the departure", func() bool { return depart(i%3, i) == nil })
+	}
+}
--- a/internal/controller/export_test.go
+++ b/internal/controller/export_test.go
@@ -41,3 +41,9 @@
 	_ = c.loop.Do(context.Background(), func() { live = c.registry.Live() })
 	return live
 }
+
+// KeepsDeparture reports whether this node has applied the departure of an upstream.
+func (c *Controller) KeepsDeparture(id string) bool {
+	_, ok := c.stateMachine.departure(id)
+	return ok
+}
