residency: room is checked again before a load is ordered

An engine that is ordered to load more than fits crashes (LIMIT). An order to unload a model that did not reach the engine, or was refused, and whose answer was taken for "held already", removed the model from the job's evictions. The report that the planner asks for then put the model back into the engine, but the job went on to its load, with the number of orders that the engine expects.

Engines do not name the order in their answers, and a report has the same status 200 as "held already": a late copy of a report on a reused connection is such an answer.

Now the load is ordered only if it fits beside what the engine holds by the latest report; otherwise the job is given up.

The package passes. No clock, no new state.

Ruled out: that an accepted order taken for refused frees memory. Refused, fenced, another upstream, impossible and unanswered are handled alike: the job is given up, and the engine must report before its next order, which it refuses unless it has accepted exactly as many orders as that report says.

--- a/residency/eviction.go
+++ b/residency/eviction.go
@@ -28,13 +28,12 @@
 // engineMemory returns the memory of one engine. Models that it does not serve yet,
 // or has served for less than MinResidency, cannot be evicted.
 func (p *Planner) engineMemory(e *engine, now time.Duration) engineMemory {
-	memory := engineMemory{freeMB: e.spec().WeightsMB - e.service.adapterMB}
+	memory := engineMemory{freeMB: e.freeMB()}
 	for name := range e.held.models {
 		m := e.service.byName[name]
 		if m == nil {
 			continue
 		}
-		memory.freeMB -= m.spec.SizeMB
 		if since, served := e.held.servedSince[name]; !served || now-since < p.limits.MinResidency {
 			continue
 		}
@@ -46,6 +45,24 @@
 	return memory
 }
 
+// fits reports whether a model fits into an engine beside what it holds. A report may show that a model which the
+// engine was said to have unloaded is still there.
+func (e *engine) fits(model string) bool {
+	m := e.service.model(model)
+	return m != nil && e.freeMB() >= m.SizeMB
+}
+
+// freeMB returns the memory of an engine that neither models nor adapters take, in MB.
+func (e *engine) freeMB() float64 {
+	free := e.spec().WeightsMB - e.service.adapterMB
+	for name := range e.held.models {
+		if m := e.service.model(name); m != nil {
+			free -= m.SizeMB
+		}
+	}
+	return free
+}
+
 // minLoss returns the lowest loss of any victim; infinity if there is none.
 func (memory *engineMemory) minLoss() float64 {
 	lowest := math.Inf(1)
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -349,6 +349,10 @@
 		}
 		return e.orderStep(Order{Model: victim}), true
 	}
+	if !e.fits(j.model) {
+		e.abandonJob()
+		return Step{}, false
+	}
 	if j.tier == Store {
 		if !p.storeHasCapacity(e.desc.Service, e.service, e, now) {
 			return Step{}, false
--- a/residency/simulation_test.go
+++ b/residency/simulation_test.go
@@ -39,6 +39,8 @@
 	delayedOrders []delayedOrder
 	// unresponsive is the ID of an engine that answers nothing.
 	unresponsive string
+	// misread, if set, returns what the answer to an order is taken for, which deliver brings to the engine.
+	misread func(deliver func() residency.Answer) residency.Answer
 	// announcementDelay is how late announcements arrive.
 	announcementDelay time.Duration
 	announcements     []delayedAnnouncement
@@ -208,7 +210,12 @@
 		s.planner.Answered(e.desc.ID, e.desc.Born, residency.Unanswered, s.now)
 		return
 	}
-	s.planner.Answered(e.desc.ID, e.desc.Born, s.accept(e, *step.Order), s.now)
+	read := func(deliver func() residency.Answer) residency.Answer { return deliver() }
+	if s.misread != nil {
+		read = s.misread
+	}
+	answer := read(func() residency.Answer { return s.accept(e, *step.Order) })
+	s.planner.Answered(e.desc.ID, e.desc.Born, answer, s.now)
 }
 
 // accept has an engine check and start an order. A real engine that is told to hold
