residency: an order counted by mistake doesn't block its engine

An engine got no more orders, for the rest of the leader's term, once an answer that was not its own was taken for "accepted": the planner then expected one order more than the engine had carried out, and dismissed every report as older than the latest order.

Now a report with a lower number is believed if it was requested over two seconds after the latest order was counted, and the report before told the same number. Both keep out what a report may lag, and a late copy of an old one. A wrong number is harmless: the engine refuses an order unless it has accepted exactly as many.

Beside: nothing on the wire or in replicated state; the planner's state ends with the term.

--- a/residency/adapters.go
+++ b/residency/adapters.go
@@ -198,14 +198,14 @@
 	delete(e.closingSince, name)
 	switch a {
 	case Accepted:
-		e.acceptedOrders++
+		e.countOrder(now)
 		e.adapterOrderDone(o, now, adapterLoadTime)
 		if _, due := p.adaptersDue[e]; o.Load && !due {
 			p.adaptersDue[e] = now + adapterLoadTime
 		}
 	case AlreadyDone:
 		if !o.Load {
-			e.acceptedOrders++
+			e.countOrder(now)
 		}
 		e.adapterOrderDone(o, now, 0)
 	case Refused, Fenced, OtherUpstream, Impossible, Unanswered:
--- a/residency/orders.go
+++ b/residency/orders.go
@@ -91,7 +91,7 @@
 	}
 	switch a {
 	case Accepted:
-		e.acceptedOrders++
+		e.countOrder(now)
 		e.active = p.startOrder(e, o, now)
 		if o.Load {
 			e.held.addModel(o.Model)
@@ -108,6 +108,16 @@
 	}
 }
 
+// maxReportLag is longer than a report can lag behind the engine. If one that was requested later counts fewer orders
+// than the planner, and so did the one before it, the answer to an order was not the engine's, or not to that order.
+const maxReportLag = 2 * time.Second
+
+// countOrder records that the engine has accepted another order.
+func (e *engine) countOrder(now time.Duration) {
+	e.acceptedOrders++
+	e.countedAt = now
+}
+
 // startOrder returns the active order for an order that an engine has accepted, with
 // the time at which it should be done.
 func (p *Planner) startOrder(e *engine, o Order, now time.Duration) *activeOrder {
@@ -157,13 +167,16 @@
 		return
 	}
 	e.reportPending = false
+	requested := e.lastReport
 	e.lastReport = now
 	if r == nil {
 		return
 	}
 	p.changed[id] = true
-	if r.Accepted < e.acceptedOrders {
-		// The report is older than the latest order.
+	repeated := r.Accepted == e.reportedOrders
+	e.reportedOrders = r.Accepted
+	if r.Accepted < e.acceptedOrders && (requested-e.countedAt <= maxReportLag || !repeated) {
+		// The report is older than the latest order, or a late copy of an earlier one.
 		return
 	}
 	e.acceptedOrders, e.ordersKnown = r.Accepted, true
--- a/residency/planner.go
+++ b/residency/planner.go
@@ -85,8 +85,11 @@
 	tiers map[string]Tier
 	// ordersKnown reports whether acceptedOrders is known.
 	ordersKnown bool
-	// acceptedOrders is the number of orders that the engine has accepted.
+	// acceptedOrders is the number of orders that the engine has accepted; countedAt is when the latest one was counted.
 	acceptedOrders uint64
+	countedAt      time.Duration
+	// reportedOrders is the number of accepted orders by the latest report.
+	reportedOrders uint64
 	// reportPending reports whether a report was requested and not yet received.
 	// lastReport is when the latest request was sent or answered.
 	reportPending bool
