controller: the log tells where the answer to an order came from

An operator could not tell an answer of the engine from one of unknown origin, nor that the planner had counted an order that the engine had not accepted. "order sent" now has conn, connCalls, named and disturbed, and the event and counter "order miscounted" say that two reports have corrected the planner.

Engines do not name orders in their answers, as the platform's protocol does not ask for it, so that an unnamed answer on a reused connection is still taken for the right one (TestEngineConnectionsAreReused): a new connection for each order costs the engine time, and a wrong answer now costs some seconds without orders at one engine.

Beside nothing changes.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -19,6 +19,7 @@
 	"github.com/agateslip/agateslip/internal/controller"
 	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/internal/testutil"
+	"github.com/agateslip/agateslip/internal/upstreamconn"
 	"github.com/agateslip/agateslip/residency"
 	"github.com/agateslip/agateslip/routes"
 )
@@ -48,8 +49,8 @@
 // fakeOrders simulates engines that refuse every order.
 type fakeOrders struct{}
 
-func (fakeOrders) Order(context.Context, fleet.Upstream, residency.Order, string, uint64) residency.Answer {
-	return residency.Refused
+func (fakeOrders) Order(context.Context, fleet.Upstream, residency.Order, string, uint64) (residency.Answer, upstreamconn.Provenance) {
+	return residency.Refused, upstreamconn.Provenance{}
 }
 
 func (fakeOrders) Report(context.Context, fleet.Upstream) (*residency.Report, error) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -17,6 +17,7 @@
 	"github.com/agateslip/agateslip/internal/replica"
 	"github.com/agateslip/agateslip/internal/storage"
 	"github.com/agateslip/agateslip/internal/supervisor"
+	"github.com/agateslip/agateslip/internal/upstreamconn"
 	"github.com/agateslip/agateslip/origin"
 	"github.com/agateslip/agateslip/raft"
 	"github.com/agateslip/agateslip/ratelimit"
@@ -51,8 +52,8 @@
 // Orders sends load and unload orders and state queries to engines.
 type Orders interface {
 	// Order sends an order on behalf of the control node named holder, with its fencing
-	// token.
-	Order(ctx context.Context, u fleet.Upstream, o residency.Order, holder string, fence uint64) residency.Answer
+	// token. It also returns what is known of the origin of the answer; zero if none came.
+	Order(ctx context.Context, u fleet.Upstream, o residency.Order, holder string, fence uint64) (residency.Answer, upstreamconn.Provenance)
 	// Report queries an engine for its current state.
 	Report(ctx context.Context, u fleet.Upstream) (*residency.Report, error)
 }
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -294,17 +294,23 @@
 			fields["accepted"], fields["busy"] = report.Accepted, report.Busy
 		}
 		c.log.Event("engine asked", fields)
-		c.postToPlanner(term, func(p *residency.Planner, now time.Duration) { p.Reported(u.ID, u.Born, report, now) })
+		c.postToPlanner(term, func(p *residency.Planner, now time.Duration) {
+			if p.Reported(u.ID, u.Born, report, now) {
+				c.metrics.Count("order miscounted")
+				c.log.Event("order miscounted", eventlog.Fields{"upstream": u.ID, "accepted": report.Accepted})
+			}
+		})
 		return
 	}
 	o := *step.Order
 	sent := time.Now()
-	answer := c.orders.Order(ctx, u, o, c.cfg.Node, fence)
+	answer, from := c.orders.Order(ctx, u, o, c.cfg.Node, fence)
 	c.metrics.Observe("order", time.Since(sent))
 	c.metrics.Count("order: " + answer.String())
 	c.log.Event("order sent", eventlog.Fields{
 		"upstream": u.ID, "load": o.Load, "model": o.Model, "adapter": o.Adapter,
 		"accepted": o.Accepted, "fence": fence, "answer": answer.String(),
+		"conn": from.Conn, "connCalls": from.Calls, "named": from.Named, "disturbed": from.Disturbed,
 	})
 	if answer == residency.Fenced {
 		// Another node was the last to send orders. Claim the role again. If the
--- a/residency/orders.go
+++ b/residency/orders.go
@@ -160,35 +160,37 @@
 }
 
 // Reported takes an engine's report; nil means that none came. It is ignored if the
-// upstream has restarted since: born identifies the incarnation.
-func (p *Planner) Reported(id string, born int64, r *Report, now time.Duration) {
+// upstream has restarted since: born identifies the incarnation. It returns true if the
+// report shows that the engine has accepted fewer orders than its answers said.
+func (p *Planner) Reported(id string, born int64, r *Report, now time.Duration) (miscounted bool) {
 	e := p.engines[id]
 	if e == nil || e.desc.Born != born || !e.reportPending {
-		return
+		return false
 	}
 	e.reportPending = false
 	requested := e.lastReport
 	e.lastReport = now
 	if r == nil {
-		return
+		return false
 	}
 	p.changed[id] = true
 	repeated := r.Accepted == e.reportedOrders
 	e.reportedOrders = r.Accepted
-	if r.Accepted < e.acceptedOrders && (requested-e.countedAt <= maxReportLag || !repeated) {
+	miscounted = r.Accepted < e.acceptedOrders
+	if miscounted && (requested-e.countedAt <= maxReportLag || !repeated) {
 		// The report is older than the latest order, or a late copy of an earlier one.
-		return
+		return false
 	}
 	e.acceptedOrders, e.ordersKnown = r.Accepted, true
 	if r.Busy {
 		if e.active == nil {
 			// An order of another holder, or one whose answer was lost, is in
 			// progress.
-			return
+			return miscounted
 		}
 		p.extendDeadline(e, now)
 		e.needsReport = false
-		return
+		return miscounted
 	}
 	e.desc.Residents = r.Residents
 	e.held.applyReport(r, now)
@@ -199,6 +201,7 @@
 		e.active = nil
 		e.abandonJob()
 	}
+	return miscounted
 }
 
 // Tier is where an engine gets a model's weights from.
