routing: an upstream of doubtful refusals gets few calls

Whatever stands between a node and an upstream and answers for it does so again. A call that may run once uses a connection of its own, and may get such an answer each time, while other calls succeed on kept connections and reset the breaker, which opens after three failures in a row: callers paid with an unknown outcome each time.

A sound refusal still leaves it as it is.

Evidence: TestUpstreamOfDoubtfulRefusalsGetsFewCalls, go test ./routing -run Doubtful: every second call doubtful, ten seconds; fails if such an ending only counts as a failure, passes now, with at most 25 doubtful answers. go test ./routing ./internal/gateway ./internal/node passes.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,7 +50,9 @@
 	ran Ran
 	// refused reports whether the upstream refused the attempt for lack of capacity.
 	refused bool
-	err     error
+	// doubtful reports whether the answer says that the attempt was not run, and does not prove it.
+	doubtful bool
+	err      error
 }
 
 func (e *attemptError) Error() string { return e.err.Error() }
@@ -229,7 +231,7 @@
 	s.metrics.DoubtfulRefusals.Add(1)
 	s.log.WithFields(logrus.Fields{"upstream": a.route.Upstream, "attempt": a.id, "status": resp.status, "named": named}).
 		Warn("refusal proves nothing, the call may have run")
-	return &attemptError{ran: RanUnknown, err: errors.Newf("refusal with status %d is not proved to be from upstream %s", resp.status, a.route.Upstream)}
+	return &attemptError{ran: RanUnknown, doubtful: true, err: errors.Newf("refusal with status %d is not proved to be from upstream %s", resp.status, a.route.Upstream)}
 }
 
 // answer is an upstream's response whose header has arrived and whose body is still to
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -126,6 +126,8 @@
 	AttemptFailed
 	// AttemptRefused means that the upstream refused the call for lack of capacity.
 	AttemptRefused
+	// AttemptDoubtful means that the answer says that the call was not run, and may not be the upstream's.
+	AttemptDoubtful
 	// AttemptCanceled means that the caller went away, which says nothing about the
 	// upstream.
 	AttemptCanceled
--- a/internal/gateway/repeatable.go
+++ b/internal/gateway/repeatable.go
@@ -207,6 +207,8 @@
 		return AttemptCanceled
 	case errors.As(err, &ae) && ae.refused:
 		return AttemptRefused
+	case ae != nil && ae.doubtful:
+		return AttemptDoubtful
 	default:
 		return AttemptFailed
 	}
--- a/internal/node/route.go
+++ b/internal/node/route.go
@@ -88,6 +88,7 @@
 		gateway.AttemptOK:          routing.Answered,
 		gateway.AttemptFailed:      routing.Failed,
 		gateway.AttemptRefused:     routing.Rejected,
+		gateway.AttemptDoubtful:    routing.Doubtful,
 		gateway.AttemptCanceled:    routing.Canceled,
 		gateway.AttemptInterrupted: routing.Canceled,
 	}[res]
--- a/routing/breaker.go
+++ b/routing/breaker.go
@@ -114,6 +114,18 @@
 	}
 }
 
+// Distrusted records an answer that may not be the upstream's. The breaker opens at once: requests on other connections
+// may succeed in between, and each such answer costs a caller a call whose outcome is unknown.
+func (b *Breaker) Distrusted(now time.Duration) {
+	b.applyTimeouts(now)
+	switch {
+	case b.state == HalfOpen && b.probeInFlight:
+		b.reopen(now)
+	case b.state != Open:
+		b.open(now)
+	}
+}
+
 // Canceled records that a request ended without showing whether the upstream works. In
 // the half-open state the next request is then the probe.
 func (b *Breaker) Canceled(now time.Duration) {
--- a/routing/selector_test.go
+++ b/routing/selector_test.go
@@ -103,3 +103,26 @@
 		})
 	}
 }
+
+// TestUpstreamOfDoubtfulRefusalsGetsFewCalls guards against callers that pay for each answer of unknown origin, because
+// other calls succeed at the same upstream in between.
+func TestUpstreamOfDoubtfulRefusalsGetsFewCalls(t *testing.T) {
+	is := is.New(t)
+	s := newSelector(engineView(1, "m", 0))
+	doubtful, calls := 0, 0
+	for now := time.Duration(0); now < 10*time.Second; now += 10 * time.Millisecond {
+		c, result := s.Select(Query{Model: "m"}, now)
+		if result != Chosen {
+			continue
+		}
+		s.Sent(c, nil, now)
+		ending := Answered
+		if calls++; calls%2 == 0 {
+			ending = Doubtful
+			doubtful++
+		}
+		s.Done(c, ending, now)
+	}
+	is.True(doubtful <= 25) // of 500
+	is.True(calls > 20)     // it is tried again
+}
--- a/routing/upstream.go
+++ b/routing/upstream.go
@@ -229,6 +229,8 @@
 	Canceled
 	// Rejected means that the upstream refused the request as overloaded.
 	Rejected
+	// Doubtful means that the answer says that the request did not run, and may not be the upstream's.
+	Doubtful
 )
 
 // Done records the end of a request that was recorded with Sent.
@@ -245,6 +247,8 @@
 		u.breaker.Failed(now)
 	case Canceled:
 		u.breaker.Canceled(now)
+	case Doubtful:
+		u.breaker.Distrusted(now)
 	case Rejected:
 		u.breaker.Canceled(now)
 		// The upstream has more requests than its latest report showed. Count it as
