dispatch: an upstream with too many slots stops no calls

What callers saw: while one upstream of a service claimed as many slots as an integer holds (an announcement of another writer, or a load report), calls to this service waited beside free slots and were refused.

Cause: pick spreads the unseen calls over the candidates and weighs each by the distance of its cost from the level that is reached. With some 10^12 slots and more, one call changes the level by less than a floating point number can tell, so that the cheapest candidate had weight zero, and none was chosen.

Evidence: go test ./dispatch -run TestHugeNumberOfSlotsStopsNoCalls. Before: odd_test.go, "0 != 1" (the first call did not start); it passes now.

Fix: if rounding leaves no weight, the cheapest candidate is taken; and no upstream is believed to have more than fleet.MaxSlots slots, whether it announces or reports them.

Beside: only what this node concludes changes.

Ruled out: an end of the process. The caller of choose takes a nil upstream for none.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -183,7 +183,7 @@
 	if u.reportedSlots > 0 {
 		return u.reportedSlots
 	}
-	return max(1, u.desc.Slots)
+	return min(max(1, u.desc.Slots), fleet.MaxSlots)
 }
 
 // resumeReserve is the share of an upstream's slots by which calls that go on with a stream may exceed
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -140,6 +140,7 @@
 		return
 	}
 	u := r.upstream
+	l.Slots = min(l.Slots, fleet.MaxSlots)
 	u.othersReported = max(0, l.Running+l.Waiting-u.ownRunning)
 	u.reportedAt = now
 	u.reportedSlots = l.Slots
--- a/dispatch/spread.go
+++ b/dispatch/spread.go
@@ -37,6 +37,9 @@
 			best, lowest = c.upstream, draw
 		}
 	}
+	if best == nil && len(candidates) > 0 {
+		return candidates[0].upstream // rounding left no weight: the numbers of calls and slots differ too much
+	}
 	return best
 }
 
