dispatch: the sum of a load report does not overflow

What callers saw: calls were sent to an upstream whose load report (Server-Load) named as many running and waiting calls as an integer holds, in preference to others.

Cause: Observe added the two numbers; the sum is negative, which counted as no calls of other nodes.

Evidence: go test ./dispatch -run TestEndlessLoadDoesNotLookLikeNone. Before: odd_test.go, "2 != 1" (both upstreams got calls); it passes now.

Fix: both numbers are bounded before they are added.

Beside: the report stays with the node that received it; nothing is shared.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -132,6 +132,9 @@
 	d.queue = slices.DeleteFunc(d.queue, func(w *queuedCall) bool { return w.call.ID == id })
 }
 
+// maxReportedCalls bounds the numbers of calls in a load report, so that their sum is in range.
+const maxReportedCalls = 1 << 30
+
 // Observe records the load that an upstream reported with its answer to a running call.
 // A report without slots is ignored.
 func (d *Dispatcher) Observe(id CallID, l Load, now time.Duration) {
@@ -140,7 +143,7 @@
 		return
 	}
 	u := r.upstream
-	l.Slots = min(l.Slots, fleet.MaxSlots)
+	l = Load{Running: min(l.Running, maxReportedCalls), Waiting: min(l.Waiting, maxReportedCalls), Slots: min(l.Slots, fleet.MaxSlots)}
 	u.othersReported = max(0, l.Running+l.Waiting-u.ownRunning)
 	u.reportedAt = now
 	u.reportedSlots = l.Slots
--- a/dispatch/odd_test.go
+++ b/dispatch/odd_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/dispatch"
 )
 
 // TestHugeNumberOfSlotsStopsNoCalls guards against an upstream with so many slots that one more call
@@ -21,3 +23,19 @@
 		}
 	}
 }
+
+// TestEndlessLoadDoesNotLookLikeNone guards against a load report whose sum overflows: the upstream
+// looked empty and got the calls.
+func TestEndlessLoadDoesNotLookLikeNone(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("odd", 4, "m"), engine("sound", 4, "m"))
+	is.Equal(len(started(d.Submit(call(1, "m", 1, 0), 0))), 1)
+	d.Observe(1, dispatch.Load{Running: math.MaxInt, Waiting: math.MaxInt, Slots: 4}, 0)
+	at := map[string]int{}
+	for i := range 4 {
+		for _, id := range started(d.Submit(call(10+i, "m", 1, 0), 0)) {
+			at[id]++
+		}
+	}
+	is.Equal(len(at), 1) // an upstream that reports endless calls is full
+}
