edge: a configuration that a node cannot read does not make it deaf

What callers saw: once a configuration was in force that an entry node could not read, the node heard of no upstream any more: calls went to those that had left, none to those that came, until the next version. It asked the leader for the same document without a pause.

Cause: to a node whose version is older the leader sends the configuration alone, at once. A node that cannot read it stays at its version, and so never gets to the rest of the answer.

Evidence: go test ./platform -run TestUnreadableConfigurationKeepsNodeListening (puts the document in through the controller, as a control node of another version would). Before: timed out after 20 s waiting for a call at an upstream that started later, with dozens of "configuration unreadable" suppressed in each 30 ms; passes in 4.6 s now.

Fix: the node remembers the version that it could not read and asks for later ones. The configuration that it has stays in force.

Beside: the request is the same as that of a node which has read the version; nothing else on the wire changes.

Ruled out: control nodes. They read the configuration from the log and keep the earlier one if they cannot.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -76,6 +76,9 @@
 	leader  *leaderFinder
 	// routing is the configuration in force; nil before the first one arrives.
 	routing atomic.Pointer[routingConfig]
+	// unreadable is the version of the latest configuration that this node could not read; zero if there was
+	// none. Only followLeader uses it.
+	unreadable uint64
 	// configured is closed once the first configuration is in force.
 	configured chan struct{}
 	// entryNodes is the number of entry nodes as last reported by the leader; initially 1.
@@ -318,5 +321,6 @@
 			return
 		}
 	}
+	e.unreadable = c.Version
 	e.log.Event("configuration unreadable", eventlog.Fields{"version": c.Version, "error": err.Error()})
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -166,8 +166,10 @@
 // could not be sent, because the connection may still be opening, for up to
 // connectTimeout.
 func (e *Edge) watchControlNode(ctx context.Context, target string, r nodelink.WatchRequest) (nodelink.WatchAnswer, error) {
+	// The leader sends nothing else to a node that lacks the configuration in force.
+	r.Version = e.unreadable
 	if v := e.routing.Load(); v != nil {
-		r.Version = v.version
+		r.Version = max(r.Version, v.version)
 	}
 	start := time.Now()
 	for {
