--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -5,9 +5,6 @@
 	"time"
 )
 
-// MaxSlots is the highest number of slots that an upstream is believed to have.
-const MaxSlots = 1 << 20
-
 // Resident is a model that an upstream holds, with its adapters.
 type Resident struct {
 	Model string `json:"m"`
