controller: entries that name no usable upstream are forgotten when read

Cause: only the control node that receives an announcement checks it. What another node forwards, lists or has put into the log was taken as it is.

Evidence: go test ./internal/controller -run Odd (three control nodes). Before: TestOddAnnouncementTakesNoSoundUpstreamOut "0 != 4" upstreams listed, TestOddEntryOfAnotherLeaderIsForgotten "3 != 4", TestOddDepartureOutlastsNoLeader "0 != 1" after the leader was killed; all pass now.

Fix: the leader ignores an unusable announcement or departure that another node forwards, before it proposes anything; a follower leaves such entries out of its copy; a leader does not apply such a departure to its registry. The sound upstream is listed with its next announcement.

An old node that forwards an unusable announcement gets the answer it would get from an old leader.

Open: a departure of the largest `born` that is in the replicated state keeps later departures of that ID out of it until 1024 others have come (State.depart); only the state machine could drop it.

--- a/fleet/check.go
+++ b/fleet/check.go
@@ -46,6 +46,15 @@
 	return nil
 }
 
+// IsUsable reports whether a description that another node lists is sound. Of an upstream that is gone only
+// the identity matters: one that left before it was announced has nothing else.
+func (u *Upstream) IsUsable() bool {
+	if u.Gone {
+		return Incarnation{u.ID, u.Born}.Check() == nil
+	}
+	return u.Check() == nil
+}
+
 // Check returns an error if no upstream can be identified this way.
 func (i Incarnation) Check() error {
 	switch {
--- a/internal/controller/departure.go
+++ b/internal/controller/departure.go
@@ -59,6 +59,9 @@
 
 // markDeparted records a departure in the registry and reports whether that was new.
 func (c *Controller) markDeparted(d confstate.Departure, now time.Duration) bool {
+	if d.Upstream.Check() != nil {
+		return false // accepted by a node of another version
+	}
 	if d.Gone {
 		return c.registry.Leave(d.Upstream.ID, d.Upstream.Born, now) == fleet.Taken
 	}
--- a/internal/controller/export_test.go
+++ b/internal/controller/export_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/agateslip/agateslip/confstate"
 	"github.com/agateslip/agateslip/fleet"
 	"github.com/agateslip/agateslip/internal/nodelink"
 	"github.com/agateslip/agateslip/origin"
@@ -34,6 +35,23 @@
 	return answer.(nodelink.FindStreamAnswer), nil
 }
 
+// Depart proposes a departure, as a leader of another version would.
+func (c *Controller) Depart(ctx context.Context, d confstate.Departure) error {
+	_, err := c.propose(ctx, confstate.Command{Depart: &d})
+	return err
+}
+
+// ApplyChanges applies changes that a leader lists.
+func (c *Controller) ApplyChanges(ctx context.Context, whole bool, upstreams []fleet.Upstream) error {
+	return c.loop.Do(ctx, func() { c.applyChanges(whole, upstreams) })
+}
+
+// Leads reports whether this node leads.
+func (c *Controller) Leads() bool {
+	_, leads := c.raftReplica.CurrentStatus()
+	return leads
+}
+
 // Upstreams returns the upstreams that this node takes to be there.
 func (c *Controller) Upstreams() []fleet.Upstream {
 	var live []fleet.Upstream
--- a/internal/controller/follow.go
+++ b/internal/controller/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/agateslip/agateslip/fleet"
@@ -68,12 +69,13 @@
 }
 
 // applyChanges applies changes from the leader to the local registry. If whole is set,
-// upstreams is the complete list and replaces the registry.
+// upstreams is the complete list and replaces the registry. Upstreams that a leader of another version
+// lists and that cannot be used are left out: their numbers could outlast all later ones.
 func (c *Controller) applyChanges(whole bool, upstreams []fleet.Upstream) {
 	if whole {
 		c.registry = fleet.NewRegistry(fleet.Timeouts{
 			Silence: maxMissedHeartbeats * time.Duration(c.cfg.Heartbeat), Tombstone: tombstoneTTL,
 		})
 	}
-	c.registry.Replace(upstreams, boottime.Now())
+	c.registry.Replace(slices.DeleteFunc(upstreams, func(u fleet.Upstream) bool { return !u.IsUsable() }), boottime.Now())
 }
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -220,6 +220,12 @@
 	if err := c.requireLeader(); err != nil {
 		return answer, err
 	}
+	if err := checkAnnouncement(&r); err != nil {
+		// The control node that received it should have refused it, but may run another version of the software.
+		c.metrics.Count("announcement: unusable")
+		c.log.Event("announcement unusable", eventlog.Fields{"upstream": r.Upstream.ID, "error": err.Error()})
+		return answer, nil
+	}
 	var departure confstate.Departure
 	leading, departs := false, false
 	err := c.loop.Do(ctx, func() {
@@ -238,6 +244,14 @@
 	return answer, err
 }
 
+// checkAnnouncement returns an error if an announcement or a departure names no upstream to use.
+func checkAnnouncement(r *nodelink.AnnounceRequest) error {
+	if r.Leave {
+		return fleet.Incarnation{ID: r.Upstream.ID, Born: r.Upstream.Born}.Check()
+	}
+	return r.Upstream.Check()
+}
+
 // recordAnnouncement updates the registry and the planner from an announcement or a
 // notice of departure.
 func (c *Controller) recordAnnouncement(r nodelink.AnnounceRequest, now time.Duration) {
