edge: entries of a leader that name no usable upstream are left out

What callers saw: an entry node sent calls to port 0 or 0.0.0.0, or to an upstream with more slots than there are, where a leader of lists one; under the ID of a sound upstream, that one was lost.

Cause: entry nodes took what the leader lists as it is.

Evidence: go test ./internal/edge -run TestOddEntryOfLeaderTakesNoSoundUpstreamOut. Before: "2 != 1" upstreams; passes now.

Fix: an entry that fleet.Upstream.IsUsable refuses is logged and left out. What the node knows of that ID stays until the leader says otherwise.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -238,6 +238,10 @@
 	}
 	var changed []fleet.Upstream
 	for _, u := range upstreams {
+		if !u.IsUsable() {
+			e.log.Event("upstream unusable", eventlog.Fields{"upstream": u.ID, "addr": u.Addr, "slots": u.Slots})
+			continue // the leader runs another version of the software
+		}
 		if e.applyUpstream(&u) {
 			changed = append(changed, u)
 		}
