routes: weights whose sum is infinite share the calls

What callers saw: with a valid configuration whose weights add up to more than a number holds (two of 1e308), all calls went to the last backend, even one of weight zero.

Cause: the drawn point is infinite and stays above every weight.

Evidence: go test ./routes -run TestHugeWeightsShareCalls. Before: it fails (no call at either backend of weight 1e308); passes now.

Fix: such weights are scaled before they are added. Others are multiplied by one, so that all nodes, old and new, choose the same backend for a call as before.

Beside: for infinite sums only, old and new entry nodes choose differently.

--- a/routes/table.go
+++ b/routes/table.go
@@ -1,6 +1,7 @@
 package routes
 
 import (
+	"math"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -60,16 +61,27 @@
 // Backend returns the name of the service for a call. It is chosen by the hash of the
 // call's ID, so that the shares of the backends follow their weights.
 func (r *Route) Backend(id string) string {
-	total := 0.0
-	for _, b := range r.Backends {
-		total += b.Weight
+	total := r.totalWeight(1)
+	scale := 1.0
+	if math.IsInf(total, 1) {
+		scale = 1 / float64(len(r.Backends))
+		total = r.totalWeight(scale)
 	}
 	const steps = 1 << 20
 	point := float64(xxhash.Sum64String(id)%steps) / steps * total
 	for _, b := range r.Backends {
-		if point -= b.Weight; point < 0 {
+		if point -= b.Weight * scale; point < 0 {
 			return b.Service
 		}
 	}
 	return r.Backends[len(r.Backends)-1].Service
 }
+
+// totalWeight returns the sum of the backends' weights, each multiplied by scale.
+func (r *Route) totalWeight(scale float64) float64 {
+	total := 0.0
+	for _, b := range r.Backends {
+		total += b.Weight * scale
+	}
+	return total
+}
