engine: numbers that no engine has are refused

The gateway's own announcements took any memory, slots and load up to the largest integer; the planner subtracts the memory of all replicas from that of the engine, and two such replicas overflow. An address with a zone was listed, which means something at the engine only.

Cause: the check had lower bounds only.

Evidence: go test ./internal/engine -run TestNumbersThatNoEngineHasAreRefused.

Fix: upper bounds so high that no engine comes near, and so low that sums over all replicas are in range.

Beside: what an old node has accepted is still taken from it (directory.ApplyRelayed merges alike on all nodes, so that it has to stay as it is).

Ruled out: bounds on `incarnation` and `seq`. The documents promise only that they grow, so that any bound could refuse a sound engine; the largest one of an odd announcement still takes the engine of that ID out.

--- a/internal/engine/check.go
+++ b/internal/engine/check.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"github.com/agateslip/agateslip/directory"
+	"github.com/agateslip/agateslip/fleet"
 )
 
 // Limits of the parts of messages.
@@ -19,6 +20,11 @@
 	MaxAdapters = 4096
 	// MaxEvents is the most events of one batch.
 	MaxEvents = 8192
+	// MaxMemory is the most memory of an upstream or a replica in bytes. Sums over all
+	// replicas of an upstream are in range.
+	MaxMemory = 1 << 50
+	// MaxCalls is the most calls that an upstream runs or queues.
+	MaxCalls = 1 << 30
 )
 
 // checker keeps the first rule that a message breaks.
@@ -72,9 +78,12 @@
 		c.requireName(a.Software, "software")
 	}
 	c.require(a.Memory >= 0, "memory", "must not be negative")
+	c.require(a.Memory <= MaxMemory, "memory", fmt.Sprintf("must be at most %d", int64(MaxMemory)))
 	c.require(a.Slots > 0, "slots", "must be positive")
+	c.require(a.Slots <= fleet.MaxSlots, "slots", fmt.Sprintf("must be at most %d", fleet.MaxSlots))
 	c.require(a.Load.Running >= 0, "load.running", "must not be negative")
 	c.require(a.Load.Queued >= 0, "load.queued", "must not be negative")
+	c.require(max(a.Load.Running, a.Load.Queued) <= MaxCalls, "load", fmt.Sprintf("must be at most %d", MaxCalls))
 	checkKind(&c, a)
 	checkReplicas(&c, a.Replicas)
 	checkCopies(&c, a.Copies)
@@ -82,13 +91,14 @@
 }
 
 // validAddr reports whether addr is an IP address and port that a node can connect to:
-// no unspecified or multicast address and no port 0.
+// no unspecified or multicast address, no zone, which only the upstream itself knows, and no
+// port 0.
 func validAddr(addr string) bool {
 	parsed, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return false
 	}
-	return parsed.Port() != 0 && !parsed.Addr().IsUnspecified() && !parsed.Addr().IsMulticast()
+	return parsed.Port() != 0 && parsed.Addr().Zone() == "" && !parsed.Addr().IsUnspecified() && !parsed.Addr().IsMulticast()
 }
 
 // checkKind checks the fields that depend on the kind of upstream.
@@ -117,6 +127,7 @@
 		seen[r.Grant] = true
 		c.requireName(r.Model, field+".model")
 		c.require(r.Memory >= 0, field+".memory", "must not be negative")
+		c.require(r.Memory <= MaxMemory, field+".memory", fmt.Sprintf("must be at most %d", int64(MaxMemory)))
 		c.require(validState(r.State), field+".state", "must be loading, ready, unloading, failed or unloaded")
 		c.require(len(r.Adapters) <= MaxAdapters, field+".adapters", fmt.Sprintf("must have at most %d elements", MaxAdapters))
 		for j, adapter := range r.Adapters {
