--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -220,10 +220,7 @@
 	if err := c.requireLeader(); err != nil {
 		return answer, err
 	}
-	if err := checkAnnouncement(&r); err != nil {
-		// The control node that received it should have refused it, but may run another version of the software.
-		c.metrics.Count("announcement: unusable")
-		c.log.Event("announcement unusable", eventlog.Fields{"upstream": r.Upstream.ID, "error": err.Error()})
+	if c.mustIgnore(&r) {
 		return answer, nil
 	}
 	var departure confstate.Departure
@@ -244,6 +241,18 @@
 	return answer, err
 }
 
+// mustIgnore reports whether an announcement or a departure names no upstream to use. The control node that
+// received it should have refused it, but may run another version of the software.
+func (c *Controller) mustIgnore(r *nodelink.AnnounceRequest) bool {
+	err := checkAnnouncement(r)
+	if err == nil {
+		return false
+	}
+	c.metrics.Count("announcement: unusable")
+	c.log.Event("announcement unusable", eventlog.Fields{"upstream": r.Upstream.ID, "error": err.Error()})
+	return true
+}
+
 // checkAnnouncement returns an error if an announcement or a departure names no upstream to use.
 func checkAnnouncement(r *nodelink.AnnounceRequest) error {
 	if r.Leave {
--- a/internal/engine/fuzz_test.go
+++ b/internal/engine/fuzz_test.go
@@ -58,7 +58,7 @@
 				{Key: placement.Key{Customer: "c", Model: "n"}, Waiting: 1, Remaining: time.Minute, Arrivals: 1},
 				{Key: placement.Key{Customer: "c", Model: "m"}, Adapter: "a", Waiting: 1, Remaining: time.Minute, Arrivals: 1},
 			}
-			for _, change := range planner.Plan(placement.Instant(now), in).Changes {
+			for _, change := range planner.Plan(now, in).Changes {
 				if _, err := ledger.Apply(change, placement.Limits{Model: 100, Customer: 100}); err != nil {
 					t.Logf("change not applied: %v", err)
 				}
