edge: foreign bytes in a stream break it off

What callers saw: an upstream's stream that went on, after some events, with the head or the text of another answer reached them with it, in the middle of their events; where the text ended like an event, the stream then ended as complete, with a regular end. It did so for streams without length, sized ones and within a chunk, directly and through a detour.

Cause: the relay looked for blank lines only and passed on whatever came before one. An event stream has a grammar, though: each line is a field (id, event, data, retry), a comment, or blank, and the platform adds one line with which an event may begin.

Fix: internal/eventstream reads events and checks each line before the caller has it. A line of another kind means that the bytes are not the upstream's stream: the attempt ends with an unknown outcome, so that the stream goes on elsewhere if its route allows that, and is broken off visibly otherwise. The platform's own line is declared in platform/. Lines end with LF, CR or both, as the standard says; a CR within a line could hide a status line, and streams that use CR alone were held back until their end. A status line as the text of a data field is passed on. A second id within an event is foreign: it joins two events. The result is Doubtful and not Lost: the upstream is paused at once, because what does this does it again, and the call is no suspect of having crashed it. A log line and a counter of their own tell of it.

Evidence: go test ./platform -run TestForeignBytesDoNotReachStreams; on each case in which the first upstream sends foreign lines, and "resumed, then a head", "resumed within an event", failed, on both routes and through a detour; they pass now. TestSoundStreamsArePassedOn and the tests of internal/eventstream hold what upstreams may send.

Beside: nothing changes on links or in replicated state; such a node keeps the fault.

Ruled out: foreign text that is itself a field or begins within the text of a data field and contains nothing but such lines cannot be told from the stream. Other answers of upstreams after an error (status, type, stamp, ID) did not reach callers before.

--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -112,6 +112,9 @@
 	Owner(h http.Header, c Caller) upstreamconn.Owner
 	// Answer reads the status and header of an upstream's answer.
 	Answer(status int, h http.Header) Answer
+	// BeginsEvent reports whether an upstream may begin an event of a stream with a line, given without its end, that
+	// is no field of server-sent events.
+	BeginsEvent(line []byte) bool
 }
 
 // hopHeaders are the hop-by-hop headers, which concern one connection and are not
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"bufio"
-	"bytes"
 	"io"
 	"net/http"
 	"slices"
@@ -16,14 +14,13 @@
 	"github.com/agateslip/agateslip/fleet"
 	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/eventlog"
+	"github.com/agateslip/agateslip/internal/eventstream"
 	"github.com/agateslip/agateslip/internal/upstreamconn"
 )
 
 const (
 	// eventStream is the media type of server-sent event streams.
 	eventStream = "text/event-stream"
-	// maxEventBytes bounds what is buffered of an incomplete event.
-	maxEventBytes = 1 << 20
 	// maxRejectionBytes and rejectionTimeout bound the body of an answer which says that the
 	// call did not run; the call is sent elsewhere after it.
 	maxRejectionBytes = 64 << 10
@@ -172,31 +169,14 @@
 		c.writeHeader(resp)
 		c.flush()
 	}
-	reader := bufio.NewReaderSize(resp.Body, 2<<10)
-	var event []byte
+	events := eventstream.NewReader(resp.Body, eventstream.Options{
+		Append: c.held.Append, FirstLine: c.edge.dialect.BeginsEvent, Continues: c.events > 0,
+	})
 	checked := false
 	for {
-		line, err := reader.ReadSlice('\n')
-		var noMemory error
-		if event, noMemory = c.held.Append(event, line); noMemory != nil {
-			err = noMemory
-		}
-		switch {
-		case len(event) > maxEventBytes:
-			conn.Close()
-			return c.endLost(u, errors.Newf("event is larger than %d bytes", maxEventBytes))
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue
-		case errors.Is(err, io.EOF) && len(event) == 0:
-			conn.Release()
-			c.recordAnswered(u, resp.StatusCode)
-			return dispatch.Served, outcomeAnswered
-		case err != nil:
-			conn.Close()
-			return c.endLost(u, errors.Wrap(err, "read stream"))
-		}
-		if len(bytes.TrimRight(line, "\r\n")) > 0 {
-			continue
+		event, err := events.Next()
+		if err != nil {
+			return c.endStream(u, conn, resp, err)
 		}
 		if !checked && !c.mayRelayEvents(u) {
 			conn.Close()
@@ -207,24 +187,35 @@
 			conn.Close()
 			return dispatch.Abandoned, outcomeCallerLeft
 		}
-		event = event[:0]
 	}
 }
 
+// endStream ends an attempt whose stream has no further event, for the given reason.
+func (c *call) endStream(u *fleet.Upstream, conn *upstreamconn.Conn, resp *http.Response, err error) (dispatch.Result, attemptOutcome) {
+	switch {
+	case errors.Is(err, io.EOF):
+		conn.Release()
+		c.recordAnswered(u, resp.StatusCode)
+		return dispatch.Served, outcomeAnswered
+	case errors.Is(err, eventstream.ErrForeignLine):
+		return c.endForeign(u, conn, err)
+	}
+	conn.Close()
+	return c.endLost(u, errors.Wrap(err, "read stream"))
+}
+
 // relayEvent sends one complete event to the caller. It returns false if the caller has
 // left.
-func (c *call) relayEvent(event []byte) bool {
-	if _, err := c.w.Write(event); err != nil {
+func (c *call) relayEvent(event eventstream.Event) bool {
+	if _, err := c.w.Write(event.Text); err != nil {
 		c.log("caller left", eventlog.Fields{"while": "streaming", "error": err.Error()})
 		return false
 	}
 	c.flush()
 	c.events++
 	c.recordEventTime(boottime.Now())
-	for line := range bytes.Lines(event) {
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			c.lastEventID = string(bytes.TrimSpace(id))
-		}
+	if event.ID != nil {
+		c.lastEventID = string(event.ID)
 	}
 	return true
 }
