edge: an event that does not follow the last one ends its attempt

What callers saw: pieces twice, or pieces of two runs joined, in a stream that ended as complete. This happened where an upstream's stream began again or repeated an event, where the upstream that was to go on with a stream began at its first event or at the one that the caller has, and where a caller took its stream up itself and got it from the beginning.

Cause: the relay read the id of each event, to resume after it, but never compared it with that of the one before.

Fix: on routes of streams, ids increase (PROTOCOL.md). If the caller has an event whose id is a number, or says so itself, each further id must be a greater number; otherwise the event is foreign and ends the attempt as a foreign line does. An event without id at which an attempt would go on with a stream cannot be placed, and is foreign too. Ids that are no numbers have no order and are not compared; after a number they are foreign. Other routes promise nothing of ids.

Evidence: go test ./platform -run 'TestForeignBytes|TestTakenUpStreamGoesOnAfter'. Failed on the commit before, pass now: "stream again from its beginning", "event twice", "resumed from the beginning", "resumed at the last event", the same through a detour, and TestTakenUpStreamGoesOnAfterItsLastEvent.

Beside: nothing changes on links or in replicated state.

Ruled out: a gap is no proof. The protocol promises increasing ids, not consecutive ones.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -172,9 +172,13 @@
 	events := eventstream.NewReader(resp.Body, eventstream.Options{
 		Append: c.held.Append, FirstLine: c.edge.dialect.BeginsEvent, Continues: c.events > 0,
 	})
-	checked := false
+	checked, placed := false, false
 	for {
 		event, err := events.Next()
+		if err == nil {
+			err = c.checkEventID(event, placed)
+			placed = placed || event.ID != nil
+		}
 		if err != nil {
 			return c.endStream(u, conn, resp, err)
 		}
@@ -197,7 +201,7 @@
 		conn.Release()
 		c.recordAnswered(u, resp.StatusCode)
 		return dispatch.Served, outcomeAnswered
-	case errors.Is(err, eventstream.ErrForeignLine):
+	case errors.IsAny(err, eventstream.ErrForeignLine, errForeignEvent):
 		return c.endForeign(u, conn, err)
 	}
 	conn.Close()
