edge: an answer without a body does not end a resumed stream

What callers saw: a stream that broke off ended as complete, if the upstream that was to go on with it answered with status 204 and the type of an event stream.

Cause: any success of that type was relayed as the rest of the stream. One without a body ends at once, in the regular way.

Fix: the rest of a stream is in an answer with status 200. Any other one ends the attempt, as an error does.

Beside: nothing changes on links or in replicated state.

Ruled out: an answer with status 200 and without events may be the right one, if the stream broke off after its last event.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -48,10 +48,11 @@
 	case !certain || success && !answer.Genuine:
 		conn.Close()
 		return c.endLost(u, errors.Newf("answer with status %d is not from the upstream", resp.StatusCode))
-	case success && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream):
+	case success && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream) && (!c.streamStarted || resp.StatusCode == http.StatusOK):
 		return c.relayStream(u, conn, resp)
 	case c.streamStarted:
-		// The caller already has the header of a stream, so that no other answer can follow.
+		// The caller already has the header of a stream, so that no other answer can follow. One without a body, as that
+		// with status 204, would look like the end of the stream.
 		conn.Close()
 		return c.endLost(u, errors.Newf("resumed stream was answered with status %d", resp.StatusCode))
 	}
