edge: a stream that cannot be resumed is not sent again

What callers saw: the pieces of two runs, joined. (1) A stream whose events have no ids broke off, and the next upstream was asked for all of it again. (2) An answer of an idempotent route that has the type of an event stream broke off after some events, and the next upstream, which need not know how to resume one, sent it from the beginning.

Cause: an attempt after a loss goes on after the last id that the caller has; without one it started anew, though the caller had pieces. Whether the route's answers are streams was not asked.

Fix: the call remembers whether the last event with data can be named to another upstream: it has an id, and the route is one of streams. Otherwise the stream is broken off visibly, and the stall watch does not move it from an upstream that is silent. Comments and events without data don't count.

Beside: nothing changes on links or in replicated state.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -69,6 +69,9 @@
 	// the stall watch ended the attempt because its upstream was silent; the retry budget was
 	// then already charged for the next attempt.
 	answerStarted, pinned, awaitsRecord, movedOnStall atomic.Bool
+	// unresumable is set while no other attempt can go on with the stream: the last piece that the caller has is without an
+	// id, or the route's answers are no streams.
+	unresumable atomic.Bool
 	// firstEventWait is the time from arrival to the first event of a stream;
 	// longestPause is the longest time between two events.
 	firstEventWait, longestPause time.Duration
@@ -155,6 +158,8 @@
 	switch {
 	case c.mayHaveRun && !c.route.MayRepeat():
 		why = "no answer"
+	case c.unresumable.Load():
+		why = "stream cannot be resumed"
 	case c.possibleRuns >= c.route.Attempts:
 		why = "no answer from any attempt"
 	case boottime.Now() >= c.deadline:
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -16,6 +16,7 @@
 	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/internal/eventstream"
 	"github.com/agateslip/agateslip/internal/upstreamconn"
+	"github.com/agateslip/agateslip/routes"
 )
 
 const (
@@ -222,6 +223,9 @@
 	if event.ID != nil {
 		c.lastEventID = string(event.ID)
 	}
+	if event.Data != nil {
+		c.unresumable.Store(c.route.Kind != routes.Stream || len(event.ID) == 0)
+	}
 	return true
 }
 
--- a/internal/edge/stall.go
+++ b/internal/edge/stall.go
@@ -62,8 +62,8 @@
 	default:
 	}
 	e, now := w.call.edge, boottime.Now()
-	if now-w.nextCheck > maxCheckDelay || w.call.awaitsRecord.Load() {
-		// Bytes that arrived while the node was suspended have not been read yet.
+	if now-w.nextCheck > maxCheckDelay || w.call.awaitsRecord.Load() || w.call.unresumable.Load() {
+		// Bytes that arrived while the node was suspended have not been read yet. A stream that cannot be resumed stays.
 		w.silenceStart = now
 	}
 	lastRead := w.conn.LastRead()
