gateway: foreign bytes and tokens in a stream break it off

What callers of the product's own nodes saw: the head and text of another answer in the middle of their tokens; tokens twice, missing or of two runs in a stream that ended with [DONE]; the events of an answer with an error as the rest of a stream. One stream never ended: upstreams that repeated their first tokens counted as making progress, so that the call was sent on and on.

Cause: the relay looked for blank lines only, and counted an event as a token if its first line was a data field. An event with its id or a comment first was not counted, and was asked for again. The index that each event states was not compared with that of the next token. Any answer with the type of an event stream was taken for the rest of the stream, whatever its status.

Fix: the reader of internal/eventstream, as in internal/edge. A line that is none of an event, or a token whose index is not the next one (docs/PROTOCOLS.md, "In a stream each event"), ends the attempt before the caller has it; the stream is resumed elsewhere or broken off. The rest of a stream has status 200. Events without an index are accepted as before. A counter (foreign_events) and a log line of their own tell of it.

Beside: nothing changes on links or in replicated state.

Not covered: answers to calls that may run at most once are passed on as they are, streams included (runonce.go).

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,9 @@
 	// counts those that say so and prove nothing.
 	ProvedRefusals   *expvar.Int
 	DoubtfulRefusals *expvar.Int
+	// ForeignEvents counts streams that were broken off because a line or a token in them was
+	// not the attempt's.
+	ForeignEvents *expvar.Int
 	// Replayed counts recorded answers that were sent to repeated calls.
 	Replayed *expvar.Int
 }
@@ -41,6 +44,7 @@
 		Retries:          counter("retries"),
 		Resumed:          counter("resumed"),
 		ForeignAnswers:   counter("foreign_answers"),
+		ForeignEvents:    counter("foreign_events"),
 		ProvedRefusals:   counter("proved_refusals"),
 		DoubtfulRefusals: counter("doubtful_refusals"),
 		Replayed:         counter("replayed"),
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,28 +1,24 @@
 package gateway
 
 import (
-	"bufio"
 	"bytes"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/agateslip/agateslip/internal/eventstream"
 )
 
 const (
-	// maxEventBytes is the maximum size of one event of a stream.
-	maxEventBytes = 1 << 20
 	// callerWriteTimeout bounds one write to a caller that does not read.
 	callerWriteTimeout = 60 * time.Second
-	// eventBufferBytes is the initial capacity of the buffer for one event.
-	eventBufferBytes = 1 << 10
 )
 
-var (
-	dataField  = []byte("data:")
-	doneMarker = []byte("[DONE]")
-)
+// doneMarker is the data of the event that ends a stream.
+var doneMarker = []byte("[DONE]")
 
 // relay writes the answer of one call to its caller. A stream may continue over several
 // attempts.
@@ -37,8 +33,6 @@
 	// tokensSent is the number of complete data events sent to the caller, without the
 	// end marker. Each counts as one token when the stream is resumed.
 	tokensSent int
-	// event buffers the event that is being read.
-	event []byte
 	// watchdog watches the current attempt's connection.
 	watchdog *watchdog
 }
@@ -123,10 +117,9 @@
 	if !r.headerSent {
 		r.startStream(resp)
 	}
-	reader := bufio.NewReaderSize(resp.body, connBufferBytes)
-	r.event = make([]byte, 0, eventBufferBytes)
+	events := eventstream.NewReader(resp.body, eventstream.Options{Continues: r.tokensSent > 0})
 	for {
-		done, err := r.relayEvent(reader)
+		done, err := r.relayEvent(events)
 		if err != nil {
 			return &attemptError{ran: DidRun, err: errors.Wrap(err, "read stream")}
 		}
@@ -147,26 +140,30 @@
 	_ = r.controller.Flush()
 }
 
+// errForeignToken means that an event is not that of the next token, so that it belongs to another stream.
+var errForeignToken = errors.New("event is not that of the next token")
+
 // relayEvent reads one event and sends it to the caller. It returns true after the end
 // marker.
-func (r *relay) relayEvent(reader *bufio.Reader) (bool, error) {
-	r.event = r.event[:0]
-	for {
-		line, err := reader.ReadSlice('\n')
-		r.event = append(r.event, line...)
-		if len(r.event) > maxEventBytes {
-			return false, errors.Newf("event is larger than %d bytes", maxEventBytes)
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if err != nil {
-			return false, unexpectedEOF(err)
-		}
-		if isCompleteEvent(r.event) {
-			return r.sendEvent()
+func (r *relay) relayEvent(events *eventstream.Reader) (bool, error) {
+	event, err := events.Next()
+	if err != nil {
+		return false, unexpectedEOF(err)
+	}
+	done := bytes.Equal(event.Data, doneMarker)
+	isToken := event.Data != nil && !done
+	if isToken && len(event.ID) > 0 {
+		if index, err := strconv.Atoi(string(event.ID)); err != nil || index != r.tokensSent {
+			return false, errors.Mark(errors.Newf("token %.40q instead of token %d", event.ID, r.tokensSent), errForeignToken)
 		}
 	}
+	if err := r.sendEvent(event.Text); err != nil {
+		return false, err
+	}
+	if isToken {
+		r.tokensSent++
+	}
+	return done, nil
 }
 
 // unexpectedEOF turns io.EOF into io.ErrUnexpectedEOF, because a stream must not end
@@ -178,31 +175,16 @@
 	return err
 }
 
-// isCompleteEvent reports whether event ends with an empty line or is a single line
-// feed.
-func isCompleteEvent(event []byte) bool {
-	return bytes.HasSuffix(event, []byte("\n\n")) || bytes.HasSuffix(event, []byte("\r\n\r\n")) || len(event) == 1
-}
-
-// sendEvent sends the buffered event to the caller. It returns true if the event was
-// the end marker.
-func (r *relay) sendEvent() (bool, error) {
+// sendEvent sends an event to the caller.
+func (r *relay) sendEvent(event []byte) error {
 	// The time that a slow caller takes must not count as silence of the upstream.
 	r.watchdog.disarm()
-	if err := r.write(r.event); err != nil {
-		return false, err
+	if err := r.write(event); err != nil {
+		return err
 	}
 	if err := r.controller.Flush(); err != nil {
-		return false, errors.Mark(errors.Wrap(err, "flush to caller"), errAnswerAborted)
+		return errors.Mark(errors.Wrap(err, "flush to caller"), errAnswerAborted)
 	}
 	r.watchdog.reset()
-	value, ok := bytes.CutPrefix(r.event, dataField)
-	if !ok {
-		return false, nil
-	}
-	if bytes.Equal(bytes.TrimSpace(value), doneMarker) {
-		return true, nil
-	}
-	r.tokensSent++
-	return false, nil
+	return nil
 }
--- a/internal/gateway/repeatable.go
+++ b/internal/gateway/repeatable.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
+	"github.com/agateslip/agateslip/internal/eventstream"
 	"github.com/agateslip/agateslip/internal/pause"
 )
 
@@ -162,6 +164,10 @@
 	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
 		err = &attemptError{ran: DidRun, err: errStalled}
 	}
+	if err != nil && errors.IsAny(err, eventstream.ErrForeignLine, errForeignToken) {
+		s.metrics.ForeignEvents.Add(1)
+		s.log.WithError(err).WithFields(logrus.Fields{"request": c.ID, "upstream": a.route.Upstream}).Warn("foreign bytes in a stream")
+	}
 	a.route.reportLoss(err)
 	a.route.Done(resultOfRelay(caller, err, out.tokensSent > a.resumeFrom))
 	return err
@@ -217,7 +223,8 @@
 // relayAnswer relays a stream event by event, and any other answer once its body was
 // read in full. An answer larger than maxBufferedAnswerBytes is sent as it arrives.
 func (s *sender) relayAnswer(resp *answer, out *relay, stopTimer func(), stallTimeout time.Duration) error {
-	if strings.HasPrefix(resp.header.Get("Content-Type"), "text/event-stream") {
+	// Another status than the first one's must not look like the rest of the stream.
+	if strings.HasPrefix(resp.header.Get("Content-Type"), "text/event-stream") && (!out.headerSent || resp.status == http.StatusOK) {
 		stopTimer()
 		out.watchdog.arm(stallTimeout)
 		return out.relayStream(resp)
