--- a/internal/detour/end_test.go
+++ b/internal/detour/end_test.go
@@ -315,3 +315,60 @@
 	is.True(errors.Is(err, upstreamconn.ErrNotSent))
 	is.NoErr(<-ended) // the detours have ended, long before the grace is over
 }
+
+// TestDetourSetUpWhileHelperStopsIsToldSo guards against calls on a detour that was being set up when its helper began to stop. The
+// helper accepts no other connection then, and ends without waiting for this one.
+func TestDetourSetUpWhileHelperStopsIsToldSo(t *testing.T) {
+	is := is.New(t)
+	upstream := listen(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nKeep-Alive: timeout=9\r\nContent-Length: 4\r\n\r\nfine", r.Header.Get("Id"))
+		}
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	connecting, connect := make(chan struct{}), make(chan struct{})
+	s := &detour.Server{
+		Secret: secret, Serves: func(string) bool { return true },
+		Paths: detour.NewPaths(func(ctx context.Context, addr string) (net.Conn, error) {
+			close(connecting)
+			<-connect
+			return direct(ctx, addr)
+		}, nil, func(bool) {}),
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx, l, 5*time.Second) }()
+	pool := upstreamconn.NewPool(client(secret, l.Addr().String()).Dial)
+	go func() {
+		<-connecting
+		stop()
+		err := <-ended
+		ended <- err
+		close(connect)
+	}()
+	const fewCalls = 100 // the notice may arrive after some answers
+	for served := range fewCalls {
+		id := fmt.Sprint("c", served)
+		c, err := pool.Get(t.Context(), upstream, id)
+		if served > 0 && errors.Is(err, upstreamconn.ErrNotSent) {
+			is.NoErr(<-ended)
+			return
+		}
+		is.NoErr(err)
+		is.NoErr(c.SetDeadline(time.Now().Add(time.Second)))
+		is.NoErr(c.Send(&upstreamconn.Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{"Id": {id}}}))
+		resp, err := c.Receive(func(http.Header) upstreamconn.Owner { return upstreamconn.ThisCall })
+		is.NoErr(err)
+		_, err = io.ReadAll(resp.Body)
+		is.NoErr(err)
+		c.Release()
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("%d calls were sent through a node that stops", fewCalls)
+}
