gateway: a stream of a call that may run once is whole

What callers of the product's own nodes saw: a stream of a call that may run at most once which ended as complete without its end marker, or contained the head and text of another answer or the tokens of two runs. The ledger recorded it, and repeats got it too.

Cause: the answers of such calls are read whole, or passed on as they arrive if they are large, and were never looked at as streams.

Fix: a stream of an engine is recorded only if it consists of its tokens and the end marker; otherwise the outcome of the call is unknown (502). A large one is relayed by event as that of any other call, and the connection is closed if it is not whole. The refusal does not quote the stream. Answers of plain services are passed on as before.

--- a/internal/gateway/foreign_test.go
+++ b/internal/gateway/foreign_test.go
@@ -106,3 +106,32 @@
 		})
 	}
 }
+
+// TestStreamOfCallThatRunsOnceIsWhole guards against a stream of a call that may run at most once which ends as complete
+// without its end, or contains what is not its own.
+func TestStreamOfCallThatRunsOnceIsWhole(t *testing.T) {
+	large := strings.Repeat(": "+strings.Repeat("x", 1000)+"\n\n", 2*maxRecordedAnswerBytes/1000)
+	for _, size := range []string{"", large} {
+		for _, c := range []struct {
+			name, stream string
+			whole        bool
+		}{
+			{"whole", size + numberedStream(0, 3) + endMarker, true},
+			{"end without a marker", size + numberedStream(0, 3), false},
+			{"head and text", size + numberedStream(0, 3) + foreignHead + "overloaded\n\n", false},
+			{"head, text and an end marker", size + numberedStream(0, 3) + foreignHead + "overloaded\n\n" + endMarker, false},
+			{"two runs", size + numberedStream(0, 3) + numberedStream(0, 6) + endMarker, false},
+		} {
+			t.Run(fmt.Sprint(c.name, " ", len(size)), func(t *testing.T) {
+				_, _, url := newGateway(t, rawStream(200, c.stream))
+				for range 2 { // the second time from the ledger
+					resp, body, err := sendRequest(t, "POST", url+"/v1/chat/completions", streamBody, headerRunOnce, "1", headerIdempotencyKey, "k")
+					served := err == nil && resp.StatusCode == http.StatusOK
+					if served != c.whole && (served || size == "") || served && body != c.stream || strings.Contains(body, "HTTP/1.1") {
+						t.Errorf("error %v, body %.300q", err, strings.TrimPrefix(body, large))
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -152,9 +152,9 @@
 	}
 	done := bytes.Equal(event.Data, doneMarker)
 	isToken := event.Data != nil && !done
-	if isToken && len(event.ID) > 0 {
-		if index, err := strconv.Atoi(string(event.ID)); err != nil || index != r.tokensSent {
-			return false, errors.Mark(errors.Newf("token %.40q instead of token %d", event.ID, r.tokensSent), errForeignToken)
+	if isToken {
+		if err := checkIndex(event, r.tokensSent); err != nil {
+			return false, err
 		}
 	}
 	if err := r.sendEvent(event.Text); err != nil {
@@ -166,6 +166,39 @@
 	return done, nil
 }
 
+// checkIndex returns an error if an event states that it is another token than the next one.
+func checkIndex(event eventstream.Event, next int) error {
+	if len(event.ID) == 0 {
+		return nil
+	}
+	if index, err := strconv.Atoi(string(event.ID)); err != nil || index != next {
+		return errors.Mark(errors.Newf("token %.40q instead of token %d", event.ID, next), errForeignToken)
+	}
+	return nil
+}
+
+// checkTokens returns an error unless a stream consists of its tokens, from the first one on, and the end marker.
+func checkTokens(stream []byte) error {
+	events := eventstream.NewReader(bytes.NewReader(stream), eventstream.Options{})
+	for next := 0; ; {
+		event, err := events.Next()
+		switch {
+		case err != nil:
+			return unexpectedEOF(err)
+		case bytes.Equal(event.Data, doneMarker):
+			if _, err := events.Next(); !errors.Is(err, io.EOF) {
+				return errors.New("stream goes on after its end marker")
+			}
+			return nil
+		case event.Data != nil:
+			if err := checkIndex(event, next); err != nil {
+				return err
+			}
+			next++
+		}
+	}
+}
+
 // unexpectedEOF turns io.EOF into io.ErrUnexpectedEOF, because a stream must not end
 // without its end marker.
 func unexpectedEOF(err error) error {
--- a/internal/gateway/repeatable.go
+++ b/internal/gateway/repeatable.go
@@ -164,13 +164,18 @@
 	if err != nil && errors.Is(context.Cause(ctx), errStalled) {
 		err = &attemptError{ran: DidRun, err: errStalled}
 	}
+	s.noteForeign(c, a, err)
+	a.route.reportLoss(err)
+	a.route.Done(resultOfRelay(caller, err, out.tokensSent > a.resumeFrom))
+	return err
+}
+
+// noteForeign counts and logs an attempt whose stream contained what is not its own; err is how the attempt ended.
+func (s *sender) noteForeign(c *Call, a attempt, err error) {
 	if err != nil && errors.IsAny(err, eventstream.ErrForeignLine, errForeignToken) {
 		s.metrics.ForeignEvents.Add(1)
 		s.log.WithError(err).WithFields(logrus.Fields{"request": c.ID, "upstream": a.route.Upstream}).Warn("foreign bytes in a stream")
 	}
-	a.route.reportLoss(err)
-	a.route.Done(resultOfRelay(caller, err, out.tokensSent > a.resumeFrom))
-	return err
 }
 
 // resumesAt reports whether the answer begins at the requested token. An answer that
--- a/internal/gateway/runonce.go
+++ b/internal/gateway/runonce.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/agateslip/agateslip/internal/pause"
@@ -41,7 +43,9 @@
 	// and head is the part of the body that was already read.
 	resp *answer
 	head []byte
-	err  error
+	// ofTokens is set if the answer is an engine's stream.
+	ofTokens bool
+	err      error
 }
 
 // runOnce claims the call, waits for its admission and sends it at most once. A call
@@ -230,6 +234,9 @@
 	switch {
 	case outcome.resp != nil:
 		defer outcome.resp.close()
+		if outcome.ofTokens {
+			return sendTokens(w, outcome)
+		}
 		return newRelay(w, true).sendAndStream(outcome.resp, outcome.head)
 	case outcome.state == ledger.Ran:
 		return writeAnswer(w, outcome.answer)
@@ -240,6 +247,21 @@
 	}
 }
 
+// isTokenStream reports whether an answer is a stream of an engine, which ends with the end marker.
+func isTokenStream(c *Call, resp *answer) bool {
+	return c.Service == "" && resp.status == http.StatusOK && strings.HasPrefix(resp.header.Get("Content-Type"), "text/event-stream")
+}
+
+// sendTokens sends a large stream to the caller. The connection is closed if it is not whole.
+func sendTokens(w http.ResponseWriter, outcome runOnceOutcome) error {
+	whole := *outcome.resp
+	whole.body = io.NopCloser(io.MultiReader(bytes.NewReader(outcome.head), outcome.resp.body))
+	if err := newRelay(w, true).relayStream(&whole); err != nil {
+		return errors.Mark(errors.Wrap(err, "relay stream"), errAnswerAborted)
+	}
+	return nil
+}
+
 // refusalFromError returns the *Refusal that err wraps, or else a new one with the
 // reason ReasonUpstreamFailed.
 func refusalFromError(err error, ran Ran) error {
@@ -305,6 +327,16 @@
 		return failedOutcome(err)
 	}
 	outcome := readOutcome(resp)
+	if outcome.state == ledger.Ran && isTokenStream(c, resp) {
+		outcome.ofTokens = true
+		if outcome.resp == nil {
+			if err := checkTokens(outcome.answer.Body); err != nil {
+				s.noteForeign(c, a, err)
+				// The caller must not get what the error quotes of the stream.
+				outcome = runOnceOutcome{state: ledger.Unknown, err: errors.New("stream is not whole")}
+			}
+		}
+	}
 	if outcome.state == ledger.Ran {
 		a.route.Done(AttemptOK)
 	} else {
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -47,8 +47,16 @@
 	w.timer.Reset(timeout)
 }
 
-// reset restarts the timeout of the last arm.
-func (w *watchdog) reset() { w.timer.Reset(w.timeout) }
+// reset restarts the timeout of the last arm. It does nothing without a watchdog.
+func (w *watchdog) reset() {
+	if w != nil {
+		w.timer.Reset(w.timeout)
+	}
+}
 
-// disarm stops the timer.
-func (w *watchdog) disarm() { w.timer.Stop() }
+// disarm stops the timer. It does nothing without a watchdog.
+func (w *watchdog) disarm() {
+	if w != nil {
+		w.timer.Stop()
+	}
+}
