edge: a call that may run once goes to an upstream at most once

All attempts of a call bear its ID.

Now a call that may run once avoids the upstreams that have refused it, so that a refusal with its ID can only be the answer to the one attempt there.

Ruled out: a new connection for the next attempt. Not to be told by any node: a refusal with the right ID of an upstream that nevertheless runs the call. Beside nothing changes.

--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -31,7 +31,8 @@
 	// upstreams with the given version of their software.
 	Pinned   bool
 	Software string
-	// Avoid lists the IDs of upstreams on which this call may have run already.
+	// Avoid lists the IDs of upstreams that must not get this call: it may have run there already, or it may run only once
+	// and was refused there.
 	Avoid []string
 	// Repeat is set when the call was sent before; it then does not count as another
 	// arrival.
@@ -56,6 +57,8 @@
 const (
 	// NoUpstream means that no upstream of the service is known.
 	NoUpstream Reason = "no upstream"
+	// AllAvoided means that the call must avoid every upstream that could run it.
+	AllAvoided Reason = "refused by every upstream"
 	// NoModel means that no upstream will have the model, or the adapter, in time.
 	NoModel Reason = "model not loaded in time"
 	// Paused means that all upstreams that could run the call asked for a pause that
@@ -102,7 +105,8 @@
 	Failed
 	// Lost calls were sent and got no answer, or only part of one.
 	Lost
-	// Doubtful calls were answered with a refusal that does not prove that they did not run.
+	// Doubtful calls may have run: they were answered with a refusal that proves nothing, or with a stream that contains
+	// bytes of another origin.
 	Doubtful
 	// Unreachable calls could not be sent.
 	Unreachable
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -142,7 +142,12 @@
 			c.mayHaveRun = true
 			c.possibleRuns++
 			c.dispatchCall.Avoid = append(c.dispatchCall.Avoid, verdict.Upstream.ID)
-		case outcomeUnsent, outcomeNotRun:
+		case outcomeNotRun:
+			if !c.route.MayRepeat() {
+				// All attempts have the call's ID. After a second one, a copy of the first refusal would be taken for its answer.
+				c.dispatchCall.Avoid = append(c.dispatchCall.Avoid, verdict.Upstream.ID)
+			}
+		case outcomeUnsent:
 		}
 		if !c.retryOrGiveUp(outcome) {
 			return
