edge: a refusal that names the call is believed after a late copy of another

Calls that may run once ended in 502 although their upstream had refused them and another had room: where copies of earlier refusals came first on the connection, the right one was taken for doubtful.

The rule guarded against a copy of a refusal of the same call. A connection on which an answer to another call came is still not used again.

TestRefusalAfterLateCopyIsSentElsewhere: 502 before, 100 of 100 calls served now. TestRefusedCallsDidNotRun (17 faults), the tests of refusals on other connections and TestCallersOfUpstreamsThatStutter pass. Beside nothing changes.

--- a/internal/edge/refusal.go
+++ b/internal/edge/refusal.go
@@ -17,8 +17,6 @@
 	refusalProved refusalProof = "stated"
 	// refusalUnnamed means that the answer names no call: it may not be the upstream's.
 	refusalUnnamed refusalProof = "unnamed"
-	// refusalDisturbed means that an answer to another call came before on the connection, whose bytes may be out of step.
-	refusalDisturbed refusalProof = "after an answer to another call"
 	// refusalUnstated means that only the status says so, which an upstream may also send for a call that it ran.
 	refusalUnstated refusalProof = "not stated"
 )
@@ -28,8 +26,6 @@
 	switch {
 	case !from.Named:
 		return refusalUnnamed
-	case from.Disturbed:
-		return refusalDisturbed
 	case !answer.StatesNotRun:
 		return refusalUnstated
 	}
