--- a/fleet/check.go
+++ b/fleet/check.go
@@ -14,7 +14,7 @@
 	maxIDBytes = 256
 	// maxSeq is the highest number of an announcement. Every larger one would be the last that
 	// is ever heard; no upstream gets there by counting.
-	maxSeq = 1 << 53
+	maxSeq = 1 << 62
 	// maxBorn is the latest start of an incarnation, in Unix milliseconds: in the 31st century.
 	maxBorn = 1 << 45
 	// maxNames bounds the models, adapters and copies that an upstream lists. An engine has
