edge: event streams of plain services may have fields of other names

Streams of plain services broke off if they had a field that the standard lets readers ignore ("x-trace: 7"): the check of lines knew the standard's names only. It stays as strict on routes of streams; on others, a name of letters, digits, hyphens and underscores is a field. A status line or text is none.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -173,6 +173,7 @@
 	}
 	events := eventstream.NewReader(resp.Body, eventstream.Options{
 		Append: c.held.Append, FirstLine: c.edge.dialect.BeginsEvent, Continues: c.events > 0,
+		AnyField: c.route.Kind != routes.Stream,
 	})
 	checked, placed := false, false
 	for {
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -31,6 +31,8 @@
 	Append func(buffer, p []byte) ([]byte, error)
 	// FirstLine reports whether a line, without its end, may begin an event although it is no field; nil means no.
 	FirstLine func(line []byte) bool
+	// AnyField allows fields of other names than those of the standard, which readers ignore.
+	AnyField bool
 	// Continues is set if the stream goes on with an earlier one, within which a byte order mark has no place.
 	Continues bool
 }
@@ -204,6 +206,9 @@
 		}
 	case "event", "retry":
 	default:
+		if r.opts.AnyField && isToken(name) {
+			break
+		}
 		if r.fields > 0 || r.opts.FirstLine == nil || !r.opts.FirstLine(line) {
 			return false, foreignLine(line)
 		}
@@ -215,3 +220,13 @@
 func foreignLine(line []byte) error {
 	return errors.Mark(fmt.Errorf("foreign line %.*q", maxQuotedBytes, line), ErrForeignLine)
 }
+
+// isToken reports whether a name consists of letters, digits, hyphens and underscores.
+func isToken(name []byte) bool {
+	for _, b := range name {
+		if !('a' <= b && b <= 'z' || 'A' <= b && b <= 'Z' || '0' <= b && b <= '9' || b == '-' || b == '_') {
+			return false
+		}
+	}
+	return true
+}
