edge: a refused call goes to the upstream again if no other can take it

The call now prefers upstreams that have not refused it, and goes to one that has over a new connection only, on which no copy of the refusal can be due.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -276,9 +276,22 @@
 		candidates = append(candidates, candidate{upstream: u, cost: d.cost(u, c, load, now)})
 		outcome = selected
 	}
+	if others := withoutRefusers(candidates, c); len(others) > 0 {
+		candidates = others
+	}
 	return pick(candidates, uint64(c.ID), d.unseenCalls(candidates, now)), outcome
 }
 
+// withoutRefusers returns the candidates that have not refused the call.
+func withoutRefusers(candidates []candidate, c *Call) []candidate {
+	if len(c.RefusedBy) == 0 {
+		return candidates
+	}
+	return slices.DeleteFunc(slices.Clone(candidates), func(o candidate) bool {
+		return slices.Contains(c.RefusedBy, o.upstream.desc.ID)
+	})
+}
+
 // takesCalls reports whether this node may send an upstream a call now, as far as its slots are free.
 func (d *Dispatcher) takesCalls(u *upstream, now time.Duration) bool {
 	return d.mayBeSent(u, now) && !d.lacksSlot(u, now) && !d.exceedsBrittleShare(u, now)
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -31,9 +31,10 @@
 	// upstreams with the given version of their software.
 	Pinned   bool
 	Software string
-	// Avoid lists the IDs of upstreams that must not get this call: it may have run there already, or it may run only once
-	// and was refused there.
+	// Avoid lists the IDs of upstreams on which this call may have run already.
 	Avoid []string
+	// RefusedBy lists the IDs of upstreams that refused the call. It goes there again only if no other upstream can take it.
+	RefusedBy []string
 	// Repeat is set when the call was sent before; it then does not count as another
 	// arrival.
 	Repeat bool
@@ -57,8 +58,6 @@
 const (
 	// NoUpstream means that no upstream of the service is known.
 	NoUpstream Reason = "no upstream"
-	// AllAvoided means that the call must avoid every upstream that could run it.
-	AllAvoided Reason = "refused by every upstream"
 	// NoModel means that no upstream will have the model, or the adapter, in time.
 	NoModel Reason = "model not loaded in time"
 	// Paused means that all upstreams that could run the call asked for a pause that
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -111,10 +111,6 @@
 		v.Reason = NoVersion
 		return v, true
 	}
-	if w.outcome == noneOffersModel && c.Model == "" && len(c.Avoid) > 0 {
-		v.Reason = AllAvoided
-		return v, true
-	}
 	if w.outcome == noneOffersModel && c.Model != "" && !c.Pinned {
 		v.Reason = NoModel
 		if f, ok := d.forecasts[ModelKey{c.Service, c.Model, ""}]; ok && now < f.expiresAt {
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -143,10 +144,7 @@
 			c.possibleRuns++
 			c.dispatchCall.Avoid = append(c.dispatchCall.Avoid, verdict.Upstream.ID)
 		case outcomeNotRun:
-			if !c.route.MayRepeat() {
-				// All attempts have the call's ID. After a second one, a copy of the first refusal would be taken for its answer.
-				c.dispatchCall.Avoid = append(c.dispatchCall.Avoid, verdict.Upstream.ID)
-			}
+			c.dispatchCall.RefusedBy = append(c.dispatchCall.RefusedBy, verdict.Upstream.ID)
 		case outcomeUnsent:
 		}
 		if !c.retryOrGiveUp(outcome) {
@@ -340,7 +338,12 @@
 func (c *call) exchange(u *fleet.Upstream) (dispatch.Result, attemptOutcome) {
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline-boottime.Now())
 	defer cancel()
-	conn, err := c.edge.pool.Get(ctx, u.Addr, c.caller.ID)
+	connect := c.edge.pool.Get
+	if slices.Contains(c.dispatchCall.RefusedBy, u.ID) {
+		// On a kept connection, a copy of the refusal could not be told from the answer to this attempt.
+		connect = c.edge.pool.GetNew
+	}
+	conn, err := connect(ctx, u.Addr, c.caller.ID)
 	if err != nil {
 		return c.endUnsent(u, err)
 	}
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -164,6 +164,16 @@
 		}
 		c.Close()
 	}
+	return p.open(ctx, addr, call)
+}
+
+// GetNew returns a new connection to an address for the call with the given ID. Its errors are marked ErrNotSent.
+func (p *Pool) GetNew(ctx context.Context, addr, callID string) (*Conn, error) {
+	return p.open(ctx, addr, xxhash.Sum64String(callID))
+}
+
+// open connects to an address for the call with the given hash of its ID.
+func (p *Pool) open(ctx context.Context, addr string, call uint64) (*Conn, error) {
 	if err := p.reserve(addr); err != nil {
 		// An idle connection that cannot carry this call takes up the place of one that can.
 		c := p.takeIdle(addr, func(*Conn) bool { return true })
