edge: only answers of unknown origin pause an upstream

One caller could take all upstreams of a service away from everybody: whose calls an application answered with 429 or 503, without saying that they did not run, or who gave no ID, so that no answer could be named. Each such answer paused the upstream, up to 3 s.

A named answer is the upstream's own; the caller gets 502 as before, and the upstream counts as failed or served by the status. An answer to a call without an ID shows nothing of the upstream. Unnamed ones and foreign bytes in streams still pause it.

TestApplicationErrorsPauseNoUpstream and TestCallsWithoutIDPauseNoUpstream: 100 of 100 sound calls served. TestRefusedCallsDidNotRun passes.

--- a/internal/edge/refusal.go
+++ b/internal/edge/refusal.go
@@ -52,7 +52,19 @@
 		"upstream": u.ID, "status": resp.StatusCode, "proof": proof, "conn": from.Conn, "connCalls": from.Calls,
 		"detour": from.Relayed, "named": from.Named, "disturbed": from.Disturbed, "stated": answer.StatesNotRun, "signed": answer.Genuine,
 	})
-	if proof != refusalProved {
+	switch {
+	case proof == refusalProved:
+	case c.caller.ID == "":
+		// No answer can name the call, so that this one shows nothing of the upstream.
+		conn.Close()
+		return dispatch.Abandoned, outcomeUnknown
+	case proof == refusalUnstated && resp.StatusCode < http.StatusInternalServerError:
+		conn.Close()
+		return dispatch.Served, outcomeUnknown
+	case proof == refusalUnstated:
+		conn.Close()
+		return dispatch.Failed, outcomeUnknown
+	default:
 		conn.Close()
 		return dispatch.Doubtful, outcomeUnknown
 	}
