--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -224,7 +224,9 @@
 // isToken reports whether a name consists of letters, digits, hyphens and underscores.
 func isToken(name []byte) bool {
 	for _, b := range name {
-		if !('a' <= b && b <= 'z' || 'A' <= b && b <= 'Z' || '0' <= b && b <= '9' || b == '-' || b == '_') {
+		switch {
+		case 'a' <= b && b <= 'z', 'A' <= b && b <= 'Z', '0' <= b && b <= '9', b == '-', b == '_':
+		default:
 			return false
 		}
 	}
