--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -150,6 +150,23 @@
 	is.Equal(d.Health("a", limits.Backoff).PausedFor, 2*limits.Backoff)
 }
 
+// TestRefusedCallPrefersOtherUpstreams guards against a call that goes again to the upstream that refused it while another
+// one is free, and against one that waits although only that upstream can run it.
+func TestRefusedCallPrefersOtherUpstreams(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("a", 64, "m"), engine("b", 64, "m"))
+	for id := 1; id <= 100; id++ {
+		refused := call(id, "m", 1, 0)
+		refused.RefusedBy = []string{"a"}
+		is.Equal(started(d.Submit(refused, 0))[dispatch.CallID(id)], "b")
+		d.Finish(dispatch.CallID(id), dispatch.Served, 0)
+	}
+	d.Update([]fleet.Upstream{{ID: "b", Gone: true}}, 0)
+	refused := call(101, "m", 1, 0)
+	refused.RefusedBy = []string{"a"}
+	is.Equal(started(d.Submit(refused, 0))[101], "a")
+}
+
 // TestUpstreamOfDoubtfulRefusalsGetsFewCalls guards against an upstream whose refusals prove nothing taking call after
 // call, each with an unknown outcome, while another one has room.
 func TestUpstreamOfDoubtfulRefusalsGetsFewCalls(t *testing.T) {
