edge, dispatch: a second refusal by an upstream proves nothing of a call that may run once

What callers saw: a call that may run once was refused as not run although it ran, or ran twice. Its only upstream refuses the first attempt, rightly, and writes that refusal once more on the new connection of the second attempt, which it runs. Both attempts bear the call's ID, so that the copy names the call and states that it did not run.

Cause: nothing tells the attempts of one call apart at an upstream. So only the first refusal that an upstream gives a call can be certain.

Fix: of a call that may run only once, a further refusal by the same upstream leaves its outcome unknown (proof "repeated"; the caller gets 502). So that sound calls do not lose by it, the dispatcher lets such a call go back to an upstream that refused it only after that has ended another call well, or half-way through the call's wait, in place of every 100 ms. TestLastTryOutlastsAFullUpstream replays engines that are full for up to 1.5 s, with and without other calls: the last try is never early.

A call that may be repeated believes further refusals as before.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -328,3 +328,68 @@
 	is.Equal(len(d.Submit(repeated, 0)), 0)
 	is.Equal(started(d.Submit(call(2, "m", 1, 10*ms), 10*ms)), map[dispatch.CallID]string{2: "a"})
 }
+
+// refusedOnce is a call that may run only once and that engine a refused at the given time.
+func refusedOnce(id int, at time.Duration) dispatch.Call {
+	c := call(id, "m", 1, at)
+	c.Once, c.RefusedBy, c.RefusedAt = true, []string{"a"}, at
+	return c
+}
+
+// TestLastTryWaitsForASignOfRoom guards against calls that use up their last try at an upstream while it is still full. They
+// must not hold up other calls meanwhile.
+func TestLastTryWaitsForASignOfRoom(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("a", 4, "m"))
+	wait := 4 * second // half of the time to the latest start
+	is.Equal(len(started(d.Submit(refusedOnce(1, 0), 0))), 0)
+	is.Equal(len(started(d.Tick(wait/2-ms))), 0)
+	is.Equal(started(d.Tick(wait / 2))[1], "a")
+
+	at := 10 * second
+	is.Equal(len(started(d.Submit(refusedOnce(2, at), at))), 0)
+	is.Equal(started(d.Submit(call(3, "m", 1, at), at))[3], "a")
+	is.Equal(len(started(d.Tick(at+ms))), 0)
+	is.Equal(started(d.Finish(3, dispatch.Served, at+2*ms))[2], "a")
+}
+
+// TestLastTryOutlastsAFullUpstream replays an engine that is full for up to 1.5 s from when it refuses a call that may run only
+// once, without other calls and with one each 50 ms. The last try must be neither too early nor later than the call waits.
+func TestLastTryOutlastsAFullUpstream(t *testing.T) {
+	is := is.New(t)
+	const patterns = 100
+	for pattern := range patterns {
+		for _, interval := range []time.Duration{0, 50 * ms} {
+			fullUntil := time.Duration(pattern) * 1500 * ms / patterns
+			d := newDispatcher(engine("a", 4, "m"))
+			sentAt := time.Duration(-1)
+			// answer ends the other calls that start, until no more do.
+			answer := func(verdicts []dispatch.Verdict, now time.Duration) {
+				for len(verdicts) > 0 {
+					v := verdicts[0]
+					verdicts = verdicts[1:]
+					is.Equal(v.Action, dispatch.Start)
+					switch {
+					case v.ID == 1:
+						sentAt = now
+					case now < fullUntil:
+						verdicts = append(verdicts, d.Finish(v.ID, dispatch.Rejected, now)...)
+					default:
+						verdicts = append(verdicts, d.Finish(v.ID, dispatch.Served, now)...)
+					}
+				}
+			}
+			answer(d.Submit(refusedOnce(1, 0), 0), 0)
+			for now, id := 10*ms, 2; sentAt < 0 && now <= 4*second; now, id = now+10*ms, id+1 {
+				answer(d.Tick(now), now)
+				if interval > 0 && now%interval == 0 {
+					answer(d.Submit(call(id, "m", 1, now), now), now)
+				}
+			}
+			is.True(sentAt >= fullUntil)
+			if interval > 0 {
+				is.True(sentAt <= fullUntil+200*ms) // the pause after a refusal, and one of the other calls
+			}
+		}
+	}
+}
