Revert "edge, dispatch: a second refusal by an upstream proves nothing of a call that may run once"

What it cost sound callers: a call that may run once and that a full upstream refused twice ended in 502, which callers must not retry, in place of 503. Cause: an upstream that ends a call well while other nodes fill it is no sign of room, and one such end let all waiting calls go at once. The load pattern of the commit's own test had no other nodes.

The wrong belief that it closed needs an upstream that copies a refusal of a call onto the new connection of the same call's next attempt; that of full upstreams is an everyday case. What might work: distrust only upstreams that were seen to write second answers.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -38,9 +38,6 @@
 	// NoForecastWaitFraction is the share of the time from a call's arrival to its
 	// latest start for which it waits if there is no forecast.
 	NoForecastWaitFraction float64
-	// LastTryFraction is the share of the time from a refusal to the end of a call's wait after which a call that may run
-	// only once goes back to the upstream that refused it, if that serves no other call before.
-	LastTryFraction float64
 	// RetryAfter is the wait asked of refused callers where no forecast gives a longer
 	// one.
 	RetryAfter time.Duration
@@ -58,7 +55,6 @@
 		AffinityBonus:          0.05,
 		FailurePenalty:         2,
 		NoForecastWaitFraction: 0.5,
-		LastTryFraction:        0.5,
 		RetryAfter:             500 * time.Millisecond,
 	}
 }
@@ -86,8 +82,6 @@
 	// consecutiveLost and consecutiveUnreachable count the Lost and Unreachable results
 	// since the upstream's latest answer.
 	consecutiveLost, consecutiveUnreachable int
-	// servedAt is when the upstream last ended a call that it served.
-	servedAt time.Duration
 	// consecutiveDoubtful counts the Doubtful results since the latest call that was served.
 	consecutiveDoubtful int
 	// unreachableAt is when a call last could not be sent there.
@@ -134,7 +128,6 @@
 	switch result {
 	case Served:
 		u.consecutiveLost, u.consecutiveUnreachable, u.consecutiveDoubtful = 0, 0, 0
-		u.servedAt = now
 	case Abandoned:
 		return
 	case Rejected:
@@ -277,7 +270,7 @@
 			outcome = allBusy
 		}
 		load := u.estimatedLoad(&d.limits, now)
-		if load >= u.capacityFor(c) || !d.takesCalls(u, now) || d.awaitsLastTry(u, c, now) {
+		if load >= u.capacityFor(c) || !d.takesCalls(u, now) {
 			continue
 		}
 		candidates = append(candidates, candidate{upstream: u, cost: d.cost(u, c, load, now)})
@@ -299,15 +292,6 @@
 	})
 }
 
-// awaitsLastTry reports whether a call must not go back to an upstream yet that refused it.
-func (d *Dispatcher) awaitsLastTry(u *upstream, c *Call, now time.Duration) bool {
-	if !c.Once || !slices.Contains(c.RefusedBy, u.desc.ID) || u.servedAt > c.RefusedAt {
-		return false
-	}
-	wait := d.waitEnd(c) - c.RefusedAt
-	return now < c.RefusedAt+time.Duration(float64(wait)*d.limits.LastTryFraction)
-}
-
 // takesCalls reports whether this node may send an upstream a call now, as far as its slots are free.
 func (d *Dispatcher) takesCalls(u *upstream, now time.Duration) bool {
 	return d.mayBeSent(u, now) && !d.lacksSlot(u, now) && !d.exceedsBrittleShare(u, now)
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -35,11 +35,6 @@
 	Avoid []string
 	// RefusedBy lists the IDs of upstreams that refused the call. It goes there again only if no other upstream can take it.
 	RefusedBy []string
-	// Once is set if the call may run only once. Of an upstream that refused it, another refusal would prove nothing, so that
-	// the call goes there once more at most, at a time when it is likely to be taken.
-	Once bool
-	// RefusedAt is when an upstream last refused the call.
-	RefusedAt time.Duration
 	// Repeat is set when the call was sent before; it then does not count as another
 	// arrival.
 	Repeat bool
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -42,8 +42,8 @@
 
 // processQueue starts the waiting calls for which there is an upstream and refuses those
 // that cannot start in time. Once no upstream was found for a requirement, later calls with
-// the same one are not tried. Calls that avoid upstreams, or wait to go back to one, are tried by
-// themselves: what they find says nothing about the others.
+// the same one are not tried. Calls that avoid upstreams are tried by themselves: what they
+// find says nothing about the others.
 func (d *Dispatcher) processQueue(now time.Duration) []Verdict {
 	var verdicts []Verdict
 	failedSelections := map[requirement]selection{}
@@ -53,7 +53,7 @@
 		key := w.call.requirement()
 		outcome, known := failedSelections[key]
 		var u *upstream
-		avoids := len(w.call.Avoid) > 0 || w.call.Once && len(w.call.RefusedBy) > 0
+		avoids := len(w.call.Avoid) > 0
 		if !known || avoids {
 			u, outcome = d.choose(&w.call, now)
 		}
@@ -137,12 +137,7 @@
 		// No other node has more upstreams of its version.
 		return v, now > c.LatestStart
 	}
-	return v, now > d.waitEnd(c)
-}
-
-// waitEnd returns how long a call waits for an upstream if there is no forecast.
-func (d *Dispatcher) waitEnd(c *Call) time.Duration {
-	return c.Arrived + time.Duration(float64(c.LatestStart-c.Arrived)*d.limits.NoForecastWaitFraction)
+	return v, now > c.Arrived+time.Duration(float64(c.LatestStart-c.Arrived)*d.limits.NoForecastWaitFraction)
 }
 
 // Demand returns the calls that wait for each model and adapter, whether no upstream
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -145,7 +145,6 @@
 			c.dispatchCall.Avoid = append(c.dispatchCall.Avoid, verdict.Upstream.ID)
 		case outcomeNotRun:
 			c.dispatchCall.RefusedBy = append(c.dispatchCall.RefusedBy, verdict.Upstream.ID)
-			c.dispatchCall.RefusedAt = boottime.Now()
 		case outcomeUnsent:
 		}
 		if !c.retryOrGiveUp(outcome) {
--- a/internal/edge/refusal.go
+++ b/internal/edge/refusal.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 
 	"github.com/agateslip/agateslip/dispatch"
 	"github.com/agateslip/agateslip/fleet"
@@ -20,21 +19,15 @@
 	refusalUnnamed refusalProof = "unnamed"
 	// refusalUnstated means that only the status says so, which an upstream may also send for a call that it ran.
 	refusalUnstated refusalProof = "not stated"
-	// refusalRepeated means that the upstream refused an earlier attempt of the call, which may run only once. All
-	// attempts have the call's ID, so that this may be a copy of the earlier refusal.
-	refusalRepeated refusalProof = "repeated"
 )
 
-// proofOfRefusal returns what a refusal with the given provenance proves. repeated tells that the upstream refused an earlier
-// attempt of a call that may run only once.
-func proofOfRefusal(from upstreamconn.Provenance, answer Answer, repeated bool) refusalProof {
+// proofOfRefusal returns what a refusal with the given provenance proves.
+func proofOfRefusal(from upstreamconn.Provenance, answer Answer) refusalProof {
 	switch {
 	case !from.Named:
 		return refusalUnnamed
 	case !answer.StatesNotRun:
 		return refusalUnstated
-	case repeated:
-		return refusalRepeated
 	}
 	return refusalProved
 }
@@ -53,8 +46,7 @@
 // refusal is taken for one; after any other the call may have run, and the caller does not get that status.
 func (c *call) endRefused(u *fleet.Upstream, conn *upstreamconn.Conn, resp *http.Response, answer Answer) (dispatch.Result, attemptOutcome) {
 	from := conn.Provenance()
-	repeated := c.dispatchCall.Once && slices.Contains(c.dispatchCall.RefusedBy, u.ID)
-	proof := proofOfRefusal(from, answer, repeated)
+	proof := proofOfRefusal(from, answer)
 	c.edge.metrics.Count("upstream refusal: " + string(proof))
 	c.log("upstream refuses", eventlog.Fields{
 		"upstream": u.ID, "status": resp.StatusCode, "proof": proof, "conn": from.Conn, "connCalls": from.Calls,
@@ -62,10 +54,6 @@
 	})
 	switch {
 	case proof == refusalProved:
-	case proof == refusalRepeated:
-		// The answer to this attempt may follow.
-		conn.Close()
-		return dispatch.Rejected, outcomeUnknown
 	case c.caller.ID == "":
 		// No answer can name the call, so that this one shows nothing of the upstream.
 		conn.Close()
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -210,7 +210,6 @@
 	c.dispatchCall = dispatch.Call{
 		Service:  service,
 		Stream:   c.route.Kind == routes.Stream,
-		Once:     !c.route.MayRepeat(),
 		Priority: c.route.Priority,
 		Arrived:  c.arrived,
 		Target:   c.arrived + c.route.Target,
