controller: a test finds the replacement whichever node leads

Trace: core-0 led when the test killed core-1 (16:19:31.9), lost its majority at 33.09, and core-4 was elected at 33.72, promoted core-5 and logged "lost voter removed" at 35.31, within the wait. The test looked for that line in the log of core-0 only. It now looks in the logs of all nodes; what must happen, and by when, is unchanged.

--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -206,7 +206,10 @@
 	c.nodes[5].cfg.FirstStart = false
 	c.start(5)
 	c.waitFor("the replacement", func() bool {
-		return strings.Contains(c.nodes[leader].log.Tail(1<<20), `"msg":"lost voter removed"`)
+		// Another node may lead by now.
+		return slices.ContainsFunc(c.nodes, func(n *testNode) bool {
+			return strings.Contains(n.log.Tail(1<<20), `"msg":"lost voter removed"`)
+		})
 	})
 	c.waitForVoters(leader)
 	c.start(silent)
