routes, platform, edge: tenants with keys, and calls that need one

Cause: a configuration with tenants was read without them, so that callers without a key were served, keys reached upstreams, and a removed key stayed valid.

Change: a configuration holds the digests of its tenants' keys, their priorities and quotas; one with a key of two tenants is invalid. An entry node answers 401 to a call without a known key, unless its route is public, looks the key up again before each attempt, and names the tenant to the upstream in place of the key. Fingerprints of requests hold the tenant, not the key. The settings carry the bounds of revocation and quotas for what follows.

--- a/internal/config/managed.go
+++ b/internal/config/managed.go
@@ -53,10 +53,20 @@
 	Stop contract.Duration `yaml:"stop" validate:"gt=0"`
 	// Retry limits the retries of all entry nodes together.
 	Retry RetryBudget `yaml:"retry"`
+	// Revocation is the time after the acknowledgement of a configuration without a key from which no call runs with
+	// that key, on any entry node. An entry node that cannot prove that its configuration is as recent takes no calls.
+	// Zero lets it go on with the configuration that it has.
+	Revocation contract.Duration `yaml:"revocation,omitempty" validate:"gte=0"`
+	// Quota is the tolerance of the tenants' quotas.
+	Quota QuotaTolerance `yaml:"quota,omitempty"`
 	// Store describes the platform's weight store.
 	Store Store `yaml:"store,omitempty"`
 	// MemoryMB is the memory that the process may use, in MiB.
 	MemoryMB int `yaml:"memoryMB" validate:"gt=0"`
+	// Descriptors is the number of file descriptors that the process may use; zero means that it is not known.
+	Descriptors int `yaml:"descriptors,omitempty" validate:"gte=0"`
+	// LinkMbps is the bandwidth of the machine's network link in Mbit/s; zero means that it is not known.
+	LinkMbps float64 `yaml:"linkMbps,omitempty" validate:"gte=0"`
 }
 
 // DefaultCatchUp is the default of Managed.CatchUp.
@@ -90,6 +100,14 @@
 	Window contract.Duration `yaml:"window" validate:"gt=0"`
 }
 
+// QuotaTolerance bounds by how much a tenant may exceed its quota: in any time span of length Window, its calls cost at
+// most (rate x Window + burst) x (1 + Over) + Slack, over all entry nodes. Without a Window, quotas are not enforced.
+type QuotaTolerance struct {
+	Window contract.Duration `yaml:"window,omitempty" validate:"gte=0"`
+	Over   float64           `yaml:"over,omitempty" validate:"gte=0"`
+	Slack  float64           `yaml:"slack,omitempty" validate:"gte=0"`
+}
+
 // LoadManaged reads and validates the settings of a managed process in a file and
 // fills in the defaults. Invalid settings give a yamlcheck.Problems error.
 func LoadManaged(path string) (Managed, error) {
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -35,7 +35,9 @@
 	routing *routingConfig
 	route   *routes.Route
 	caller  Caller
-	body    []byte
+	// tenant is the tenant whose key the caller has; nil without one.
+	tenant *routes.Tenant
+	body   []byte
 	// held is the memory that the call takes for bodies, of its request and of answers.
 	held *bodybuffer.Share
 	// fingerprint is the same for all repeats of the request.
@@ -132,6 +134,11 @@
 			c.giveUp(reasonQuarantined, s.RetryAfter())
 			return
 		}
+		if !c.stillAuthorized() {
+			c.finishAttempt(dispatch.Abandoned)
+			c.giveUpUnauthorized()
+			return
+		}
 		if verdict.Record || c.record != nil {
 			c.startRecord(verdict.Upstream)
 		}
@@ -379,6 +386,8 @@
 		Resumes:     c.dispatchCall.Pinned,
 		ForModel:    c.dispatchCall.Model != "",
 		LastEventID: c.lastEventID,
+		Keyed:       c.keyed(),
+		Tenant:      c.tenantName(),
 	})
 	for _, name := range hopHeaders {
 		header.Del(name)
@@ -431,6 +440,9 @@
 		fields["route"] = c.route.Name
 		fields["version"] = c.routing.version
 	}
+	if c.tenant != nil {
+		fields["tenant"] = c.tenant.Name
+	}
 	if c.dispatchCall.Model != "" {
 		fields["model"], fields["adapter"] = c.dispatchCall.Model, c.dispatchCall.Adapter
 	}
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -21,6 +21,11 @@
 	// InputTokens is the length of the prompt, and OutputTokens the most tokens that
 	// may be generated; zero if not stated.
 	InputTokens, OutputTokens int
+	// StatesTokens is set if the header states the two.
+	StatesTokens bool
+	// Credentials is the caller's proof of identity as sent, and Key the API key in it; both empty if not stated. Neither
+	// may be logged, counted or forwarded where calls need keys.
+	Credentials, Key string
 	// SharedParts identifies the parts of the prompt that other calls may have too, without
 	// repeats.
 	SharedParts []string
@@ -28,8 +33,8 @@
 	// earlier request and now takes up again; empty otherwise. ResumedID identifies the
 	// request that brought the first event; empty if not stated.
 	ResumeAfter, ResumedID string
-	// Content lists what the header states of the content and the author of the request,
-	// without what differs between repeats of one request, such as its ID.
+	// Content lists what the header states of the content of the request, without what differs
+	// between repeats of one request, such as its ID.
 	Content []string
 	// Affinity is the hash of the start of the prompt that this call shares with
 	// others; zero if it shares none.
@@ -48,6 +53,10 @@
 	Resumes bool
 	// ForModel is set if the call is for a model engine.
 	ForModel bool
+	// Keyed is set if calls need keys. The upstream then gets the name of the tenant in place of the key, and none if
+	// the call has no key.
+	Keyed  bool
+	Tenant string
 	// LastEventID is the id of the last event that the caller received; empty unless a
 	// stream is resumed.
 	LastEventID string
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -108,6 +108,9 @@
 		c.fail(http.StatusNotFound, "no route")
 		return
 	}
+	if !c.authorize() {
+		return
+	}
 	limits := c.routing.table.Configuration().Limits
 	if c.route.Kind == routes.Stream && !r.ProtoAtLeast(1, 1) {
 		// Without chunks, a stream that breaks off would look complete.
@@ -195,7 +198,7 @@
 		return false
 	}
 	c.body = body
-	c.fingerprint = fingerprint(c.r, c.caller.Content, body)
+	c.fingerprint = fingerprint(c.r, append([]string{c.author()}, c.caller.Content...), body)
 	return true
 }
 
--- a/routes/check.go
+++ b/routes/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -33,9 +34,44 @@
 		}
 		routeByKey[key] = r.Name
 	}
+	return c.checkTenants()
+}
+
+// checkTenants checks the tenants. Its errors name no key.
+func (c *Configuration) checkTenants() error {
+	named, byKey := map[string]bool{}, map[KeyDigest]string{}
+	for i := range c.Tenants {
+		t := &c.Tenants[i]
+		field := "tenants." + t.Name
+		switch {
+		case t.Name == "":
+			return invalid("tenants", "a tenant has no name")
+		case named[t.Name]:
+			return invalid(field+".name", "another tenant has the same name")
+		case t.Quota != nil && !t.Quota.valid():
+			return invalid(field+".quota", "is negative or no number")
+		}
+		named[t.Name] = true
+		for _, key := range t.Keys {
+			if other, ok := byKey[key]; ok && other != t.Name {
+				return invalid(field+".keys", "a key is also one of tenant %s", other)
+			}
+			byKey[key] = t.Name
+		}
+	}
 	return nil
 }
 
+// valid reports whether the numbers of a quota can be those of a token bucket.
+func (q *Quota) valid() bool {
+	for _, n := range []float64{q.PerSecond, q.Burst, q.PlainTokens} {
+		if !(n >= 0) || math.IsInf(n, 1) {
+			return false
+		}
+	}
+	return q.Unit != 0
+}
+
 func (r *Route) check(services map[string]bool) error {
 	field := "routes." + r.Name
 	switch {
--- a/routes/configuration.go
+++ b/routes/configuration.go
@@ -26,6 +26,9 @@
 	Services []Service
 	// Limits bound the requests and connections of callers.
 	Limits Limits
+	// Keyed is set if calls need the key of a tenant, except on public routes. Without it, Tenants is empty.
+	Keyed   bool
+	Tenants []Tenant
 }
 
 // LongestStream returns the longest time that a caller waits for a stream; zero without routes for any.
@@ -87,6 +90,8 @@
 	// Resumable reports whether a broken stream may be resumed on another upstream after
 	// its last event.
 	Resumable bool
+	// Public routes take calls without a key.
+	Public bool
 }
 
 // MayRepeat reports whether a call may be sent again although an earlier attempt may have
--- a/routes/table.go
+++ b/routes/table.go
@@ -12,11 +12,13 @@
 	conf     *Configuration
 	byHost   map[string]map[string]*Route
 	services map[string]*Service
+	// byKey holds the tenants by the digests of their keys.
+	byKey map[KeyDigest]*Tenant
 }
 
 // NewTable returns the index of a configuration. Check must accept the configuration.
 func NewTable(c *Configuration) *Table {
-	t := &Table{conf: c, byHost: map[string]map[string]*Route{}, services: map[string]*Service{}}
+	t := &Table{conf: c, byHost: map[string]map[string]*Route{}, services: map[string]*Service{}, byKey: map[KeyDigest]*Tenant{}}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -28,6 +30,11 @@
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
 	}
+	for i := range c.Tenants {
+		for _, key := range c.Tenants[i].Keys {
+			t.byKey[key] = &c.Tenants[i]
+		}
+	}
 	return t
 }
 
@@ -58,6 +65,9 @@
 // Service returns the service with the given name, or nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// Tenant returns the tenant that holds the key with the given digest, or nil if there is none.
+func (t *Table) Tenant(key KeyDigest) *Tenant { return t.byKey[key] }
+
 // Backend returns the name of the service for a call. It is chosen by the hash of the
 // call's ID, so that the shares of the backends follow their weights.
 func (r *Route) Backend(id string) string {
