cli, routes: a check of a configuration before it is sent

Cause: operators learned of an invalid configuration from the first error of a control node's refusal, of a route that never matches from its callers, and of what a new version changes from nothing.

Change: 'config check' takes configurations of managed deployments.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -21,6 +21,11 @@
 models: [{name: m, memory: 14GiB}]
 `
 
+const goodConfiguration = `{"Version": 3,
+ "Services": [{"Name": "s"}, {"Name": "unused"}],
+ "Routes": [{"Name": "r", "Host": "a.example", "PathPrefix": "/", "Kind": "idempotent", "TimeoutMs": 1000, "Service": "s"}]}
+`
+
 // startStubNode starts a node that answers every request with status, and returns its
 // operator address.
 func startStubNode(t *testing.T, status int) string {
@@ -45,6 +50,8 @@
 	}
 	good := file("good.yaml", goodContract)
 	bad := file("bad.yaml", strings.Replace(goodContract, "wait: 6s", "wait: soon", 1))
+	conf := file("conf.json", goodConfiguration)
+	badConf := file("bad.json", strings.Replace(goodConfiguration, `"Service": "s"`, `"Service": "t"`, 1))
 	cases := []struct {
 		name       string
 		argv       string
@@ -59,6 +66,10 @@
 		{"missing argument", "contract apply", ExitInput, "required"},
 		{"valid contract checked", "config check " + good, ExitOK, "ok"},
 		{"wrong contract checked", "config check " + bad, ExitInput, "wait"},
+		{"valid configuration checked", "config check " + conf, ExitOK, "ok"},
+		{"wrong configuration checked", "config check " + badConf, ExitInput, "bad.json:3: routes.r.service: no service is named"},
+		{"configuration for scripts", "config check --output json " + conf, ExitOK, `"rule":"no route sends calls to it"`},
+		{"compared with nothing", "config check --against " + unreachableNode + " " + conf, ExitUnavailable, "connect"},
 		{"no such file", "config check " + dir + "/none", ExitInput, "none"},
 		{"call explained", "explain 3a1dd8ef7066d989 ../explain/testdata/calls.log", ExitOK, "model not loaded in time"},
 		{"call explained as JSON", "explain --json 3a1dd8ef7066d989 ../explain/testdata/calls.log", ExitOK, `"cause"`},
@@ -82,3 +93,18 @@
 		})
 	}
 }
+
+// TestCheckAgainstConfigurationInForce compares a file with what a control node returns.
+func TestCheckAgainstConfigurationInForce(t *testing.T) {
+	is := is.New(t)
+	inForce := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(strings.Replace(goodConfiguration, "1000", "500", 1)))
+	}))
+	defer inForce.Close()
+	path := filepath.Join(t.TempDir(), "conf.json")
+	is.NoErr(os.WriteFile(path, []byte(goodConfiguration), 0o600))
+	var out, errOut bytes.Buffer
+	code := Run(context.Background(), []string{"config", "check", "--against", inForce.Listener.Addr().String(), path}, &out, &errOut)
+	is.Equal(code, ExitOK)
+	is.True(strings.Contains(out.String(), "routes.r.timeout: 1s, was 500ms"))
+}
--- a/internal/cli/inspect.go
+++ b/internal/cli/inspect.go
@@ -10,10 +10,7 @@
 	"os"
 	"strings"
 
-	"github.com/agateslip/agateslip/contract"
-	"github.com/agateslip/agateslip/internal/config"
 	"github.com/agateslip/agateslip/internal/operator"
-	"github.com/agateslip/agateslip/internal/yamlcheck"
 	"github.com/cockroachdb/errors"
 )
 
@@ -21,57 +18,6 @@
 	Check *checkCmd `arg:"subcommand:check" help:"check settings or contract files; nothing is changed"`
 }
 
-type checkCmd struct {
-	Files []string `arg:"positional,required" help:"YAML files: one with a top-level field customer is checked as a contract, one with seeds as the settings of a managed process, any other as the settings of a node"`
-}
-
-func (c *checkCmd) run(_ context.Context, out, _ io.Writer) error {
-	var problems yamlcheck.Problems
-	for _, file := range c.Files {
-		err := checkFile(file)
-		var ps yamlcheck.Problems
-		switch {
-		case err == nil:
-			fmt.Fprintf(out, "%s: ok\n", file)
-		case errors.As(err, &ps):
-			problems = append(problems, ps...)
-		default:
-			return errors.Mark(err, errInput)
-		}
-	}
-	if len(problems) > 0 {
-		return problems
-	}
-	return nil
-}
-
-// checkFile validates one file as a contract or as settings, depending on its fields.
-func checkFile(file string) error {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return errors.Wrap(err, "read file")
-	}
-	switch {
-	case hasField(data, "customer"):
-		_, err = contract.Decode(file, data)
-	case hasField(data, "seeds"):
-		_, err = config.DecodeManaged(file, data)
-	default:
-		_, err = config.Decode(file, data)
-	}
-	return err
-}
-
-// hasField reports whether YAML in block style has a field at its top level.
-func hasField(data []byte, field string) bool {
-	for line := range strings.Lines(string(data)) {
-		if strings.HasPrefix(line, field+":") {
-			return true
-		}
-	}
-	return false
-}
-
 type statusCmd struct{ readFlags }
 
 func (c *statusCmd) run(ctx context.Context, out, errOut io.Writer) error {
