currency, edge, controller: a removed key is used nowhere after its bound

Cause: an entry node that was cut off, suspended or beside a leader out of touch went on with the keys of its last configuration without limit.

Change: the proof by lease of the product's own nodes is package currency, which entry nodes use too. The leader says with its answers to watches and demand reports which version covers all that was acknowledged, once it has applied an entry of its own term; no message is added. With the setting revocation, an entry node takes calls with keys only under a proof that dates from when it asked, and checks it at arrival, before each attempt and before the bytes are sent. Otherwise it answers 503, and its readiness check fails. A tenant's priority goes before its routes', in queues and at engines. A call that states an unknown key is refused on public routes, too.

--- a/internal/cli/overview.go
+++ b/internal/cli/overview.go
@@ -150,6 +150,12 @@
 func printEntryTable(w io.Writer, o *edge.Overview) {
 	fmt.Fprintf(w, "node\t%s\nfollows\t%s\nconfiguration\t%d\nstopping\t%t\ncalls\t%d, %d waiting\n",
 		o.Node, o.ControlNode, o.Version, o.Stopping, o.Active, o.Waiting)
+	if o.ProofAge != nil {
+		fmt.Fprintf(w, "proved current\t%s ago\n", time.Duration(*o.ProofAge).Round(time.Millisecond))
+	}
+	if o.LacksProof {
+		fmt.Fprintln(w, "calls with keys\trefused: configuration not proved current")
+	}
 	fmt.Fprintln(w, "\nUPSTREAM\tSERVICE\tADDRESS\tLEAVING\tDOUBTED\tCALLS\tOF OTHERS\tFAILING\tCLOSED FOR\tLIMIT\tMODELS")
 	for _, u := range o.Upstreams {
 		limit := "none"
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -69,6 +69,17 @@
 	return c.notLeaderError()
 }
 
+// currentVersion returns the version of a configuration that covers every change which was acknowledged before the
+// call. It is zero while this node has not yet applied all that earlier leaders acknowledged. It returns an error as
+// requireLeader does.
+func (c *Controller) currentVersion() (uint64, error) {
+	status, leads := c.raftReplica.CurrentStatus()
+	if !leads {
+		return 0, c.notLeaderError()
+	}
+	return c.stateMachine.versionThrough(status.Term), nil
+}
+
 // notLeaderError returns the error for requests that only the leader may answer. It names
 // the leader if that is another node.
 func (c *Controller) notLeaderError() error {
@@ -95,10 +106,12 @@
 	defer end.Stop()
 	for {
 		next := c.notifier.nextRound()
-		if err := c.requireLeader(); err != nil {
+		current, err := c.currentVersion()
+		if err != nil {
 			return nil, err
 		}
 		answer, changed, err := c.collectChanges(ctx, from, r)
+		answer.Current = current
 		if err != nil || changed {
 			return answer, err
 		}
@@ -168,12 +181,13 @@
 // serveDemand passes an entry node's report to the planner and answers with the running
 // calls of the engines and forecasts for the models that calls wait for.
 func (c *Controller) serveDemand(ctx context.Context, from string, r nodelink.DemandRequest) (any, error) {
-	if err := c.requireLeader(); err != nil {
+	current, err := c.currentVersion()
+	if err != nil {
 		return nil, err
 	}
-	var answer nodelink.DemandAnswer
+	answer := nodelink.DemandAnswer{Current: current}
 	leading := false
-	err := c.loop.Do(ctx, func() {
+	err = c.loop.Do(ctx, func() {
 		// A new leader may not have begun its term yet.
 		if leading = c.planner != nil; !leading {
 			return
--- a/internal/controller/statemachine.go
+++ b/internal/controller/statemachine.go
@@ -47,6 +47,8 @@
 	// decoded is the decoded form of the active configuration, or of an earlier one until
 	// decodeConfigurations has decoded it.
 	decoded atomic.Pointer[decodedConfiguration]
+	// appliedTerm is the term of the last entry that was applied.
+	appliedTerm atomic.Uint64
 	// undecoded signals that there is another active configuration to decode.
 	undecoded chan struct{}
 }
@@ -66,6 +68,8 @@
 
 // Apply implements replica.StateMachine.
 func (s *stateMachine) Apply(e raft.Entry) any {
+	// After publishConfiguration: who sees the term sees the configuration, too.
+	defer s.appliedTerm.Store(e.Term)
 	out := applyResult{index: e.Index, result: confstate.Accepted}
 	if e.Kind != raft.EntryCommand {
 		return out
@@ -182,6 +186,19 @@
 	return s.state.Version
 }
 
+// versionThrough returns the version of the active configuration if an entry of the given term is applied, and
+// otherwise zero. At the leader of that term the version covers every change that was acknowledged before the call:
+// entries of earlier terms precede its own, and it acknowledges an entry once it has applied it.
+func (s *stateMachine) versionThrough(term uint64) uint64 {
+	if s.appliedTerm.Load() != term {
+		return 0
+	}
+	if active := s.active.Load(); active != nil {
+		return active.Version
+	}
+	return 0
+}
+
 func (s *stateMachine) members() map[uint64]confstate.Member {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -35,7 +35,8 @@
 	routing *routingConfig
 	route   *routes.Route
 	caller  Caller
-	// tenant is the tenant whose key the caller has; nil without one.
+	// keyed is set if the configuration requires keys; tenant is the tenant whose key the caller has, nil without one.
+	keyed  bool
 	tenant *routes.Tenant
 	body   []byte
 	// held is the memory that the call takes for bodies, of its request and of answers.
@@ -53,6 +54,8 @@
 	attemptID dispatch.CallID
 	// conn is the connection of the current attempt; nil until there is one.
 	conn *upstreamconn.Conn
+	// denied is why the current attempt was not sent; nil if it was allowed.
+	denied *denial
 	// sentAt is when the current attempt was sent to its upstream; zero before that.
 	sentAt time.Duration
 
@@ -104,6 +107,9 @@
 	// outcomeFailed means that the upstream answered with a 5xx status, which is kept
 	// as the fallback.
 	outcomeFailed
+	// outcomeDenied means that the call was not sent because its key, or the proof that it is valid, was lost while
+	// the connection was opened.
+	outcomeDenied
 	// outcomeCallerLeft means that the caller closed its connection.
 	outcomeCallerLeft
 )
@@ -134,9 +140,9 @@
 			c.giveUp(reasonQuarantined, s.RetryAfter())
 			return
 		}
-		if !c.stillAuthorized() {
+		if denied := c.checkAuthorization(); denied != nil {
 			c.finishAttempt(dispatch.Abandoned)
-			c.giveUpUnauthorized()
+			c.giveUpDenied(denied)
 			return
 		}
 		if verdict.Record || c.record != nil {
@@ -146,6 +152,9 @@
 		switch outcome {
 		case outcomeAnswered, outcomeCallerLeft:
 			return
+		case outcomeDenied:
+			c.giveUpDenied(c.denied)
+			return
 		case outcomeUnknown, outcomeFailed:
 			c.mayHaveRun = true
 			c.possibleRuns++
@@ -354,6 +363,10 @@
 	if err != nil {
 		return c.endUnsent(u, err)
 	}
+	if c.denied = c.checkAuthorization(); c.denied != nil {
+		conn.Close()
+		return dispatch.Abandoned, outcomeDenied
+	}
 	c.conn = conn
 	// Closing the connection cancels the call at the upstream when the caller leaves or
 	// the deadline passes.
@@ -379,6 +392,7 @@
 
 // upstreamRequest builds the request that the upstream receives.
 func (c *call) upstreamRequest(u *fleet.Upstream) *upstreamconn.Request {
+	rank, ranks := c.routing.table.Rank(c.tenant, c.route)
 	header := c.edge.dialect.Forward(c.r.Header, Attempt{
 		Upstream:    u.ID,
 		Remaining:   c.deadline - boottime.Now(),
@@ -386,8 +400,10 @@
 		Resumes:     c.dispatchCall.Pinned,
 		ForModel:    c.dispatchCall.Model != "",
 		LastEventID: c.lastEventID,
-		Keyed:       c.keyed(),
+		Keyed:       c.keyed,
 		Tenant:      c.tenantName(),
+		Rank:        rank,
+		Ranks:       ranks,
 	})
 	for _, name := range hopHeaders {
 		header.Del(name)
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -150,6 +150,7 @@
 		answerTrials(r.trialWaiters, nil)
 		return
 	}
+	e.noteCurrent(askedAt, answer.Current)
 	answerTrials(r.trialWaiters, answer.Trials)
 	if answer.Term != 0 {
 		e.plannerCounts = plannerCountsVersion{answer.Term, answer.CountsRevision}
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -26,6 +26,8 @@
 	// Credentials is the caller's proof of identity as sent, and Key the API key in it; both empty if not stated. Neither
 	// may be logged, counted or forwarded where calls need keys.
 	Credentials, Key string
+	// ClaimsKey is set if the caller sent an API key, or several.
+	ClaimsKey bool
 	// SharedParts identifies the parts of the prompt that other calls may have too, without
 	// repeats.
 	SharedParts []string
@@ -57,6 +59,9 @@
 	// the call has no key.
 	Keyed  bool
 	Tenant string
+	// Rank is the number of more urgent priorities of tenants and routes among the Ranks in the configuration. Both
+	// are set if Keyed is.
+	Rank, Ranks int
 	// LastEventID is the id of the last event that the caller received; empty unless a
 	// stream is resumed.
 	LastEventID string
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -79,6 +79,7 @@
 	// unreadable is the version of the latest configuration that this node could not read; zero if there was
 	// none. Only followLeader uses it.
 	unreadable uint64
+	proof      currencyProof
 	// configured is closed once the first configuration is in force.
 	configured chan struct{}
 	// entryNodes is the number of entry nodes as last reported by the leader; initially 1.
@@ -179,6 +180,7 @@
 		crashEvidence:    quarantine.NewReporter(),
 
 		unreportedLeaving: map[fleet.Incarnation]bool{},
+		proof:             currencyProof{bound: time.Duration(cfg.Revocation)},
 	}
 	e.ending, e.end = context.WithCancel(context.Background())
 	for _, change := range options {
@@ -209,11 +211,10 @@
 	e.metrics.Gauge("callsWaiting", e.waitingCalls.Load)
 	e.metrics.Gauge("bytesHeld", e.bodies.Used)
 	e.metrics.Gauge("entryNodes", e.entryNodes.Load)
-	e.metrics.Gauge("configurationVersion", func() int64 {
-		if v := e.routing.Load(); v != nil {
-			return int64(v.version)
-		}
-		return 0
+	e.metrics.Gauge("configurationVersion", func() int64 { return int64(e.appliedVersion()) })
+	e.metrics.Gauge("proofMillis", func() int64 {
+		age, _ := e.proofAge()
+		return age.Milliseconds()
 	})
 	e.metrics.Gauge("upstreamConnectionsOpened", func() int64 { return int64(e.pool.Stats().Opened) })
 }
@@ -238,10 +239,10 @@
 }
 
 // readiness answers the load balancer's health check: 200 from the first configuration
-// until Stop is called, otherwise 503.
+// until Stop is called, otherwise 503. A node that cannot take calls with keys is not ready.
 func (e *Edge) readiness() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if e.routing.Load() == nil || e.stopping.Load() {
+		if e.routing.Load() == nil || e.stopping.Load() || !e.takesKeys() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -289,6 +290,7 @@
 			if now.Sub(lastCleanup) > cleanupInterval {
 				lastCleanup = now
 				e.pool.CloseExpired(now)
+				e.watchCurrency()
 				e.loop.Post(func() {
 					e.dropUnlisted(boottime.Now())
 					e.reviewSuspicions(boottime.Now())
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -104,7 +104,7 @@
 		target := e.leader.current()
 		e.mesh.SetPeers([]peer.Peer{{Name: target, Addr: target}})
 		askedAt := boottime.Now()
-		request.WaitMillis = max(0, watchWait-(askedAt-stateAt)).Milliseconds()
+		request.WaitMillis = max(0, e.watchHold()-(askedAt-stateAt)).Milliseconds()
 		answer, err := e.watchControlNode(ctx, target, request)
 		if err != nil {
 			if ctx.Err() == nil {
@@ -117,6 +117,8 @@
 			e.detours.SetHelpers(answer.Detours)
 			request.DetoursRevision = answer.DetoursRevision
 		}
+		// Before the configuration, which puts calls in progress that wait for the first one.
+		e.noteCurrent(askedAt, answer.Current)
 		if answer.Configuration != nil {
 			e.applyConfiguration(answer.Configuration)
 		}
--- a/internal/edge/overview.go
+++ b/internal/edge/overview.go
@@ -17,6 +17,10 @@
 	ControlNode string `json:"asked"`
 	// Version is the version of the configuration in force; zero before the first.
 	Version uint64 `json:"version"`
+	// ProofAge is the age of the latest proof that the configuration is current; nil without one. LacksProof is set if
+	// calls with keys are refused for want of a recent one.
+	ProofAge   *contract.Duration `json:"proofAge,omitempty"`
+	LacksProof bool               `json:"lacksProof,omitempty"`
 	// Stopping is set once a planned stop has begun.
 	Stopping bool `json:"stopping"`
 	// Active is the number of calls in progress; Waiting is the number of those without
@@ -54,8 +58,9 @@
 		Node: e.cfg.Node, ControlNode: e.leader.current(), Stopping: e.stopping.Load(),
 		Active: e.activeCalls.Load(), Waiting: e.waitingCalls.Load(),
 	}
-	if v := e.routing.Load(); v != nil {
-		o.Version = v.version
+	o.Version, o.LacksProof = e.appliedVersion(), !e.takesKeys()
+	if age, ok := e.proofAge(); ok {
+		o.ProofAge = (*contract.Duration)(&age)
 	}
 	err := e.loop.Do(ctx, func() {
 		now := boottime.Now()
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -103,12 +103,15 @@
 		c.refuse("no configuration yet", defaultRetryAfter)
 		return
 	}
+	// The proof is checked before the configuration is read: what is read is as recent as what was proved, or newer.
+	current := e.isCurrent()
+	c.routing = e.routing.Load()
 	c.route = c.routing.table.Match(r.Host, r.URL.Path)
 	if c.route == nil {
 		c.fail(http.StatusNotFound, "no route")
 		return
 	}
-	if !c.authorize() {
+	if !c.authorize(current) {
 		return
 	}
 	limits := c.routing.table.Configuration().Limits
@@ -213,7 +216,7 @@
 	c.dispatchCall = dispatch.Call{
 		Service:  service,
 		Stream:   c.route.Kind == routes.Stream,
-		Priority: c.route.Priority,
+		Priority: routes.Priority(c.tenant, c.route),
 		Arrived:  c.arrived,
 		Target:   c.arrived + c.route.Target,
 	}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -52,7 +52,7 @@
 		return err
 	}
 	if update.Confirmed {
-		n.proofs.add(asked, update.Commit)
+		n.proofs.Add(asked, update.Commit)
 	}
 	return n.applyUpdate(update)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/agateslip/agateslip/contract"
 	"github.com/agateslip/agateslip/control"
+	"github.com/agateslip/agateslip/currency"
 	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/config"
 	"github.com/agateslip/agateslip/internal/detour"
@@ -69,7 +70,7 @@
 	mesh    *peer.Mesh
 	members *memberNodes
 	group   *groupClient
-	proofs  proofTracker
+	proofs  currency.Tracker
 	loop    *controlLoop
 	gateway *gateway.Gateway
 	metrics *expvar.Map
@@ -392,5 +393,5 @@
 // proofAge returns the age of the latest proof that this node's contracts are in force.
 // It reports false if there has been none.
 func (n *Node) proofAge() (time.Duration, bool) {
-	return n.proofs.age(n.now(), n.store.applied.Load())
+	return n.proofs.Age(n.now(), n.store.applied.Load())
 }
--- a/internal/node/proof_test.go
+++ b/internal/node/proof_test.go
@@ -38,7 +38,7 @@
 	n := newIdleNode()
 	suspended := time.Duration(0)
 	n.clock = func() time.Duration { return boottime.Now() + suspended }
-	n.proofs.add(n.now(), 0)
+	n.proofs.Add(n.now(), 0)
 	current := &contracts{node: n}
 	is.NoErr(current.CheckCurrent())
 	suspended = proofLifetime + time.Second
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -20,6 +20,8 @@
 	// leaderlessAfter is how long no leader has answered before the voters are asked
 	// for the ends of their logs.
 	leaderlessAfter = 500 * time.Millisecond
+	// proofLifetime is how long a proof that this node's contracts are in force is valid.
+	proofLifetime = 2 * time.Second
 )
 
 // runSync reports to the leader at intervals and on request.
@@ -59,7 +61,7 @@
 		n.loop.post(ctx, func() { n.loop.restoreArrivals(req.Demand) })
 		return false
 	}
-	n.proofs.add(asked, reply.Commit)
+	n.proofs.Add(asked, reply.Commit)
 	n.loop.post(ctx, func() {
 		n.loop.applySyncReply(reply)
 		n.loop.applyCrashReply(reply.Term, reply.Crashes)
@@ -218,7 +220,7 @@
 		tails[i] = <-answers
 	}
 	if tailsProveCurrent(tails, applied) {
-		n.proofs.add(asked, applied)
+		n.proofs.Add(asked, applied)
 	}
 }
 
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -96,6 +96,9 @@
 	DetoursRevision uint64   `json:"detoursRevision,omitempty"`
 	// Members are the link addresses of the control nodes.
 	Members []string `json:"members,omitempty"`
+	// Current is the version of the configuration in force. It covers every change that was acknowledged before the
+	// request arrived; zero if the leader cannot tell that yet.
+	Current uint64 `json:"current,omitempty"`
 	// Entries is the number of entry nodes that watch the leader; zero if it does not know it yet.
 	Entries int `json:"entries"`
 	// Prompts is set if the asking entry node has an older one.
@@ -154,6 +157,8 @@
 	// calls.
 	Term           uint64 `json:"term"`
 	CountsRevision uint64 `json:"loads"`
+	// Current is as in WatchAnswer.
+	Current uint64 `json:"current,omitempty"`
 	// Running is the number of calls of all nodes at each engine, by upstream ID. It
 	// has the engines whose count changed, or all engines with calls if Whole is set.
 	Running map[string]int `json:"running,omitempty"`
--- a/routes/table.go
+++ b/routes/table.go
@@ -14,11 +14,12 @@
 	services map[string]*Service
 	// byKey holds the tenants by the digests of their keys.
 	byKey map[KeyDigest]*Tenant
+	ranks priorityRanks
 }
 
 // NewTable returns the index of a configuration. Check must accept the configuration.
 func NewTable(c *Configuration) *Table {
-	t := &Table{conf: c, byHost: map[string]map[string]*Route{}, services: map[string]*Service{}, byKey: map[KeyDigest]*Tenant{}}
+	t := &Table{conf: c, byHost: map[string]map[string]*Route{}, services: map[string]*Service{}, byKey: map[KeyDigest]*Tenant{}, ranks: newPriorityRanks(c)}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
--- a/routes/tenant.go
+++ b/routes/tenant.go
@@ -14,7 +14,7 @@
 	Name string
 	// Keys are the digests of the tenant's API keys. A tenant without keys can call nothing.
 	Keys []KeyDigest
-	// Priority precedes the priorities of routes. Zero is the most urgent; nil leaves the order to the routes.
+	// Priority precedes the priorities of routes. Zero is the most urgent, and nil counts as zero.
 	Priority *int
 	// Quota limits the tenant's calls over all entry nodes together; nil sets no limit.
 	Quota *Quota
