platform, controller: tests of keys and their revocation with real nodes

Result: TestRemovedKeyRunsOnNoNode fails without the check of the proof, TestNewLeaderSaysWhatIsCurrentOnceItHasAppliedIt without the check of the term.

--- a/internal/controller/export_test.go
+++ b/internal/controller/export_test.go
@@ -65,3 +65,6 @@
 	_, ok := c.stateMachine.departure(id)
 	return ok
 }
+
+// CurrentVersion returns what this node says to entry nodes of the version that is current.
+func (c *Controller) CurrentVersion() (uint64, error) { return c.currentVersion() }
