--- a/internal/edge/authorize.go
+++ b/internal/edge/authorize.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// reasonNoKey is why a call without a known key is not run.
-	reasonNoKey = "unknown key"
+	// reasonNoKey is why a call without a key, or with several, is not run, and reasonUnknownKey why one is not whose
+	// key no tenant has.
+	reasonNoKey      = "no key"
+	reasonUnknownKey = "unknown key"
 	// reasonNotCurrent is why a call is not run whose key may have been removed without this node knowing it.
 	reasonNotCurrent = "configuration not proved current"
 	// reasonKeysRequired is why a call is not run that arrived before the configuration required keys.
@@ -46,12 +48,12 @@
 	if !current {
 		return nil, &denial{why: reasonNotCurrent, retryAfter: c.edge.currencyRetryAfter()}
 	}
-	var tenant *routes.Tenant
-	if c.caller.Key != "" {
-		tenant = table.Tenant(routes.DigestKey(c.caller.Key))
+	if c.caller.Key == "" {
+		return nil, &denial{why: reasonNoKey, unauthorized: true}
 	}
+	tenant := table.Tenant(routes.DigestKey(c.caller.Key))
 	if tenant == nil {
-		return nil, &denial{why: reasonNoKey, unauthorized: true}
+		return nil, &denial{why: reasonUnknownKey, unauthorized: true}
 	}
 	return tenant, nil
 }
@@ -72,7 +74,7 @@
 	case !c.keyed:
 		return &denial{why: reasonKeysRequired, retryAfter: otherNodeRetryAfter}
 	case tenant.Name != c.tenantName():
-		return &denial{why: reasonNoKey, unauthorized: true}
+		return &denial{why: reasonUnknownKey, unauthorized: true}
 	}
 	return nil
 }
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 )
@@ -143,6 +144,9 @@
 		return text + "Engines crashed on calls that have a part of their prompts in common with this one."
 	case "no configuration yet", "no upstream":
 		return text + fmt.Sprintf("%d lines before it tell of control nodes that did not answer %s.", c.count("control node does not answer"), last.Node)
+	case "configuration not proved current":
+		return text + fmt.Sprintf("%s could not show that the caller's key was still valid: %d lines before it tell of control nodes that did not answer.",
+			last.Node, c.count("control node does not answer"))
 	default:
 		return strings.TrimSpace(text)
 	}
@@ -160,6 +164,10 @@
 }
 
 func (c *call) failed(last *Line) string {
+	if last.number("status") == http.StatusUnauthorized {
+		return fmt.Sprintf("Not run: %s, by version %.0f of the configuration, which was in force on %s.",
+			last.text("why"), last.number("version"), last.Node)
+	}
 	text := fmt.Sprintf("The call ended after %s without a whole answer: %s. ", ms(last.number("age")), last.text("why"))
 	failure := c.last("lost", "not sent", "upstream silent", "failed at upstream", "upstream refuses", "rejected")
 	if failure == nil {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -82,3 +82,26 @@
 	_, ok := explainCall(t, "no such call")
 	is.New(t).True(!ok)
 }
+
+// TestCauseOfCallsWithoutValidKey explains a call whose key had been removed, and one at a node that could not tell.
+func TestCauseOfCallsWithoutValidKey(t *testing.T) {
+	cases := []struct{ line, want string }{
+		{
+			`{"age":0,"id":"c1","msg":"failed","node":"front-1","role":"entry","route":"r","status":401,"time":"2026-12-06T21:00:01Z","version":7,"why":"unknown key"}`,
+			"Not run: unknown key, by version 7 of the configuration, which was in force on front-1.",
+		},
+		{
+			`{"age":1,"id":"c1","msg":"refused","node":"front-1","retryAfter":0.02,"role":"entry","status":503,"time":"2026-12-06T21:00:01Z","version":6,"why":"configuration not proved current"}`,
+			"front-1 could not show that the caller's key was still valid: 1 lines before it tell of control nodes that did not answer.",
+		},
+	}
+	for _, c := range cases {
+		is := is.New(t)
+		log := explain.New("c1")
+		before := `{"asked":"core-1","msg":"control node does not answer","node":"front-1","role":"entry","time":"2026-12-06T21:00:00Z"}`
+		is.NoErr(log.Read(strings.NewReader(before + "\n" + c.line + "\n")))
+		report, ok := log.Explain()
+		is.True(ok)
+		is.True(strings.Contains(report.Cause, c.want)) // the cause
+	}
+}
