upstreamconn, gateway, engine: a status that HTTP does not have is no answer

What callers saw: answers with the status 600 or 999 as they came. Status 000, 099, 101 and "+20" counted as interim answers, so that whatever came next on the connection was the answer, also to an order; the gateway's handler panicked on them.

Cause: net/http takes any three characters that it can convert to a number for a status, and each reader compared that number in its own way.

Fix: CheckAnswer, called where answers are read. The attempt is lost: 502, or another upstream where the call may be repeated.

Ruled out: "2.0" and longer statuses, which net/http itself rejects.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/agateslip/agateslip/internal/upstreamconn"
 	"github.com/cockroachdb/errors"
 )
 
@@ -119,6 +120,9 @@
 
 // readReply decodes and checks the answer to the order with the given id.
 func readReply(response *http.Response, id string) (*orderReply, error) {
+	if err := upstreamconn.CheckAnswer(response); err != nil {
+		return nil, err
+	}
 	var reply orderReply
 	if err := decodeStrict(response.Body, maxOrderReply, &reply); err != nil {
 		return nil, errors.Wrapf(err, "answer with status %d", response.StatusCode)
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -158,6 +158,7 @@
 		"no answer":     unanswered,
 		"another order": reply(http.StatusAccepted, `{"id":"o2","outcome":"accepted"}`),
 		"contradiction": reply(http.StatusBadGateway, `{"id":"o1","outcome":"accepted"}`),
+		"odd status":    reply(999, `{"id":"o1","outcome":"refused"}`),
 		"not JSON":      reply(http.StatusAccepted, `accepted`),
 		"redirect":      func(w http.ResponseWriter, r *http.Request) { http.Redirect(w, r, "/", http.StatusTemporaryRedirect) },
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -180,6 +180,10 @@
 		}
 		return nil, &attemptError{ran: ran, err: errors.Wrapf(err, "upstream %s", a.route.Upstream)}
 	}
+	if err := upstreamconn.CheckAnswer(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, &attemptError{ran: RanUnknown, err: errors.Wrapf(err, "upstream %s", a.route.Upstream)}
+	}
 	return s.checkAnswer(newAnswer(resp), a, reused.Load())
 }
 
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -177,6 +177,9 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "read answer from %s", c.addr)
 		}
+		if err := CheckAnswer(resp); err != nil {
+			return nil, errors.Wrap(err, c.addr)
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
@@ -204,7 +207,7 @@
 var errSpliced = errors.New("header contains the beginning of another answer")
 
 // statusLine is the beginning of an answer.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
 
 // IsSpliced reports whether the header of an answer contains the beginning of another one. An upstream that
 // breaks off one answer and goes on with the next produces a header with the status of the first and the ID of
