detour: crashed upstreams are not taken for isolation

Cause: an entry node counts as cut off once connections to two upstreams failed and none succeeded since.

Change: a suspicion is checked at once against up to five listed upstreams to which no connection failed; the node counts as cut off only if none of them, nor any other direct connection, succeeds.

Shown by TestCrashedUpstreamsAreNoIsolation and TestCallersOfNodesCutOffFromUpstreamsAreServed.

--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -280,3 +282,42 @@
 	is.NoErr(err)
 	conn.Close()
 }
+
+// TestCrashedUpstreamsAreNoIsolation has a quarter of the upstreams crash at once. A node with few calls, of which all
+// meet crashed ones, must not count as cut off; a node whose connections all fail must.
+func TestCrashedUpstreamsAreNoIsolation(t *testing.T) {
+	is := is.New(t)
+	var crashed, sound []string
+	for i := range 60 {
+		if name := fmt.Sprint(i); i%4 == 0 {
+			crashed = append(crashed, name)
+		} else {
+			sound = append(sound, name)
+		}
+	}
+	cutOff := false
+	var conclusions []bool
+	paths := detour.NewPaths(func(_ context.Context, addr string) (net.Conn, error) {
+		if cutOff || slices.Contains(crashed, addr) {
+			return nil, syscall.ECONNREFUSED
+		}
+		conn, _ := net.Pipe()
+		return conn, nil
+	}, func(context.Context, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }, func(cutOff bool) { conclusions = append(conclusions, cutOff) })
+	paths.SetWitnesses(func() []string {
+		// Several of the first are crashed ones.
+		return slices.Concat(crashed[:4], sound, crashed[4:])
+	})
+	for _, addr := range crashed {
+		_, err := paths.Dial(t.Context(), addr)
+		is.True(err != nil)
+	}
+	is.Equal(len(conclusions), 0)
+	cutOff = true
+	for _, addr := range crashed[:2] {
+		_, err := paths.Dial(t.Context(), addr)
+		is.True(err != nil)
+	}
+	is.Equal(conclusions, []bool{true})
+	is.True(paths.Blocked(crashed[0]))
+}
--- a/internal/edge/detours.go
+++ b/internal/edge/detours.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"time"
 
@@ -20,6 +21,23 @@
 	e.log.Event("upstreams reached again", eventlog.Fields{})
 }
 
+// upstreamAddrs returns the addresses of the upstreams that the leader lists and that do not leave, in random order.
+func (e *Edge) upstreamAddrs() []string {
+	var addrs []string
+	err := e.loop.Do(e.ending, func() {
+		for _, k := range e.upstreams {
+			if k.unlistedSince == 0 && !k.desc.Leaving && !k.saidLeaving {
+				addrs = append(addrs, k.desc.Addr)
+			}
+		}
+	})
+	if err != nil {
+		return nil // the node stops
+	}
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	return addrs
+}
+
 // mayHelp reports whether the node lets another entry node connect to an address: it belongs to an
 // upstream, and this node is not stopping and not cut off from the upstream itself.
 func (e *Edge) mayHelp(addr string) bool {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -186,6 +186,7 @@
 	}
 	e.detours = detour.NewClient(cfg.Secret)
 	e.paths = detour.NewPaths(e.dial, e.detours.Dial, e.noteCutOff)
+	e.paths.SetWitnesses(e.upstreamAddrs)
 	e.helper = &detour.Server{Secret: cfg.Secret, Paths: e.paths, Serves: e.mayHelp, Failed: func(err error) {
 		e.log.Event("detour not accepted", eventlog.Fields{"error": err.Error()})
 	}}
