edge: a refusal that an upstream repeats is confirmed by a health check behind it

What callers saw: a call that may run once was refused as not run although it ran, or ran twice. Its only upstream refuses the first attempt, rightly, and writes that refusal once more on the new connection of the second one, which it runs. Both attempts have the call's ID.

Cause: nothing in such an answer tells the attempts apart.

Fix: the node sends a health check behind the call on the same connection. The answers come in order: if the check's comes next, the refusal is proved; if the call's own answer does, the caller gets it; else the outcome is unknown. An upstream that cannot be asked, because its refusals close their connections or its service has no health path, does not get the call again.

Ruled out: to recognize the check's answer by its name only.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -99,6 +98,8 @@
 	outcomeUnsent
 	// outcomeNotRun means that the upstream answered that it did not run the call.
 	outcomeNotRun
+	// outcomeNotRunLast means the same, and that another refusal of the call by this upstream could not be proved.
+	outcomeNotRunLast
 	// outcomeUnknown means that the call may have run, and its answer was lost.
 	outcomeUnknown
 	// outcomeFailed means that the upstream answered with a 5xx status, which is kept
@@ -150,6 +151,8 @@
 			c.mayHaveRun = true
 			c.possibleRuns++
 			c.dispatchCall.Avoid = append(c.dispatchCall.Avoid, verdict.Upstream.ID)
+		case outcomeNotRunLast:
+			c.dispatchCall.Avoid = append(c.dispatchCall.Avoid, verdict.Upstream.ID)
 		case outcomeNotRun:
 			c.dispatchCall.RefusedBy = append(c.dispatchCall.RefusedBy, verdict.Upstream.ID)
 		case outcomeUnsent:
@@ -346,7 +349,7 @@
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline-boottime.Now())
 	defer cancel()
 	connect := c.edge.pool.Get
-	if slices.Contains(c.dispatchCall.RefusedBy, u.ID) {
+	if c.wasRefusedBy(u) {
 		// On a kept connection, a copy of the refusal could not be told from the answer to this attempt.
 		connect = c.edge.pool.GetNew
 	}
--- a/internal/edge/dialect.go
+++ b/internal/edge/dialect.go
@@ -117,6 +117,9 @@
 	// Forward returns the header of an attempt, made from the caller's. It does not
 	// modify h.
 	Forward(h http.Header, a Attempt) http.Header
+	// Question returns the header of a health check of an upstream with an ID of its own, and the caller as whose call Owner
+	// recognizes the answer.
+	Question(id string, a Attempt) (http.Header, Caller)
 	// Owner tells whether an upstream's answer belongs to the call of c.
 	Owner(h http.Header, c Caller) upstreamconn.Owner
 	// Answer reads the status and header of an upstream's answer.
--- a/internal/edge/refusal.go
+++ b/internal/edge/refusal.go
@@ -19,6 +19,9 @@
 	refusalUnnamed refusalProof = "unnamed"
 	// refusalUnstated means that only the status says so, which an upstream may also send for a call that it ran.
 	refusalUnstated refusalProof = "not stated"
+	// refusalRepeated means that the upstream states so, and stated the same of an earlier attempt: all attempts have the
+	// call's ID, so that the answer may be a copy of that to the earlier one.
+	refusalRepeated refusalProof = "repeated"
 )
 
 // proofOfRefusal returns what a refusal with the given provenance proves.
@@ -47,6 +50,9 @@
 func (c *call) endRefused(u *fleet.Upstream, conn *upstreamconn.Conn, resp *http.Response, answer Answer) (dispatch.Result, attemptOutcome) {
 	from := conn.Provenance()
 	proof := proofOfRefusal(from, answer)
+	if proof == refusalProved && c.wasRefusedBy(u) && c.needsProof() {
+		proof = refusalRepeated
+	}
 	c.edge.metrics.Count("upstream refusal: " + string(proof))
 	c.log("upstream refuses", eventlog.Fields{
 		"upstream": u.ID, "status": resp.StatusCode, "proof": proof, "conn": from.Conn, "connCalls": from.Calls,
@@ -54,6 +60,8 @@
 	})
 	switch {
 	case proof == refusalProved:
+	case proof == refusalRepeated:
+		return c.confirmRefusal(u, conn, resp)
 	case c.caller.ID == "":
 		// No answer can name the call, so that this one shows nothing of the upstream.
 		conn.Close()
@@ -68,9 +76,18 @@
 		conn.Close()
 		return dispatch.Doubtful, outcomeUnknown
 	}
+	outcome := outcomeNotRun
+	if c.needsProof() && !c.mayAsk(conn) {
+		outcome = outcomeNotRunLast
+	}
 	c.discardRejection(conn, resp)
-	if resp.StatusCode == http.StatusMisdirectedRequest {
-		return dispatch.NotServed, outcomeNotRun
+	return resultOfRefusal(resp.StatusCode), outcome
+}
+
+// resultOfRefusal returns what a refusal with the given status tells the dispatcher.
+func resultOfRefusal(status int) dispatch.Result {
+	if status == http.StatusMisdirectedRequest {
+		return dispatch.NotServed
 	}
-	return dispatch.Rejected, outcomeNotRun
+	return dispatch.Rejected
 }
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -262,6 +262,9 @@
 	}
 	select {
 	case err := <-c.bodyWritten:
+		if err == nil {
+			c.bodyWritten = nil
+		}
 		return err == nil
 	default:
 		return false
