connlimit: bound what callers that nobody controls take of a process

Cause: net/http bounds each head, to 1 MiB and 10 to 20 s here, and nothing bounded the sum of heads, the open connections, or the time of a body. A parsed head of short lines takes more than ten times its bytes.

Change: internal/connlimit wraps listeners and connections of every process and keeps net/http's server. One guard a process bounds the estimated memory of all heads until their requests have ended, each listener its open connections, and connections with an incomplete handshake for links and detours. Header limit, header time and idle time of callers are those of the configuration in force. Where something is full, the request goes that has been incomplete longest, bodies included; running calls are never cut. A late body is answered with 408 instead of 400. Settings: connections.max, .perAddress, .headsMB; memoryMB and descriptors for nodes of a fixed group.

The gateway's readBody no longer clears its deadline after a failed read, since net/http reads on to discard the rest.

--- a/internal/bodybuffer/bodybuffer.go
+++ b/internal/bodybuffer/bodybuffer.go
@@ -38,6 +38,9 @@
 
 // Share is what one call has taken of a budget. It is not safe for concurrent use.
 type Share struct {
+	// MakeRoom frees memory of the budget and reports whether it did; Read calls it until there is enough. It may be nil.
+	MakeRoom func() bool
+
 	budget *Budget
 	taken  int64
 }
@@ -87,8 +90,10 @@
 				next = min(next, size+1) // one more byte shows the end
 			}
 			next = max(next, int64(cap(out))+1)
-			if !s.Take(next - int64(cap(out))) {
-				return nil, ErrNoMemory
+			for !s.Take(next - int64(cap(out))) {
+				if s.MakeRoom == nil || !s.MakeRoom() {
+					return nil, ErrNoMemory
+				}
 			}
 			out = append(make([]byte, 0, next), out...)
 		}
--- a/internal/cli/managed.go
+++ b/internal/cli/managed.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/agateslip/agateslip/internal/config"
+	"github.com/agateslip/agateslip/internal/connlimit"
 	"github.com/agateslip/agateslip/internal/controller"
 	"github.com/agateslip/agateslip/internal/edge"
 	"github.com/agateslip/agateslip/internal/eventlog"
@@ -50,7 +51,8 @@
 
 // RunEntry runs an entry node with the settings at path until ctx ends, and logs to out.
 func RunEntry(ctx context.Context, path string, out io.Writer, options ...edge.Option) error {
-	return runManaged(ctx, path, out, "entry", func(ctx context.Context, cfg config.Managed, log *eventlog.Log, page *overviewPage) error {
+	return runManaged(ctx, path, out, "entry", func(ctx context.Context, cfg config.Managed, log *eventlog.Log, page *overviewPage, conns connections) error {
+		options := append([]edge.Option{edge.WithGuard(conns.guard)}, options...)
 		e, err := edge.New(cfg, log, platform.Calls{}, platform.DecodeConfiguration, options...)
 		if err != nil {
 			return err
@@ -68,7 +70,7 @@
 }
 
 func (c *controlCmd) run(ctx context.Context, out, _ io.Writer) error {
-	return runManaged(ctx, c.Config, out, "control", func(ctx context.Context, cfg config.Managed, log *eventlog.Log, page *overviewPage) error {
+	return runManaged(ctx, c.Config, out, "control", func(ctx context.Context, cfg config.Managed, log *eventlog.Log, page *overviewPage, conns connections) error {
 		engines := platform.Engines{Pool: upstreamconn.NewPool(upstreamconn.NewDial(orderDialTimeout))}
 		node, err := controller.New(ctx, cfg, log, platform.DecodeConfiguration, engines)
 		if err != nil {
@@ -77,7 +79,8 @@
 		page.setSource(func(ctx context.Context) (any, error) { return node.Overview(ctx) })
 		go reloadOnHangup(ctx, c.Config, log, node.Reload)
 		return node.Run(ctx, supervisor.Part{Name: "operators", Run: func(ctx context.Context) error {
-			return serveHTTP(ctx, cfg.Listen.Operators, platform.ControlHandler(node, log))
+			limits := connlimit.ListenerOptions{Name: "operators", MaxOpen: conns.shares.Callers, MaxPerAddress: cfg.Connections.PerAddress}
+			return conns.serveHTTP(ctx, cfg.Listen.Operators, limits, platform.ControlHandler(node, log))
 		}})
 	})
 }
@@ -86,7 +89,7 @@
 // memory limit of a managed process, and calls run. role is logged with every event.
 func runManaged(
 	ctx context.Context, path string, out io.Writer, role string,
-	run func(context.Context, config.Managed, *eventlog.Log, *overviewPage) error,
+	run func(context.Context, config.Managed, *eventlog.Log, *overviewPage, connections) error,
 ) error {
 	cfg, err := config.LoadManaged(path)
 	if err != nil {
@@ -99,17 +102,19 @@
 		"domain": cfg.Domain, "seeds": cfg.Seeds, "firstStart": cfg.FirstStart, "links": cfg.Listen.Links,
 	})
 	page := &overviewPage{}
+	conns := newConnections(&cfg, log)
 	if cfg.Listen.Metrics != "" {
 		mux := http.NewServeMux()
 		mux.Handle("GET /metrics", metrics.Handler())
 		mux.Handle("GET "+overviewPath, page)
 		go func() {
-			if err := serveHTTP(ctx, cfg.Listen.Metrics, mux); err != nil {
+			limits := connlimit.ListenerOptions{Name: "metrics", MaxOpen: conns.shares.Side}
+			if err := conns.serveHTTP(ctx, cfg.Listen.Metrics, limits, mux); err != nil {
 				log.Event("metrics not served", eventlog.Fields{"error": err.Error()})
 			}
 		}()
 	}
-	err = run(ctx, cfg, log, page)
+	err = run(ctx, cfg, log, page, conns)
 	fields := eventlog.Fields{"asked": ctx.Err() != nil}
 	if err != nil {
 		fields["error"] = err.Error()
@@ -141,12 +146,13 @@
 }
 
 // serveHTTP serves handler on addr until ctx ends.
-func serveHTTP(ctx context.Context, addr string, handler http.Handler) error {
+func (c connections) serveHTTP(ctx context.Context, addr string, limits connlimit.ListenerOptions, handler http.Handler) error {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", addr)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: httpHeaderTimeout, IdleTimeout: httpIdleTimeout}
+	listener = c.guard.Protect(server, listener, limits)
 	stop := context.AfterFunc(ctx, func() { server.Close() })
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -46,6 +46,12 @@
 	Stop Stop `yaml:"stop,omitempty"`
 	// Log sets the level and format of the log.
 	Log Log `yaml:"log,omitempty"`
+	// MemoryMB is the memory that the node may use, in MiB; 512 if unset.
+	MemoryMB int `yaml:"memoryMB,omitempty" validate:"gte=0"`
+	// Descriptors is the number of file descriptors that the node may use; the system's limit if unset.
+	Descriptors int `yaml:"descriptors,omitempty" validate:"gte=0"`
+	// Connections limits the connections to the node.
+	Connections Connections `yaml:"connections,omitempty"`
 }
 
 // Listen holds a node's listen addresses, each an IP address and port.
@@ -113,6 +119,8 @@
 	defaultStoreRate    = 4
 	defaultAdapterWidth = 30
 	defaultBalancerLag  = 3 * time.Second
+	// defaultMemoryMB holds what the bodies and heads of a node's calls may take.
+	defaultMemoryMB = 512
 )
 
 // Load reads and validates the settings in a file and fills in the defaults.
@@ -150,6 +158,9 @@
 	if c.Stop.BalancerLag == 0 {
 		c.Stop.BalancerLag = contract.Duration(defaultBalancerLag)
 	}
+	if c.MemoryMB == 0 {
+		c.MemoryMB = defaultMemoryMB
+	}
 	if c.Log.Level == "" {
 		c.Log.Level = "info"
 	}
--- a/internal/config/managed.go
+++ b/internal/config/managed.go
@@ -67,6 +67,8 @@
 	Descriptors int `yaml:"descriptors,omitempty" validate:"gte=0"`
 	// LinkMbps is the bandwidth of the machine's network link in Mbit/s; zero means that it is not known.
 	LinkMbps float64 `yaml:"linkMbps,omitempty" validate:"gte=0"`
+	// Connections limits the connections to the process.
+	Connections Connections `yaml:"connections,omitempty"`
 }
 
 // DefaultCatchUp is the default of Managed.CatchUp.
--- /dev/null
+++ b/internal/connlimit/shares.go
@@ -0,0 +1,64 @@
+package connlimit
+
+import "syscall"
+
+const (
+	// connMemory is the approximate memory of a connection between requests, in bytes: two buffers and two stacks.
+	connMemory = 16 << 10
+	// headShare and connShare are the ratios of the process's memory to that which heads and idle connections may take.
+	// Bodies have a part of their own.
+	headShare = 8
+	connShare = 4
+	// callerShare is the ratio of the process's descriptors to those of callers: a call takes two, its caller's and its upstream's.
+	callerShare = 2
+	// upstreamShare is the ratio of the process's descriptors to those of upstreams that announce themselves, where they have a
+	// listener of their own.
+	upstreamShare = 8
+	// sideShare is the ratio of the process's descriptors to those of each other listener.
+	sideShare = 16
+	// pendingShare is the ratio of the process's descriptors to those of connections between nodes whose handshake is
+	// incomplete.
+	pendingShare = 8
+	// minSide is the least number of connections of a listener beside that of callers.
+	minSide = 16
+	// defaultDescriptors is assumed where neither the settings nor the system state a limit.
+	defaultDescriptors = 4096
+)
+
+// Shares are the parts of a process that its connections may take.
+type Shares struct {
+	// HeadMemory is the memory of all heads, in bytes; zero means no limit.
+	HeadMemory int64
+	// Callers bounds the connections of callers, or of the operators and upstreams of a control node. Upstreams bounds those of a listener
+	// for announcements only, and Side those of each other listener.
+	Callers, Upstreams, Side int
+	// Pending bounds the connections of other nodes whose handshake is incomplete.
+	Pending int
+}
+
+// SharesOf divides the memory of a process, in MiB, and its descriptors. Memory that is zero bounds nothing; for descriptors, the
+// system's limit stands in.
+func SharesOf(memoryMB, descriptors int) Shares {
+	if descriptors <= 0 {
+		descriptors = systemDescriptors()
+	}
+	s := Shares{
+		HeadMemory: int64(memoryMB) << 20 / headShare,
+		Callers:    max(minSide, descriptors/callerShare),
+		Upstreams:  max(minSide, descriptors/upstreamShare),
+		Side:       max(minSide, descriptors/sideShare),
+		Pending:    max(minSide, descriptors/pendingShare),
+	}
+	if memoryMB > 0 {
+		s.Callers = max(minSide, min(s.Callers, memoryMB<<20/connShare/connMemory))
+	}
+	return s
+}
+
+func systemDescriptors() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur == 0 || limit.Cur > 1<<20 {
+		return defaultDescriptors
+	}
+	return int(limit.Cur)
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -184,6 +184,8 @@
 		Log:    log.Logger().WithField("part", "links"),
 		Timing: peer.Timing{Heartbeat: linkHeartbeat, SilenceTimeout: linkSilenceTimeout},
 		Seed:   uint64(c.member),
+
+		MaxPending: cfg.Connections.Shares(cfg.MemoryMB, cfg.Descriptors).Pending,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -1,6 +1,7 @@
 package detour
 
 import (
+	"cmp"
 	"context"
 	"crypto/hmac"
 	"crypto/rand"
@@ -14,6 +15,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/agateslip/agateslip/internal/connlimit"
 )
 
 const (
@@ -27,6 +30,8 @@
 	copyBufferBytes = 4 << 10
 	// acceptPause is the pause after a connection could not be accepted.
 	acceptPause = 100 * time.Millisecond
+	// defaultMaxPending is the default of Server.MaxPending.
+	defaultMaxPending = 256
 	// finishTimeout bounds the wait for a node to close its side after the upstream has ended.
 	finishTimeout = time.Second
 )
@@ -56,6 +61,10 @@
 	Serves func(addr string) bool
 	// Failed is told of connections that cannot be accepted.
 	Failed func(error)
+	// MaxPending bounds the connections that have not said yet where to; zero means the default. Beyond it, the oldest
+	// one is closed, and Cut is told of it; it may be nil.
+	MaxPending int
+	Cut        func(connlimit.Cut)
 
 	mu sync.Mutex
 	// open holds the connections to other nodes that are joined with an upstream.
@@ -138,8 +147,10 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(listener net.Listener) error {
+	pending := connlimit.ListenerOptions{Name: "detours", MaxIncomplete: cmp.Or(s.MaxPending, defaultMaxPending)}
+	limited := connlimit.New(0, s.Cut).Listen(listener, pending)
 	for {
-		conn, err := listener.Accept()
+		conn, err := limited.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -149,13 +160,14 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		go s.handle(conn.(*net.TCPConn))
+		go s.handle(conn.(*connlimit.Conn))
 	}
 }
 
 // handle serves one detour.
-func (s *Server) handle(conn *net.TCPConn) {
-	defer conn.Close()
+func (s *Server) handle(limited *connlimit.Conn) {
+	defer limited.Close()
+	conn := limited.Conn.(*net.TCPConn)
 	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
 	defer cancel()
 	if conn.SetDeadline(time.Now().Add(handshakeTimeout)) != nil || conn.SetKeepAliveConfig(keepAlive) != nil {
@@ -165,6 +177,7 @@
 	if !ok {
 		return
 	}
+	limited.Establish()
 	if !s.Serves(r.addr) {
 		_, _ = fmt.Fprintln(conn, answerRefused)
 		return
--- /dev/null
+++ b/internal/edge/connections.go
@@ -0,0 +1,75 @@
+package edge
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/agateslip/agateslip/internal/boottime"
+	"github.com/agateslip/agateslip/internal/connlimit"
+	"github.com/agateslip/agateslip/internal/eventlog"
+)
+
+// WithGuard limits the connections with a guard that the process's other listeners share.
+func WithGuard(guard *connlimit.Guard) Option { return func(e *Edge) { e.guard = guard } }
+
+// callerListener describes the listener of callers. Its limits are those of the configuration in force.
+func (e *Edge) callerListener() connlimit.ListenerOptions {
+	return connlimit.ListenerOptions{
+		Name: "callers", MaxOpen: e.shares.Callers, MaxPerAddress: e.cfg.Connections.PerAddress, Limits: e.callerLimits,
+	}
+}
+
+func (e *Edge) callerLimits() connlimit.Limits {
+	routing := e.routing.Load()
+	if routing == nil {
+		return connlimit.Limits{}
+	}
+	l := &routing.table.Configuration().Limits
+	return connlimit.Limits{HeadBytes: l.HeaderBytes, HeadTime: l.HeaderTime, IdleTime: l.IdleTime}
+}
+
+// boundBody makes reading the body fail once an answer would come too late for its caller.
+func (c *call) boundBody() {
+	if c.r.ContentLength == 0 {
+		return
+	}
+	patience := c.caller.MaxWait
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	// This fails only if the connection is closed, and then so does reading.
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(min(patience, c.route.Timeout)))
+}
+
+// bodyReleaseTime bounds the wait for the memory of a body whose connection was cut: its call ends when it reads on.
+const bodyReleaseTime = 100 * time.Millisecond
+
+// makeRoomForBody frees memory that a body takes which has been incomplete for longer than that of this call. It reports whether there
+// was one.
+func (c *call) makeRoomForBody() bool {
+	before := c.edge.bodies.Used()
+	if !c.edge.guard.CutOldestBody(c.r, minCutBody) {
+		return false
+	}
+	for end := boottime.Now() + bodyReleaseTime; c.edge.bodies.Used() >= before && boottime.Now() < end; {
+		time.Sleep(time.Millisecond)
+	}
+	return true
+}
+
+// minCutBody is the least size of a body that is cut to make room for another one, in bytes. Smaller ones free little.
+const minCutBody = 8 << 10
+
+// detourCut records a connection of another node, or of someone else, that was closed before it said where to.
+func (e *Edge) detourCut(cut connlimit.Cut) {
+	e.metrics.Count("connection cut: " + string(cut.Cause))
+	e.log.Event("connection cut", CutFields(cut))
+}
+
+// CutFields describes a connection that was cut in a log line.
+func CutFields(cut connlimit.Cut) eventlog.Fields {
+	return eventlog.Fields{
+		"cause": string(cut.Cause), "listener": cut.Listener, "remote": cut.Remote,
+		"millis": cut.Age.Milliseconds(), "held": cut.Held,
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -22,6 +22,7 @@
 	"github.com/agateslip/agateslip/internal/bodybuffer"
 	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/config"
+	"github.com/agateslip/agateslip/internal/connlimit"
 	"github.com/agateslip/agateslip/internal/controller"
 	"github.com/agateslip/agateslip/internal/detour"
 	"github.com/agateslip/agateslip/internal/eventlog"
@@ -90,6 +91,9 @@
 	streams *streamRecorder
 	// stopping is set once Stop was called: the node reports itself as not ready.
 	stopping atomic.Bool
+	// guard and shares limit the connections to the process.
+	guard  *connlimit.Guard
+	shares connlimit.Shares
 	// bodies bounds the bodies that the calls in progress hold.
 	bodies *bodybuffer.Budget
 	// activeCalls is the number of callers' requests in progress.
@@ -184,18 +188,23 @@
 	for _, change := range options {
 		change(e)
 	}
+	e.shares = cfg.Connections.Shares(cfg.MemoryMB, cfg.Descriptors)
+	if e.guard == nil {
+		e.guard = connlimit.New(e.shares.HeadMemory, nil)
+	}
 	e.detours = detour.NewClient(cfg.Secret)
 	e.paths = detour.NewPaths(e.dial, e.detours.Dial, e.noteCutOff)
 	e.helper = &detour.Server{Secret: cfg.Secret, Paths: e.paths, Serves: e.mayHelp, Failed: func(err error) {
 		e.log.Event("detour not accepted", eventlog.Fields{"error": err.Error()})
-	}}
+	}, MaxPending: e.shares.Pending, Cut: e.detourCut}
 	e.pool = upstreamconn.NewPool(e.paths.Dial)
 	e.entryNodes.Store(1)
 	e.registerGauges()
 	e.mesh, err = peer.New(peer.Options{
 		Self: cfg.Node, Addr: cfg.Listen.LinksBindAddr(), Secret: cfg.Secret, Mux: peer.NewMux(),
-		Log:    log.Logger().WithField("part", "links"),
-		Timing: peer.Timing{Heartbeat: linkHeartbeat, SilenceTimeout: linkSilence, BackoffMax: linkBackoff},
+		Log:        log.Logger().WithField("part", "links"),
+		Timing:     peer.Timing{Heartbeat: linkHeartbeat, SilenceTimeout: linkSilence, BackoffMax: linkBackoff},
+		MaxPending: e.shares.Pending,
 	})
 	if err != nil {
 		return nil, err
@@ -230,7 +239,10 @@
 			{Name: "streams", Run: e.recordStreams},
 			{Name: "detours", Run: e.serveDetours},
 			{Name: "ticker", Run: e.tick},
-			{Name: "readiness", Run: func(ctx context.Context) error { return e.serve(ctx, e.cfg.Listen.Ready, e.readiness(), 0) }},
+			{Name: "readiness", Run: func(ctx context.Context) error {
+				ready := connlimit.ListenerOptions{Name: "ready", MaxOpen: e.shares.Side}
+				return e.serve(ctx, e.cfg.Listen.Ready, ready, e.readiness(), 0)
+			}},
 			{Name: "callers", Run: e.serveCallers},
 		},
 	}
@@ -251,13 +263,14 @@
 
 // serve runs an HTTP server until ctx ends. Requests in progress then have
 // shutdownTimeout to finish before their connections are closed.
-func (e *Edge) serve(ctx context.Context, addr string, handler http.Handler, shutdownTimeout time.Duration) error {
+func (e *Edge) serve(ctx context.Context, addr string, limits connlimit.ListenerOptions, handler http.Handler, shutdownTimeout time.Duration) error {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", addr)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	serveErr := make(chan error, 1)
+	listener = e.guard.Protect(server, listener, limits)
 	go func() { serveErr <- server.Serve(listener) }()
 	select {
 	case err := <-serveErr:
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -17,7 +18,7 @@
 
 const (
 	// readHeaderTimeout and idleTimeout bound callers' connections. Both exceed the
-	// limits of any configuration; callers are expected to keep to those.
+	// limits of any configuration, which package connlimit enforces.
 	readHeaderTimeout = 20 * time.Second
 	idleTimeout       = 90 * time.Second
 	// defaultBodyLimit bounds a request body, in bytes, where the configuration states
@@ -39,7 +40,9 @@
 	serveCtx, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- e.serve(serveCtx, e.cfg.Listen.Callers, http.HandlerFunc(e.handle), stopReserve) }()
+	go func() {
+		serveErr <- e.serve(serveCtx, e.cfg.Listen.Callers, e.callerListener(), http.HandlerFunc(e.handle), stopReserve)
+	}()
 	select {
 	case err := <-serveErr:
 		return err
@@ -180,6 +183,10 @@
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
+	c.boundBody()
+	c.held.MakeRoom = c.makeRoomForBody
+	for c.r.ContentLength <= limit && !c.edge.bodies.Fits(c.r.ContentLength) && c.makeRoomForBody() {
+	}
 	var body []byte
 	err := bodybuffer.ErrNoMemory
 	if c.r.ContentLength > limit || c.edge.bodies.Fits(c.r.ContentLength) {
@@ -193,6 +200,10 @@
 	case errors.Is(err, bodybuffer.ErrNoMemory):
 		c.refuse("no memory for the body", defaultRetryAfter)
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.w.Header().Set("Connection", "close")
+		c.fail(http.StatusRequestTimeout, "body too slow")
+		return false
 	case err != nil:
 		c.fail(http.StatusBadRequest, "body unreadable")
 		return false
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/agateslip/agateslip/contract"
+	"github.com/agateslip/agateslip/internal/connlimit"
 	"github.com/agateslip/agateslip/internal/upstreamconn"
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
@@ -108,6 +109,11 @@
 	}
 }
 
+// ConnLimits returns the limits of a connection of a caller.
+func ConnLimits() connlimit.Limits {
+	return connlimit.Limits{HeadBytes: MaxHeaderBytes, HeadTime: headerTimeout, IdleTime: idleTimeout, BodyTime: bodyTimeout}
+}
+
 // Handler returns the HTTP handler for callers.
 func (g *Gateway) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -224,7 +230,9 @@
 	// Setting a deadline fails only on the response recorder of tests, which has none.
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
-	_ = rc.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
+	}
 	if err != nil {
 		releaseBody()
 		var tooLarge *http.MaxBytesError
--- /dev/null
+++ b/internal/node/connections.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"expvar"
+	"net"
+	"net/http"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"github.com/agateslip/agateslip/internal/connlimit"
+	"github.com/agateslip/agateslip/internal/gateway"
+	"github.com/agateslip/agateslip/internal/operator"
+)
+
+// cutLinesPerSecond bounds the log lines about connections that were cut.
+const cutLinesPerSecond = 20
+
+// connectionCuts counts and logs the connections that were closed because of a limit.
+type connectionCuts struct {
+	byCause *expvar.Map
+	lines   *rate.Limiter
+}
+
+func newConnectionCuts(metrics *expvar.Map) *connectionCuts {
+	c := &connectionCuts{byCause: new(expvar.Map).Init(), lines: rate.NewLimiter(cutLinesPerSecond, cutLinesPerSecond)}
+	metrics.Set("connections_cut", c.byCause)
+	return c
+}
+
+// shares returns the parts of the process that its connections may take.
+func (n *Node) shares() connlimit.Shares {
+	return n.cfg.Connections.Shares(n.cfg.MemoryMB, n.cfg.Descriptors)
+}
+
+// connectionCut records a connection that was closed because of a limit.
+func (n *Node) connectionCut(cut connlimit.Cut) {
+	n.cuts.byCause.Add(string(cut.Cause), 1)
+	if n.cuts.lines.Allow() {
+		n.log.WithFields(logrus.Fields{
+			"cause": cut.Cause, "listener": cut.Listener, "remote": cut.Remote, "age": cut.Age, "held": cut.Held,
+		}).Warn("connection cut")
+	}
+}
+
+// limitConnections makes the servers keep the limits of connections. Their heads share one part of the node's memory.
+func (n *Node) limitConnections(s *servers) {
+	shares := n.shares()
+	guard := connlimit.New(shares.HeadMemory, n.connectionCut)
+	n.metrics.Set("connections_open", expvar.Func(func() any { return guard.Open() }))
+	n.metrics.Set("head_bytes", expvar.Func(func() any { return guard.HeadBytes() }))
+	protect := func(s *http.Server, l *net.Listener, o connlimit.ListenerOptions) {
+		*l = guard.Protect(s, *l, o)
+	}
+	protect(s.callers, &n.callers, connlimit.ListenerOptions{
+		Name: "callers", MaxOpen: shares.Callers, MaxPerAddress: n.cfg.Connections.PerAddress, Limits: gateway.ConnLimits,
+	})
+	protect(s.upstreams, &n.upstreams, connlimit.ListenerOptions{
+		Name: "upstreams", MaxOpen: shares.Upstreams, Limits: upstreamConnLimits,
+	})
+	protect(s.operators, &n.operators, connlimit.ListenerOptions{Name: "operators", MaxOpen: shares.Side, Limits: operator.ConnLimits})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,6 +85,7 @@
 	operators net.Listener
 	// detourListener is nil if the node does not help others.
 	detourListener net.Listener
+	cuts           *connectionCuts
 
 	// nextVoter rotates the voters that anyVoter returns. Only the sync and follow
 	// parts use it.
@@ -115,6 +116,7 @@
 		draining: make(chan struct{}),
 		dial:     gateway.Dial,
 	}
+	n.cuts = newConnectionCuts(n.metrics)
 	for _, option := range options {
 		option(n)
 	}
@@ -168,6 +170,8 @@
 		Log:    n.log.WithField("part", "peers"),
 		Seed:   n.seed,
 		Timing: peer.Timing{Heartbeat: linkHeartbeat, SilenceTimeout: linkSilence},
+
+		MaxPending: n.shares().Pending,
 	})
 	if err != nil {
 		return errors.Wrap(err, "listen.peers")
@@ -327,11 +331,13 @@
 }
 
 func (n *Node) servers() servers {
-	return servers{
+	s := servers{
 		callers:   n.gateway.Server(),
 		upstreams: n.upstreamServer(),
 		operators: operator.NewServer(&backend{node: n}, n.cfg.OperatorToken),
 	}
+	n.limitConnections(&s)
+	return s
 }
 
 // tree returns the node's parts in starting order. They stop in reverse order.
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/agateslip/agateslip/internal/connlimit"
 	"github.com/agateslip/agateslip/internal/engine"
 	"github.com/agateslip/agateslip/internal/supervisor"
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,11 @@
 	return &http.Server{Handler: handler, ReadTimeout: upstreamTimeout, IdleTimeout: 2 * upstreamTimeout}
 }
 
+// upstreamConnLimits returns the limits of a connection of an upstream.
+func upstreamConnLimits() connlimit.Limits {
+	return connlimit.Limits{HeadTime: upstreamTimeout, IdleTime: 2 * upstreamTimeout, BodyTime: upstreamTimeout}
+}
+
 // serve returns a supervised part that runs an HTTP server until ctx ends. An
 // unexpected end of the server is a permanent error.
 func serve(s *http.Server, ln net.Listener) func(context.Context) error {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/agateslip/agateslip/contract"
 	"github.com/agateslip/agateslip/control"
+	"github.com/agateslip/agateslip/internal/connlimit"
 	"github.com/agateslip/agateslip/internal/yamlcheck"
 	"github.com/cockroachdb/errors"
 )
@@ -74,6 +75,11 @@
 	}
 }
 
+// ConnLimits returns the limits of an operator's connection.
+func ConnLimits() connlimit.Limits {
+	return connlimit.Limits{HeadTime: requestTimeout, IdleTime: requestTimeout, BodyTime: requestTimeout}
+}
+
 // requireToken answers 401 unless the request carries the operator token.
 func (s *server) requireToken(next http.HandlerFunc) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net"
@@ -11,6 +12,8 @@
 	"github.com/creachadair/jrpc2"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/agateslip/agateslip/internal/connlimit"
 )
 
 // Peer is another node.
@@ -83,6 +86,9 @@
 	Timing Timing
 	// Seed seeds the random jitter of the backoff.
 	Seed uint64
+	// MaxPending bounds the inbound connections that have not finished the handshake; zero means the default. Beyond
+	// it, the oldest one is closed.
+	MaxPending int
 }
 
 // Mesh maintains the connections to and from the peers. All methods may be called from
@@ -113,11 +119,12 @@
 		return nil, errors.Wrapf(err, "listen on %s", opts.Addr)
 	}
 	m := &Mesh{
-		opts:     opts,
-		listener: listener,
-		dialers:  map[string]*dialer{},
-		inbound:  map[string]*link{},
+		opts:    opts,
+		dialers: map[string]*dialer{},
+		inbound: map[string]*link{},
 	}
+	pending := connlimit.ListenerOptions{Name: "links", MaxIncomplete: cmp.Or(opts.MaxPending, defaultMaxPending)}
+	m.listener = connlimit.New(0, nil).Listen(listener, pending)
 	m.SetPeers(opts.Peers)
 	return m, nil
 }
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -9,14 +9,15 @@
 	"github.com/cockroachdb/errors"
 	"github.com/creachadair/jrpc2"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/agateslip/agateslip/internal/connlimit"
 )
 
 const (
 	// maxConcurrentHandlers bounds the handlers that run concurrently per connection.
 	maxConcurrentHandlers = 1024
-	// maxPendingHandshakes bounds the inbound connections that have not finished the
-	// handshake. Further connections are rejected.
-	maxPendingHandshakes = 64
+	// defaultMaxPending is the default of Options.MaxPending.
+	defaultMaxPending = 64
 	// acceptRetryDelay is the delay after a failed accept before the next one.
 	acceptRetryDelay = 50 * time.Millisecond
 )
@@ -24,7 +25,6 @@
 // acceptLoop accepts and serves connections until the listener is closed. It retries
 // after other errors, such as too many open files, because they are temporary.
 func (m *Mesh) acceptLoop(ctx context.Context, group *errgroup.Group) {
-	pendingHandshakes := make(chan struct{}, maxPendingHandshakes)
 	for {
 		conn, err := m.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -35,35 +35,28 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		select {
-		case pendingHandshakes <- struct{}{}:
-		default:
-			m.counters.rejected.Add(1)
-			conn.Close()
-			continue
-		}
 		group.Go(func() error {
-			m.serveConn(ctx, conn, func() { <-pendingHandshakes })
+			m.serveConn(ctx, conn.(*connlimit.Conn))
 			return nil
 		})
 	}
 }
 
 // serveConn runs the handshake, then serves the dialing node's requests until the
-// connection closes. It calls handshakeDone when the handshake has succeeded or failed.
-func (m *Mesh) serveConn(ctx context.Context, conn net.Conn, handshakeDone func()) {
+// connection closes.
+func (m *Mesh) serveConn(ctx context.Context, conn *connlimit.Conn) {
 	cancelClose := context.AfterFunc(ctx, func() { conn.Close() })
 	defer cancelClose()
 	defer conn.Close()
 	progress := newProgressConn(conn, &m.counters)
 	reader := bufio.NewReader(progress)
 	from, err := m.acceptPeer(progress, reader)
-	handshakeDone()
 	if err != nil {
 		m.counters.rejected.Add(1)
 		m.opts.Log.WithField("remote", conn.RemoteAddr()).WithError(err).Warn("inbound connection rejected")
 		return
 	}
+	conn.Establish()
 	l := newLink(progress, reader, m.opts.Timing, &m.counters)
 	if !m.addInbound(from, l) {
 		return
--- a/test/integration/uncontrolled_test.go
+++ b/test/integration/uncontrolled_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -163,10 +164,13 @@
 }
 
 // get returns an ordinary request that expects status 200.
-func get(addr, path string) func() error {
+func get(addr, path string) func() error { return request(http.MethodGet, addr, path, "") }
+
+// request is get with another method and a body.
+func request(method, addr, path, body string) func() error {
 	return func() error {
 		client := http.Client{Timeout: waitTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-		r, err := http.NewRequest(http.MethodGet, "http://"+addr+path, http.NoBody)
+		r, err := http.NewRequest(method, "http://"+addr+path, strings.NewReader(body))
 		if err != nil {
 			return err
 		}
@@ -199,7 +203,9 @@
 	is := is.New(t)
 	const port = 21970
 	at := func(host string, i int) string { return fmt.Sprintf("%s:%d", host, port+i) }
-	m := &managedNodes{controlHost: "127.0.9.201", entryHost: "127.0.9.202"}
+	// Both nodes use the same ports, so that each needs a host of its own; other test processes use other hosts.
+	hosts := fmt.Sprintf("127.%d.%d.", 64+os.Getpid()>>8%64, os.Getpid()%256)
+	m := &managedNodes{controlHost: hosts + "1", entryHost: hosts + "2"}
 	m.operators, m.controlLinks, m.cMetrics = at(m.controlHost, 0), at(m.controlHost, 1), at(m.controlHost, 3)
 	m.callers, m.links, m.detours, m.metrics, m.ready = at(m.entryHost, 0), at(m.entryHost, 1), at(m.entryHost, 2), at(m.entryHost, 3), at(m.entryHost, 4)
 	dir := t.TempDir()
@@ -282,9 +288,28 @@
 	}
 }
 
+// TestUncontrolledBodies has a crowd send large parts of bodies, which take all memory that bodies may take, and then an ordinary
+// request with a body.
+func TestUncontrolledBodies(t *testing.T) {
+	m := startManaged(t)
+	body := strings.Repeat("x", 4_000_000)
+	large := crowd{name: "large bodies in part", size: 100, send: writeAll("POST /plain/1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4000000\r\n\r\n" + body[:200_000])}
+	large.meet(t, m.entry, m.callers, request(http.MethodPost, m.callers, "/plain/1", body))
+}
+
 // TestUncontrolledCallersOfNode has crowds connect to the listeners of a node of a fixed group.
 func TestUncontrolledCallersOfNode(t *testing.T) {
-	c := startCluster(t)
+	c := newCluster(t, clusterVoters, func(_, _ int, addr string) string { return addr })
+	for _, n := range c.nodes {
+		file, err := os.OpenFile(n.configFile, os.O_APPEND|os.O_WRONLY, 0)
+		is.New(t).NoErr(err)
+		_, err = fmt.Fprintf(file, "memoryMB: %d\ndescriptors: %d\n", crowdMemoryMB, crowdDescriptors)
+		is.New(t).NoErr(errors.Join(err, file.Close()))
+		n.start(t, "--init")
+	}
+	for _, n := range c.nodes {
+		c.waitReady(t, n)
+	}
 	n := c.nodes[0]
 	ordinary := get(n.callerAddr, "/readyz")
 	t.Run("callers", func(t *testing.T) { meetAll(t, httpCrowds, n.process, n.callerAddr, ordinary) })
