residency: a load from the store does not keep copies from being loaded

Cause: a model is loaded at one engine at a time. If all engines that have a copy are busy when calls for it arrive, it is fetched from the weight store, 13.2 s at best and some 40 s beside other fetches, and until then no engine loads its copy in 0.7 s.

Change: planned loads from the store no longer count for engines that have a copy. The log line 'busiest models' also tells the rate that an engine bears at best (perEngine).

TestCopyIsLoadedBesideStoreLoad fails without the change.

--- a/residency/choose.go
+++ b/residency/choose.go
@@ -115,7 +115,7 @@
 func (p *Planner) assign(c candidate, now time.Duration) {
 	e := c.engine
 	e.job = &job{model: c.model.spec.Name, tier: c.tier, evict: c.evict}
-	c.model.plannedLoads++
+	c.model.plan(c.tier)
 	c.model.queue.serve(e.desc.Software)
 	if c.tier != Store {
 		e.service.copyLoadGain.add(c.gain, now)
@@ -146,7 +146,7 @@
 		if m.gainBound <= minGain || m.gainBound <= best.score*s.shortestLoad {
 			break // sorted by gainBound: no later model has a higher score
 		}
-		if m.plannedLoads > 0 && m.queue.wants(e.desc.Software) == nil || e.held.models[m.spec.Name] {
+		if m.loadsBefore(e.tier(m.spec.Name)) > 0 && m.queue.wants(e.desc.Software) == nil || e.held.models[m.spec.Name] {
 			continue
 		}
 		if c, ok := p.evaluate(e, m, &memory, now); ok && c.score > best.score {
@@ -170,7 +170,7 @@
 	}
 	duration := loadTime(m.spec, c.tier)
 	gain := e.service.pinnedCallValue(e.desc.Software) * pinned.loadValue(duration+wait)
-	if m.plannedLoads == 0 {
+	if m.loadsBefore(c.tier) == 0 {
 		gain += p.gain(e, m, c.tier, m.queue.loadValue(duration+wait))
 	}
 	if gain <= 0 {
--- a/residency/hotmodel_test.go
+++ b/residency/hotmodel_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/agateslip/agateslip/fleet"
 	"github.com/agateslip/agateslip/residency"
 )
 
@@ -71,3 +72,19 @@
 	report(605, 60*second)
 	is.Equal(s.planner.BusiestModels(1, s.now)[0].PerSecond, 11.0)
 }
+
+// TestCopyIsLoadedBesideStoreLoad has a model fetched from the weight store, which takes six seconds, when an engine
+// starts that has a copy on its disk. That one must serve it within two.
+func TestCopyIsLoadedBesideStoreLoad(t *testing.T) {
+	is := is.New(t)
+	s := newPlacedSimulation(t, [][]int{{0, 1}, {3, 4}}, 6, false)
+	s.run(second)
+	s.addWaiting("n", "m2", "", 4)
+	s.run(500 * ms)
+	is.Equal(len(s.storeStarts), 1)
+	e := &engine{desc: fleet.Upstream{ID: "e9", Born: 1, Service: "llm", Slots: 8, OnDisk: []string{"m2"}}}
+	s.engines[e.desc.ID] = e
+	s.planner.SetUpstream(e.desc, s.now)
+	s.run(2 * second)
+	is.True(s.holds("m2"))
+}
--- a/residency/overview.go
+++ b/residency/overview.go
@@ -82,6 +82,8 @@
 	Model   string `json:"model"`
 	// PerSecond is the expected rate of calls, to a tenth.
 	PerSecond float64 `json:"perSecond"`
+	// PerEngine is the rate of calls that an engine bears at best, to a tenth.
+	PerEngine float64 `json:"perEngine"`
 	// Holders is the number of engines that serve the model, Loading of those that load it.
 	// Copies is the number of engines that could load it without the weight store.
 	Holders int `json:"holders"`
@@ -94,8 +96,9 @@
 	byKey := map[modelKey]*ModelOverview{}
 	var list []*ModelOverview
 	for name, s := range p.services {
+		perEngine := toTenth(p.bestEngineRate(name))
 		for _, m := range s.models {
-			o := &ModelOverview{Service: name, Model: m.spec.Name, PerSecond: p.expectedRate(name, m.spec.Name, now)}
+			o := &ModelOverview{Service: name, Model: m.spec.Name, PerSecond: p.expectedRate(name, m.spec.Name, now), PerEngine: perEngine}
 			byKey[modelKey{name, m.spec.Name}] = o
 			list = append(list, o)
 		}
@@ -108,12 +111,14 @@
 	}
 	busiest := make([]ModelOverview, 0, n)
 	for _, o := range list[:min(n, len(list))] {
-		o.PerSecond = math.Round(10*o.PerSecond) / 10
+		o.PerSecond = toTenth(o.PerSecond)
 		busiest = append(busiest, *o)
 	}
 	return busiest
 }
 
+func toTenth(x float64) float64 { return math.Round(10*x) / 10 }
+
 // addToOverviews counts the engine in the overviews of its models.
 func (e *engine) addToOverviews(byKey map[modelKey]*ModelOverview) {
 	for name := range e.held.servedSince {
--- a/residency/survey.go
+++ b/residency/survey.go
@@ -40,9 +40,9 @@
 	// rate is the expected calls per second.
 	rate float64
 	// holders holds the engines that serve the model; plannedLoads is the number of
-	// jobs to load it.
-	holders      []*engine
-	plannedLoads int
+	// jobs to load it, plannedStoreLoads that of those from the weight store.
+	holders                         []*engine
+	plannedLoads, plannedStoreLoads int
 	// hasCopy reports whether an engine has a copy. copyAvailable reports whether an
 	// engine that has a copy, but has not loaded it, is free now or within
 	// maxCopyWait.
@@ -127,7 +127,7 @@
 func (p *Planner) surveyEngine(e *engine, now time.Duration) {
 	if e.job != nil && !e.needsReport {
 		if m := e.service.byName[e.job.model]; m != nil {
-			m.plannedLoads++
+			m.plan(e.job.tier)
 			m.queue.serve(e.desc.Software)
 		}
 	}
@@ -152,6 +152,26 @@
 	}
 }
 
+// plan counts a job to load the model.
+func (m *modelState) plan(t Tier) {
+	m.plannedLoads++
+	if t == Store {
+		m.plannedStoreLoads++
+	}
+}
+
+// loadsBefore returns the number of planned loads of a model that end before one from the given tier would.
+//
+// It answers this load pattern: all engines that have a copy of a model are busy when calls for it arrive, so that it
+// is fetched from the weight store. That takes many times as long as the load of a copy, which another engine may
+// begin as soon as it is free.
+func (m *modelState) loadsBefore(t Tier) int {
+	if t == Store {
+		return m.plannedLoads
+	}
+	return m.plannedLoads - m.plannedStoreLoads
+}
+
 // spreadRates computes the expected calls per second at each engine. The holders of a
 // model share its calls equally.
 func (s *service) spreadRates() {
@@ -208,7 +228,7 @@
 	s.loadable, s.smallestMB = s.loadable[:0], 0
 	for _, m := range s.models {
 		m.gainBound = s.pinnedValue(m)
-		if m.plannedLoads == 0 {
+		if m.loadsBefore(Memory) == 0 {
 			bestValue := 0.0
 			for _, t := range []Tier{Memory, Disk, Store} {
 				bestValue = max(bestValue, m.queue.loadValue(loadTime(m.spec, t)))
