--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -81,7 +81,7 @@
 }
 
 func (c *cluster) settings(i int, data string) config.Managed {
-	host := func(i int) string { return fmt.Sprintf("127.0.7.%d", i+1) }
+	host := func(i int) string { return testutil.Host(i + 1) }
 	return config.Managed{
 		Node: fmt.Sprint("core-", i), Domain: fmt.Sprint("d", i), FirstStart: true, Data: data, Losses: 2, CatchUp: contract.Duration(catchUpTime),
 		Secret: "0123456789abcdef", Heartbeat: contract.Duration(time.Second), Stop: contract.Duration(5 * time.Second),
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -91,15 +91,16 @@
 }
 
 // discardRejection reads the rest of an answer that the caller does not get, so that its
-// connection can be used again. It closes the connection if that takes too long.
-func (c *call) discardRejection(conn *upstreamconn.Conn, resp *http.Response) {
+// connection can be used again. If that takes too long, it closes the connection and returns false.
+func (c *call) discardRejection(conn *upstreamconn.Conn, resp *http.Response) (whole bool) {
 	timer := time.AfterFunc(rejectionTimeout, conn.Close)
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRejectionBytes))
 	if !timer.Stop() || err != nil || n == maxRejectionBytes {
 		conn.Close()
-		return
+		return false
 	}
 	conn.Release()
+	return true
 }
 
 // relayWhole reads the whole answer before the caller gets any of it, so that the call
--- a/test/integration/uncontrolled_test.go
+++ b/test/integration/uncontrolled_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/agateslip/agateslip/internal/testutil"
 	managed "github.com/agateslip/agateslip/platform/standin"
 )
 
@@ -203,9 +204,8 @@
 	is := is.New(t)
 	const port = 21970
 	at := func(host string, i int) string { return fmt.Sprintf("%s:%d", host, port+i) }
-	// Both nodes use the same ports, so that each needs a host of its own; other test processes use other hosts.
-	hosts := fmt.Sprintf("127.%d.%d.", 64+os.Getpid()>>8%64, os.Getpid()%256)
-	m := &managedNodes{controlHost: hosts + "1", entryHost: hosts + "2"}
+	// Both nodes use the same ports, so that each needs a host of its own.
+	m := &managedNodes{controlHost: testutil.Host(1), entryHost: testutil.Host(2)}
 	m.operators, m.controlLinks, m.cMetrics = at(m.controlHost, 0), at(m.controlHost, 1), at(m.controlHost, 3)
 	m.callers, m.links, m.detours, m.metrics, m.ready = at(m.entryHost, 0), at(m.entryHost, 1), at(m.entryHost, 2), at(m.entryHost, 3), at(m.entryHost, 4)
 	dir := t.TempDir()
