connlimit: callers that read no answer make room for others

Cause: a server's write to a caller that does not read blocks until the call's deadline on relayed answers and for good on all others, so that a crowd that pipelines requests and reads nothing could keep all connections of a listener: those of running calls were never cut.

Change: an answer has 60 s for each 64 KiB beyond what the system buffers (cause: answer not read). Where all connections are open and none is incomplete or idle, the one goes whose caller has read nothing for longest, 0.1 s or more.

Tests: TestUnreadAnswers fails without the choice of a blocked connection (run with its threshold at an hour). TestUncontrolledUnreadAnswers, on processes, does not show that fault within its three seconds, and finds another one: requests pipelined as fast as they are taken drive peak memory to 33 to 85 MiB of 64, in 4 of 30 crowds over it, with this change or without, at load 20 to 30.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -56,6 +56,8 @@
 	// refused is set once the connection was refused: net/http may read on after an error.
 	refused bool
 
+	// write bounds the writing of answers.
+	write writeState
 	// bodyBytes counts what was received of the body of the current request.
 	bodyBytes atomic.Int64
 
@@ -130,7 +132,7 @@
 	c.leaveList()
 }
 
-// enter changes the phase of a connection, which waits in list; nil means in none.
+// enter changes the phase of a connection, which goes to the end of list.
 func (c *Conn) enter(phase uint32, list *connList) {
 	g := c.listener.guard
 	g.mu.Lock()
@@ -139,14 +141,11 @@
 	if c.forgotten {
 		return
 	}
-	c.leaveList()
 	if phase == phaseIdle {
 		c.release()
 		c.started = false
 	}
-	if list != nil {
-		c.wait(list)
-	}
+	c.wait(list)
 }
 
 // Read implements net.Conn. While a head is read, it returns no byte beyond the end of the head.
@@ -198,14 +197,6 @@
 	return taken, err
 }
 
-// Write implements net.Conn. A refusal is the last answer: net/http may answer what there is of a head.
-func (c *Conn) Write(p []byte) (int, error) {
-	if c.refused {
-		return 0, errRefused
-	}
-	return c.Conn.Write(p)
-}
-
 // keep sets what is left of rest.
 func (c *Conn) keep(rest []byte) {
 	if c.rest = rest; len(rest) == 0 {
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -66,11 +66,12 @@
 	HeadTooSlow  Cause = "head too slow"
 	HeadsFull    Cause = "no memory for heads"
 	BodiesFull   Cause = "no memory for bodies"
+	AnswerUnread Cause = "answer not read"
 	TooMany      Cause = "too many connections"
 	AddressFull  Cause = "too many connections of an address"
 )
 
-// Cut describes a connection that was closed because of a limit. No request ran whose head or body was incomplete on it.
+// Cut describes a connection that was closed because of a limit. A request whose head or body was incomplete on it has not run.
 type Cut struct {
 	Cause Cause
 	// Listener is the name of the listener that accepted the connection.
@@ -140,10 +141,10 @@
 	// isHTTP is set if the connections carry requests of HTTP.
 	isHTTP bool
 
-	// The fields below are protected by guard.mu. incomplete and idle are in the order in which their connections became so.
-	open             int
-	incomplete, idle connList
-	perAddress       map[string]int
+	// The fields below are protected by guard.mu. The lists are in the order in which their connections became so.
+	open                      int
+	incomplete, running, idle connList
+	perAddress                map[string]int
 }
 
 // Listen returns a listener whose connections are *Conn. They count as incomplete until Conn.Establish.
@@ -224,6 +225,9 @@
 		if l.idle.front != nil {
 			return l.idle.front, ""
 		}
+		if blocked := l.oldestBlocked(); blocked != nil {
+			return blocked, ""
+		}
 		return nil, TooMany
 	case o.MaxIncomplete > 0 && l.incomplete.len >= o.MaxIncomplete:
 		return l.incomplete.front, ""
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -90,6 +90,10 @@
 	near, far := net.Pipe()
 	c := &caller{Conn: near}
 	f.pipes.conns <- far
+	if strings.HasPrefix(text, unread) {
+		c.send(text)
+		return c
+	}
 	go func() {
 		buffer := make([]byte, 4096)
 		for {
@@ -144,6 +148,9 @@
 	}
 }
 
+// unread is a request of a caller that reads no answer.
+const unread = "GET /unreadAnswer HTTP/1.1\r\nHost: h\r\n\r\n"
+
 const ordinary = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 
 // linesOf returns n short header lines with different names.
@@ -291,6 +298,21 @@
 	})
 }
 
+// TestUnreadAnswers has callers that read no answer, and one whose call runs, take all connections.
+func TestUnreadAnswers(t *testing.T) {
+	serve(t, 0, ListenerOptions{MaxOpen: 3}, func(f *fixture) {
+		held := f.dial("GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
+		f.dial(unread)
+		f.dial(unread)
+		time.Sleep(time.Second)
+		f.dial(ordinary).expect(t, "200", false)
+		f.expectCuts(TooMany)
+		time.Sleep(writeTime)
+		f.expectCuts(TooMany, AnswerUnread)
+		held.expect(t, "", false)
+	})
+}
+
 // TestTimes sends what the limits allow, and less.
 func TestTimes(t *testing.T) {
 	serve(t, 1<<20, ListenerOptions{Limits: smallHeads}, func(f *fixture) {
--- a/internal/connlimit/http.go
+++ b/internal/connlimit/http.go
@@ -39,7 +39,7 @@
 func (c *Conn) changed(state http.ConnState) {
 	switch state {
 	case http.StateActive:
-		c.enter(phaseRunning, nil)
+		c.enter(phaseRunning, &c.listener.running)
 	case http.StateIdle:
 		c.scan = headScanner{}
 		c.enter(phaseIdle, &c.listener.idle)
@@ -66,7 +66,7 @@
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err != nil && b.conn != nil {
-		b.conn.enter(phaseRunning, nil)
+		b.conn.enter(phaseRunning, &b.conn.listener.running)
 		b.conn = nil
 	}
 	return n, err
--- a/test/integration/uncontrolled_test.go
+++ b/test/integration/uncontrolled_test.go
@@ -65,6 +65,18 @@
 	}
 }
 
+// unreadAnswers sends requests without end and reads no answer, so that the node blocks at some time.
+func unreadAnswers(conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	_ = conn.SetWriteDeadline(time.Now().Add(3 * time.Second))
+	requests := strings.Repeat("GET /none HTTP/1.1\r\nHost: h.example\r\n\r\n", 1000)
+	for {
+		if _, err := io.WriteString(conn, requests); err != nil {
+			return
+		}
+	}
+}
+
 func resetAmid(conn net.Conn) {
 	_, _ = io.WriteString(conn, "POST /plain/1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1000\r\n\r\nabc")
 	_ = conn.(*net.TCPConn).SetLinger(0)
@@ -297,6 +309,14 @@
 	large.meet(t, m.entry, m.callers, request(http.MethodPost, m.callers, "/plain/1", body))
 }
 
+// TestUncontrolledUnreadAnswers has crowds pipeline requests as fast as they are taken, and read no answer.
+func TestUncontrolledUnreadAnswers(t *testing.T) {
+	m := startManaged(t)
+	unread := crowd{name: "answers never read", size: 100, send: unreadAnswers}
+	t.Run("callers", func(t *testing.T) { unread.meet(t, m.entry, m.callers, get(m.callers, "/plain/1")) })
+	t.Run("metrics", func(t *testing.T) { unread.meet(t, m.control, m.cMetrics, get(m.cMetrics, "/metrics")) })
+}
+
 // TestUncontrolledCallersOfNode has crowds connect to the listeners of a node of a fixed group.
 func TestUncontrolledCallersOfNode(t *testing.T) {
 	c := newCluster(t, clusterVoters, func(_, _ int, addr string) string { return addr })
