edge: an upstream whose refusals cannot be read gets the call no second time

Whether the upstream could be asked was decided by the header of its refusal. It is decided now once the refusal was read; the test passes, and so do those of refusals.

--- a/internal/edge/confirm.go
+++ b/internal/edge/confirm.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -75,10 +74,8 @@
 // ask reads the rest of a refusal, sends a health check behind it and returns the next answer, which belongs to the call or
 // to the health check. One that names neither belongs to the health check: the upstream names its answers to calls.
 func (c *call) ask(u *fleet.Upstream, conn *upstreamconn.Conn, refusal *http.Response) (*http.Response, error) {
-	timer := time.AfterFunc(rejectionTimeout, conn.Close)
-	n, err := io.Copy(io.Discard, io.LimitReader(refusal.Body, maxRejectionBytes))
-	if !timer.Stop() || err != nil || n == maxRejectionBytes {
-		return nil, errors.CombineErrors(errors.New("refusal was not read to its end"), err)
+	if !readRejection(conn, refusal) {
+		return nil, errors.New("refusal was not read to its end")
 	}
 	id := uuid.NewString()
 	header, question := c.edge.dialect.Question(id, Attempt{
--- a/internal/edge/refusal.go
+++ b/internal/edge/refusal.go
@@ -76,12 +76,11 @@
 		conn.Close()
 		return dispatch.Doubtful, outcomeUnknown
 	}
-	outcome := outcomeNotRun
-	if c.needsProof() && !c.mayAsk(conn) {
-		outcome = outcomeNotRunLast
+	mayAsk := c.mayAsk(conn)
+	if read := c.discardRejection(conn, resp); c.needsProof() && !(read && mayAsk) {
+		return resultOfRefusal(resp.StatusCode), outcomeNotRunLast
 	}
-	c.discardRejection(conn, resp)
-	return resultOfRefusal(resp.StatusCode), outcome
+	return resultOfRefusal(resp.StatusCode), outcomeNotRun
 }
 
 // resultOfRefusal returns what a refusal with the given status tells the dispatcher.
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -91,15 +91,22 @@
 }
 
 // discardRejection reads the rest of an answer that the caller does not get, so that its
-// connection can be used again. It closes the connection if that takes too long.
-func (c *call) discardRejection(conn *upstreamconn.Conn, resp *http.Response) {
-	timer := time.AfterFunc(rejectionTimeout, conn.Close)
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRejectionBytes))
-	if !timer.Stop() || err != nil || n == maxRejectionBytes {
+// connection can be used again. It closes the connection and returns false if that takes too long.
+func (c *call) discardRejection(conn *upstreamconn.Conn, resp *http.Response) bool {
+	if !readRejection(conn, resp) {
 		conn.Close()
-		return
+		return false
 	}
 	conn.Release()
+	return true
+}
+
+// readRejection reads the rest of an answer that the caller does not get. It returns false if that takes too long, or if
+// there is too much of it.
+func readRejection(conn *upstreamconn.Conn, resp *http.Response) bool {
+	timer := time.AfterFunc(rejectionTimeout, conn.Close)
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxRejectionBytes))
+	return timer.Stop() && err == nil && n < maxRejectionBytes
 }
 
 // relayWhole reads the whole answer before the caller gets any of it, so that the call
