--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -135,6 +135,8 @@
 	trialWaiters []trialWaiter
 	// brittle is the leader's latest word on the services whose upstreams are brittle.
 	brittle map[string]ratelimit.Brittle
+	// overloaded holds the models that this node last logged as overloaded.
+	overloaded map[dispatch.ModelKey]bool
 	// unreportedLeaving holds the upstreams that said that they are leaving and of which
 	// the leader does not know it yet.
 	unreportedLeaving map[fleet.Incarnation]bool
@@ -185,6 +187,7 @@
 
 		unreportedLeaving: map[fleet.Incarnation]bool{},
 		proof:             currencyProof{bound: time.Duration(cfg.Revocation)},
+		overloaded:        map[dispatch.ModelKey]bool{},
 	}
 	e.ending, e.end = context.WithCancel(context.Background())
 	for _, change := range options {
