edge, controller: tenants' quotas are kept over all entry nodes

Change: a call takes its cost before it is dispatched, once over all attempts; where the node holds too little, it waits for the leader's word (method control.quotas, apart from the demand reports), and is refused with 429 and a Retry-After as soon as there is no room within 50 ms, or half of its latency target if that is shorter. Without a leader it waits for 2 s, or half of its target, then gets 503. A call that no upstream ran gives its cost back within 0.3 s. Settings without quota.window and tenants without a rate cost no message.

Left: in the first second of a leader's term tenants get less than their quota, and calls that wait no longer than half a second are then refused although the tenant is below it.

--- a/internal/cli/overview.go
+++ b/internal/cli/overview.go
@@ -145,6 +145,13 @@
 		}
 		fmt.Fprintf(w, "%s\t%s\t%d\t%.2f\t%s\n", d.Model, d.Service, d.Waiting, d.PerSecond, expectedWait)
 	}
+	if len(o.Quotas) > 0 {
+		fmt.Fprintln(w, "\nQUOTA OF\tA SECOND\tLEFT\tHELD\tOF\tWAITING\tUSED\tBEYOND\tREFUSED\tBELOW")
+	}
+	for _, q := range o.Quotas {
+		fmt.Fprintf(w, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\n", q.Tenant, q.PerSecond, q.Level, q.Held, q.Capacity,
+			q.Waiting, q.Used, q.Beyond, q.Refused, q.Below)
+	}
 }
 
 func printEntryTable(w io.Writer, o *edge.Overview) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -80,6 +80,7 @@
 	loop         *owner.Loop
 	notifier     *watchNotifier
 	streams      streamRecorder
+	quotaGauges  quotaGauges
 
 	// The fields below are accessed only on the loop.
 	registry   *fleet.Registry
@@ -94,6 +95,8 @@
 	// upstreams; nil unless this node leads.
 	permits *ratelimit.Allocator
 	slots   *ratelimit.Slots
+	// quotas divides the tenants' quotas among the entry nodes; the zero value unless this node leads.
+	quotas quotaWatch
 	// brittleRevision is the revision of slots of which the entry nodes were told.
 	brittleRevision uint64
 	// plannedVersion is the configuration version that the planner was last given.
@@ -215,6 +218,7 @@
 		}
 		return 0
 	})
+	c.quotaGauges.register(c.metrics)
 	c.metrics.Gauge("term", func() int64 { return int64(c.raftReplica.Status().Term) })
 	c.metrics.Gauge("commitIndex", func() int64 { return int64(c.raftReplica.Status().Commit) })
 	c.metrics.Gauge("appliedIndex", func() int64 { return int64(c.raftReplica.Status().Applied) })
--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -98,6 +98,7 @@
 	c.applyDepartures(now)
 	c.quarantine = newQuarantineWatch(c.stateMachine.evidence(), now)
 	c.permits, c.slots = ratelimit.NewAllocator(), ratelimit.NewSlots(now)
+	c.quotas = quotaWatch{shares: ratelimit.NewQuotas(term, now)}
 	c.brittleRevision = 0
 	c.origins, c.proposingOrigins = origin.NewTracker(now), false
 	c.plannedVersion, c.loggedWidths = 0, map[string]int{}
@@ -115,6 +116,7 @@
 	c.log.Event("no longer leading", eventlog.Fields{"term": c.term, "now": status.Term, "leader": status.Leader})
 	c.term, c.fence = 0, 0
 	c.planner, c.permits, c.slots, c.origins = nil, nil, nil, nil
+	c.quotas = quotaWatch{}
 	c.notifier.notify()
 }
 
--- a/internal/controller/overview.go
+++ b/internal/controller/overview.go
@@ -6,6 +6,7 @@
 
 	"github.com/agateslip/agateslip/contract"
 	"github.com/agateslip/agateslip/internal/boottime"
+	"github.com/agateslip/agateslip/ratelimit"
 	"github.com/agateslip/agateslip/residency"
 )
 
@@ -28,6 +29,8 @@
 	Upstreams  []UpstreamOverview `json:"upstreams"`
 	// Demand lists the models that calls wait for. It is empty unless this node leads.
 	Demand []residency.DemandOverview `json:"demand"`
+	// Quotas lists the quotas that calls have used lately. It is empty unless this node leads.
+	Quotas []ratelimit.QuotaState `json:"quotas,omitempty"`
 }
 
 // MemberOverview is one member of the control group.
@@ -70,6 +73,7 @@
 		}
 		if c.planner != nil {
 			o.Demand = c.planner.DemandOverview(now)
+			o.Quotas = c.quotas.shares.Overview(now)
 		}
 	})
 	return o, err
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -29,6 +29,7 @@
 func (c *Controller) registerHandlers(mux *peer.Mux) {
 	mux.Handle(nodelink.Watch, typedHandler(c.serveWatch))
 	mux.Handle(nodelink.Demand, typedHandler(c.serveDemand))
+	mux.Handle(nodelink.Quotas, typedHandler(c.serveQuotas))
 	mux.Handle(nodelink.RecordStreams, typedHandler(c.serveRecordStreams))
 	mux.Handle(nodelink.FindStream, typedHandler(c.serveFindStream))
 	mux.Handle(nodelink.LastOrder, typedHandler(c.serveLastOrder))
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -37,7 +37,9 @@
 	caller  Caller
 	// tenant is the tenant whose key the caller has; nil without one.
 	tenant *routes.Tenant
-	body   []byte
+	// quota is the call's use of its tenant's quota.
+	quota quotaUse
+	body  []byte
 	// held is the memory that the call takes for bodies, of its request and of answers.
 	held *bodybuffer.Share
 	// fingerprint is the same for all repeats of the request.
@@ -142,7 +144,7 @@
 		if verdict.Record || c.record != nil {
 			c.startRecord(verdict.Upstream)
 		}
-		outcome := c.attempt(verdict.Upstream)
+		outcome := c.attemptWithinQuota(verdict.Upstream)
 		switch outcome {
 		case outcomeAnswered, outcomeCallerLeft:
 			return
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -104,6 +104,8 @@
 	stopAt atomic.Int64
 	// waitingCalls is the number of calls that wait for the dispatcher's verdict.
 	waitingCalls atomic.Int64
+	// waitingQuota is the number of calls that wait for their tenant's quota.
+	waitingQuota atomic.Int64
 	// demandChanged wakes reportDemand.
 	demandChanged chan struct{}
 	// plannerCounts is used on the goroutine of reportDemand only.
@@ -111,6 +113,7 @@
 
 	// The fields below are used on the loop only.
 	dispatcher *dispatch.Dispatcher
+	quota      quotaShares
 	// waiters holds the channels of the waiting calls; budgets is keyed by service.
 	waiters   map[dispatch.CallID]chan dispatch.Verdict
 	budgets   map[string]*retryBudget
@@ -166,6 +169,7 @@
 		bodies:           bodybuffer.NewBudget(int64(cfg.MemoryMB<<20) / bodiesShare),
 		leader:           newLeaderFinder(seeds),
 		demandChanged:    make(chan struct{}, 1),
+		quota:            newQuotaShares(),
 		configured:       make(chan struct{}),
 		closing:          make(chan struct{}),
 		streams:          newStreamRecorder(),
@@ -207,6 +211,7 @@
 func (e *Edge) registerGauges() {
 	e.metrics.Gauge("callsActive", e.activeCalls.Load)
 	e.metrics.Gauge("callsWaiting", e.waitingCalls.Load)
+	e.metrics.Gauge("callsWaitingForQuota", e.waitingQuota.Load)
 	e.metrics.Gauge("bytesHeld", e.bodies.Used)
 	e.metrics.Gauge("entryNodes", e.entryNodes.Load)
 	e.metrics.Gauge("configurationVersion", func() int64 {
@@ -227,6 +232,7 @@
 			{Name: "links", Run: e.mesh.Run},
 			{Name: "news", Run: e.followLeader},
 			{Name: "demand", Run: e.reportDemand},
+			{Name: "quotas", Run: e.reportQuotas},
 			{Name: "streams", Run: e.recordStreams},
 			{Name: "detours", Run: e.serveDetours},
 			{Name: "ticker", Run: e.tick},
@@ -295,6 +301,9 @@
 				})
 			}
 		}
+		if e.waitingQuota.Load() > 0 {
+			e.loop.Post(func() { e.deliverQuota(e.quota.shares.Tick(boottime.Now())) })
+		}
 		if e.waitingCalls.Load() == 0 {
 			continue
 		}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -129,6 +129,10 @@
 		c.refuse("node stops", otherNodeRetryAfter)
 		return
 	}
+	if !c.takeQuota() {
+		return
+	}
+	defer c.settleQuota()
 	c.run()
 }
 
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -22,6 +22,9 @@
 	Watch = "control.watch"
 	// Demand reports an entry node's calls; the answer is a DemandAnswer.
 	Demand = "control.demand"
+	// Quotas reports what an entry node holds and needs of the tenants' quotas: the request is a ratelimit.ShareReport,
+	// the answer a ratelimit.ShareAnswer.
+	Quotas = "control.quotas"
 	// Join asks for membership in the control group.
 	Join = "control.join"
 	// Announce forwards an upstream's announcement to the leader.
