--- a/ratelimit/quota_test.go
+++ b/ratelimit/quota_test.go
@@ -305,18 +305,18 @@
 		began := 2 * time.Hour
 		q := NewQuotas(1, began-time.Minute)
 		seq := uint64(0)
-		for now := began - 10*time.Millisecond; now < began+5*time.Second; now += 10 * time.Millisecond {
+		for now := began - 10*time.Millisecond; now < began+5*time.Second; now += 5 * time.Millisecond {
 			switch now {
 			case began, began + second.Truncate(10*time.Millisecond):
 				q = NewQuotas(q.term+1, now)
 			}
 			seq++
 			node := fmt.Sprint("node", seq) // never heard of again
-			need := 5.0
+			need := fullBound.Rate / 200
 			if q.term == 1 {
 				need = fullBound.Out
 			}
-			wants := []Share{{Tenant: "a", Need: need, First: 1, Patience: time.Second}}
+			wants := []Share{{Tenant: "a", Need: need, First: 1, Patience: time.Millisecond}}
 			answer := q.Report(node, ShareReport{Seq: 1, Shares: wants}, boundOnly(fullBound), now)
 			for _, g := range answer.Grants {
 				hands = append(hands, held{g.Amount, now + ShareTTL})
