--- a/internal/edge/refusal.go
+++ b/internal/edge/refusal.go
@@ -77,7 +77,7 @@
 		return dispatch.Doubtful, outcomeUnknown
 	}
 	mayAsk := c.mayAsk(conn)
-	if read := c.discardRejection(conn, resp); c.needsProof() && !(read && mayAsk) {
+	if read := c.discardRejection(conn, resp); c.needsProof() && (!read || !mayAsk) {
 		return resultOfRefusal(resp.StatusCode), outcomeNotRunLast
 	}
 	return resultOfRefusal(resp.StatusCode), outcomeNotRun
