--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -6,26 +6,20 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/agateslip/agateslip/contract"
 	"github.com/agateslip/agateslip/internal/config"
-	"github.com/agateslip/agateslip/internal/operator"
 	"github.com/agateslip/agateslip/internal/yamlcheck"
 	"github.com/agateslip/agateslip/platform"
 	"github.com/agateslip/agateslip/routes"
 )
 
-// readBackTimeout limits the request for the configuration in force, and maxReadBackBytes its length.
-const (
-	readBackTimeout  = 5 * time.Second
-	maxReadBackBytes = 16 << 20
-)
+// maxReadBackBytes bounds the configuration in force.
+const maxReadBackBytes = 16 << 20
 
 type checkCmd struct {
 	Files   []string `arg:"positional,required" help:"YAML files: one with a top-level field customer is checked as a contract, one with seeds as the settings of a managed process, any other as the settings of a node; a JSON document is checked as the configuration of a managed deployment"`
@@ -171,23 +165,9 @@
 // readBack returns the configuration in force. The error is marked with operator.ErrUnavailable if the control node
 // cannot tell it.
 func readBack(ctx context.Context, addr string) (*routes.Configuration, error) {
-	ctx, cancel := context.WithTimeout(ctx, readBackTimeout)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+platform.ConfigurationPath, nil)
-	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "node address"), errInput)
-	}
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return nil, errors.Mark(err, operator.ErrUnavailable)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Mark(errors.Newf("configuration in force at %s: %s", addr, resp.Status), operator.ErrUnavailable)
-	}
-	document, err := io.ReadAll(io.LimitReader(resp.Body, maxReadBackBytes))
+	document, err := fetch(ctx, "http://"+addr+platform.ConfigurationPath, maxReadBackBytes)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "read configuration in force"), operator.ErrUnavailable)
+		return nil, errors.Wrap(err, "configuration in force")
 	}
 	return platform.ReadConfiguration(document)
 }
--- a/internal/cli/overview.go
+++ b/internal/cli/overview.go
@@ -22,8 +22,10 @@
 	// overviewPath is the path on a managed node's metrics address that serves the
 	// node's overview as JSON.
 	overviewPath = "/overview"
-	// inspectTimeout limits the request for an overview.
-	inspectTimeout = 5 * time.Second
+	// maxOverviewBytes bounds an overview.
+	maxOverviewBytes = 64 << 20
+	// fetchTimeout limits a request for an overview or a configuration.
+	fetchTimeout = 5 * time.Second
 )
 
 // overviewPage serves a node's overview as JSON, and status 503 until the node exists.
@@ -88,9 +90,15 @@
 // fetch returns the node's overview as JSON. The error is marked with
 // operator.ErrUnavailable if the node does not answer with status 200.
 func (c *inspectCmd) fetch(ctx context.Context) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
+	return fetch(ctx, "http://"+c.Node+overviewPath, maxOverviewBytes)
+}
+
+// fetch returns the body at a URL, which it reads up to limit bytes. The error is marked with
+// operator.ErrUnavailable if the node does not answer with status 200.
+func fetch(ctx context.Context, url string, limit int64) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.Node+overviewPath, nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "node address"), errInput)
 	}
@@ -99,7 +107,7 @@
 		return nil, errors.Mark(err, operator.ErrUnavailable)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit))
 	if err == nil && resp.StatusCode != http.StatusOK {
 		err = errors.Newf("%s: %s", resp.Status, strings.TrimSpace(string(body)))
 	}
