dispatch, routes: shedding goes by the rank of a call's priority, not by its number

Cause: with tenants, a call's priority is that of its tenant times 65,536 plus that of its route. The part of the slots that is kept for urgent calls fell with the square of that number, so that the urgent calls of all tenants whose priority is not zero were refused as early as the least urgent ones.

Change: the part falls with the rank of the priority among those that the configuration allows. Where all calls have one priority, none has a part of its own.

Result: TestUrgentCallsAreShedLast fails without the change.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -34,7 +34,7 @@
 // within eight seconds.
 func call(id int, model string, priority int, now time.Duration) dispatch.Call {
 	return dispatch.Call{
-		ID: dispatch.CallID(id), Service: "llm", Model: model, Priority: priority,
+		ID: dispatch.CallID(id), Service: "llm", Model: model, Priority: priority, Rank: priority,
 		Arrived: now, Target: now + 500*ms, LatestStart: now + 8*second,
 	}
 }
--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -17,7 +17,7 @@
 	shedFrom, shedOver = 0.75, 0.3
 	// urgentReserve is the share of the slots by which calls of the most urgent priority may exceed those of others:
 	// engines run them first, so that they hardly notice the others. Less urgent ones get a part of it that falls
-	// with the square of their priority.
+	// with the square of the rank of their priority.
 	urgentReserve = 0.5
 	// patientReserve is the share of the slots of such a model's engines by which calls that can wait may exceed
 	// them. At the nodes they would wait for a free slot that calls of other nodes take before them; the engine lets
@@ -112,7 +112,7 @@
 
 // shedLimit returns the share of slots in use up to which a call is admitted.
 func shedLimit(c *Call) float64 {
-	rank := float64(1 + max(0, c.Priority))
+	rank := float64(1 + max(0, c.Rank))
 	return shedFrom + urgentReserve/(rank*rank) + shedOver*callDraw(c.ID)
 }
 
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -70,6 +70,20 @@
 	is.Equal(len(started(d.Submit(repeat, 0))), 1)
 }
 
+// TestUrgentCallsAreShedLast has two engines overloaded. Calls of the most urgent rank are sent where those of the next
+// are refused, whatever the numbers of their priorities.
+func TestUrgentCallsAreShedLast(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("a", 10, "m"), engine("b", 10, "m"))
+	d.ObservePlannerCounts(map[string]int{"a": 15, "b": 8}, true, 0)
+	urgent, next := call(1, "m", 0, 0), call(2, "m", 1, 0)
+	urgent.Priority, next.Priority = 1<<16, 1<<16+1
+	is.Equal(len(started(d.Submit(urgent, 0))), 1)
+	verdicts := d.Submit(next, 0)
+	is.Equal(len(verdicts), 1)
+	is.Equal(verdicts[0].Reason, dispatch.Overloaded)
+}
+
 // TestPaceWeighsInChoice has one of two engines state that work takes twice as long as usual. Calls go to the other
 // one; two seconds later that is no longer known.
 func TestPaceWeighsInChoice(t *testing.T) {
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -17,6 +17,9 @@
 	Model, Adapter string
 	// Priority orders waiting calls; zero is the most urgent.
 	Priority int
+	// Rank is how many of the priorities that calls can have are more urgent than that of this one. It is one if all
+	// calls have the same, so that none is more urgent than others.
+	Rank int
 	// Arrived is when the call arrived; Target is when its answer is due.
 	Arrived, Target time.Duration
 	// LatestStart is the last time at which the call can start and its caller still get
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -228,10 +228,15 @@
 	}
 	c.deadline = c.arrived + min(patience, c.route.Timeout)
 	service := c.route.Backend(c.streamID())
+	rank, ranks := c.routing.table.Rank(c.tenant, c.route)
+	if ranks == 1 {
+		rank = 1
+	}
 	c.dispatchCall = dispatch.Call{
 		Service:  service,
 		Stream:   c.route.Kind == routes.Stream,
 		Priority: routes.Priority(c.tenant, c.route),
+		Rank:     rank,
 		Arrived:  c.arrived,
 		Target:   c.arrived + c.route.Target,
 	}
