detour: calls do not wait for witnesses beyond their time

Cause: the call whose failed connection made a node suspect that it is cut off waited for the witnesses, for half a second, even if its own time was up meanwhile.

Change: it waits until they have shown whether the node is cut off, or its own time is up.

Result: TestWitnessesDoNotHoldUpCalls fails without the change.

--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -321,3 +321,28 @@
 	is.Equal(conclusions, []bool{true})
 	is.True(paths.Blocked(crashed[0]))
 }
+
+// TestWitnessesDoNotHoldUpCalls has a call end while witnesses are tried that do not answer.
+func TestWitnessesDoNotHoldUpCalls(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var trying, tried atomic.Bool
+	paths := detour.NewPaths(func(try context.Context, addr string) (net.Conn, error) {
+		if addr != "witness" {
+			return nil, syscall.ECONNREFUSED
+		}
+		trying.Store(true)
+		cancel()
+		<-try.Done()
+		tried.Store(true)
+		return nil, try.Err()
+	}, func(ctx context.Context, _ string) (net.Conn, error) { return nil, ctx.Err() }, func(bool) {})
+	paths.SetWitnesses(func() []string { return []string{"witness"} })
+	for _, addr := range []string{"a", "b"} {
+		_, err := paths.Dial(ctx, addr)
+		is.True(err != nil)
+	}
+	is.True(trying.Load())
+	is.True(!tried.Load())
+}
--- a/internal/detour/paths.go
+++ b/internal/detour/paths.go
@@ -91,15 +91,24 @@
 	if err != nil && ctx.Err() != nil {
 		return nil, err // the caller gave up
 	}
-	p.record(addr, err)
+	p.record(ctx, addr, err)
 	return conn, err
 }
 
 // record updates what is known of the node's paths by the outcome of a direct connection. If it makes the node
-// suspect that it is cut off, it returns once witnesses have shown whether it is.
-func (p *Paths) record(addr string, err error) {
-	if p.note(addr, err) {
+// suspect that it is cut off, it returns once witnesses have shown whether it is, or ctx ends.
+func (p *Paths) record(ctx context.Context, addr string, err error) {
+	if !p.note(addr, err) {
+		return
+	}
+	shown := make(chan struct{})
+	go func() {
+		defer close(shown)
 		p.consultWitnesses()
+	}()
+	select {
+	case <-shown:
+	case <-ctx.Done():
 	}
 }
 
