connlimit: a control node takes a connection of each upstream

Cause: the listener for operators and upstreams took half of the process's descriptors, 2,048 of 4,096, at most.

Change: three quarters of the descriptors, as before at most one for each 64 KiB of memory.

--- a/internal/cli/managed.go
+++ b/internal/cli/managed.go
@@ -79,7 +79,7 @@
 		page.setSource(func(ctx context.Context) (any, error) { return node.Overview(ctx) })
 		go reloadOnHangup(ctx, c.Config, log, node.Reload)
 		return node.Run(ctx, supervisor.Part{Name: "operators", Run: func(ctx context.Context) error {
-			limits := connlimit.ListenerOptions{Name: "operators", MaxOpen: conns.shares.Callers, MaxPerAddress: cfg.Connections.PerAddress}
+			limits := connlimit.ListenerOptions{Name: "operators", MaxOpen: conns.shares.Operators, MaxPerAddress: cfg.Connections.PerAddress}
 			return conns.serveHTTP(ctx, cfg.Listen.Operators, limits, platform.ControlHandler(node, log))
 		}})
 	})
--- a/internal/config/connections.go
+++ b/internal/config/connections.go
@@ -20,7 +20,7 @@
 // Shares returns the limits for a process with the given memory, in MiB, and descriptors. Zero means that they are not known.
 func (c Connections) Shares(memoryMB, descriptors int) connlimit.Shares {
 	s := connlimit.SharesOf(memoryMB, descriptors)
-	s.Callers = cmp.Or(c.Max, s.Callers)
+	s.Callers, s.Operators = cmp.Or(c.Max, s.Callers), cmp.Or(c.Max, s.Operators)
 	s.HeadMemory = cmp.Or(int64(c.HeadsMB)<<20, s.HeadMemory)
 	return s
 }
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -401,3 +401,12 @@
 		}
 	})
 }
+
+// TestControlNodeTakesConnectionsOfAllUpstreams has the largest planned number of upstreams announce themselves to one node of
+// the smallest size.
+func TestControlNodeTakesConnectionsOfAllUpstreams(t *testing.T) {
+	const upstreams = 3000
+	if s := SharesOf(280, 4096); s.Operators < upstreams {
+		t.Errorf("%d connections fit, %d are needed", s.Operators, upstreams)
+	}
+}
--- a/internal/connlimit/shares.go
+++ b/internal/connlimit/shares.go
@@ -11,6 +11,9 @@
 	connShare = 4
 	// callerShare is the ratio of the process's descriptors to those of callers: a call takes two, its caller's and its upstream's.
 	callerShare = 2
+	// operatorShare is the part of the descriptors of a control node that its operators and upstreams may take. Thousands of upstreams
+	// keep a connection each to announce themselves; the rest is for other nodes and for orders.
+	operatorShare = 0.75
 	// upstreamShare is the ratio of the process's descriptors to those of upstreams that announce themselves, where they have a
 	// listener of their own.
 	upstreamShare = 8
@@ -29,9 +32,9 @@
 type Shares struct {
 	// HeadMemory is the memory of all heads, in bytes; zero means no limit.
 	HeadMemory int64
-	// Callers bounds the connections of callers, or of the operators and upstreams of a control node. Upstreams bounds those of a listener
-	// for announcements only, and Side those of each other listener.
-	Callers, Upstreams, Side int
+	// Callers bounds the connections of callers, Operators those of the operators and upstreams of a control node, Upstreams those of
+	// a listener for announcements only, and Side those of each other listener.
+	Callers, Operators, Upstreams, Side int
 	// Pending bounds the connections of other nodes whose handshake is incomplete.
 	Pending int
 }
@@ -45,12 +48,14 @@
 	s := Shares{
 		HeadMemory: int64(memoryMB) << 20 / headShare,
 		Callers:    max(minSide, descriptors/callerShare),
+		Operators:  max(minSide, int(operatorShare*float64(descriptors))),
 		Upstreams:  max(minSide, descriptors/upstreamShare),
 		Side:       max(minSide, descriptors/sideShare),
 		Pending:    max(minSide, descriptors/pendingShare),
 	}
 	if memoryMB > 0 {
-		s.Callers = max(minSide, min(s.Callers, memoryMB<<20/connShare/connMemory))
+		inMemory := max(minSide, memoryMB<<20/connShare/connMemory)
+		s.Callers, s.Operators = min(s.Callers, inMemory), min(s.Operators, inMemory)
 	}
 	return s
 }
