--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -3,7 +3,6 @@
 import (
 	"expvar"
 	"net"
-	"net/http"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
@@ -43,20 +42,25 @@
 	}
 }
 
-// limitConnections makes the servers keep the limits of connections. Their heads share one part of the node's memory.
-func (n *Node) limitConnections(s *servers) {
+// limitedListeners are the node's listeners for its HTTP servers, within the limits of connections.
+type limitedListeners struct{ callers, upstreams, operators net.Listener }
+
+// limitConnections makes the servers keep the limits of connections, and returns the listeners that they are to serve. Their heads
+// share one part of the node's memory. The node's own listeners stay: others read their addresses.
+func (n *Node) limitConnections(s *servers) limitedListeners {
 	shares := n.shares()
 	guard := connlimit.New(shares.HeadMemory, n.connectionCut)
 	n.metrics.Set("connections_open", expvar.Func(func() any { return guard.Open() }))
 	n.metrics.Set("head_bytes", expvar.Func(func() any { return guard.HeadBytes() }))
-	protect := func(s *http.Server, l *net.Listener, o connlimit.ListenerOptions) {
-		*l = guard.Protect(s, *l, o)
+	return limitedListeners{
+		callers: guard.Protect(s.callers, n.callers, connlimit.ListenerOptions{
+			Name: "callers", MaxOpen: shares.Callers, MaxPerAddress: n.cfg.Connections.PerAddress, Limits: gateway.ConnLimits,
+		}),
+		upstreams: guard.Protect(s.upstreams, n.upstreams, connlimit.ListenerOptions{
+			Name: "upstreams", MaxOpen: shares.Upstreams, Limits: upstreamConnLimits,
+		}),
+		operators: guard.Protect(s.operators, n.operators, connlimit.ListenerOptions{
+			Name: "operators", MaxOpen: shares.Side, Limits: operator.ConnLimits,
+		}),
 	}
-	protect(s.callers, &n.callers, connlimit.ListenerOptions{
-		Name: "callers", MaxOpen: shares.Callers, MaxPerAddress: n.cfg.Connections.PerAddress, Limits: gateway.ConnLimits,
-	})
-	protect(s.upstreams, &n.upstreams, connlimit.ListenerOptions{
-		Name: "upstreams", MaxOpen: shares.Upstreams, Limits: upstreamConnLimits,
-	})
-	protect(s.operators, &n.operators, connlimit.ListenerOptions{Name: "operators", MaxOpen: shares.Side, Limits: operator.ConnLimits})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -324,11 +324,12 @@
 	return err
 }
 
-// servers holds the node's HTTP servers.
+// servers holds the node's HTTP servers and the listeners that they serve.
 type servers struct {
 	callers   *http.Server
 	upstreams *http.Server
 	operators *http.Server
+	listeners limitedListeners
 }
 
 func (n *Node) servers() servers {
@@ -337,7 +338,7 @@
 		upstreams: n.upstreamServer(),
 		operators: operator.NewServer(&backend{node: n}, n.cfg.OperatorToken),
 	}
-	n.limitConnections(&s)
+	s.listeners = n.limitConnections(&s)
 	return s
 }
 
@@ -359,9 +360,9 @@
 	parts = append(parts,
 		supervisor.Part{Name: "sync", Run: n.runSync},
 		supervisor.Part{Name: "pull", Run: n.runPull},
-		supervisor.Part{Name: "upstreams", Run: serve(s.upstreams, n.upstreams)},
-		supervisor.Part{Name: "operators", Run: serve(s.operators, n.operators)},
-		supervisor.Part{Name: "callers", Run: serve(s.callers, n.callers)},
+		supervisor.Part{Name: "upstreams", Run: serve(s.upstreams, s.listeners.upstreams)},
+		supervisor.Part{Name: "operators", Run: serve(s.operators, s.listeners.operators)},
+		supervisor.Part{Name: "callers", Run: serve(s.callers, s.listeners.callers)},
 	)
 	if n.detourListener != nil {
 		parts = append(parts, supervisor.Part{Name: "detours", Run: n.serveDetours})
