--- a/internal/config/managed.go
+++ b/internal/config/managed.go
@@ -65,8 +65,6 @@
 	MemoryMB int `yaml:"memoryMB" validate:"gt=0"`
 	// Descriptors is the number of file descriptors that the process may use; zero means that it is not known.
 	Descriptors int `yaml:"descriptors,omitempty" validate:"gte=0"`
-	// LinkMbps is the bandwidth of the machine's network link in Mbit/s; zero means that it is not known.
-	LinkMbps float64 `yaml:"linkMbps,omitempty" validate:"gte=0"`
 	// Connections limits the connections to the process.
 	Connections Connections `yaml:"connections,omitempty"`
 }
--- a/routes/advice.go
+++ b/routes/advice.go
@@ -100,8 +100,8 @@
 				found.add(field+".keys", "an empty key never matches")
 			}
 		}
-		if q := t.Quota; q != nil && q.Unit == QuotaTokens && q.Burst < q.PlainTokens {
-			found.add(field+".quota.burst", "%g tokens are less than a call costs that states none (%g)", q.Burst, q.PlainTokens)
+		if q := t.Quota; q != nil && q.Unit == QuotaTokens && q.Burst < q.UnstatedCost {
+			found.add(field+".quota.burst", "%g tokens are less than a call costs that states none (%g)", q.Burst, q.UnstatedCost)
 		}
 	}
 }
--- a/routes/advice_test.go
+++ b/routes/advice_test.go
@@ -40,7 +40,7 @@
 		}, "services.s.models.m.size"},
 		"tenant without key": {func(c *routes.Configuration) { c.Keyed, c.Tenants = true, []routes.Tenant{{Name: "t"}} }, "tenants.t.keys"},
 		"burst below one call": {func(c *routes.Configuration) {
-			q := &routes.Quota{Unit: routes.QuotaTokens, PerSecond: 1, Burst: 1, PlainTokens: 2}
+			q := &routes.Quota{Unit: routes.QuotaTokens, PerSecond: 1, Burst: 1, UnstatedCost: 2}
 			c.Keyed, c.Tenants = true, []routes.Tenant{{Name: "t", Keys: []routes.KeyDigest{{1}}, Quota: q}}
 		}, "tenants.t.quota.burst"},
 	}
--- a/routes/check.go
+++ b/routes/check.go
@@ -122,7 +122,7 @@
 
 // valid reports whether the numbers of a quota can be those of a token bucket.
 func (q *Quota) valid() bool {
-	for _, n := range []float64{q.PerSecond, q.Burst, q.PlainTokens} {
+	for _, n := range []float64{q.PerSecond, q.Burst, q.UnstatedCost} {
 		if !(n >= 0) || math.IsInf(n, 1) {
 			return false
 		}
--- a/routes/compare.go
+++ b/routes/compare.go
@@ -67,7 +67,7 @@
 func (r *Route) setFields(set func(string, any)) {
 	field := "routes." + r.Name
 	set(field, r.Host+r.Prefix)
-	set(field+".kind", [...]string{"unknown", "repeatable", "run once", "stream"}[min(r.Kind, Stream)])
+	set(field+".kind", r.Kind)
 	set(field+".timeout", r.Timeout)
 	set(field+".target", r.Target)
 	set(field+".pauseTarget", r.PauseTarget)
@@ -113,6 +113,6 @@
 		set(field+".priority", *t.Priority)
 	}
 	if q := t.Quota; q != nil {
-		set(field+".quota", fmt.Sprintf("%g %s a second, burst %g, plain calls %g", q.PerSecond, [...]string{"?", "calls", "tokens"}[min(q.Unit, QuotaTokens)], q.Burst, q.PlainTokens))
+		set(field+".quota", fmt.Sprintf("%g %v a second, burst %g, calls that state no tokens %g", q.PerSecond, q.Unit, q.Burst, q.UnstatedCost))
 	}
 }
--- a/routes/configuration.go
+++ b/routes/configuration.go
@@ -16,6 +16,19 @@
 	Stream
 )
 
+// String returns the kind in words.
+func (k Kind) String() string {
+	switch k {
+	case Repeatable:
+		return "repeatable"
+	case RunOnce:
+		return "run once"
+	case Stream:
+		return "stream"
+	}
+	return "unknown"
+}
+
 // Configuration is one version of everything that operators configure.
 type Configuration struct {
 	// Version orders configurations. The highest accepted version is active.
--- a/routes/tenant.go
+++ b/routes/tenant.go
@@ -31,13 +31,24 @@
 	QuotaTokens
 )
 
+// String returns the plural of the unit.
+func (u QuotaUnit) String() string {
+	switch u {
+	case QuotaCalls:
+		return "calls"
+	case QuotaTokens:
+		return "tokens"
+	}
+	return "unknown units"
+}
+
 // Quota is the limit of a token bucket.
 type Quota struct {
 	Unit QuotaUnit
 	// PerSecond is the rate at which the bucket fills, and Burst the most that it holds in addition, in units.
 	PerSecond, Burst float64
-	// PlainTokens is the cost of a call that states no tokens, where the unit is QuotaTokens.
-	PlainTokens float64
+	// UnstatedCost is the cost of a call that states no tokens, in tokens, where these are the unit.
+	UnstatedCost float64
 }
 
 // Cost returns what a call costs, in units. stated is set if the call states its tokens.
@@ -48,6 +59,6 @@
 	case stated:
 		return float64(tokens)
 	default:
-		return q.PlainTokens
+		return q.UnstatedCost
 	}
 }
