--- a/internal/controller/export_test.go
+++ b/internal/controller/export_test.go
@@ -8,6 +8,7 @@
 	"github.com/agateslip/agateslip/fleet"
 	"github.com/agateslip/agateslip/internal/nodelink"
 	"github.com/agateslip/agateslip/origin"
+	"github.com/agateslip/agateslip/ratelimit"
 )
 
 // SlowApplication makes the node take d longer to apply each log entry. It must be called
@@ -68,3 +69,16 @@
 
 // CurrentVersion returns what this node says to entry nodes of the version that is current.
 func (c *Controller) CurrentVersion() (uint64, error) { return c.currentVersion() }
+
+// ReportQuotas reports as an entry node that holds nothing.
+func (c *Controller) ReportQuotas(ctx context.Context) error {
+	_, err := c.serveQuotas(ctx, "front", ratelimit.ShareReport{Process: 1, Seq: 1})
+	return err
+}
+
+// HoldUp keeps the node's loop from what is asked of it after the call, until goOn is called.
+func (c *Controller) HoldUp() (goOn func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	c.loop.Post(func() { <-ctx.Done() })
+	return cancel
+}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -230,7 +230,7 @@
 	service := c.route.Backend(c.streamID())
 	rank, ranks := c.routing.table.Rank(c.tenant, c.route)
 	if ranks == 1 {
-		rank = 1
+		rank = 1 // no call is more urgent than the others
 	}
 	c.dispatchCall = dispatch.Call{
 		Service:  service,
