dispatch, residency: tokens of the calls at engines, over all nodes

The dispatcher, the reports of entry nodes and the leader's counts knew how many calls an engine has, not how much of its memory they take and how much of their prompts is still to be read. Both are needed before calls can be placed by them: long prompts take several times the reading time and memory of short ones.

A call carries the tokens that its caller states. Reports have the sums for each engine beside the calls, the leader publishes them in steps of 2,048 unread and 4,096 held tokens, and nodes keep those of others apart from their own. Nothing decides by them yet.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -70,6 +70,9 @@
 	reportedAt     time.Duration
 	// plannerCount is the number of calls of other nodes by the planner's count.
 	plannerCount int
+	// ownTokens are the tokens of this node's calls that run there, and othersTokens those of other nodes' by the
+	// planner's count.
+	ownTokens, othersTokens EngineTokens
 	// reportedSlots is the number of slots in the latest load report; zero without one.
 	reportedSlots int
 	// overloadedUntil is until when calls for a model of the upstream are refused for overload.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -47,6 +47,8 @@
 type runningCall struct {
 	call     Call
 	upstream *upstream
+	// tokens is what the call takes of the upstream.
+	tokens EngineTokens
 	// limitSeq is the number of the upstream's rate limit that this node knew at the start.
 	limitSeq uint64
 }
@@ -193,6 +195,7 @@
 	}
 	delete(d.running, id)
 	r.upstream.ownRunning--
+	r.upstream.ownTokens = r.upstream.ownTokens.minus(r.tokens)
 	r.upstream.recordResult(&d.limits, &r.call, result, now)
 	if result == Rejected {
 		d.pauseBrittle(r.upstream, now)
@@ -263,19 +266,24 @@
 	return all
 }
 
-// Running returns the number of calls for models that run, by upstream ID and by model
+// Running returns what calls for models that run take of engines, by upstream ID and by model
 // and adapter.
-func (d *Dispatcher) Running() map[string]map[ModelKey]int {
-	count := map[string]map[ModelKey]int{}
+func (d *Dispatcher) Running() map[string]map[ModelKey]Use {
+	count := map[string]map[ModelKey]Use{}
 	for _, r := range d.running {
 		if r.call.Model == "" {
 			continue
 		}
 		id := r.upstream.desc.ID
 		if count[id] == nil {
-			count[id] = map[ModelKey]int{}
+			count[id] = map[ModelKey]Use{}
 		}
-		count[id][ModelKey{r.call.Service, r.call.Model, r.call.Adapter}]++
+		key := ModelKey{r.call.Service, r.call.Model, r.call.Adapter}
+		use := count[id][key]
+		use.Calls++
+		use.Unread += r.tokens.Unread
+		use.Held += r.tokens.Held
+		count[id][key] = use
 	}
 	return count
 }
--- a/dispatch/herd_test.go
+++ b/dispatch/herd_test.go
@@ -137,7 +137,7 @@
 	running := map[string]int{}
 	for id, byModel := range r.nodes[node].Running() {
 		for _, n := range byModel {
-			running[id] += n
+			running[id] += n.Calls
 		}
 	}
 	r.reported[node] = running
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -25,6 +25,11 @@
 	// LatestStart is the last time at which the call can start and its caller still get
 	// the whole answer.
 	LatestStart time.Duration
+	// PromptTokens is the length of the prompt, and OutputTokens the most tokens that the answer may have. Both are
+	// zero if the caller does not state them.
+	PromptTokens, OutputTokens int
+	// Tenant is the name of the caller's tenant; empty if calls need no key.
+	Tenant string
 	// Affinity is a hash of the beginning of the prompt that the call shares with
 	// others, so that they run where it is cached; zero if there is none.
 	Affinity uint64
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -93,13 +93,16 @@
 
 func (d *Dispatcher) start(w *queuedCall, u *upstream, now time.Duration) Verdict {
 	u.ownRunning++
+	tokens := w.call.tokens()
+	u.ownTokens.Unread += tokens.Unread
+	u.ownTokens.Held += tokens.Held
 	u.probing = u.consecutiveUnreachable > 0
 	u.usePermit(now)
 	if d.slotsGranted(u.desc.Service, now) {
 		u.slots.Use(now)
 	}
 	d.countPassedOver(&w.call, now)
-	d.running[w.call.ID] = &runningCall{call: w.call, upstream: u, limitSeq: u.request.rateLimit.Seq}
+	d.running[w.call.ID] = &runningCall{call: w.call, upstream: u, tokens: tokens, limitSeq: u.request.rateLimit.Seq}
 	desc := *u.desc
 	return Verdict{ID: w.call.ID, Action: Start, Upstream: &desc, Record: d.mustRecord(u, &w.call, now)}
 }
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -208,7 +208,7 @@
 			known = 0
 		}
 		answer.Term = c.term
-		answer.Running, answer.CountsRevision = c.planner.Running(known)
+		answer.Running, answer.Tokens, answer.CountsRevision = c.planner.Running(known)
 		forecasted := map[nodelink.Forecast]bool{}
 		for _, w := range r.Report.Waiting {
 			f := nodelink.Forecast{Service: w.Service, Model: w.Model}
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -126,9 +126,9 @@
 		}
 	}
 	for id, byKey := range e.dispatcher.Running() {
-		for key, calls := range byKey {
+		for key, use := range byKey {
 			report.Running = append(report.Running, residency.Count{
-				Service: key.Service, Upstream: id, Model: key.Model, Adapter: key.Adapter, Calls: uint64(calls),
+				Service: key.Service, Upstream: id, Model: key.Model, Adapter: key.Adapter, Calls: uint64(use.Calls), Tokens: use.EngineTokens,
 			})
 		}
 	}
@@ -162,6 +162,7 @@
 		}
 		if answer.Term != 0 {
 			e.dispatcher.ObservePlannerCounts(answer.Running, answer.Whole, now)
+			e.dispatcher.ObservePlannerTokens(answer.Tokens, answer.Whole)
 			e.noteOverloads()
 		}
 		for _, incarnation := range request.Leaving {
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -196,6 +196,10 @@
 			conn.Close()
 			return c.endLost(u, errors.New("the software version of the upstream is uncertain"))
 		}
+		if !checked && c.forEngine {
+			id := c.attemptID
+			c.edge.loop.Post(func() { c.edge.dispatcher.FirstEvent(id) })
+		}
 		checked = true
 		if !c.relayEvent(event) {
 			conn.Close()
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -240,8 +240,12 @@
 		Arrived:  c.arrived,
 		Target:   c.arrived + c.route.Target,
 	}
+	if c.tenant != nil {
+		c.dispatchCall.Tenant = c.tenant.Name
+	}
 	if s := c.routing.table.Service(service); s != nil && s.Engine != nil {
 		c.dispatchCall.Model, c.dispatchCall.Adapter = c.caller.Model, c.caller.Adapter
+		c.dispatchCall.PromptTokens, c.dispatchCall.OutputTokens = c.caller.InputTokens, c.caller.OutputTokens
 		c.forEngine = true
 		if c.route.Affinity {
 			c.dispatchCall.Affinity = c.caller.Affinity
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/agateslip/agateslip/confstate"
+	"github.com/agateslip/agateslip/dispatch"
 	"github.com/agateslip/agateslip/fleet"
 	"github.com/agateslip/agateslip/internal/peer"
 	"github.com/agateslip/agateslip/origin"
@@ -166,6 +167,8 @@
 	// has the engines whose count changed, or all engines with calls if Whole is set.
 	Running map[string]int `json:"running,omitempty"`
 	Whole   bool           `json:"whole,omitempty"`
+	// Tokens are those of the calls that Running counts. Earlier builds leave them out.
+	Tokens map[string]dispatch.EngineTokens `json:"tokens,omitempty"`
 	// Permits answers the wants of the request for upstreams that have a rate limit.
 	Permits []ratelimit.Grant `json:"permits,omitempty"`
 	// Slots answers the wants for slots of brittle upstreams.
--- a/residency/demand.go
+++ b/residency/demand.go
@@ -55,6 +55,8 @@
 	Model    string `json:"m"`
 	Adapter  string `json:"a,omitempty"`
 	Calls    uint64 `json:"n"`
+	// Tokens are those of the calls, where they run.
+	Tokens dispatch.EngineTokens `json:"t,omitzero"`
 }
 
 // modelKey identifies a model of a service.
--- a/residency/residency_test.go
+++ b/residency/residency_test.go
@@ -352,7 +352,7 @@
 				p.SetUpstream(fleet.Upstream{ID: "e0", Born: born, Service: "llm", Slots: slots}, now)
 			}
 			var changed map[string]int
-			changed, revision = p.Running(revision)
+			changed, _, revision = p.Running(revision)
 			maps.Copy(known, changed)
 			for i := range engines {
 				id, total := fmt.Sprint("e", i), 0
@@ -376,13 +376,13 @@
 	report := residency.NodeReport{Running: []residency.Count{{Service: "llm", Upstream: "e", Model: "m", Calls: 7}}}
 	p.SetDemand("n", report, 0)
 	p.Plan(5 * second)
-	running, _ := p.Running(0)
+	running, _, _ := p.Running(0)
 	is.Equal(running["e"], 0)
 	p.SetDemand("n", report, 6*second)
-	running, _ = p.Running(0)
+	running, _, _ = p.Running(0)
 	is.Equal(running["e"], 7)
 	p.SetDemand("n", residency.NodeReport{}, 7*second)
-	running, _ = p.Running(0)
+	running, _, _ = p.Running(0)
 	is.Equal(running["e"], 0)
 }
 
--- a/residency/running.go
+++ b/residency/running.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/agateslip/agateslip/dispatch"
 	"github.com/agateslip/agateslip/internal/changelog"
 )
 
@@ -12,8 +13,11 @@
 	// byName counts the calls by model. Calls for an adapter also count under
 	// MODEL/ADAPTER.
 	byName map[string]int
-	// published is the total that was last sent to the nodes.
-	published int
+	// tokens are those of all calls.
+	tokens dispatch.EngineTokens
+	// published and publishedTokens are the total and the tokens that were last sent to the nodes.
+	published       int
+	publishedTokens dispatch.EngineTokens
 }
 
 // runningCalls counts the running calls by engine. Counts outlive an engine's
@@ -51,6 +55,8 @@
 		c := r.forEngine(count.Upstream)
 		n := sign * int(count.Calls)
 		c.total += n
+		c.tokens.Unread += sign * count.Tokens.Unread
+		c.tokens.Held += sign * count.Tokens.Held
 		c.add(count.Model, n)
 		if count.Adapter != "" {
 			c.add(count.Model+"/"+count.Adapter, n)
@@ -69,6 +75,25 @@
 // published. With finer steps every node would hear of every call.
 const loadSteps = 16
 
+const (
+	// heldStep is the change of the tokens that calls take of an engine's memory that is published, and unreadStep that of
+	// the tokens of prompts that are not read yet.
+	heldStep   = 4096
+	unreadStep = 2048
+)
+
+// differsByStep reports whether two numbers differ by at least a step, or only the new one is zero.
+func differsByStep(published, now, step int) bool {
+	return now-published >= step || published-now >= step || now == 0 && published > 0
+}
+
+// needsPublishing reports whether the nodes should hear of the load of an engine with the given number of slots.
+func (c *callCounts) needsPublishing(slots int) bool {
+	return differsByStep(c.published, c.total, max(1, slots/loadSteps)) ||
+		differsByStep(c.publishedTokens.Unread, c.tokens.Unread, unreadStep) ||
+		differsByStep(c.publishedTokens.Held, c.tokens.Held, heldStep)
+}
+
 // publish notes in the change log the engines of a report whose load has changed by
 // at least a step, or has dropped to zero.
 func (p *Planner) publish(counts []Count) {
@@ -77,9 +102,8 @@
 		if e == nil {
 			continue
 		}
-		step := max(1, e.desc.Slots/loadSteps)
-		if c.total-c.published >= step || c.published-c.total >= step || c.total == 0 && c.published > 0 {
-			c.published = c.total
+		if c.needsPublishing(e.desc.Slots) {
+			c.published, c.publishedTokens = c.total, c.tokens
 			p.running.changes.Record(count.Upstream)
 		}
 	}
@@ -101,14 +125,15 @@
 }
 
 // Running returns the running calls of all nodes, in steps of about a sixteenth of
-// the slots, at each engine whose load changed after the given revision, and the
+// the slots, and their tokens, at each engine whose load changed after the given revision, and the
 // current revision. The revision is zero if nothing has run yet.
-func (p *Planner) Running(since uint64) (running map[string]int, revision uint64) {
+func (p *Planner) Running(since uint64) (running map[string]int, tokens map[string]dispatch.EngineTokens, revision uint64) {
 	p.running.changes.Since(since, func(id string) {
 		if running == nil {
-			running = map[string]int{}
+			running, tokens = map[string]int{}, map[string]dispatch.EngineTokens{}
 		}
-		running[id] = p.running.byEngine[id].published
+		c := p.running.byEngine[id]
+		running[id], tokens[id] = c.published, c.publishedTokens
 	})
-	return running, p.running.changes.Revision()
+	return running, tokens, p.running.changes.Revision()
 }
