connlimit: whole heads aren't cut as incomplete ones; failed heads hold nothing

Cause: TestUncontrolledCallersOfNode failed now and then with "ordinary request: EOF". Two faults together:

- net/http refuses a head at its own limit (64 KiB + 4 KiB here, the same as this package's, so that it is often first), and keeps the connection for 0.5 s so that the caller can read the 431.
Its StateActive hook runs then too, so the connection went to the running ones, which nobody cuts, with the whole charge of its head.
A trace showed 60 of them, all of phase running, not refused by us, with a scan of 69,632 bytes and one line, 71 to 82 ms old: 8.37 of the 8.39 MB that all heads may take.
Now a head that the hook finds incomplete has failed: it holds nothing, and its connection is the first to go where connections are full.
- A head counted as incomplete until the hook ran, also when its last byte had been read.
With the memory full of the above, the ordinary caller's whole head of 1.4 KB, 11 us old, was the only one left to cut.
A head counts as whole from its last byte on now.

A head refused by this package while it awaits its caller keeps its charge, since net/http still holds its lines, and is cut as before. A head that ends beyond the limit stays among those that can be cut.

Ruled out: connections whose callers left. net/http ends those; none were among the running ones in the traces.

Both new tests failed before (2 cuts for 1; "503" for the fourth caller, 49,752 bytes held by three failed heads). No existing check was changed.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -19,6 +19,9 @@
 	phaseBody
 	phaseRunning
 	phaseIdle
+	// phaseFailed begins when the server gave up a head that was incomplete. It may keep the connection for a while, for the caller to
+	// read why.
+	phaseFailed
 )
 
 const (
@@ -50,9 +53,12 @@
 	address  string
 	phase    atomic.Uint32
 
-	// scan, rest and refused are used by Read, which net/http never runs twice at once. rest was received after the end of a head.
+	// scan, wholeHead, rest and refused are used by Read, which net/http never runs twice at once. rest was received after the end of
+	// a head.
 	scan headScanner
-	rest []byte
+	// wholeHead is set once the head of the current request was read to its end.
+	wholeHead bool
+	rest      []byte
 	// refused is set once the connection was refused: net/http may read on after an error.
 	refused bool
 
@@ -141,7 +147,7 @@
 	if c.forgotten {
 		return
 	}
-	if phase == phaseIdle {
+	if phase == phaseIdle || phase == phaseFailed {
 		c.release()
 		c.started = false
 	}
@@ -184,10 +190,12 @@
 		c.rest = bytes.Clone(p[taken:n])
 	}
 	c.phase.Store(phaseHead)
+	tooLarge := c.scan.bytes > limits.HeadBytes+headSlack
+	c.wholeHead = ended && !tooLarge
 	if !c.listener.guard.charge(c, headByteCost*int64(taken)+headLineCost*(c.scan.lines-linesBefore), begins) {
 		return 0, c.refuse(answerFull, false)
 	}
-	if c.scan.bytes > limits.HeadBytes+headSlack {
+	if tooLarge {
 		c.tell(HeadTooLarge)
 		return 0, c.refuse(answerTooLarge, true)
 	}
@@ -228,7 +236,7 @@
 // refuse answers a request whose head is incomplete, and returns the error that ends the connection. If it awaits the caller, the
 // connection stays open until the caller has ended or refusalTimeout has passed.
 func (c *Conn) refuse(answer string, await bool) error {
-	c.refused, c.rest = true, nil
+	c.refused, c.wholeHead, c.rest = true, false, nil
 	// The caller may be gone, or its connection closed to make room: it gets no answer then.
 	if c.SetDeadline(time.Now().Add(refusalTimeout)) != nil {
 		return errRefused
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -142,9 +142,10 @@
 	isHTTP bool
 
 	// The fields below are protected by guard.mu. The lists are in the order in which their connections became so.
-	open                      int
-	incomplete, running, idle connList
-	perAddress                map[string]int
+	open int
+	// running has the connections whose heads are whole and whose answers are not yet written, unless their body is incomplete.
+	incomplete, running, idle, failed connList
+	perAddress                        map[string]int
 }
 
 // Listen returns a listener whose connections are *Conn. They count as incomplete until Conn.Establish.
@@ -219,11 +220,10 @@
 	case o.MaxPerAddress > 0 && l.perAddress[address] >= o.MaxPerAddress:
 		return nil, AddressFull
 	case o.MaxOpen > 0 && l.open >= o.MaxOpen:
-		if l.incomplete.front != nil {
-			return l.incomplete.front, ""
-		}
-		if l.idle.front != nil {
-			return l.idle.front, ""
+		for _, list := range []*connList{&l.failed, &l.incomplete, &l.idle} {
+			if list.front != nil {
+				return list.front, ""
+			}
 		}
 		if blocked := l.oldestBlocked(); blocked != nil {
 			return blocked, ""
@@ -255,6 +255,10 @@
 		c.started = true
 		c.wait(&c.listener.incomplete)
 	}
+	if c.wholeHead {
+		// The server's hook and its handler run later.
+		c.wait(&c.listener.running)
+	}
 	g.heads += bytes
 	c.held += bytes
 	var victims []*Conn
@@ -266,6 +270,7 @@
 		if victim == c {
 			// It still counts as open until it is closed.
 			c.release()
+			c.wait(&c.listener.failed)
 			fits = false
 			break
 		}
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -43,6 +43,11 @@
 
 // serve runs check with a fixture in a bubble of virtual time, and checks that nothing counts after all connections have ended.
 func serve(t *testing.T, headMemory int64, o ListenerOptions, check func(f *fixture)) {
+	serveHeads(t, http.DefaultMaxHeaderBytes, headMemory, o, check)
+}
+
+// serveHeads is serve with a limit of the server's own for heads, in bytes.
+func serveHeads(t *testing.T, maxHeaderBytes int, headMemory int64, o ListenerOptions, check func(f *fixture)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{t: t, pipes: &pipes{make(chan net.Conn)}, hold: make(chan struct{})}
 		f.guard = New(headMemory, func(cut Cut) {
@@ -50,7 +55,7 @@
 			defer f.mu.Unlock()
 			f.cuts = append(f.cuts, cut.Cause)
 		})
-		server := &http.Server{ReadHeaderTimeout: time.Hour, IdleTimeout: time.Hour, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		server := &http.Server{MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: time.Hour, IdleTimeout: time.Hour, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path == "/hold" {
 				<-f.hold
 			}
@@ -231,6 +236,59 @@
 	})
 }
 
+// TestWholeHeadIsNoIncompleteOne fills the memory of heads while the server has read a whole head and has not begun its request.
+func TestWholeHeadIsNoIncompleteOne(t *testing.T) {
+	is := is.New(t)
+	p := &pipes{make(chan net.Conn, 2)}
+	var cuts []Cut
+	l := New(16<<10, func(cut Cut) { cuts = append(cuts, cut) }).Protect(&http.Server{}, p, ListenerOptions{})
+	accept := func(text string) net.Conn {
+		near, far := net.Pipe()
+		t.Cleanup(func() { near.Close() })
+		p.conns <- far
+		c, err := l.Accept()
+		is.NoErr(err)
+		go func() {
+			_, _ = io.WriteString(near, text)
+			_, _ = io.Copy(io.Discard, near)
+		}()
+		return c
+	}
+	whole := accept(ordinary)
+	n, err := whole.Read(make([]byte, 4<<10))
+	is.NoErr(err)
+	is.Equal(n, len(ordinary))
+	part := accept("GET /a HTTP/1.1\r\n" + linesOf(100))
+	_, err = part.Read(make([]byte, 4<<10))
+	is.True(err != nil)    // the incomplete head goes
+	is.Equal(len(cuts), 1) // and no other
+	_, err = whole.Write(nil)
+	is.NoErr(err)
+	is.NoErr(whole.SetDeadline(time.Now())) // fails on a closed connection
+}
+
+// TestFailedHeadsMakeRoom has the server itself refuse heads, whose connections it keeps for a while so that their callers can read why.
+func TestFailedHeadsMakeRoom(t *testing.T) {
+	serveHeads(t, 4<<10, 64<<10, ListenerOptions{MaxOpen: 4, Limits: smallHeads}, func(f *fixture) {
+		var crowd []*caller
+		for range 4 {
+			crowd = append(crowd, f.dial("GET /a HTTP/1.1\r\nA: "+strings.Repeat("x", 20_000)))
+		}
+		for _, c := range crowd {
+			c.expect(t, "431", false)
+		}
+		if held := f.guard.HeadBytes(); held != 0 {
+			t.Errorf("%d bytes of failed heads count", held)
+		}
+		f.dial(ordinary).expect(t, "200", false)
+		crowd[0].expect(t, "431", true)
+		crowd[1].expect(t, "431", false)
+		f.expectCuts(TooMany)
+		time.Sleep(time.Second)
+		crowd[3].expect(t, "431", true)
+	})
+}
+
 // TestPipelinedHeadCounts has the part of a second head arrive with the first request.
 func TestPipelinedHeadCounts(t *testing.T) {
 	serve(t, 1<<20, ListenerOptions{}, func(f *fixture) {
--- a/internal/connlimit/http.go
+++ b/internal/connlimit/http.go
@@ -39,9 +39,14 @@
 func (c *Conn) changed(state http.ConnState) {
 	switch state {
 	case http.StateActive:
+		// The server gets here also when it failed to read the head, and then holds nothing of it.
+		if !c.wholeHead {
+			c.enter(phaseFailed, &c.listener.failed)
+			return
+		}
 		c.enter(phaseRunning, &c.listener.running)
 	case http.StateIdle:
-		c.scan = headScanner{}
+		c.scan, c.wholeHead = headScanner{}, false
 		c.enter(phaseIdle, &c.listener.idle)
 	case http.StateNew, http.StateClosed, http.StateHijacked:
 	}
