dispatch: calls go where their first event is expected in time

Cause: an engine reads prompts between the tokens that it generates. A long prompt, 6,000 tokens or a quarter of a second, held up the short ones behind it, whose callers want their first event by then; and engines of 0.6 and 1.6 times the usual speed were weighed alike.

A node predicts the time to the first event of a call at an engine, from the unread tokens there, the neighbours' pace and a slowness that it learns of each engine from sent to first event. The cost of an engine grows with that time against the time to the call's target. Where engines have much to read, patient calls gather at a part of them, the same for all nodes by a hash, and others avoid these. Calls without tokens, and plain services, are placed as before.

Not tried: a finer order inside of a priority.

The replay of the herd tests gained prompts; its other cases are as before. TestTokensOfRunningCalls passes the new argument of FirstEvent.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -81,6 +81,8 @@
 	// upstream never said.
 	pace   float64
 	paceAt time.Duration
+	// slowness is how long the upstream takes to the first event, without its neighbours' part.
+	slowness slowness
 	// crowdedRunning is the number of calls that ran when the upstream last let calls wait though it had
 	// free slots, at crowdedAt; zero if it never did.
 	crowdedRunning int
@@ -291,6 +293,7 @@
 	if others := withoutRefusers(candidates, c); len(others) > 0 {
 		candidates = others
 	}
+	d.separate(candidates, c, now)
 	return pick(candidates, uint64(c.ID), d.unseenCalls(candidates, now)), outcome
 }
 
@@ -319,6 +322,7 @@
 // of its slots.
 func (d *Dispatcher) cost(u *upstream, c *Call, load float64, now time.Duration) float64 {
 	cost := d.rankingLoad(u, load, now)/float64(u.slotCount())*u.recentPace(now) + u.recentFailureRate(now)*d.limits.FailurePenalty
+	cost += d.firstEventCost(u, c, now)
 	if u.desc.Domain != d.domain {
 		cost += d.limits.CrossDomainPenalty
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -39,6 +39,9 @@
 	// entryNodes is the number of nodes that send calls, and selfHash identifies this one.
 	entryNodes int
 	selfHash   uint64
+	// slowness is that of all engines of a service, and prompts the mix of its calls.
+	slowness map[string]*slowness
+	prompts  map[string]*promptMix
 	// origins tells which streams must be recorded.
 	origins origin.View
 }
@@ -49,6 +52,8 @@
 	upstream *upstream
 	// tokens is what the call takes of the upstream.
 	tokens EngineTokens
+	// usualFirstEvent is what the time to the first event is compared with; zero if nothing is learned from it.
+	usualFirstEvent time.Duration
 	// limitSeq is the number of the upstream's rate limit that this node knew at the start.
 	limitSeq uint64
 }
@@ -72,6 +77,8 @@
 		arrivals:  map[ModelKey]uint64{},
 		departed:  map[string]departed{},
 		overloads: map[ModelKey]overload{},
+		slowness:  map[string]*slowness{},
+		prompts:   map[string]*promptMix{},
 
 		brittle: map[string]brittleness{}, observedBrittle: map[string]brittleness{},
 		granted: map[string]slotGrants{}, entryNodes: 1,
@@ -130,6 +137,7 @@
 		}
 		d.arrivals[ModelKey{c.Service, c.Model, c.Adapter}]++
 	}
+	d.notePrompt(&c, now)
 	d.enqueue(&queuedCall{call: c})
 	return d.processQueue(now)
 }
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -18,6 +18,8 @@
 //   - Demand that moves to a model which few upstreams hold: while their calls exceed what they can
 //     run, those that are due soon are refused at once, the less urgent ones first (overload.go).
 //   - Upstreams that share their machines with others, which slow them down for moments (pace.go).
+//   - Long prompts beside short ones, at engines that read them at different speeds: a call that is due soon goes
+//     where its first event is expected in time, and patient ones gather at a part of the engines (prefill.go).
 //   - Upstreams that leave or ask for a pause: what an upstream says with its answers
 //     holds whatever is announced meanwhile (request.go).
 //   - Upstreams that name a rate for all nodes together: calls go to other upstreams, or wait
--- a/dispatch/herd_test.go
+++ b/dispatch/herd_test.go
@@ -33,6 +33,8 @@
 	queue int
 	// leaderLostAt, unless it is zero, is when there is no leader any more, for leaderless.
 	leaderLostAt, leaderless time.Duration
+	// prompts, unless it is nil, describes calls with prompts; engines then let all calls run.
+	prompts *prompts
 }
 
 // brittleNotice is how long engines say that they are brittle before they fall over.
@@ -80,6 +82,8 @@
 	nodes            []*dispatch.Dispatcher
 	// reported holds the running calls by engine that each node last reported.
 	reported []map[string]int
+	// reportedTokens holds the tokens of these calls.
+	reportedTokens []map[string]dispatch.EngineTokens
 	// present and waiting hold the calls in the slots and in the queue of each engine;
 	// each waiting call is represented by the function that starts it.
 	present map[string]int
@@ -112,7 +116,7 @@
 		r.nodes = append(r.nodes, newDispatcher(upstreams...))
 		r.nodes[i].SetEntryNodes(h.nodes, fmt.Sprint("n", i))
 		r.after(time.Duration(r.chance.Int64N(int64(watchInterval))), func() { r.watch(i) })
-		r.reported = append(r.reported, map[string]int{})
+		r.reported, r.reportedTokens = append(r.reported, map[string]int{}), append(r.reportedTokens, nil)
 		r.after(time.Duration(r.chance.Int64N(int64(h.reportInterval))), func() { r.report(i) })
 	}
 	if h.leaderLostAt > 0 {
@@ -134,13 +138,14 @@
 
 // report sends the running calls of a node to the planner, and its counts back.
 func (r *herdRun) report(node int) {
-	running := map[string]int{}
+	running, tokens := map[string]int{}, map[string]dispatch.EngineTokens{}
 	for id, byModel := range r.nodes[node].Running() {
 		for _, n := range byModel {
 			running[id] += n.Calls
+			tokens[id] = n.EngineTokens // there is one model
 		}
 	}
-	r.reported[node] = running
+	r.reported[node], r.reportedTokens[node] = running, tokens
 	if r.leaderLostAt > 0 && r.now >= r.leaderLostAt && r.now < r.leaderLostAt+r.leaderless {
 		r.after(r.reportInterval, func() { r.report(node) })
 		return
@@ -151,7 +156,14 @@
 			total[id] += n
 		}
 	}
+	totalTokens := map[string]dispatch.EngineTokens{}
+	for _, counts := range r.reportedTokens {
+		for id, t := range counts {
+			totalTokens[id] = dispatch.EngineTokens{Unread: totalTokens[id].Unread + t.Unread}
+		}
+	}
 	r.nodes[node].ObservePlannerCounts(total, true, r.now)
+	r.nodes[node].ObservePlannerTokens(totalTokens, true)
 	r.askForSlots(node)
 	r.after(r.reportInterval, func() { r.report(node) })
 }
@@ -211,7 +223,11 @@
 func (r *herdRun) arrive() {
 	node := r.arrivals.IntN(r.herd.nodes)
 	r.lastID++
-	r.submit(node, call(r.lastID, "m", 1, r.now))
+	c := call(r.lastID, "m", 1, r.now)
+	if r.prompts != nil {
+		r.prompts.describe(&c)
+	}
+	r.submit(node, c)
 	r.after(time.Duration(r.arrivals.ExpFloat64()/r.callsPerSecond*float64(second)), r.arrive)
 }
 
@@ -233,6 +249,10 @@
 		if r.random {
 			id = r.ids[r.chance.IntN(len(r.ids))]
 		}
+		if r.prompts != nil {
+			r.prompts.read(r, node, v)
+			continue
+		}
 		r.arriveAt(id, node, v.ID)
 	}
 }
--- a/dispatch/tokens.go
+++ b/dispatch/tokens.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "time"
+
 // EngineTokens are the tokens of the calls at an engine.
 type EngineTokens struct {
 	// Unread is the length of the prompts of calls whose answer has no event yet.
@@ -20,12 +22,14 @@
 
 // tokens returns what a call takes of an engine that has not begun its answer.
 func (c *Call) tokens() EngineTokens {
-	return EngineTokens{Unread: c.PromptTokens, Held: c.PromptTokens + c.OutputTokens}
+	return EngineTokens{Unread: c.unread(), Held: c.PromptTokens + c.OutputTokens}
 }
 
-// FirstEvent records that the first event of a running call's answer arrived: the engine has read the prompt.
-func (d *Dispatcher) FirstEvent(id CallID) {
+// FirstEvent records that the first event of a running call's answer arrived, so long after the call was sent: the
+// engine has read the prompt. Later events of a call are ignored.
+func (d *Dispatcher) FirstEvent(id CallID, took time.Duration) {
 	if r := d.running[id]; r != nil {
+		d.learnSlowness(r, took)
 		r.upstream.ownTokens.Unread -= r.tokens.Unread
 		r.tokens.Unread = 0
 	}
--- a/dispatch/tokens_test.go
+++ b/dispatch/tokens_test.go
@@ -17,8 +17,8 @@
 	is.Equal(len(started(d.Submit(c, 0))), 1)
 	use := func() dispatch.Use { return d.Running()["a"][dispatch.ModelKey{Service: c.Service, Model: "m"}] }
 	is.Equal(use(), dispatch.Use{Calls: 1, EngineTokens: dispatch.EngineTokens{Unread: 1000, Held: 1200}})
-	d.FirstEvent(1)
-	d.FirstEvent(1)
+	d.FirstEvent(1, 100*ms)
+	d.FirstEvent(1, 200*ms)
 	is.Equal(use().EngineTokens, dispatch.EngineTokens{Held: 1200})
 	d.Finish(1, dispatch.Served, second)
 	is.Equal(use(), dispatch.Use{})
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -89,6 +89,8 @@
 	Action Action
 	// Upstream is set when Action is Start.
 	Upstream *fleet.Upstream
+	// FirstEvent is the predicted time from sending the call to the first event of its answer; zero if unknown.
+	FirstEvent time.Duration
 	// Record is set if the call is a stream whose software version must be recorded before the
 	// caller receives its first event.
 	Record bool
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -92,8 +92,11 @@
 }
 
 func (d *Dispatcher) start(w *queuedCall, u *upstream, now time.Duration) Verdict {
-	u.ownRunning++
 	tokens := w.call.tokens()
+	r := &runningCall{call: w.call, upstream: u, tokens: tokens, limitSeq: u.request.rateLimit.Seq}
+	expected := d.expectedFirstEvent(u, &w.call, now)
+	d.expectFirstEvent(r, now)
+	u.ownRunning++
 	u.ownTokens.Unread += tokens.Unread
 	u.ownTokens.Held += tokens.Held
 	u.probing = u.consecutiveUnreachable > 0
@@ -102,9 +105,9 @@
 		u.slots.Use(now)
 	}
 	d.countPassedOver(&w.call, now)
-	d.running[w.call.ID] = &runningCall{call: w.call, upstream: u, tokens: tokens, limitSeq: u.request.rateLimit.Seq}
+	d.running[w.call.ID] = r
 	desc := *u.desc
-	return Verdict{ID: w.call.ID, Action: Start, Upstream: &desc, Record: d.mustRecord(u, &w.call, now)}
+	return Verdict{ID: w.call.ID, Action: Start, Upstream: &desc, FirstEvent: expected, Record: d.mustRecord(u, &w.call, now)}
 }
 
 // refusal returns the verdict that refuses a waiting call, and reports whether it is
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -185,6 +185,7 @@
 	checked, placed := false, false
 	for {
 		event, err := events.Next()
+		received := boottime.Now()
 		if err == nil {
 			err = c.checkEventID(event, placed)
 			placed = placed || event.ID != nil
@@ -197,8 +198,8 @@
 			return c.endLost(u, errors.New("the software version of the upstream is uncertain"))
 		}
 		if !checked && c.forEngine {
-			id := c.attemptID
-			c.edge.loop.Post(func() { c.edge.dispatcher.FirstEvent(id) })
+			id, took := c.attemptID, received-c.sentAt
+			c.edge.loop.Post(func() { c.edge.dispatcher.FirstEvent(id, took) })
 		}
 		checked = true
 		if !c.relayEvent(event) {
