--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -82,6 +82,9 @@
 	// firstEventWait is the time from arrival to the first event of a stream;
 	// longestPause is the longest time between two events.
 	firstEventWait, longestPause time.Duration
+	// expectedFirstEvent is the predicted time from sending the current attempt to its first event, zero if unknown;
+	// attemptFirstEvent is the measured one.
+	expectedFirstEvent, attemptFirstEvent time.Duration
 	// record is the record of the software version at which the stream begins; nil if none is
 	// needed.
 	record *streamRecord
@@ -272,11 +275,15 @@
 // logVerdict records the waiting time and the chosen upstream, and returns the verdict.
 func (c *call) logVerdict(v dispatch.Verdict) dispatch.Verdict {
 	c.edge.metrics.Observe("wait", boottime.Now()-c.arrived)
+	c.expectedFirstEvent, c.attemptFirstEvent = v.FirstEvent, 0
 	if v.Action == dispatch.Start {
 		fields := eventlog.Fields{
 			"upstream": v.Upstream.ID, "addr": v.Upstream.Addr, "software": v.Upstream.Software,
 			"revision": v.Upstream.Revision, "attempt": c.sends + 1,
 		}
+		if v.FirstEvent > 0 {
+			fields["expected"] = v.FirstEvent.Milliseconds()
+		}
 		if c.lastEventID != "" {
 			fields["resumeAfter"] = c.lastEventID
 		} else if c.caller.ResumeAfter != "" {
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -198,8 +198,7 @@
 			return c.endLost(u, errors.New("the software version of the upstream is uncertain"))
 		}
 		if !checked && c.forEngine {
-			id, took := c.attemptID, received-c.sentAt
-			c.edge.loop.Post(func() { c.edge.dispatcher.FirstEvent(id, took) })
+			c.recordFirstEvent(received)
 		}
 		checked = true
 		if !c.relayEvent(event) {
@@ -209,6 +208,17 @@
 	}
 }
 
+// recordFirstEvent records that the first event of an attempt arrived from an engine.
+func (c *call) recordFirstEvent(at time.Duration) {
+	id, took := c.attemptID, at-c.sentAt
+	c.edge.loop.Post(func() { c.edge.dispatcher.FirstEvent(id, took) })
+	c.attemptFirstEvent = took
+	if c.expectedFirstEvent > 0 {
+		c.edge.metrics.Observe("first event expected", c.expectedFirstEvent)
+		c.edge.metrics.Observe("first event after sent", took)
+	}
+}
+
 // endStream ends an attempt whose stream has no further event, for the given reason.
 func (c *call) endStream(u *fleet.Upstream, conn *upstreamconn.Conn, resp *http.Response, err error) (dispatch.Result, attemptOutcome) {
 	switch {
@@ -269,6 +279,9 @@
 	if c.streamStarted {
 		fields["first"], fields["pause"] = c.firstEventWait.Milliseconds(), c.longestPause.Milliseconds()
 		c.edge.metrics.Observe("longest pause", c.longestPause)
+		if c.expectedFirstEvent > 0 {
+			fields["expected"], fields["firstAfterSent"] = c.expectedFirstEvent.Milliseconds(), c.attemptFirstEvent.Milliseconds()
+		}
 		if c.route.PauseTarget > 0 && c.sends == 1 {
 			paused := c.longestPause > c.route.PauseTarget
 			c.edge.loop.Post(func() { c.edge.recordStreamQuality(u.ID, paused) })
