dispatch: patient calls are told by the usual target, not by the shortest one

Cause: what counts as patient, and from which backlog on the two sorts are kept apart, followed the shortest time to a target of a minute. One rare call that wants its answer in 10 ms made all others patient, and its service separated for good.

The measure is the harmonic mean of the times to a target, which follows urgent calls and is hardly moved by a few.

--- a/dispatch/prefill.go
+++ b/dispatch/prefill.go
@@ -90,7 +90,7 @@
 // target; the rest is for what the prediction does not know.
 func (d *Dispatcher) firstEventCost(u *upstream, c *Call, now time.Duration) float64 {
 	slack := max(minSlack, c.Target-now)
-	if d.isPatientPrompt(c, now) {
+	if d.isPatientPrompt(c) {
 		slack = max(minSlack, slack/patientFactor)
 	}
 	expected := float64(d.expectedFirstEvent(u, c, now))
@@ -127,15 +127,15 @@
 	// mixDecayTime is the time constant with which the prompts of calls lose weight in the mix of a service. With hundreds
 	// of nodes, one sees a few calls in that time.
 	mixDecayTime = time.Minute
-	// patientFactor is how many times as late as that of the most urgent calls the target of a patient call is.
-	patientFactor = 4
+	// patientFactor is how many times as far off as the usual the target of a patient call is.
+	patientFactor = 3
 	// separateShare is the share of the engines that patient calls need by their tokens which they are given: they bear
 	// longer queues than others.
 	separateShare = 0.8
 	// separationPenalty is the cost of an engine that reads prompts of the other sort. It equals that of a first event
 	// which uses up the time that a call has.
 	separationPenalty = 0.5
-	// separateFrom and separateFully are the shares of the most urgent calls' time to their target that engines take on
+	// separateFrom and separateFully are the shares of the usual time to a target that engines take on
 	// average to read what they have, from which on the two sorts are kept apart a little and fully. Below, prompts seldom
 	// meet, and an even use of slots and memory is worth more.
 	separateFrom, separateFully = 0.125, 0.25
@@ -143,17 +143,22 @@
 
 // promptMix describes the prompts of the latest calls for a service at this node.
 type promptMix struct {
-	// urgentTarget is the shortest time to a target, and urgentAt when the latest such call arrived.
-	urgentTarget, urgentAt time.Duration
-	// patient and all are weighted sums of the tokens of patient calls and of all calls, as of at.
-	patient, all float64
-	at           time.Duration
+	// calls and urgency are weighted sums over the calls of one and of the reciprocal of the time to the target in
+	// seconds, as of at; patient and tokens those of the tokens of patient calls and of all calls.
+	calls, urgency  float64
+	patient, tokens float64
+	at              time.Duration
+}
+
+// usualTarget returns the usual time to a target. It is the harmonic mean, which follows the urgent calls, and a few very
+// urgent ones hardly move.
+func (m *promptMix) usualTarget() time.Duration {
+	return time.Duration(m.calls / m.urgency * float64(time.Second))
 }
 
 // notePrompt adds a call to the mix of its service.
 func (d *Dispatcher) notePrompt(c *Call, now time.Duration) {
-	target := c.Target - c.Arrived
-	if c.unread() == 0 || target <= 0 {
+	if c.unread() == 0 {
 		return
 	}
 	m := d.prompts[c.Service]
@@ -161,21 +166,19 @@
 		m = &promptMix{}
 		d.prompts[c.Service] = m
 	}
-	if m.urgentTarget == 0 || target <= m.urgentTarget || now-m.urgentAt > mixDecayTime {
-		m.urgentTarget, m.urgentAt = target, now
-	}
 	fade := math.Exp(-float64(now-m.at) / float64(mixDecayTime))
-	m.patient, m.all, m.at = m.patient*fade, m.all*fade+float64(c.unread()), now
-	if d.isPatientPrompt(c, now) {
+	m.calls, m.urgency, m.at = m.calls*fade+1, m.urgency*fade+1/max(minSlack, c.Target-c.Arrived).Seconds(), now
+	m.patient, m.tokens = m.patient*fade, m.tokens*fade+float64(c.unread())
+	if d.isPatientPrompt(c) {
 		m.patient += float64(c.unread())
 	}
 }
 
-// isPatientPrompt reports whether a call has a prompt and several times as long to its target as the most urgent calls
-// for its service.
-func (d *Dispatcher) isPatientPrompt(c *Call, now time.Duration) bool {
+// isPatientPrompt reports whether a call has a prompt and several times as long to its target as is usual for its
+// service.
+func (d *Dispatcher) isPatientPrompt(c *Call) bool {
 	m := d.prompts[c.Service]
-	return m != nil && c.unread() > 0 && now-m.urgentAt <= mixDecayTime && c.Target-c.Arrived >= patientFactor*m.urgentTarget
+	return m != nil && c.unread() > 0 && c.Target-c.Arrived >= patientFactor*m.usualTarget()
 }
 
 // separate adds the cost of reading the prompts of patient and of urgent calls at the same engines.
@@ -190,7 +193,7 @@
 		return
 	}
 	penalty := separationPenalty * d.readingPressure(candidates, m, now)
-	forPatient := int(separateShare * m.patient / m.all * float64(len(candidates)))
+	forPatient := int(separateShare * m.patient / m.tokens * float64(len(candidates)))
 	if forPatient == 0 || penalty == 0 {
 		return
 	}
@@ -199,7 +202,7 @@
 		scores[i] = rendezvousScore(0, candidates[i].upstream.desc.ID)
 	}
 	limit := slices.Sorted(slices.Values(scores))[forPatient-1]
-	patient := d.isPatientPrompt(c, now)
+	patient := d.isPatientPrompt(c)
 	for i := range candidates {
 		if patient != (scores[i] <= limit) {
 			candidates[i].cost += penalty
@@ -215,6 +218,6 @@
 		slow := c.upstream.slowness.shrunk(d.slowness[c.upstream.desc.Service])
 		reading += d.unreadAhead(c.upstream, now) / usualReadRate * slow
 	}
-	share := reading / float64(len(candidates)) / m.urgentTarget.Seconds()
+	share := reading / float64(len(candidates)) / m.usualTarget().Seconds()
 	return min(1, max(0, (share-separateFrom)/(separateFully-separateFrom)))
 }
--- a/dispatch/prefill_test.go
+++ b/dispatch/prefill_test.go
@@ -30,11 +30,12 @@
 
 // prompts replays calls of promptKinds at engines of unequal speed, which read one prompt after the other.
 type prompts struct {
-	// blind has callers state no tokens; absurd, unless it is zero, is the length that one in 50 states.
-	blind  bool
-	absurd int
-	speeds map[string]float64
-	chance *rand.Rand
+	// blind has callers state no tokens; absurd, unless it is zero, is the length that one in 50 states; hasty has one in 50
+	// want its first event after 10 ms.
+	blind, hasty bool
+	absurd       int
+	speeds       map[string]float64
+	chance       *rand.Rand
 	// kinds and arrived hold what the calls are, and readUntil when engines will have read all prompts that they have.
 	kinds     map[dispatch.CallID]int
 	arrived   map[dispatch.CallID]time.Duration
@@ -80,6 +81,9 @@
 		draw -= promptKinds[kind].share
 	}
 	c.Target = c.Arrived + promptKinds[kind].target
+	if p.hasty && c.ID%50 == 25 {
+		c.Target = c.Arrived + 10*ms
+	}
 	switch {
 	case p.absurd > 0 && c.ID%50 == 0:
 		c.PromptTokens = p.absurd
@@ -126,16 +130,16 @@
 	}
 }
 
-// TestPromptsInFailures loses the leader after ten seconds, or has one caller in 50 state a billion tokens. No kind of calls
-// may be on time less often than if nothing were known of prompts, by more than one in 50.
+// TestPromptsInFailures loses the leader after ten seconds, or has one caller in 50 state a billion tokens and another one
+// want its first event after 10 ms. No kind of calls may be on time less often than if nothing were known of prompts, by more than one in 50.
 func TestPromptsInFailures(t *testing.T) {
 	for seed := range uint64(3) {
 		for _, lostAt := range []time.Duration{0, 10 * second} {
-			absurd := 0
+			odd := prompts{}
 			if lostAt == 0 {
-				absurd = 1 << 30
+				odd = prompts{absurd: 1 << 30, hasty: true}
 			}
-			got := replayPrompts(t, 72, seed, prompts{absurd: absurd}, lostAt)
+			got := replayPrompts(t, 72, seed, odd, lostAt)
 			blind := replayPrompts(t, 72, seed, prompts{blind: true}, lostAt)
 			for i, k := range promptKinds {
 				if got[i] < blind[i]-0.02 {
