dispatch: the herd replay keeps the sums of reports

Cause: with 370 nodes each report summed those of all nodes anew; TestLongPromptsBesideShortOnes took 19 s on the busy machine.

The sums are kept as reports change.

--- a/dispatch/herd_test.go
+++ b/dispatch/herd_test.go
@@ -81,9 +81,10 @@
 	events           herdEvents
 	nodes            []*dispatch.Dispatcher
 	// reported holds the running calls by engine that each node last reported.
-	reported []map[string]int
-	// reportedTokens holds the tokens of these calls.
-	reportedTokens []map[string]dispatch.EngineTokens
+	reported []map[string]dispatch.Use
+	// total and totalTokens are the sums over all nodes.
+	total       map[string]int
+	totalTokens map[string]dispatch.EngineTokens
 	// present and waiting hold the calls in the slots and in the queue of each engine;
 	// each waiting call is represented by the function that starts it.
 	present map[string]int
@@ -105,6 +106,7 @@
 		herd: h, arrivals: rand.New(rand.NewPCG(h.seed, 1)), chance: rand.New(rand.NewPCG(h.seed, 2)),
 		present: map[string]int{}, waiting: map[string][]func(){}, rejections: map[string][]time.Duration{},
 		leader: ratelimit.NewSlots(-time.Minute), asking: map[int]bool{},
+		total: map[string]int{}, totalTokens: map[string]dispatch.EngineTokens{},
 	}
 	var upstreams []fleet.Upstream
 	for i := range h.engines {
@@ -116,7 +118,7 @@
 		r.nodes = append(r.nodes, newDispatcher(upstreams...))
 		r.nodes[i].SetEntryNodes(h.nodes, fmt.Sprint("n", i))
 		r.after(time.Duration(r.chance.Int64N(int64(watchInterval))), func() { r.watch(i) })
-		r.reported, r.reportedTokens = append(r.reported, map[string]int{}), append(r.reportedTokens, nil)
+		r.reported = append(r.reported, nil)
 		r.after(time.Duration(r.chance.Int64N(int64(h.reportInterval))), func() { r.report(i) })
 	}
 	if h.leaderLostAt > 0 {
@@ -138,32 +140,24 @@
 
 // report sends the running calls of a node to the planner, and its counts back.
 func (r *herdRun) report(node int) {
-	running, tokens := map[string]int{}, map[string]dispatch.EngineTokens{}
+	for id, use := range r.reported[node] {
+		r.total[id] -= use.Calls
+		r.totalTokens[id] = dispatch.EngineTokens{Unread: r.totalTokens[id].Unread - use.Unread}
+	}
+	r.reported[node] = map[string]dispatch.Use{}
 	for id, byModel := range r.nodes[node].Running() {
-		for _, n := range byModel {
-			running[id] += n.Calls
-			tokens[id] = n.EngineTokens // there is one model
+		for _, use := range byModel { // there is one model
+			r.reported[node][id] = use
+			r.total[id] += use.Calls
+			r.totalTokens[id] = dispatch.EngineTokens{Unread: r.totalTokens[id].Unread + use.Unread}
 		}
 	}
-	r.reported[node], r.reportedTokens[node] = running, tokens
 	if r.leaderLostAt > 0 && r.now >= r.leaderLostAt && r.now < r.leaderLostAt+r.leaderless {
 		r.after(r.reportInterval, func() { r.report(node) })
 		return
 	}
-	total := map[string]int{}
-	for _, counts := range r.reported {
-		for id, n := range counts {
-			total[id] += n
-		}
-	}
-	totalTokens := map[string]dispatch.EngineTokens{}
-	for _, counts := range r.reportedTokens {
-		for id, t := range counts {
-			totalTokens[id] = dispatch.EngineTokens{Unread: totalTokens[id].Unread + t.Unread}
-		}
-	}
-	r.nodes[node].ObservePlannerCounts(total, true, r.now)
-	r.nodes[node].ObservePlannerTokens(totalTokens, true)
+	r.nodes[node].ObservePlannerCounts(r.total, true, r.now)
+	r.nodes[node].ObservePlannerTokens(r.totalTokens, true)
 	r.askForSlots(node)
 	r.after(r.reportInterval, func() { r.report(node) })
 }
