ratelimit, controller: a leader keeps a reserve of each quota for the next one

Cause: buckets of a new leader began empty and filled for up to 3 s.

Change: a leader whose bucket was full gives its word that its level will not fall below the reserve in its term. Nodes carry the word; the next leader adds the reserve if the log proves that no other leader can have granted anything between, and the configuration is the same. No clock is in it. Nodes may hold less of one leader's grants (0.8 of before, at least a burst), so that the next one has room beside them. Reports go every 250 ms in place of 350: used and untold permits eat the tolerance that the reserve comes from.

TestNoWindowExceedsQuota now also draws leaders' terms, failed elections, times without a leader, builds without the reserve and a limit that is lowered, raised and lowered; leaders changed at one disturbance in five before.

--- a/internal/controller/export_test.go
+++ b/internal/controller/export_test.go
@@ -82,3 +82,10 @@
 	c.loop.Post(func() { <-ctx.Done() })
 	return cancel
 }
+
+// Succession returns what this node, as the leader of a term, knows of the leader before it.
+func (c *Controller) Succession() (previous, term, version uint64) {
+	status, _ := c.raftReplica.CurrentStatus()
+	previous, version = c.stateMachine.succession(status.Term)
+	return previous, status.Term, version
+}
--- a/internal/controller/quota.go
+++ b/internal/controller/quota.go
@@ -81,6 +81,7 @@
 		}
 		now := boottime.Now()
 		c.updateQuotas(now)
+		c.succeedQuotas()
 		answer = c.quotas.shares.Report(from, r, c.quotaBound, now)
 		c.reviewQuotas(now)
 		// A leader whose term ended meanwhile may have counted what its successor counts, too.
@@ -96,6 +97,16 @@
 	return answer, nil
 }
 
+// succeedQuotas tells the quotas what is known of earlier leaders. A leader that has not applied or decoded all that was in
+// force under them might take over a reserve which they gave up with a change of the configuration.
+func (c *Controller) succeedQuotas() {
+	previous, version := c.stateMachine.succession(c.term)
+	if version != c.quotas.version {
+		previous, version = 0, 0
+	}
+	c.quotas.shares.Succeed(previous, version)
+}
+
 // quotaBound returns the bound of a tenant's quota, and false for tenants without one.
 func (c *Controller) quotaBound(tenant string) (ratelimit.QuotaBound, bool) {
 	b, ok := c.quotas.bounds[tenant]
--- a/internal/controller/quota_test.go
+++ b/internal/controller/quota_test.go
@@ -29,3 +29,24 @@
 	goOn()
 	is.True(<-reported != nil)
 }
+
+// TestLeaderKnowsItsPredecessor has a leader killed: the next one knows from the log whose reserves it may take over.
+func TestLeaderKnowsItsPredecessor(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, 22370, 3)
+	c.start(0, 1, 2)
+	c.accept(0, 1, "one")
+	first := c.leadingNode()
+	var before, previous, version uint64
+	c.waitFor("the version", func() bool { _, before, version = c.nodes[first].node.Succession(); return version == 1 })
+	c.kill(first)
+	c.waitFor("the next leader", func() bool {
+		next := c.leadingNode()
+		if next < 0 || next == first {
+			return false
+		}
+		previous, _, version = c.nodes[next].node.Succession()
+		return version == 1
+	})
+	is.Equal(previous, before)
+}
--- a/internal/controller/statemachine.go
+++ b/internal/controller/statemachine.go
@@ -49,6 +49,8 @@
 	decoded atomic.Pointer[decodedConfiguration]
 	// appliedTerm is the term of the last entry that was applied.
 	appliedTerm atomic.Uint64
+	// termBefore is the term of the last entry before those of appliedTerm; zero if that is not known.
+	termBefore atomic.Uint64
 	// undecoded signals that there is another active configuration to decode.
 	undecoded chan struct{}
 }
@@ -70,6 +72,10 @@
 func (s *stateMachine) Apply(e raft.Entry) any {
 	// After publishConfiguration: who sees the term sees the configuration, too.
 	defer s.appliedTerm.Store(e.Term)
+	if last := s.appliedTerm.Load(); last != e.Term {
+		s.appliedTerm.Store(0) // so that termBefore is not taken for that of the last term
+		s.termBefore.Store(last)
+	}
 	out := applyResult{index: e.Index, result: confstate.Accepted}
 	if e.Kind != raft.EntryCommand {
 		return out
@@ -128,6 +134,7 @@
 	s.mu.Lock()
 	s.state = state
 	s.mu.Unlock()
+	s.appliedTerm.Store(0) // the terms of the entries that the snapshot stands for are not known
 	s.publishConfiguration()
 	return nil
 }
@@ -199,6 +206,18 @@
 	return 0
 }
 
+// succession returns the term of the latest leader before that of the given term which can have acted alone, and
+// versionThrough; both are zero where not known. A leader acts alone only once an entry of its term is committed, which then
+// precedes those of later leaders.
+func (s *stateMachine) succession(term uint64) (previous, version uint64) {
+	version = s.versionThrough(term)
+	previous = s.termBefore.Load()
+	if version == 0 || s.appliedTerm.Load() != term {
+		return 0, 0
+	}
+	return previous, version
+}
+
 func (s *stateMachine) members() map[uint64]confstate.Member {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
--- a/internal/edge/quota.go
+++ b/internal/edge/quota.go
@@ -17,7 +17,7 @@
 
 const (
 	// quotaReportInterval is the time between reports while the node holds something of a quota.
-	quotaReportInterval = 350 * time.Millisecond
+	quotaReportInterval = 250 * time.Millisecond
 	// quotaReportTimeout bounds a report, so that there is time for others before what the node holds is void.
 	quotaReportTimeout = 400 * time.Millisecond
 	// minQuotaReportGap is the least time between two reports, so that calls that arrive together cause a single one.
--- a/ratelimit/quota.go
+++ b/ratelimit/quota.go
@@ -22,8 +22,12 @@
 	Burst float64
 	// Capacity is the most that the leader and the nodes may hold together.
 	Capacity float64
-	// Out is the most that the nodes may hold together, and so the most that one call may cost.
+	// Out is the most that the nodes may hold together of one leader's grants, and so the most that one call may cost.
 	Out float64
+	// OutAll is the most that they may hold of all leaders' grants while a leader is new that knows its reserve.
+	OutAll float64
+	// Reserve is what a leader keeps for the next one.
+	Reserve float64
 	// Ahead is the most that the nodes may hold together for calls that have not arrived.
 	Ahead float64
 	// NewRate is the amount per second at which the bucket of a new leader fills while nodes may hold something of
@@ -31,6 +35,14 @@
 	NewRate float64
 }
 
+// outShare is the share of OutAll that nodes may hold of one leader's grants, if that is a burst. The rest is for the next
+// leader's while the nodes may still hold those.
+const outShare = 0.8
+
+// reserveShare is the share of the tolerance, but for what nodes may hold ahead, that a leader keeps for the next one. The
+// rest makes up for what nodes hold and do not need, so that tenants below their quotas do not meet the reserve.
+const reserveShare = 0.75
+
 // aheadShare is the share of Out that nodes may hold for calls that have not arrived. The rest is for calls that wait.
 const aheadShare = 0.4
 
@@ -41,9 +53,11 @@
 	most := (rate*window.Seconds()+burst)*(1+over) + slack
 	b := QuotaBound{Rate: min(rate, (most-burst)/span), Burst: burst}
 	b.Capacity = max(burst, most-b.Rate*span)
-	b.Out = max(b.Capacity/2, burst, b.Capacity-b.Rate*chargeTTL.Seconds())
+	b.OutAll = max(b.Capacity/2, burst, b.Capacity-b.Rate*chargeTTL.Seconds())
+	b.Out = max(burst, outShare*b.OutAll)
 	b.Ahead = max(0, min(aheadShare*b.Out, b.Capacity-burst))
-	b.NewRate = min(b.Rate, (b.Capacity-b.Out)/chargeTTL.Seconds())
+	b.NewRate = min(b.Rate, (b.Capacity-b.OutAll)/chargeTTL.Seconds())
+	b.Reserve = max(0, reserveShare*min(b.Capacity-burst-b.Ahead, b.Capacity-b.Out))
 	return b
 }
 
@@ -76,6 +90,15 @@
 	Refused float64 `json:"r,omitempty"`
 	// Ahead is what the node wants in addition, for calls that it expects.
 	Ahead float64 `json:"e,omitempty"`
+	// Kept is the latest word of a leader that it keeps the quota's reserve.
+	Kept KeptReserve `json:"k,omitzero"`
+}
+
+// KeptReserve is a leader's word that its part of a quota will not be less than QuotaBound.Reserve in the rest of its term,
+// while the version of the configuration is in force.
+type KeptReserve struct {
+	Term    uint64 `json:"t"`
+	Version uint64 `json:"v"`
 }
 
 // ShareAnswer answers a ShareReport.
@@ -83,6 +106,10 @@
 	Term   uint64       `json:"t"`
 	Seq    uint64       `json:"n"`
 	Grants []ShareGrant `json:"g,omitempty"`
+	// Kept lists the tenants of the report for whom the leader keeps the reserve of their quotas under Version of the
+	// configuration.
+	Kept    []string `json:"k,omitempty"`
+	Version uint64   `json:"v,omitempty"`
 }
 
 // ShareGrant is what a node may use of one tenant's quota in addition.
--- a/ratelimit/quota_sim_test.go
+++ b/ratelimit/quota_sim_test.go
@@ -10,16 +10,20 @@
 
 // quotaSim plays nodes and leaders in virtual time. The clocks of nodes and leaders run at different rates.
 type quotaSim struct {
-	rng    *rand.Rand
-	now    time.Duration
-	queue  eventQueue
-	leader *Quotas
-	term   uint64
+	rng   *rand.Rand
+	now   time.Duration
+	queue eventQueue
+	// leader is nil while there is none. previous is the term of the latest one, and version that of the configuration.
+	leader         *Quotas
+	term, previous uint64
+	version        uint64
 	// leaderRate is the rate of the leader's clock; delay returns that of a message, and false if it is lost.
 	leaderRate float64
-	delay      func() (time.Duration, bool)
-	bounds     map[string]QuotaBound
-	nodes      []*simNode
+	// oldLeader is set while the leader is of a build that knows no reserves.
+	oldLeader bool
+	delay     func() (time.Duration, bool)
+	bounds    map[string]QuotaBound
+	nodes     []*simNode
 	// uses are the costs taken by tenant and call; ends are the verdicts on other calls.
 	uses  map[string]map[uint64]use
 	calls map[uint64]*simCall
@@ -54,7 +58,9 @@
 	// asking is set while a report awaits its answer; again if another one is due then. nextAt is the planned report.
 	asking, again bool
 	life          int
-	nextAt        time.Duration
+	// old is set if the node is of a build that knows no reserves.
+	old    bool
+	nextAt time.Duration
 }
 
 type event struct {
@@ -78,7 +84,7 @@
 }
 
 func newQuotaSim(seed uint64, nodes int, drift float64, bounds map[string]QuotaBound) *quotaSim {
-	s := &quotaSim{rng: rand.New(rand.NewPCG(seed, 1)), bounds: bounds, uses: map[string]map[uint64]use{}, calls: map[uint64]*simCall{}}
+	s := &quotaSim{rng: rand.New(rand.NewPCG(seed, 1)), version: 1, bounds: bounds, uses: map[string]map[uint64]use{}, calls: map[uint64]*simCall{}}
 	s.delay = func() (time.Duration, bool) {
 		return 200*time.Microsecond + time.Duration(s.rng.Int64N(int64(1200*time.Microsecond))), true
 	}
@@ -92,7 +98,8 @@
 }
 
 func (s *quotaSim) newLeader(drift float64) {
-	s.term++
+	s.previous = s.term
+	s.term += 1 + s.rng.Uint64N(2) // elections may fail
 	s.leaderRate = 1 + drift*(s.rng.Float64()-0.5)
 	s.leader = NewQuotas(s.term, s.leaderClock())
 }
@@ -103,6 +110,13 @@
 
 func (s *quotaSim) bound(tenant string) (QuotaBound, bool) { b, ok := s.bounds[tenant]; return b, ok }
 
+// oldBound returns the bound by which builds without reserves go.
+func (s *quotaSim) oldBound(tenant string) (QuotaBound, bool) {
+	b, ok := s.bounds[tenant]
+	b.Out, b.Reserve = b.OutAll, 0
+	return b, ok
+}
+
 func (s *quotaSim) after(d time.Duration, do func()) {
 	s.last++
 	heap.Push(&s.queue, event{s.now + d, s.last, do})
@@ -179,7 +193,7 @@
 	r, tells := n.shares.Report(n.clock())
 	next := func(gap time.Duration) {
 		n.asking = false
-		in := 350 * time.Millisecond
+		in := 250 * time.Millisecond
 		if calls, askAt := n.shares.Waiting(n.clock()); calls > 0 {
 			in = min(in, askAt-n.clock())
 		}
@@ -206,8 +220,31 @@
 		return
 	}
 	s.after(lag, func() {
+		if s.leader == nil {
+			s.after(lag, func() {
+				if n.life == life && !done {
+					done = true
+					n.awake(func() { next(50 * time.Millisecond) })
+				}
+			})
+			return
+		}
 		s.reports++
-		answer := s.leader.Report(string(rune('a'+n.index)), r, s.bound, s.leaderClock())
+		if n.old {
+			for i := range r.Shares {
+				r.Shares[i].Kept = KeptReserve{}
+			}
+		}
+		bound := s.bound
+		if s.oldLeader {
+			bound = s.oldBound
+		} else {
+			s.leader.Succeed(s.previous, s.version)
+		}
+		answer := s.leader.Report(string(rune('a'+n.index)), r, bound, s.leaderClock())
+		if n.old {
+			answer.Kept = nil
+		}
 		lag, ok := s.delay()
 		if !ok || cut() {
 			return
--- a/ratelimit/quota_test.go
+++ b/ratelimit/quota_test.go
@@ -1,6 +1,7 @@
 package ratelimit
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -51,6 +52,9 @@
 		over := rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "over")
 		slack := rapid.SampledFrom([]float64{0, 11000}).Draw(t, "slack")
 		change := rapid.SampledFrom([]float64{0.2, 1, 3}).Draw(t, "change")
+		rolled := rapid.Bool().Draw(t, "rolled back")
+		oldBuilds := rapid.SampledFrom([]float64{0, 0, 0.3}).Draw(t, "old builds")
+		terms := rapid.SampledFrom([]time.Duration{300 * time.Millisecond, 1500 * time.Millisecond, 10 * time.Second}).Draw(t, "terms")
 		const drift = 1.0 / 130
 		low, high := rate*min(1, change), rate*max(1, change)
 		bound := BoundQuota(rate, burst, testWindow, over, slack)
@@ -97,19 +101,40 @@
 				n.cutUntil = s.now + lasts
 			case 2:
 				n.restart()
-			case 3:
-				s.newLeader(drift)
+				n.old = s.rng.Float64() < oldBuilds
 			}
 			s.after(lasts/2, disturb)
 		}
+		var elect func()
+		elect = func() {
+			s.leader = nil
+			s.after(time.Duration(s.rng.Int64N(int64(time.Second))), func() {
+				s.newLeader(drift)
+				s.oldLeader = s.rng.Float64() < oldBuilds
+				s.after(time.Duration(s.rng.ExpFloat64()*float64(terms)), elect)
+			})
+		}
 		arrive()
 		disturb()
-		s.after(changeAt, func() {
-			s.bounds = map[string]QuotaBound{"a": BoundQuota(rate*change, burst*change, testWindow, over, slack)}
-		})
+		s.after(time.Second, elect)
+		configure := func(factor float64) func() {
+			return func() {
+				s.version++
+				s.bounds = map[string]QuotaBound{"a": BoundQuota(rate*factor, burst*factor, testWindow, over, slack)}
+			}
+		}
+		s.after(changeAt, configure(change))
+		if rolled && change < 1 {
+			// Back and forth before the window after the lowered limit, which binds all the same.
+			s.after(changeAt+time.Second, configure(1))
+			s.after(changeAt+2*time.Second, configure(change))
+		}
 		s.run(end)
 		// A lower limit binds one window after nodes have let go of what they held under the higher one.
-		const settled = changeAt + testWindow
+		settled := changeAt + testWindow
+		if rolled {
+			settled += 2 * time.Second
+		}
 		if used, most := s.busiest("a", testWindow, 0, end), limitOf(high, burst*high/rate, over, slack); used > most*(1+1e-9) {
 			t.Fatalf("%.1f used in a window, %.1f allowed", used, most)
 		}
@@ -250,6 +275,85 @@
 	}
 }
 
+// ideal replays the tenant's calls against one bucket at one place, and returns those that it would let run but that were
+// refused, by whether they arrived before or after a time.
+func (l *tenantLoad) refusedBelow(bound QuotaBound, split time.Duration) (before, after int) {
+	level, at := bound.Burst, time.Duration(0)
+	for _, c := range l.calls {
+		level, at = min(bound.Burst, level+bound.Rate*(c.arrived-at).Seconds()), c.arrived
+		if level < c.call.Cost {
+			continue
+		}
+		level -= c.call.Cost
+		switch {
+		case c.verdict.Outcome == QuotaTaken:
+		case c.arrived < split:
+			before++
+		default:
+			after++
+		}
+	}
+	return before, after
+}
+
+// changeOfLeader plays tenants that use a share of their quotas, by turns half as much again and half as much for a second. The
+// leader is lost for a while. It returns the calls that were refused although one bucket at one place would let them run, by
+// whether they arrived before, while or after there was no leader, and the number of those that arrived after.
+func changeOfLeader(t *testing.T, seed uint64, lost time.Duration, use float64, reserves bool) (before, during, after, calls int) {
+	loads, bounds := unequalTenants(278)
+	s := newQuotaSim(seed, 72, 1.0/1000, bounds)
+	s.oldLeader = !reserves
+	const from, lostAt = 14 * time.Second, 20 * time.Second
+	until := lostAt + lost + 5*time.Second
+	s.run(from)
+	for i := range loads {
+		for at := from; at < until; at += time.Second {
+			factor := 1.8 * use * (0.5 + float64((int(at/time.Second)+i)%2))
+			s.after(at-s.now, func() { loads[i].schedule(s, min(until, at+time.Second), factor) })
+		}
+	}
+	s.run(lostAt)
+	s.leader = nil
+	s.run(lostAt + lost)
+	s.newLeader(1.0 / 1000)
+	s.run(until + 3*time.Second)
+	var waits []time.Duration
+	for _, l := range loads {
+		calmly, _ := l.refusedBelow(bounds[l.tenant], lostAt)
+		early, late := l.refusedBelow(bounds[l.tenant], lostAt+lost)
+		before, during, after = before+calmly, during+early-calmly, after+late
+		for _, c := range l.calls {
+			if c.arrived >= lostAt+lost {
+				waits = append(waits, c.wait)
+			}
+		}
+	}
+	slices.Sort(waits)
+	t.Logf("lost for %v at %.1f of the quotas, reserves %v: %d refused below quota before, %d meanwhile, %d of %d (%.2f %%) after; 9 in 10 then waited %v at most",
+		lost, use, reserves, before, during, after, len(waits), 100*float64(after)/float64(len(waits)), waits[len(waits)*9/10])
+	return before, during, after, len(waits)
+}
+
+// TestChangeOfLeaderBelowQuota loses the leader. The reserve spares at least half of the calls below quota that a leader
+// which begins with nothing refuses, and nearly all at the usual use; it costs hardly any meanwhile.
+func TestChangeOfLeaderBelowQuota(t *testing.T) {
+	is := is.New(t)
+	var with, without, calm int
+	for _, lost := range []time.Duration{0, time.Second, 3 * time.Second} {
+		for _, use := range []float64{0.5, 0.7, 0.9} {
+			before, _, after, calls := changeOfLeader(t, 1, lost, use, true)
+			_, _, empty, _ := changeOfLeader(t, 1, lost, use, false)
+			with, without, calm = with+after, without+empty, calm+before
+			if use == 0.5 {
+				is.Equal(before, 0)
+				is.True(float64(after) <= 0.005*float64(calls))
+			}
+		}
+	}
+	t.Logf("%d refused after, %d without reserves; %d before", with, without, calm)
+	is.True(2*with <= without)
+}
+
 // fullBound is the bound of a quota without slack.
 var fullBound = BoundQuota(300, 300, testWindow, 0.1, 0)
 
@@ -332,6 +436,74 @@
 	}
 }
 
+// TestReserveIsHandedOnOnce has leaders follow each other and hand out all that they may to nodes of which some use it at
+// once, and others at the last moment without a report. Any word of any leader reaches any later one. Over spans of every
+// length the nodes use no more than the capacity and what is added.
+func TestReserveIsHandedOnOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.SampledFrom([]float64{300, 2700, 30000}).Draw(t, "rate")
+		bound := BoundQuota(rate, rate*rapid.SampledFrom([]float64{0.5, 1, 4}).Draw(t, "bursts"), testWindow, 0.1, rapid.SampledFrom([]float64{0, 11000}).Draw(t, "slack"))
+		lower := BoundQuota(rate/10, rate/10, testWindow, 0.1, 0)
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 2))
+		heard := rapid.SampledFrom([]float64{0.5, 0.01}).Draw(t, "heard")
+		held := rapid.SampledFrom([]float64{0.3, 1}).Draw(t, "held")
+		lowered := rapid.Bool().Draw(t, "lowered for a while")
+		var uses []use
+		var words []KeptReserve
+		q, version, term, previous := (*Quotas)(nil), uint64(1), uint64(0), uint64(0)
+		electAt := time.Duration(0)
+		for step, now := 0, time.Duration(0); now < 20*time.Second; step, now = step+1, now+5*time.Millisecond {
+			if now >= electAt {
+				previous, term = term, term+1+rng.Uint64N(2)
+				q, electAt = NewQuotas(term, now), now+time.Duration(rng.ExpFloat64()*float64([]time.Duration{200 * time.Millisecond, 3 * time.Second}[rng.IntN(2)]))
+			}
+			inForce := bound
+			if lowered && now >= 8*time.Second && now < 8*time.Second+200*time.Millisecond {
+				inForce, version = lower, 2
+			} else if version == 2 {
+				version = 3
+			}
+			q.Succeed(previous, version)
+			node := fmt.Sprint(step)
+			seq := uint64(0)
+			report := func(s Share) (granted float64) {
+				s.Tenant, s.Patience, seq = "a", time.Millisecond, seq+1
+				if len(words) > 0 && rng.Float64() < heard {
+					s.Kept = words[len(words)-1-rng.IntN(min(len(words), 3))]
+				}
+				a := q.Report(node, ShareReport{Term: term, Seq: seq, Shares: []Share{s}}, boundOnly(inForce), now)
+				if kept := (KeptReserve{a.Term, a.Version}); len(a.Kept) > 0 && (len(words) == 0 || words[len(words)-1] != kept) {
+					words = append(words, kept)
+				}
+				for _, g := range a.Grants {
+					granted += g.Amount
+				}
+				return granted
+			}
+			if now%(5*time.Second) < 1500*time.Millisecond {
+				report(Share{}) // calm, while the bucket fills
+				continue
+			}
+			need := inForce.Out * []float64{0.01, 0.2, 1}[rng.IntN(3)]
+			got := report(Share{Need: need, First: 1})
+			if rng.Float64() < held {
+				uses = append(uses, use{now + ShareTTL, got})
+			} else {
+				uses = append(uses, use{now, got})
+				report(Share{Used: got})
+			}
+		}
+		slices.SortFunc(uses, func(a, b use) int { return cmp.Compare(a.at, b.at) })
+		left, at := bound.Capacity, time.Duration(0)
+		for _, u := range uses {
+			left, at = min(bound.Capacity, left+bound.Rate*(u.at-at).Seconds())-u.cost, u.at
+			if left < -1e-6*bound.Capacity {
+				t.Fatalf("%v: %.1f more used than the capacity %.1f allows", u.at, -left, bound.Capacity)
+			}
+		}
+	})
+}
+
 // TestLeaderAccountsOncePerReport has reports arrive late, and a limit that falls below what a node holds.
 func TestLeaderAccountsOncePerReport(t *testing.T) {
 	is := is.New(t)
--- a/ratelimit/quotas.go
+++ b/ratelimit/quotas.go
@@ -17,11 +17,15 @@
 	recoverTime = 2 * time.Second
 	// minAskAgain is the least time after which a node asks again for calls that wait.
 	minAskAgain = 10 * time.Millisecond
+	// fullShare is the share of its capacity that a bucket holds before the leader gives its word on the reserve, so that calls
+	// that wait after an outage come first.
+	fullShare = 0.95
 	// aheadGrantShare is the share of the leader's part that one node may have for calls that have not arrived.
 	aheadGrantShare = 0.25
 )
 
-// Quotas is the leader's part of the tenants' quotas. It belongs to one term and starts without anything to hand out.
+// Quotas is the leader's part of the tenants' quotas. It belongs to one term and starts without anything to hand out, but
+// for the reserves that the leader before it has kept: nodes tell of which quotas.
 //
 // Load pattern: tenants of very unequal size call through tens to hundreds of nodes. A fixed part for each node would be
 // less than one call of a small tenant, and would leave most of a large one's unused where calls come unevenly.
@@ -35,6 +39,8 @@
 	sweptAt time.Duration
 	buckets map[string]*quotaBucket
 	members map[memberID]*member
+	// previous and version are as for Succeed.
+	previous, version uint64
 }
 
 // memberID identifies a process of a node.
@@ -59,7 +65,13 @@
 	// settled is when nothing is left of what nodes held of earlier leaders.
 	settled time.Duration
 	// filled is set once the bucket has held a burst in the term.
-	filled   bool
+	filled bool
+	// unclaimed is how much more the level would be, had the leader known from the beginning of its term that the one before
+	// kept the reserve. It is void once claimed is set, that is, once the leader knows.
+	unclaimed float64
+	claimed   bool
+	// keeps is set once the leader has given its word that the level will not fall below the reserve.
+	keeps    bool
 	accounts map[memberID]*account
 	waiting  map[memberID]need
 	counts   QuotaCounts
@@ -93,10 +105,14 @@
 	return &Quotas{term: term, began: now, sweptAt: now, buckets: map[string]*quotaBucket{}, members: map[memberID]*member{}}
 }
 
+// Succeed tells the term of the latest leader before this one that can have granted anything, and the version of the
+// configuration that the bounds are from, if that includes all that was in force under that leader; otherwise zeros.
+func (q *Quotas) Succeed(previous, version uint64) { q.previous, q.version = previous, version }
+
 // Report answers a node's report. bound returns the bound of a tenant's quota, and false for tenants without one. A report
 // that arrives after a later one of the same process is ignored.
 func (q *Quotas) Report(node string, r ShareReport, bound func(tenant string) (QuotaBound, bool), now time.Duration) ShareAnswer {
-	answer := ShareAnswer{Term: q.term, Seq: r.Seq}
+	answer := ShareAnswer{Term: q.term, Seq: r.Seq, Version: q.version}
 	q.sweep(now)
 	id := memberID{node, r.Process}
 	m := q.members[id]
@@ -124,11 +140,17 @@
 			s.Held, s.Used = 0, 0
 		}
 		b := q.bucket(s.Tenant, limit, now)
+		if q.version > 0 && s.Kept == (KeptReserve{q.previous, q.version}) {
+			b.claim()
+		}
 		b.count(b.settle(id, s.Held, s.Used), s.Refused, now)
 		if g, ok := b.grant(id, s, now); ok {
 			g.Tenant = s.Tenant
 			answer.Grants = append(answer.Grants, g)
 		}
+		if q.version > 0 && b.keep(now) {
+			answer.Kept = append(answer.Kept, s.Tenant)
+		}
 	}
 	for tenant := range m.tenants {
 		if !listed[tenant] {
@@ -144,12 +166,18 @@
 func (q *Quotas) bucket(tenant string, limit QuotaBound, now time.Duration) *quotaBucket {
 	b := q.buckets[tenant]
 	if b == nil {
-		b = &quotaBucket{filledAt: q.began, settled: q.SettledAt(), countedAt: q.began, accounts: map[memberID]*account{}, waiting: map[memberID]need{}}
+		b = &quotaBucket{bound: limit, filledAt: q.began, settled: q.SettledAt(), countedAt: q.began, unclaimed: limit.Reserve, accounts: map[memberID]*account{}, waiting: map[memberID]need{}}
 		q.buckets[tenant] = b
 	}
-	b.bound = limit
+	if b.bound != limit {
+		b.bound, b.keeps, b.unclaimed = limit, false, 0 // no word holds for other limits
+	}
 	if b.filledAt < b.settled {
-		b.fill(limit.NewRate, min(now, b.settled))
+		rate := limit.NewRate
+		if b.claimed {
+			rate = limit.Rate
+		}
+		b.fill(rate, min(now, b.settled))
 	}
 	b.fill(limit.Rate, now)
 	return b
@@ -161,7 +189,57 @@
 		b.level += rate * (until - b.filledAt).Seconds()
 		b.filledAt = until
 	}
-	b.level = max(0, min(b.level, b.bound.Capacity-b.charged))
+	b.limitLevel()
+}
+
+// limitLevel cuts the level to what there is room for.
+func (b *quotaBucket) limitLevel() {
+	room := b.bound.Capacity - b.charged
+	b.level = max(0, min(b.level, room))
+	if b.filledAt < b.settled {
+		room -= b.bound.Out // what nodes may hold of a leader that kept the reserve
+	}
+	b.unclaimed = max(0, min(b.unclaimed, room-b.level))
+	if b.claimed && b.filledAt < b.settled {
+		b.level = max(0, min(b.level, room))
+	}
+}
+
+// claim adds the reserve that the leader before has kept.
+func (b *quotaBucket) claim() {
+	if b.claimed {
+		return
+	}
+	b.claimed = true
+	b.limitLevel()
+	b.level += b.unclaimed
+	b.unused = min(b.bound.Burst, b.unused+b.unclaimed)
+}
+
+// keep reports whether the leader can give its word, and from then on must keep it, that the level will not fall below the
+// reserve. What nodes hold is then no more than Out, as nothing is left of earlier leaders.
+func (b *quotaBucket) keep(now time.Duration) bool {
+	full := b.level >= b.bound.Reserve && b.level+b.charged >= fullShare*b.bound.Capacity
+	b.keeps = b.keeps || now >= b.settled && full && b.charged <= b.bound.Out
+	return b.keeps
+}
+
+// spare returns what the leader may hand out.
+func (b *quotaBucket) spare() float64 {
+	if b.keeps {
+		return b.level - b.bound.Reserve
+	}
+	return b.level
+}
+
+// outRoom returns what nodes may hold in addition.
+func (b *quotaBucket) outRoom() float64 {
+	if b.claimed && b.filledAt < b.settled {
+		// Unlike a bucket that begins empty, this one could otherwise hand out all at once.
+		sinceBegan := chargeTTL - (b.settled - b.filledAt)
+		return min(b.bound.Out, max(b.bound.OutAll-b.bound.Out, b.bound.NewRate*sinceBegan.Seconds())) - b.charged
+	}
+	return b.bound.Out - b.charged
 }
 
 // count counts what was used and refused.
@@ -196,7 +274,8 @@
 	b.charged += held - a.charge
 	a.charge, a.used = held, used
 	b.unused = min(b.bound.Burst, b.unused+unused)
-	b.level = max(0, min(b.level+unused, b.bound.Capacity-b.charged))
+	b.level += unused
+	b.limitLevel()
 	return spent
 }
 
@@ -215,12 +294,12 @@
 	maps.DeleteFunc(b.waiting, func(_ memberID, n need) bool { return now > n.until })
 	delete(b.waiting, id)
 	var g ShareGrant
-	room := b.bound.Out - b.charged
+	room, spare := b.outRoom(), b.spare()
 	g.Return = room < 0
 	if s.Need <= 0 {
 		switch {
 		case len(b.waiting) == 0 && s.Ahead > 0:
-			g.Amount = math.Floor(max(0, min(s.Ahead, b.bound.Ahead-b.charged, b.level*aheadGrantShare)))
+			g.Amount = math.Floor(max(0, min(s.Ahead, b.bound.Ahead-b.charged, room, spare*aheadGrantShare)))
 		case b.lacksRoom(room):
 			g.Return = true
 		}
@@ -235,7 +314,7 @@
 			ahead += other.amount
 		}
 	}
-	if free := min(b.level-ahead, room); free >= s.Need {
+	if free := min(spare-ahead, room); free >= s.Need {
 		g.Amount = s.Need
 	} else if free >= s.First {
 		g.Amount = max(s.First, math.Floor(free))
@@ -248,7 +327,7 @@
 		}
 		b.waiting[id] = n
 		g.In = b.timeUntil(ahead+n.first, now)
-		g.Later = b.recovering(now) || b.level >= all+n.amount
+		g.Later = b.recovering(now) || b.spare() >= all+n.amount
 		g.In, g.Backlog = max(g.In, minAskAgain), seconds(b.backlog/b.bound.Rate)
 	}
 	return g, true
@@ -256,14 +335,14 @@
 
 // recovering reports whether the bucket is low only because the leader is new.
 func (b *quotaBucket) recovering(now time.Duration) bool {
-	b.filled = b.filled || b.level+b.charged >= b.bound.Burst
+	b.filled = b.filled || now >= b.settled && b.level+b.charged >= b.bound.Burst+b.bound.Reserve
 	return !b.filled && now < b.settled+recoverTime
 }
 
 // lacksRoom reports whether calls wait only because of what other nodes hold.
 func (b *quotaBucket) lacksRoom(room float64) bool {
 	for _, n := range b.waiting {
-		if n.first > room && n.first <= b.level {
+		if n.first > room && n.first <= b.spare() {
 			return true
 		}
 	}
@@ -272,7 +351,7 @@
 
 // timeUntil returns the time until the leader's part is expected to reach an amount.
 func (b *quotaBucket) timeUntil(amount float64, now time.Duration) time.Duration {
-	missing := max(0, amount-b.level)
+	missing := max(0, amount-b.spare())
 	if missing == 0 {
 		return 0
 	}
--- a/ratelimit/shares.go
+++ b/ratelimit/shares.go
@@ -62,6 +62,9 @@
 	tenants map[string]*share
 	// sent holds the use by tenant that the latest report told.
 	sent map[string]float64
+	// retell is set from the beginning of a term until its leader has answered a report of the earlier leader's word on all
+	// reserves.
+	retell bool
 }
 
 // share is the node's part of one tenant's quota.
@@ -84,6 +87,8 @@
 	// last report.
 	backlog time.Duration
 	refused float64
+	// kept is the latest word that a leader keeps the reserve.
+	kept KeptReserve
 	// average is the use per second, as of averagedAt; largest is the cost of the dearest call lately.
 	average, largest float64
 	averagedAt       time.Duration
@@ -299,7 +304,7 @@
 	s.sent = map[string]float64{}
 	for tenant, sh := range s.tenants {
 		sh.expire(s.term, now)
-		if state, ok := sh.state(tenant, s.term, now); ok {
+		if state, ok := sh.state(tenant, s.term, now); ok || s.retell && sh.kept.Term > 0 {
 			r.Shares = append(r.Shares, state)
 			s.sent[tenant] = sh.used
 		}
@@ -309,7 +314,7 @@
 
 // state returns what a report says of the tenant, and false if it needs to say nothing.
 func (sh *share) state(tenant string, term uint64, now time.Duration) (Share, bool) {
-	state := Share{Tenant: tenant, Used: sh.used, Refused: sh.refused}
+	state := Share{Tenant: tenant, Used: sh.used, Refused: sh.refused, Kept: sh.kept}
 	sh.refused = 0
 	if len(sh.waiting) == 0 {
 		wanted := sh.wanted(now)
@@ -345,6 +350,7 @@
 	if answer.Term > s.term {
 		s.beginTerm(answer.Term, now)
 	} else {
+		s.retell = false
 		for tenant, used := range s.sent {
 			sh := s.tenants[tenant]
 			sh.reported = used
@@ -353,6 +359,9 @@
 			}
 		}
 	}
+	for _, tenant := range answer.Kept {
+		s.of(tenant).kept = KeptReserve{answer.Term, answer.Version}
+	}
 	for _, g := range answer.Grants {
 		sh := s.of(g.Tenant)
 		sh.expire(s.term, now)
@@ -379,7 +388,7 @@
 		sh.current = purse{}
 		sh.used, sh.reported = 0, 0
 	}
-	s.term = term
+	s.term, s.retell = term, true
 }
 
 // refuseLate refuses the calls that wait and for which the leader's word lets expect no room in time.
