connlimit, edge: bodies in progress aren't cut for a crowd; refusals of bodies can be read

Cause: TestUncontrolledBodies failed in 3 of about 48 runs beside load with "connection reset by peer". A trace showed the cut: with the memory of bodies full, a caller of the crowd that had sent no byte of its body (41 us old) cut the ordinary caller's, of which 1 MiB had come in 18 ms. The oldest body goes, and the order in which handlers start isn't that in which callers came.

Now a call that needs memory is not read on for a while (a second in all), and the body goes whose caller has sent nothing for longest, 0.1 s or more, or else the oldest one that has taken a second. A caller that drips bytes still can't keep the memory.

A second fault, found by reading: the wrapper around a body hid from net/http that it was not read to its end. The connection was closed at once with unread bytes, which resets it and may lose the refusal that says "not run". net/http sees its own body again now and keeps the connection for half a second.

Tests: TestOldestBodyMakesRoom is now TestSilentBodyMakesRoom: it asks for the same cuts in the same order, after 0.1 s, and for none before, since the rule changed. TestBodyInProgressStays and TestRefusalOfBodyCanBeRead are new; the latter failed before (no answer). Crowds and bounds of test/integration are as they were.

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -66,6 +66,8 @@
 	write writeState
 	// bodyBytes counts what was received of the body of the current request.
 	bodyBytes atomic.Int64
+	// awaited is since when the server has waited for bytes of a body, as a Unix time in nanoseconds; zero while it does not.
+	awaited atomic.Int64
 
 	// The fields below are protected by the guard's mu.
 	in         *connList
@@ -165,7 +167,11 @@
 	if fromRest {
 		n = copy(p, c.rest)
 	} else {
+		if c.phase.Load() == phaseBody {
+			c.awaited.Store(time.Now().UnixNano())
+		}
 		n, err = c.Conn.Read(p)
+		c.awaited.Store(0)
 	}
 	phase := c.phase.Load()
 	if phase != phaseHead && phase != phaseIdle {
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -8,6 +8,7 @@
 package connlimit
 
 import (
+	"cmp"
 	"net"
 	"net/http"
 	"sync"
@@ -282,29 +283,47 @@
 	return fits
 }
 
-// CutOldestBody closes the connection whose body has been incomplete longest, of those of which at least minBytes have been received. It
-// reports whether there was one that is older than the body of r.
-func (g *Guard) CutOldestBody(r *http.Request, minBytes int64) bool {
+const (
+	// silentTime is how long a caller must have sent nothing of its body for the body to make room for others.
+	silentTime = 100 * time.Millisecond
+	// slowBodyTime is how long a body must have been incomplete to make room for others although its caller goes on sending.
+	slowBodyTime = time.Second
+)
+
+// CutBody closes the connection of an incomplete body of which at least minBytes have been received: that whose caller has sent
+// nothing for longest, silentTime or more, or else the oldest one, if it is older than slowBodyTime and than the body of r. It reports
+// whether there was one.
+func (g *Guard) CutBody(r *http.Request, minBytes int64) bool {
 	own, _ := r.Context().Value(contextKey{}).(*Conn)
+	now := time.Now()
+	earliest, eldest := now.Add(-silentTime).UnixNano(), now.Add(-slowBodyTime)
 	g.mu.Lock()
-	var oldest *Conn
+	if own != nil && own.since.Before(eldest) {
+		eldest = own.since
+	}
+	var silent, oldest *Conn
 	for _, l := range g.listeners {
-		at := l.incomplete.front
-		for at != nil && (at.phase.Load() != phaseBody || at.bodyBytes.Load() < minBytes) {
-			at = at.next
-		}
-		if at != nil && (oldest == nil || at.since.Before(oldest.since)) {
-			oldest = at
+		for at := l.incomplete.front; at != nil; at = at.next {
+			if at == own || at.phase.Load() != phaseBody || at.bodyBytes.Load() < minBytes {
+				continue
+			}
+			if since := at.awaited.Load(); since != 0 && since <= earliest {
+				silent, earliest = at, since
+			}
+			if at.since.Before(eldest) {
+				oldest, eldest = at, at.since
+			}
 		}
 	}
-	if oldest == nil || oldest == own || own != nil && own.since.Before(oldest.since) {
+	victim := cmp.Or(silent, oldest)
+	if victim == nil {
 		g.mu.Unlock()
 		return false
 	}
-	cut := oldest.describe(BodiesFull)
-	oldest.forget()
+	cut := victim.describe(BodiesFull)
+	victim.forget()
 	g.mu.Unlock()
-	g.closeAll([]*Conn{oldest}, []Cut{cut})
+	g.closeAll([]*Conn{victim}, []Cut{cut})
 	return true
 }
 
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -332,8 +332,8 @@
 	})
 }
 
-// TestOldestBodyMakesRoom cuts bodies that are incomplete, and neither heads nor small or whole bodies.
-func TestOldestBodyMakesRoom(t *testing.T) {
+// TestSilentBodyMakesRoom cuts bodies whose callers have been silent for a while, and neither heads nor small or whole bodies.
+func TestSilentBodyMakesRoom(t *testing.T) {
 	serve(t, 0, ListenerOptions{}, func(f *fixture) {
 		head := "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s"
 		part := strings.Repeat("x", 1000)
@@ -342,8 +342,13 @@
 		time.Sleep(time.Millisecond)
 		second := f.dial(fmt.Sprintf(head, "/a", 2000, part))
 		r := &http.Request{}
+		time.Sleep(silentTime - 2*time.Millisecond)
+		if f.guard.CutBody(r, 1000) {
+			t.Error("a body was cut whose caller was not silent for long")
+		}
+		time.Sleep(2 * time.Millisecond)
 		for _, want := range []bool{true, true, false} {
-			if f.guard.CutOldestBody(r, 1000) != want {
+			if f.guard.CutBody(r, 1000) != want {
 				t.Errorf("a body was cut: %v", !want)
 			}
 			if _, ended := second.state(); want && first.Conn != nil && ended == (len(f.cuts) == 1) {
@@ -356,6 +361,44 @@
 	})
 }
 
+// TestBodyInProgressStays has a body that goes on arriving, and others that began later and stopped.
+func TestBodyInProgressStays(t *testing.T) {
+	serve(t, 0, ListenerOptions{}, func(f *fixture) {
+		head := "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4000\r\n\r\n"
+		part := strings.Repeat("x", 1000)
+		goesOn := f.dial(head + part)
+		time.Sleep(time.Millisecond)
+		stopped := f.dial(head + part)
+		time.Sleep(60 * time.Millisecond)
+		goesOn.send(part)
+		time.Sleep(60 * time.Millisecond)
+		r := &http.Request{}
+		if !f.guard.CutBody(r, 1000) || f.guard.CutBody(r, 1000) {
+			t.Error("not just one body was cut")
+		}
+		stopped.expect(t, "", true)
+		for range 20 {
+			time.Sleep(60 * time.Millisecond)
+			goesOn.send("x")
+		}
+		if !f.guard.CutBody(r, 1000) {
+			t.Error("a slow body was not cut")
+		}
+		goesOn.expect(t, "", true)
+	})
+}
+
+// TestRefusalOfBodyCanBeRead refuses a body of which most was not read. The connection stays for a while: closing it at once would
+// reset it, which may lose the refusal.
+func TestRefusalOfBodyCanBeRead(t *testing.T) {
+	serve(t, 0, ListenerOptions{}, func(f *fixture) {
+		c := f.dial("POST /unread HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\nab")
+		c.expect(t, "200", false)
+		time.Sleep(time.Second)
+		c.expect(t, "200", true)
+	})
+}
+
 // TestUnreadAnswers has callers that read no answer, and one whose call runs, take all connections.
 func TestUnreadAnswers(t *testing.T) {
 	serve(t, 0, ListenerOptions{MaxOpen: 3}, func(f *fixture) {
--- a/internal/connlimit/http.go
+++ b/internal/connlimit/http.go
@@ -27,6 +27,10 @@
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength != 0 {
 			if c, ok := r.Context().Value(contextKey{}).(*Conn); ok {
+				// The server looks at its own body afterwards: it keeps the connection for a while if the body was not read to its
+				// end, so that the caller can read a refusal.
+				own := r.Body
+				defer func() { r.Body = own }()
 				c.beginBody(r)
 			}
 		}
--- a/internal/edge/connections.go
+++ b/internal/edge/connections.go
@@ -41,15 +41,29 @@
 	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(min(patience, c.route.Timeout)))
 }
 
-// bodyReleaseTime bounds the wait for the memory of a body whose connection was cut: its call ends when it reads on.
-const bodyReleaseTime = 100 * time.Millisecond
+const (
+	// bodyReleaseTime bounds the wait for the memory of a body whose connection was cut: its call ends when it reads on.
+	bodyReleaseTime = 100 * time.Millisecond
+	// bodyRoomTime bounds how long a call waits in all for memory. Its caller, or the upstream that answers it, can't send on meanwhile.
+	bodyRoomTime = time.Second
+	// bodyRoomInterval is the interval at which a waiting call looks for memory.
+	bodyRoomInterval = 2 * time.Millisecond
+)
 
-// makeRoomForBody frees memory that a body takes which has been incomplete for longer than that of this call. It reports whether there
-// was one.
+// makeRoomForBody waits until there is more memory for bodies. It cuts bodies whose callers do not send, or take long. It reports
+// whether some memory became free.
 func (c *call) makeRoomForBody() bool {
 	before := c.edge.bodies.Used()
-	if !c.edge.guard.CutOldestBody(c.r, minCutBody) {
-		return false
+	for !c.edge.guard.CutBody(c.r, minCutBody) {
+		if c.waitedForRoom >= bodyRoomTime || c.r.Context().Err() != nil {
+			return false
+		}
+		start := boottime.Now()
+		time.Sleep(bodyRoomInterval)
+		c.waitedForRoom += boottime.Now() - start
+		if c.edge.bodies.Used() < before {
+			return true
+		}
 	}
 	for end := boottime.Now() + bodyReleaseTime; c.edge.bodies.Used() >= before && boottime.Now() < end; {
 		time.Sleep(time.Millisecond)
