edge, upstreamconn: streams of an upstream that starts again unannounced are not joined

Cause: an upstream that starts again under its ID and address with other software, and answers before its announcement, was taken for the one before. Its streams began at a version that they did not have, and were taken up at another. Answers do not tell when their upstream started.

Change: the end of a process ends all its connections. An entry node notes kept connections that their upstream ended before their idle time, and connections that it aborted itself. If such an end came since the incarnation was last known to run and no older connection is left, the node asks the upstream when it started before the first event of a stream that can be resumed is passed on; if that does not tell and the upstream ended the connection, it asks the leader, which answers with the next announcement. With several versions in service the lack of an older connection is enough to ask. If the upstream has started again the attempt counts as lost. Earlier control nodes do not know the question; streams go on as before.

Found on the way: what ends a call (caller gone, deadline, stall, stop) could close its connection after that had gone back to the pool and carried the next call, which was lost. It now closes the connection of its own call only.

Ruled out: comparing the announced start with the time of the connection (clocks differ); holding every first event until the next announcement (rare streams would wait half a second on average); correcting the record later (a stream that was over before the announcement belongs to either process).

--- a/dispatch/version.go
+++ b/dispatch/version.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // SetBases records the leader's answer on the base versions, which this node asked for at askedAt.
 func (d *Dispatcher) SetBases(bases map[string]string, askedAt time.Duration) {
@@ -35,3 +38,9 @@
 	}
 	return false
 }
+
+// HasSeveralVersions reports whether upstreams with different software versions serve a service.
+func (d *Dispatcher) HasSeveralVersions(service string) bool {
+	upstreams := d.byService[service]
+	return slices.ContainsFunc(upstreams, func(u *upstream) bool { return u.desc.Software != upstreams[0].desc.Software })
+}
--- a/internal/controller/export_test.go
+++ b/internal/controller/export_test.go
@@ -36,6 +36,15 @@
 	return answer.(nodelink.FindStreamAnswer), nil
 }
 
+// ConfirmUpstream tells whether an incarnation of an upstream still runs, as to an entry node.
+func (c *Controller) ConfirmUpstream(ctx context.Context, i fleet.Incarnation) (nodelink.ConfirmUpstreamAnswer, error) {
+	answer, err := c.serveConfirmUpstream(ctx, "front", i)
+	if err != nil {
+		return nodelink.ConfirmUpstreamAnswer{}, err
+	}
+	return answer.(nodelink.ConfirmUpstreamAnswer), nil
+}
+
 // Depart proposes a departure, as a leader of another version would.
 func (c *Controller) Depart(ctx context.Context, d confstate.Departure) error {
 	_, err := c.propose(ctx, confstate.Command{Depart: &d})
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -32,6 +32,7 @@
 	mux.Handle(nodelink.Quotas, typedHandler(c.serveQuotas))
 	mux.Handle(nodelink.RecordStreams, typedHandler(c.serveRecordStreams))
 	mux.Handle(nodelink.FindStream, typedHandler(c.serveFindStream))
+	mux.Handle(nodelink.ConfirmUpstream, typedHandler(c.serveConfirmUpstream))
 	mux.Handle(nodelink.LastOrder, typedHandler(c.serveLastOrder))
 	mux.Handle(nodelink.Join, typedHandler(c.serveJoin))
 	mux.Handle(nodelink.Announce, typedHandler(func(ctx context.Context, _ string, r nodelink.AnnounceRequest) (any, error) {
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -375,9 +375,10 @@
 	c.conn = conn
 	// Closing the connection cancels the call at the upstream when the caller leaves or
 	// the deadline passes.
-	stop := context.AfterFunc(ctx, conn.Close)
+	abort := conn.Aborter()
+	stop := context.AfterFunc(ctx, abort)
 	defer stop()
-	defer context.AfterFunc(c.edge.ending, conn.Close)()
+	defer context.AfterFunc(c.edge.ending, abort)()
 	if err := conn.Send(c.upstreamRequest(u)); err != nil {
 		conn.Close()
 		if errors.Is(err, upstreamconn.ErrNotSent) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -11,10 +11,12 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/agateslip/agateslip/confstate"
 	"github.com/agateslip/agateslip/dispatch"
@@ -90,6 +92,10 @@
 	lastCallID atomic.Uint64
 	// streams records the streams that begin here.
 	streams *streamRecorder
+	// proofs are the questions whether an upstream has started again, by incarnation.
+	proofs singleflight.Group
+	// silentServices holds, by service, until when upstreams are not asked when they started.
+	silentServices sync.Map
 	// stopping is set once Stop was called: the node reports itself as not ready.
 	stopping atomic.Bool
 	// guard and shares limit the connections to the process.
@@ -153,6 +159,8 @@
 	unlistedSince time.Duration
 	// saidLeaving is set once the upstream said with an answer that it is leaving.
 	saidLeaving bool
+	// provedAt is the latest time, on the clock of package boottime, at which this incarnation is known to have run.
+	provedAt time.Duration
 }
 
 // Option overrides a dependency of an entry node.
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -281,8 +281,11 @@
 			"limited": u.RateLimit.Limited, "perSecond": u.RateLimit.PerSecond,
 		})
 	}
-	saidLeaving := ok && previous.saidLeaving && previous.desc.Born == u.Born
-	e.upstreams[u.ID] = knownUpstream{desc: *u, saidLeaving: saidLeaving}
+	next := knownUpstream{desc: *u, provedAt: boottime.Now()}
+	if ok && previous.desc.Born == u.Born {
+		next.saidLeaving, next.provedAt = previous.saidLeaving, previous.provedAt
+	}
+	e.upstreams[u.ID] = next
 	return true
 }
 
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -202,7 +202,7 @@
 		}
 		checked = true
 		if !c.relayEvent(event) {
-			conn.Close()
+			conn.Abort()
 			return dispatch.Abandoned, outcomeCallerLeft
 		}
 	}
--- a/internal/edge/stall.go
+++ b/internal/edge/stall.go
@@ -17,7 +17,7 @@
 	if !c.route.MayRepeat() || c.possibleRuns+1 >= c.route.Attempts {
 		return func() {}
 	}
-	w := &stallWatch{call: c, callID: c.attemptID, upstream: u, conn: conn, silenceStart: boottime.Now(), ended: make(chan struct{})}
+	w := &stallWatch{call: c, callID: c.attemptID, upstream: u, conn: conn, abort: conn.Aborter(), silenceStart: boottime.Now(), ended: make(chan struct{})}
 	w.nextCheck = w.silenceStart + firstStallCheck
 	firstTimer := time.AfterFunc(firstStallCheck, w.postCheck)
 	return func() {
@@ -43,6 +43,8 @@
 	callID   dispatch.CallID
 	upstream *fleet.Upstream
 	conn     *upstreamconn.Conn
+	// abort closes the connection while it carries the attempt.
+	abort func()
 	// silenceStart is the earliest time from which silence counts; nextCheck is when
 	// the next check is due.
 	silenceStart, nextCheck time.Duration
@@ -75,7 +77,7 @@
 			"upstream": w.upstream.ID, "silentMillis": (now - max(lastRead, w.silenceStart)).Milliseconds(),
 		})
 		w.call.movedOnStall.Store(true)
-		w.conn.Close()
+		w.abort()
 	case s.Check > 0:
 		w.nextCheck = s.Check
 		time.AfterFunc(s.Check-now, w.postCheck)
--- a/internal/edge/stall_test.go
+++ b/internal/edge/stall_test.go
@@ -52,7 +52,7 @@
 	c.dispatchCall = dispatch.Call{ID: 1, Service: "s", Arrived: sent, Target: sent + time.Second, LatestStart: sent + 8*time.Second}
 	verdicts := e.dispatcher.Submit(c.dispatchCall, sent)
 	return &stallWatch{
-		call: c, callID: 1, upstream: verdicts[0].Upstream, conn: conn, silenceStart: sent, nextCheck: sent + firstStallCheck,
+		call: c, callID: 1, upstream: verdicts[0].Upstream, conn: conn, abort: conn.Aborter(), silenceStart: sent, nextCheck: sent + firstStallCheck,
 		ended: make(chan struct{}),
 	}
 }
--- a/internal/edge/streams.go
+++ b/internal/edge/streams.go
@@ -96,23 +96,45 @@
 	if !c.pinned.Load() && !c.pin(u) {
 		return false
 	}
+	began := boottime.Now()
 	for {
-		same, recent := false, false
+		same, recent, several := false, false, false
+		provedAt := boottime.Now() // for an upstream that the leader no longer lists
 		err := c.edge.loop.Do(c.r.Context(), func() {
 			known, ok := c.edge.upstreams[u.ID]
+			if ok {
+				provedAt = known.provedAt
+			}
 			same = !ok || known.desc.Born == u.Born
 			recent = boottime.Now()-c.edge.upstreamsAskedAt <= maxListAge
+			several = c.route.MayRepeat() && c.edge.dispatcher.HasSeveralVersions(u.Service)
 		})
 		if err != nil || !same {
 			return false
 		}
-		if recent || !c.takesUpStream() {
-			return true
+		if !recent && c.takesUpStream() {
+			c.awaitList()
+		} else {
+			doubtful, how := c.mayHaveStartedAgain(provedAt, several)
+			if !doubtful {
+				return true
+			}
+			switch c.awaitProof(u, how) {
+			case proofReplaced:
+				return false
+			case proofNone:
+				return true
+			case proofPending:
+				if !several && boottime.Now()-began >= proofPatience {
+					return true
+				}
+			case proofRunning:
+				// Look again: the answer may be older than the connection.
+			}
 		}
 		if boottime.Now() >= c.deadline || c.edge.ending.Err() != nil {
 			return false
 		}
-		c.awaitList()
 	}
 }
 
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -39,6 +39,9 @@
 	RecordStreams = "control.recordStreams"
 	// FindStream asks at which software version a stream began.
 	FindStream = "control.findStream"
+	// ConfirmUpstream asks whether an incarnation of an upstream still runs. It is answered once the upstream has
+	// announced itself again.
+	ConfirmUpstream = "control.confirmUpstream"
 	// LastOrder asks a control node when it last sent an order to an engine.
 	LastOrder = "control.lastOrder"
 )
@@ -196,6 +199,14 @@
 	Known bool `json:"known"`
 }
 
+// ConfirmUpstreamAnswer tells whether an incarnation of an upstream, which the request names, still runs.
+type ConfirmUpstreamAnswer struct {
+	// Running is set if it announced itself after the request arrived.
+	Running bool `json:"running,omitempty"`
+	// Replaced is set if a later incarnation announced itself.
+	Replaced bool `json:"replaced,omitempty"`
+}
+
 // RateLimit is what an entry node knows of the rate limit of an upstream.
 type RateLimit struct {
 	Upstream fleet.Incarnation `json:"u"`
--- a/internal/upstreamconn/conn.go
+++ b/internal/upstreamconn/conn.go
@@ -11,12 +11,15 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/agateslip/agateslip/internal/boottime"
 )
 
 // maxInlineBody is the largest body in bytes that is written before the answer is read.
@@ -53,6 +56,9 @@
 	// lastRead is shared by all connections to the address; see LastRead.
 	lastRead *atomic.Int64
 	closed   atomic.Bool
+	// releases counts how often the connection went back to the pool. mu guards it.
+	mu       sync.Mutex
+	releases int
 
 	// carried holds the hashes of the IDs of all calls on this connection, the current one last.
 	carried []uint64
@@ -68,6 +74,9 @@
 	response *http.Response
 	// idleUntil is when the idle connection expires.
 	idleUntil time.Time
+	// openedAt is when the connection was opened, and sentAt when the current call was sent, on the clock of package
+	// boottime.
+	openedAt, sentAt time.Duration
 }
 
 // Provenance tells what is known of the origin of the current answer.
@@ -103,18 +112,27 @@
 	if now.After(c.idleUntil) || c.reader.Buffered() > 0 {
 		return false
 	}
+	open, ended := c.peek()
+	if ended {
+		c.noteEnd(EndedByUpstream)
+	}
+	return open
+}
+
+// peek reports whether an idle connection is open without bytes to read, and whether its upstream has ended it.
+func (c *Conn) peek() (open, ended bool) {
 	raw, err := c.conn.(syscall.Conn).SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	noData := false
 	err = raw.Read(func(fd uintptr) bool {
 		var peeked [1]byte
-		_, _, err := unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		noData = errors.Is(err, unix.EAGAIN)
+		n, _, err := unix.Recvfrom(int(fd), peeked[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		open = errors.Is(err, unix.EAGAIN)
+		ended = err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
 		return true
 	})
-	return err == nil && noData
+	return err == nil && open, err == nil && ended
 }
 
 // Send writes a call. Its error is marked ErrNotSent if no byte was written.
@@ -128,7 +146,7 @@
 		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(r.Body))
 	}
 	head.WriteString("\r\n")
-	c.method = r.Method
+	c.method, c.sentAt = r.Method, boottime.Now()
 	first := []byte(head.String())
 	rest := r.Body
 	if len(rest) <= maxInlineBody {
@@ -240,7 +258,27 @@
 	}
 	c.response = nil
 	c.idleUntil = time.Now().Add(idle)
-	c.pool.putIdle(c)
+	c.mu.Lock()
+	c.releases++
+	c.mu.Unlock()
+	if !c.closed.Load() {
+		c.pool.putIdle(c)
+	}
+}
+
+// Aborter returns a function that closes the connection unless it was released since: whoever ends a call must not end
+// the next one on the connection.
+func (c *Conn) Aborter() func() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	releases := c.releases
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.releases == releases {
+			c.Abort()
+		}
+	}
 }
 
 // retiring reports whether the connection leads through a node that stops.
@@ -275,7 +313,7 @@
 func (c *Conn) Close() {
 	if c.closed.CompareAndSwap(false, true) {
 		c.conn.Close()
-		c.pool.connClosed(c.addr)
+		c.pool.forgetConn(c)
 	}
 }
 
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -74,6 +74,9 @@
 	limit int
 	open  int
 	idle  []*Conn
+	// conns holds the open connections, idle ones included, and ends tells of others.
+	conns map[*Conn]struct{}
+	ends  ends
 	// forgotten is set if the address is no longer used: the state is dropped with the last connection.
 	forgotten bool
 }
@@ -121,6 +124,9 @@
 	idle := h.idle
 	h.idle = nil
 	h.open -= len(idle)
+	for _, c := range idle {
+		delete(h.conns, c)
+	}
 	if h.forgotten = true; h.open == 0 {
 		delete(p.hosts, addr)
 	}
@@ -141,7 +147,7 @@
 func (p *Pool) host(addr string) *host {
 	h := p.hosts[addr]
 	if h == nil {
-		h = &host{}
+		h = &host{conns: map[*Conn]struct{}{}}
 		p.hosts[addr] = h
 	}
 	return h
@@ -200,10 +206,25 @@
 	if _, relayed := conn.(interface{ Relayed() bool }); !relayed {
 		source.lastDirectRead = &p.lastDirectRead
 	}
-	return &Conn{
+	c := &Conn{
 		pool: p, addr: addr, number: number, conn: conn, lastRead: lastRead, source: source, carried: []uint64{call},
-		reader: bufio.NewReaderSize(source, readBufferSize),
-	}, nil
+		reader: bufio.NewReaderSize(source, readBufferSize), openedAt: boottime.Now(),
+	}
+	source.failed = c.noteReadError
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.host(addr).conns[c] = struct{}{}
+	return c, nil
+}
+
+// forgetConn removes a connection that was closed.
+func (p *Pool) forgetConn(c *Conn) {
+	p.mu.Lock()
+	if h := p.hosts[c.addr]; h != nil {
+		delete(h.conns, c)
+	}
+	p.mu.Unlock()
+	p.connClosed(c.addr)
 }
 
 // LastRead returns when a byte was last read from any connection to an address, on the clock
@@ -237,6 +258,9 @@
 	// lastDirectRead is nil for a connection through another node.
 	lastDirectRead *atomic.Int64
 	left           int64
+	// readAt is when a byte was last read from this connection. failed is called with the errors of reads.
+	readAt atomic.Int64
+	failed func(error)
 }
 
 // errTooManyBytes means that an upstream sent too much before the answer to a call began.
@@ -252,10 +276,14 @@
 		s.left -= int64(n)
 		now := int64(boottime.Now())
 		s.lastRead.Store(now)
+		s.readAt.Store(now)
 		if s.lastDirectRead != nil {
 			s.lastDirectRead.Store(now)
 		}
 	}
+	if err != nil && s.failed != nil {
+		s.failed(err)
+	}
 	return n, err
 }
 
