edge: only engines are asked when they started

A plain service may take GET /report for a call of a caller and run it. Its streams keep the leader's word.

--- a/internal/edge/proof.go
+++ b/internal/edge/proof.go
@@ -65,14 +65,18 @@
 	return may && (several || how != upstreamconn.NoEnding), how
 }
 
-// awaitProof asks whether an upstream has started again: itself, and if it does not tell and ended a connection, the
-// leader, which waits for its next announcement. All calls that need to know share one question.
+// awaitProof asks whether an upstream has started again: itself if it is an engine, since others may take the question for a
+// call, and if it does not tell and ended a connection, the leader, which waits for its next announcement. All calls that
+// need to know share one question.
 func (c *call) awaitProof(u *fleet.Upstream, how upstreamconn.Ending) proof {
 	c.awaitsRecord.Store(true)
 	defer c.awaitsRecord.Store(false)
 	began := boottime.Now()
 	asked := c.edge.proofs.DoChan(fmt.Sprint(u.ID, "@", u.Born, how), func() (any, error) {
-		found := c.edge.askUpstream(u)
+		found := proofNone
+		if c.forEngine {
+			found = c.edge.askUpstream(u)
+		}
 		if found == proofNone && how == upstreamconn.EndedByUpstream {
 			found = c.edge.askLeader(fleet.Incarnation{ID: u.ID, Born: u.Born})
 		}
