--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -74,6 +74,7 @@
 			c.kill(i)
 			if t.Failed() {
 				t.Logf("node %d:\n%s", i, c.nodes[i].log.Tail(3000))
+				c.nodes[i].log.KeepIfFailed(t, c.nodes[i].cfg.Node)
 			}
 		}
 	})
