connlimit: connections of failed bodies and of requests not begun make room

- A body that broke off went to the running connections, which nobody cuts.
Since refused bodies can be read, the server keeps such a connection for half a second, so 62 of 64 were callers that had left (a trace: 936 bytes held, no byte of the body, 38 to 45 ms), and the ordinary caller's connection was closed on arrival.
- A whole head counted as running before its handler began.
A crowd whose handlers are not yet scheduled could take all connections.

Failed bodies count with the failed heads, which go first. Whole heads have a list of their own, which goes last, before blocked answers. A request whose connection went that way does not run, so that a caller may take it for one that did not.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -144,9 +144,10 @@
 
 	// The fields below are protected by guard.mu. The lists are in the order in which their connections became so.
 	open int
-	// running has the connections whose heads are whole and whose answers are not yet written, unless their body is incomplete.
-	incomplete, running, idle, failed connList
-	perAddress                        map[string]int
+	// whole has the connections whose heads are whole and whose handlers have not begun, running those whose handlers have, unless
+	// their body is incomplete. failed has those whose head or body did not arrive, which are about to be closed.
+	incomplete, whole, running, idle, failed connList
+	perAddress                               map[string]int
 }
 
 // Listen returns a listener whose connections are *Conn. They count as incomplete until Conn.Establish.
@@ -221,7 +222,7 @@
 	case o.MaxPerAddress > 0 && l.perAddress[address] >= o.MaxPerAddress:
 		return nil, AddressFull
 	case o.MaxOpen > 0 && l.open >= o.MaxOpen:
-		for _, list := range []*connList{&l.failed, &l.incomplete, &l.idle} {
+		for _, list := range []*connList{&l.failed, &l.incomplete, &l.idle, &l.whole} {
 			if list.front != nil {
 				return list.front, ""
 			}
@@ -257,8 +258,7 @@
 		c.wait(&c.listener.incomplete)
 	}
 	if c.wholeHead {
-		// The server's hook and its handler run later.
-		c.wait(&c.listener.running)
+		c.wait(&c.listener.whole)
 	}
 	g.heads += bytes
 	c.held += bytes
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -267,6 +268,55 @@
 	is.NoErr(whole.SetDeadline(time.Now())) // fails on a closed connection
 }
 
+// TestWholeHeadsMakeRoomForConnections opens connections while the requests of all others have arrived and not begun. The oldest one
+// goes, and its request does not run.
+func TestWholeHeadsMakeRoomForConnections(t *testing.T) {
+	is := is.New(t)
+	p := &pipes{make(chan net.Conn, 3)}
+	ran := 0
+	server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran++ })}
+	l := New(0, nil).Protect(server, p, ListenerOptions{MaxOpen: 2})
+	var accepted []*Conn
+	for range 3 {
+		near, far := net.Pipe()
+		t.Cleanup(func() { near.Close() })
+		p.conns <- far
+		c, err := l.Accept()
+		is.NoErr(err)
+		go func() { _, _ = io.WriteString(near, ordinary) }()
+		_, err = c.Read(make([]byte, 4<<10))
+		is.NoErr(err)
+		accepted = append(accepted, c.(*Conn))
+	}
+	for i, c := range accepted {
+		cut := false
+		func() {
+			defer func() { cut = recover() != nil }()
+			r, err := http.NewRequestWithContext(context.WithValue(t.Context(), contextKey{}, c), http.MethodGet, "/", nil)
+			is.NoErr(err)
+			server.Handler.ServeHTTP(nil, r)
+		}()
+		is.Equal(cut, i == 0)
+	}
+	is.Equal(ran, 2)
+}
+
+// TestFailedBodiesMakeRoom has callers leave within their bodies.
+func TestFailedBodiesMakeRoom(t *testing.T) {
+	serve(t, 0, ListenerOptions{MaxOpen: 3}, func(f *fixture) {
+		for range 3 {
+			f.dial("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5000000\r\n\r\nab").Close()
+		}
+		synctest.Wait()
+		if f.guard.Open() != 3 {
+			t.Errorf("%d connections are open, expected those of the callers that have left", f.guard.Open())
+		}
+		f.dial(ordinary).expect(t, "200", false)
+		f.expectCuts(TooMany)
+		time.Sleep(time.Second)
+	})
+}
+
 // TestFailedHeadsMakeRoom has the server itself refuse heads, whose connections it keeps for a while so that their callers can read why.
 func TestFailedHeadsMakeRoom(t *testing.T) {
 	serveHeads(t, 4<<10, 64<<10, ListenerOptions{MaxOpen: 4, Limits: smallHeads}, func(f *fixture) {
--- a/internal/connlimit/http.go
+++ b/internal/connlimit/http.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // contextKey is the key of a connection in the context of its requests.
@@ -25,14 +27,16 @@
 	}
 	handler := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ContentLength != 0 {
-			if c, ok := r.Context().Value(contextKey{}).(*Conn); ok {
-				// The server looks at its own body afterwards: it keeps the connection for a while if the body was not read to its
-				// end, so that the caller can read a refusal.
-				own := r.Body
-				defer func() { r.Body = own }()
-				c.beginBody(r)
-			}
+		c, ok := r.Context().Value(contextKey{}).(*Conn)
+		if ok && !c.begin() {
+			panic(http.ErrAbortHandler)
+		}
+		if ok && r.ContentLength != 0 {
+			// The server looks at its own body afterwards: it keeps the connection for a while if the body was not read to its
+			// end, so that the caller can read a refusal.
+			own := r.Body
+			defer func() { r.Body = own }()
+			c.beginBody(r)
 		}
 		handler.ServeHTTP(w, r)
 	})
@@ -48,7 +52,7 @@
 			c.enter(phaseFailed, &c.listener.failed)
 			return
 		}
-		c.enter(phaseRunning, &c.listener.running)
+		c.phase.Store(phaseRunning)
 	case http.StateIdle:
 		c.scan, c.wholeHead = headScanner{}, false
 		c.enter(phaseIdle, &c.listener.idle)
@@ -56,6 +60,19 @@
 	}
 }
 
+// begin tells that the handler of a request begins. It returns false if the connection was closed to make room for others: the request
+// must not run then, since its caller may take it for one that did not.
+func (c *Conn) begin() bool {
+	g := c.listener.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c.forgotten {
+		return false
+	}
+	c.wait(&c.listener.running)
+	return true
+}
+
 // beginBody bounds the time of a body. The connection counts as incomplete until the body was read.
 func (c *Conn) beginBody(r *http.Request) {
 	c.bodyBytes.Store(0)
@@ -75,7 +92,12 @@
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err != nil && b.conn != nil {
-		b.conn.enter(phaseRunning, &b.conn.listener.running)
+		list := &b.conn.listener.running
+		if !errors.Is(err, io.EOF) {
+			// The server keeps the connection for a while after its answer, also if the caller has gone.
+			list = &b.conn.listener.failed
+		}
+		b.conn.enter(phaseRunning, list)
 		b.conn = nil
 	}
 	return n, err
