connlimit: the next request is not read while earlier answers are unread

Cause: a caller that pipelines requests and reads no answer was served until the system's buffers were full, megabytes of small answers, as fast as the process could go.

Change: after each 16 KiB of answers on a connection, the next head is not read while 16 KiB or more of them are unacknowledged (SIOCOUTQ). A caller that reads an answer before it sends its next request acknowledges it with that, and never meets the limit. A caller that reads nothing for 60 s is cut, as with a blocked write.

Ruled out: the runtime's soft memory limit as the mend.

Measured: 2,000 pipelined requests with answers of 400 bytes, none read: 2,000 served before, 150 after; all 2,000 are answered once the caller reads (TestPipelinedRequestsWaitForReader).

--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -161,6 +161,11 @@
 	if c.refused {
 		return 0, errRefused
 	}
+	if c.phase.Load() == phaseIdle {
+		if err := c.awaitReader(); err != nil {
+			return 0, err
+		}
+	}
 	var n int
 	var err error
 	fromRest := len(c.rest) > 0
--- a/internal/connlimit/write.go
+++ b/internal/connlimit/write.go
@@ -22,6 +22,8 @@
 	since, until atomic.Int64
 	// server is the deadline that the server or its handler set.
 	server atomic.Int64
+	// sent counts bytes since it was last found out how many of them are unread.
+	sent atomic.Int64
 }
 
 // Write implements net.Conn. A refusal is the last answer: net/http may answer what there is of a head.
@@ -43,6 +45,7 @@
 		}
 		n, err := c.Conn.Write(p[written:min(len(p), written+writeChunk)])
 		written += n
+		c.write.sent.Add(int64(n))
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			c.tell(AnswerUnread)
 		}
