bodybuffer: one budget for what calls hold; the gateway's follows memoryMB

Cause: the gateway of a fixed group bounded bodies by a constant (96 MiB) instead of memoryMB, and cut none to make room. Detours through a node were not bounded at all. Streams broke off (an event found no memory) when the bodies of calls that had not begun took all of it.

Change: a process has one budget, a quarter of memoryMB, for the bodies of requests, whole answers, incomplete events and detours. Calls that run may take another 16th. Detours that find no room are refused, so that the other node asks elsewhere. The wait for room and the cuts of the entry node are in bodybuffer now and serve the gateway, too; an event also waits, which holds its upstream back, before its stream breaks off.

Not built: reading ahead of a stream for a slow caller, and ending it before its upstream does; answers of the gateway and heads are outside this budget; no test with real processes for the gateway's bodies.

TestSilentBodyMakesRoom and TestBodyInProgressStays send minCutBytes in place of 1,000 bytes, since the least size is the guard's own constant now.

The crowds of test/integration were not run on this commit yet.

--- a/internal/bodybuffer/bodybuffer.go
+++ b/internal/bodybuffer/bodybuffer.go
@@ -1,7 +1,9 @@
-// Package bodybuffer reads bodies into memory, whose sum over all calls of a process it bounds.
+// Package bodybuffer bounds what a process holds of the calls in progress: the bodies of requests and answers, incomplete events of
+// streams, and detours of other nodes.
 //
 // Load pattern: many callers upload large bodies at once, or a faulty upstream sends bodies without end, to many
-// calls at once. Limits for each body alone do not bound their sum.
+// calls at once. Limits for each body alone do not bound their sum. Calls that run must not fail because others that have not begun
+// take all memory.
 package bodybuffer
 
 import (
@@ -21,54 +23,108 @@
 	ErrNoMemory = errors.New("no memory for another body")
 )
 
-// Budget is the memory that the bodies of all calls may take together. It is safe for concurrent use.
+// Part says what memory is taken for.
+type Part uint8
+
+// The parts of a budget.
+const (
+	Requests Part = iota
+	Answers
+	Events
+	Detours
+	partCount
+)
+
+// Budget is the memory that all calls may take together. It is safe for concurrent use.
 type Budget struct {
-	limit int64
-	used  atomic.Int64
+	// limit bounds what calls take before they run, and detours; reserve is added to it for calls that run.
+	limit, reserve int64
+	used           atomic.Int64
+	parts          [partCount]atomic.Int64
 }
 
-// NewBudget returns a budget of the given number of bytes.
+const (
+	// memoryShare is the ratio of a process's memory to that which calls may take. Buffers that were replaced by larger ones take
+	// as much until they are collected.
+	memoryShare = 4
+	// reserveShare is the ratio of a process's memory to the reserve for calls that run.
+	reserveShare = 16
+)
+
+// BudgetOf returns the budget of a process with the given memory, in MiB.
+func BudgetOf(memoryMB int) *Budget {
+	memory := int64(memoryMB) << 20
+	return &Budget{limit: memory / memoryShare, reserve: memory / reserveShare}
+}
+
+// NewBudget returns a budget of the given number of bytes, without a reserve.
 func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
 
 // Used returns the number of bytes that are taken.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
+// UsedFor returns the number of bytes that are taken for a part.
+func (b *Budget) UsedFor(p Part) int64 { return b.parts[p].Load() }
+
 // Fits reports whether n more bytes can be taken now.
 func (b *Budget) Fits(n int64) bool { return b.used.Load()+n <= b.limit }
 
 // Share is what one call has taken of a budget. It is not safe for concurrent use.
 type Share struct {
-	// MakeRoom frees memory of the budget and reports whether it did; Read calls it until there is enough. It may be nil.
+	// MakeRoom frees memory of the budget and reports whether it did; Read and Append call it until there is enough. It may be nil.
 	MakeRoom func() bool
 
 	budget *Budget
-	taken  int64
+	// running is set once the call runs.
+	running bool
+	taken   [partCount]int64
 }
 
 // NewShare returns an empty share.
 func (b *Budget) NewShare() *Share { return &Share{budget: b} }
 
+// Begin tells that the call runs from now on. It may take the reserve of the budget, too.
+func (s *Share) Begin() { s.running = true }
+
 // Take takes n more bytes. It reports whether the budget had them.
-func (s *Share) Take(n int64) bool {
-	if s.budget.used.Add(n) > s.budget.limit {
+func (s *Share) Take(p Part, n int64) bool {
+	limit := s.budget.limit
+	if s.running {
+		limit += s.budget.reserve
+	}
+	if s.budget.used.Add(n) > limit {
 		s.budget.used.Add(-n)
 		return false
 	}
-	s.taken += n
+	s.budget.parts[p].Add(n)
+	s.taken[p] += n
+	return true
+}
+
+// takeRoom is Take that makes room. It reports whether there is any.
+func (s *Share) takeRoom(p Part, n int64) bool {
+	for !s.Take(p, n) {
+		if s.MakeRoom == nil || !s.MakeRoom() {
+			return false
+		}
+	}
 	return true
 }
 
 // Release gives everything back.
 func (s *Share) Release() {
-	s.budget.used.Add(-s.taken)
-	s.taken = 0
+	for p, n := range s.taken {
+		s.budget.parts[p].Add(-n)
+		s.budget.used.Add(-n)
+	}
+	s.taken = [partCount]int64{}
 }
 
-// Append is append for a buffer that the share has taken. It fails with ErrNoMemory if the share cannot take more.
+// Append is append for a buffer of events. It fails with ErrNoMemory if the share cannot take more.
 func (s *Share) Append(buffer, p []byte) ([]byte, error) {
 	if needed := len(buffer) + len(p); needed > cap(buffer) {
 		next := max(2*cap(buffer), needed)
-		if !s.Take(int64(next - cap(buffer))) {
+		if !s.takeRoom(Events, int64(next-cap(buffer))) {
 			return buffer, ErrNoMemory
 		}
 		buffer = append(make([]byte, 0, next), buffer...)
@@ -82,6 +138,10 @@
 	if size > limit {
 		return nil, ErrTooLarge
 	}
+	part := Requests
+	if s.running {
+		part = Answers
+	}
 	var out []byte
 	for {
 		if len(out) == cap(out) {
@@ -90,10 +150,8 @@
 				next = min(next, size+1) // one more byte shows the end
 			}
 			next = max(next, int64(cap(out))+1)
-			for !s.Take(next - int64(cap(out))) {
-				if s.MakeRoom == nil || !s.MakeRoom() {
-					return nil, ErrNoMemory
-				}
+			if !s.takeRoom(part, next-int64(cap(out))) {
+				return nil, ErrNoMemory
 			}
 			out = append(make([]byte, 0, next), out...)
 		}
--- a/internal/bodybuffer/bodybuffer_test.go
+++ b/internal/bodybuffer/bodybuffer_test.go
@@ -69,3 +69,25 @@
 	calls.Wait()
 	is.Equal(b.Used(), int64(0))
 }
+
+// TestReserveOfRunningCalls fills the budget with requests. Calls that run still take the reserve, and those that have not begun do not.
+func TestReserveOfRunningCalls(t *testing.T) {
+	is := is.New(t)
+	b := &Budget{limit: 1000, reserve: 200}
+	waiting, running, detour := b.NewShare(), b.NewShare(), b.NewShare()
+	is.True(running.Take(Requests, 400))
+	is.True(detour.Take(Detours, 100))
+	is.True(waiting.Take(Requests, 500))
+	is.True(!waiting.Take(Requests, 1))
+	is.True(!detour.Take(Detours, 1))
+	running.Begin()
+	event, err := running.Append(nil, make([]byte, 150))
+	is.NoErr(err)
+	_, err = running.Append(event, make([]byte, 60))
+	is.True(errors.Is(err, ErrNoMemory))
+	is.Equal([]int64{b.UsedFor(Requests), b.UsedFor(Answers), b.UsedFor(Events), b.UsedFor(Detours)}, []int64{900, 0, 150, 100})
+	for _, s := range []*Share{waiting, running, detour} {
+		s.Release()
+	}
+	is.Equal(b.Used()+b.UsedFor(Requests)+b.UsedFor(Events)+b.UsedFor(Detours), int64(0))
+}
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -286,14 +286,16 @@
 const (
 	// silentTime is how long a caller must have sent nothing of its body for the body to make room for others.
 	silentTime = 100 * time.Millisecond
+	// minCutBytes is how much of a body must have been received for it to make room for others. Smaller ones free little.
+	minCutBytes = 8 << 10
 	// slowBodyTime is how long a body must have been incomplete to make room for others although its caller goes on sending.
 	slowBodyTime = time.Second
 )
 
-// CutBody closes the connection of an incomplete body of which at least minBytes have been received: that whose caller has sent
+// CutBody closes the connection of an incomplete body of which at least minCutBytes have been received: that whose caller has sent
 // nothing for longest, silentTime or more, or else the oldest one, if it is older than slowBodyTime and than the body of r. It reports
 // whether there was one.
-func (g *Guard) CutBody(r *http.Request, minBytes int64) bool {
+func (g *Guard) CutBody(r *http.Request) bool {
 	own, _ := r.Context().Value(contextKey{}).(*Conn)
 	now := time.Now()
 	earliest, eldest := now.Add(-silentTime).UnixNano(), now.Add(-slowBodyTime)
@@ -304,7 +306,7 @@
 	var silent, oldest *Conn
 	for _, l := range g.listeners {
 		for at := l.incomplete.front; at != nil; at = at.next {
-			if at == own || at.phase.Load() != phaseBody || at.bodyBytes.Load() < minBytes {
+			if at == own || at.phase.Load() != phaseBody || at.bodyBytes.Load() < minCutBytes {
 				continue
 			}
 			if since := at.awaited.Load(); since != 0 && since <= earliest {
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -386,19 +386,19 @@
 func TestSilentBodyMakesRoom(t *testing.T) {
 	serve(t, 0, ListenerOptions{}, func(f *fixture) {
 		head := "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s"
-		part := strings.Repeat("x", 1000)
-		small, whole := f.dial(fmt.Sprintf(head, "/a", 2000, "x")), f.dial(fmt.Sprintf(head, "/a", 1000, part))
-		first := f.dial(fmt.Sprintf(head, "/a", 2000, part))
+		part := strings.Repeat("x", minCutBytes)
+		small, whole := f.dial(fmt.Sprintf(head, "/a", 2*minCutBytes, "x")), f.dial(fmt.Sprintf(head, "/a", minCutBytes, part))
+		first := f.dial(fmt.Sprintf(head, "/a", 2*minCutBytes, part))
 		time.Sleep(time.Millisecond)
-		second := f.dial(fmt.Sprintf(head, "/a", 2000, part))
+		second := f.dial(fmt.Sprintf(head, "/a", 2*minCutBytes, part))
 		r := &http.Request{}
 		time.Sleep(silentTime - 2*time.Millisecond)
-		if f.guard.CutBody(r, 1000) {
+		if f.guard.CutBody(r) {
 			t.Error("a body was cut whose caller was not silent for long")
 		}
 		time.Sleep(2 * time.Millisecond)
 		for _, want := range []bool{true, true, false} {
-			if f.guard.CutBody(r, 1000) != want {
+			if f.guard.CutBody(r) != want {
 				t.Errorf("a body was cut: %v", !want)
 			}
 			if _, ended := second.state(); want && first.Conn != nil && ended == (len(f.cuts) == 1) {
@@ -414,8 +414,8 @@
 // TestBodyInProgressStays has a body that goes on arriving, and others that began later and stopped.
 func TestBodyInProgressStays(t *testing.T) {
 	serve(t, 0, ListenerOptions{}, func(f *fixture) {
-		head := "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4000\r\n\r\n"
-		part := strings.Repeat("x", 1000)
+		head := "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 40000\r\n\r\n"
+		part := strings.Repeat("x", minCutBytes)
 		goesOn := f.dial(head + part)
 		time.Sleep(time.Millisecond)
 		stopped := f.dial(head + part)
@@ -423,7 +423,7 @@
 		goesOn.send(part)
 		time.Sleep(60 * time.Millisecond)
 		r := &http.Request{}
-		if !f.guard.CutBody(r, 1000) || f.guard.CutBody(r, 1000) {
+		if !f.guard.CutBody(r) || f.guard.CutBody(r) {
 			t.Error("not just one body was cut")
 		}
 		stopped.expect(t, "", true)
@@ -431,7 +431,7 @@
 			time.Sleep(60 * time.Millisecond)
 			goesOn.send("x")
 		}
-		if !f.guard.CutBody(r, 1000) {
+		if !f.guard.CutBody(r) {
 			t.Error("a slow body was not cut")
 		}
 		goesOn.expect(t, "", true)
--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/agateslip/agateslip/internal/bodybuffer"
 	"github.com/agateslip/agateslip/internal/detour"
 	"github.com/agateslip/agateslip/internal/upstreamconn"
 )
@@ -261,6 +262,40 @@
 	is.NoErr(<-ended)
 }
 
+// TestDetoursTakeMemory has a node with memory for one detour help, and another one when it is full. An open detour stays.
+func TestDetoursTakeMemory(t *testing.T) {
+	is := is.New(t)
+	upstream := listen(t, echo)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { l.Close() })
+	memory := bodybuffer.NewBudget(20 << 10)
+	s := &detour.Server{
+		Secret: secret, Paths: detour.NewPaths(direct, nil, func(bool) {}), Serves: func(string) bool { return true }, Memory: memory,
+	}
+	go func() { _ = s.Serve(l) }()
+	full := l.Addr().String()
+	first, err := client(secret, full).Dial(t.Context(), upstream)
+	is.NoErr(err)
+	is.True(memory.UsedFor(bodybuffer.Detours) > 0)
+	_, err = client(secret, full).Dial(t.Context(), upstream)
+	is.True(err != nil)
+	second, err := client(secret, full, helper(t, direct, upstream)).Dial(t.Context(), upstream)
+	is.NoErr(err)
+	second.Close()
+	_, err = first.Write([]byte("x"))
+	is.NoErr(err)
+	_, err = io.ReadFull(first, make([]byte, 1))
+	is.NoErr(err)
+	first.Close()
+	for memory.Used() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	third, err := client(secret, full).Dial(t.Context(), upstream)
+	is.NoErr(err)
+	third.Close()
+}
+
 // TestCallerWhoLeavesDoesNotPauseHelper has a caller leave while the only helper connects to an upstream that does not
 // answer. The next caller must be helped at once.
 func TestCallerWhoLeavesDoesNotPauseHelper(t *testing.T) {
--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/agateslip/agateslip/internal/bodybuffer"
 	"github.com/agateslip/agateslip/internal/connlimit"
 )
 
@@ -28,6 +29,8 @@
 	openPollInterval = 20 * time.Millisecond
 	// copyBufferBytes is the size of the buffer of one direction.
 	copyBufferBytes = 4 << 10
+	// detourBytes is the approximate memory of an open detour: two buffers, and the stacks of two goroutines.
+	detourBytes = 2*copyBufferBytes + 2*(4<<10)
 	// acceptPause is the pause after a connection could not be accepted.
 	acceptPause = 100 * time.Millisecond
 	// defaultMaxPending is the default of Server.MaxPending.
@@ -65,6 +68,9 @@
 	// one is closed, and Cut is told of it; it may be nil.
 	MaxPending int
 	Cut        func(connlimit.Cut)
+	// Memory bounds what the open detours take. Without room, the node helps no more, and the other one asks elsewhere. Nil means
+	// no limit.
+	Memory *bodybuffer.Budget
 
 	mu sync.Mutex
 	// open holds the connections to other nodes that are joined with an upstream.
@@ -178,6 +184,14 @@
 		return
 	}
 	limited.Establish()
+	if s.Memory != nil {
+		share := s.Memory.NewShare()
+		defer share.Release()
+		if !share.Take(bodybuffer.Detours, detourBytes) {
+			_, _ = fmt.Fprintln(conn, answerRefused)
+			return
+		}
+	}
 	if !s.Serves(r.addr) {
 		_, _ = fmt.Fprintln(conn, answerRefused)
 		return
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -42,8 +42,6 @@
 	body  []byte
 	// held is the memory that the call takes for bodies, of its request and of answers.
 	held *bodybuffer.Share
-	// waitedForRoom is how long the call has waited for memory for bodies.
-	waitedForRoom time.Duration
 	// fingerprint is the same for all repeats of the request.
 	fingerprint string
 	// arrived and deadline are on the clock of package boottime.
--- a/internal/edge/connections.go
+++ b/internal/edge/connections.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"time"
 
-	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/connlimit"
 	"github.com/agateslip/agateslip/internal/eventlog"
 )
@@ -41,39 +40,6 @@
 	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(min(patience, c.route.Timeout)))
 }
 
-const (
-	// bodyReleaseTime bounds the wait for the memory of a body whose connection was cut: its call ends when it reads on.
-	bodyReleaseTime = 100 * time.Millisecond
-	// bodyRoomTime bounds how long a call waits in all for memory. Its caller, or the upstream that answers it, can't send on meanwhile.
-	bodyRoomTime = time.Second
-	// bodyRoomInterval is the interval at which a waiting call looks for memory.
-	bodyRoomInterval = 2 * time.Millisecond
-)
-
-// makeRoomForBody waits until there is more memory for bodies. It cuts bodies whose callers do not send, or take long. It reports
-// whether some memory became free.
-func (c *call) makeRoomForBody() bool {
-	before := c.edge.bodies.Used()
-	for !c.edge.guard.CutBody(c.r, minCutBody) {
-		if c.waitedForRoom >= bodyRoomTime || c.r.Context().Err() != nil {
-			return false
-		}
-		start := boottime.Now()
-		time.Sleep(bodyRoomInterval)
-		c.waitedForRoom += boottime.Now() - start
-		if c.edge.bodies.Used() < before {
-			return true
-		}
-	}
-	for end := boottime.Now() + bodyReleaseTime; c.edge.bodies.Used() >= before && boottime.Now() < end; {
-		time.Sleep(time.Millisecond)
-	}
-	return true
-}
-
-// minCutBody is the least size of a body that is cut to make room for another one, in bytes. Smaller ones free little.
-const minCutBody = 8 << 10
-
 // detourCut records a connection of another node, or of someone else, that was closed before it said where to.
 func (e *Edge) detourCut(cut connlimit.Cut) {
 	e.metrics.Count("connection cut: " + string(cut.Cause))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -48,9 +48,6 @@
 	// cleanupInterval is the interval at which expired idle connections are closed and
 	// upstreams that the leader no longer lists are dropped.
 	cleanupInterval = 250 * time.Millisecond
-	// bodiesShare is the ratio of the process's memory to that which bodies may take. Buffers that were replaced by
-	// larger ones take as much until they are collected.
-	bodiesShare = 4
 )
 
 // routingConfig is a version of the configuration with its route table. It is
@@ -181,7 +178,7 @@
 		metrics:          metrics.New("entry." + cfg.Node),
 		dial:             upstreamconn.NewDial(dialTimeout),
 		loop:             owner.New(),
-		bodies:           bodybuffer.NewBudget(int64(cfg.MemoryMB<<20) / bodiesShare),
+		bodies:           bodybuffer.BudgetOf(cfg.MemoryMB),
 		leader:           newLeaderFinder(seeds),
 		demandChanged:    make(chan struct{}, 1),
 		quota:            newQuotaShares(),
@@ -214,7 +211,7 @@
 	e.paths.SetWitnesses(e.upstreamAddrs)
 	e.helper = &detour.Server{Secret: cfg.Secret, Paths: e.paths, Serves: e.mayHelp, Failed: func(err error) {
 		e.log.Event("detour not accepted", eventlog.Fields{"error": err.Error()})
-	}, MaxPending: e.shares.Pending, Cut: e.detourCut}
+	}, MaxPending: e.shares.Pending, Cut: e.detourCut, Memory: e.bodies}
 	e.pool = upstreamconn.NewPool(e.paths.Dial)
 	e.entryNodes.Store(1)
 	e.registerGauges()
@@ -236,6 +233,12 @@
 	e.metrics.Gauge("callsWaiting", e.waitingCalls.Load)
 	e.metrics.Gauge("callsWaitingForQuota", e.waitingQuota.Load)
 	e.metrics.Gauge("bytesHeld", e.bodies.Used)
+	for name, part := range map[string]bodybuffer.Part{
+		"bytesHeldOfRequests": bodybuffer.Requests, "bytesHeldOfAnswers": bodybuffer.Answers,
+		"bytesHeldOfEvents": bodybuffer.Events, "bytesHeldOfDetours": bodybuffer.Detours,
+	} {
+		e.metrics.Gauge(name, func() int64 { return e.bodies.UsedFor(part) })
+	}
 	e.metrics.Gauge("entryNodes", e.entryNodes.Load)
 	e.metrics.Gauge("configurationVersion", func() int64 { return int64(e.appliedVersion()) })
 	e.metrics.Gauge("proofMillis", func() int64 {
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -191,12 +191,11 @@
 		limit = defaultBodyLimit
 	}
 	c.boundBody()
-	c.held.MakeRoom = c.makeRoomForBody
-	for c.r.ContentLength <= limit && !c.edge.bodies.Fits(c.r.ContentLength) && c.makeRoomForBody() {
-	}
+	room := c.edge.bodies.NewRoom(c.r.Context(), func() bool { return c.edge.guard.CutBody(c.r) })
+	c.held.MakeRoom = room.Make
 	var body []byte
 	err := bodybuffer.ErrNoMemory
-	if c.r.ContentLength > limit || c.edge.bodies.Fits(c.r.ContentLength) {
+	if c.r.ContentLength > limit || room.MakeFor(c.r.ContentLength) {
 		body, err = c.held.Read(http.MaxBytesReader(c.w, c.r.Body, limit), c.r.ContentLength, limit)
 	}
 	var tooLarge *http.MaxBytesError
@@ -215,6 +214,7 @@
 		c.fail(http.StatusBadRequest, "body unreadable")
 		return false
 	}
+	c.held.Begin()
 	c.body = body
 	c.fingerprint = fingerprint(c.r, append([]string{c.author()}, c.caller.Content...), body)
 	return true
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/agateslip/agateslip/contract"
+	"github.com/agateslip/agateslip/internal/bodybuffer"
 	"github.com/agateslip/agateslip/ledger"
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -94,7 +95,8 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	g := New(f, f, f, f, log, NewMetrics(new(expvar.Map).Init()), Dial)
+	bodies := Bodies{Budget: bodybuffer.NewBudget(2 * MaxBodyBytes), Cut: func(*http.Request) bool { return false }}
+	g := New(f, f, f, f, bodies, log, NewMetrics(new(expvar.Map).Init()), Dial)
 	g.SetReady(true)
 	front := httptest.NewServer(g.Handler())
 	t.Cleanup(front.Close)
@@ -383,6 +385,24 @@
 	is.Equal(body, "ran")
 }
 
+// TestBodiesShareMemory sends a body while those of other requests take all memory, and again when they have ended.
+func TestBodiesShareMemory(t *testing.T) {
+	is := is.New(t)
+	g, _, url := newGateway(t, func(http.ResponseWriter, *http.Request) {})
+	others := g.bodies.Budget.NewShare()
+	is.True(others.Take(bodybuffer.Requests, 2*MaxBodyBytes-1000))
+	send := func() *http.Response {
+		resp, _, err := sendRequest(t, "POST", url+"/services/s/pay", strings.Repeat("x", 1000), headerIdempotencyKey, "k1")
+		is.NoErr(err)
+		return resp
+	}
+	resp := send()
+	is.Equal(resp.Header.Get(HeaderReason), string(ReasonNoMemory))
+	is.Equal(resp.Header.Get(HeaderRan), string(NotRun))
+	others.Release()
+	is.Equal(send().StatusCode, http.StatusOK)
+}
+
 func TestInvalidRequestsAreRefused(t *testing.T) {
 	cases := []struct {
 		name, method, path, body, header, value string
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -8,13 +8,13 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/agateslip/agateslip/contract"
+	"github.com/agateslip/agateslip/internal/bodybuffer"
 	"github.com/agateslip/agateslip/internal/connlimit"
 	"github.com/agateslip/agateslip/internal/upstreamconn"
 	"github.com/cockroachdb/errors"
@@ -26,9 +26,6 @@
 const (
 	// MaxBodyBytes is the maximum size of one request body.
 	MaxBodyBytes = 8 << 20
-	// MaxHeldBodyBytes is the maximum total size of the request bodies held in memory
-	// at any time.
-	MaxHeldBodyBytes = 96 << 20
 	// MaxHeaderBytes is the maximum size of one request header.
 	MaxHeaderBytes = 64 << 10
 	// headerTimeout bounds the time until the header of a request has arrived.
@@ -49,8 +46,7 @@
 	metrics   *Metrics
 	stopping  atomic.Bool
 	ready     atomic.Bool
-	// bodyBytes is the memory reserved for request bodies, in bytes.
-	bodyBytes atomic.Int64
+	bodies    Bodies
 	// running is the number of requests and background tasks in progress.
 	running atomic.Int64
 	// closeCtx ends when the gateway is closed; cancelCloseCtx ends it.
@@ -60,14 +56,25 @@
 	recordTimeout time.Duration
 }
 
+// Bodies bounds the memory of the bodies of all requests in progress.
+type Bodies struct {
+	Budget *bodybuffer.Budget
+	// Cut closes the connection of an incomplete body that may make room for that of a request, and reports whether there was one.
+	Cut func(*http.Request) bool
+}
+
 // New returns a gateway that reports itself not ready until SetReady(true). dial connects to upstreams, as
 // Dial does.
-func New(contracts Contracts, admitter Admitter, router Router, claims Claims, log logrus.FieldLogger, metrics *Metrics, dial upstreamconn.Dial) *Gateway {
+func New(
+	contracts Contracts, admitter Admitter, router Router, claims Claims, bodies Bodies,
+	log logrus.FieldLogger, metrics *Metrics, dial upstreamconn.Dial,
+) *Gateway {
 	closeCtx, cancelCloseCtx := context.WithCancel(context.Background())
 	return &Gateway{
 		contracts:      contracts,
 		admitter:       admitter,
 		claims:         claims,
+		bodies:         bodies,
 		sender:         newSender(router, claims, log, metrics, dial),
 		log:            log,
 		metrics:        metrics,
@@ -210,36 +217,36 @@
 	return refuse(ReasonUnknownPath, "no such path: %s", r.URL.Path)
 }
 
-// readBody reads a body of at most MaxBodyBytes within bodyTimeout. Its declared size,
-// or MaxBodyBytes if that is unknown, is reserved within MaxHeldBodyBytes. The caller
-// must call the returned function when it no longer needs the body.
+// readBody reads a body of at most MaxBodyBytes within bodyTimeout. It waits for a while if the bodies of other requests take all
+// memory. The caller must call the returned function when it no longer needs the body.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, func(), error) {
-	size := r.ContentLength
-	if size > MaxBodyBytes {
+	if r.ContentLength > MaxBodyBytes {
 		return nil, nil, refuse(ReasonTooLarge, "the body is larger than %d bytes", MaxBodyBytes)
 	}
-	if size < 0 {
-		size = MaxBodyBytes
-	}
-	if g.bodyBytes.Add(size) > MaxHeldBodyBytes {
-		g.bodyBytes.Add(-size)
-		return nil, nil, refuse(ReasonNoMemory, "too many request bodies are held").withDefaultRetryAfter()
+	noMemory := refuse(ReasonNoMemory, "too many request bodies are held").withDefaultRetryAfter()
+	room := g.bodies.Budget.NewRoom(r.Context(), func() bool { return g.bodies.Cut(r) })
+	if !room.MakeFor(r.ContentLength) {
+		return nil, nil, noMemory
 	}
-	releaseBody := func() { g.bodyBytes.Add(-size) }
+	share := g.bodies.Budget.NewShare()
+	share.MakeRoom = room.Make
 	rc := http.NewResponseController(w)
 	// Setting a deadline fails only on the response recorder of tests, which has none.
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+	body, err := share.Read(http.MaxBytesReader(w, r.Body, MaxBodyBytes), r.ContentLength, MaxBodyBytes)
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 	}
 	if err != nil {
-		releaseBody()
+		share.Release()
 		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
+		switch {
+		case errors.As(err, &tooLarge), errors.Is(err, bodybuffer.ErrTooLarge):
 			return nil, nil, refuse(ReasonTooLarge, "the body is larger than %d bytes", MaxBodyBytes)
+		case errors.Is(err, bodybuffer.ErrNoMemory):
+			return nil, nil, noMemory
 		}
 		return nil, nil, refuse(ReasonBadRequest, "the body could not be read whole")
 	}
-	return body, releaseBody, nil
+	return body, share.Release, nil
 }
--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
+	"github.com/agateslip/agateslip/internal/bodybuffer"
 	"github.com/agateslip/agateslip/internal/connlimit"
 	"github.com/agateslip/agateslip/internal/gateway"
 	"github.com/agateslip/agateslip/internal/operator"
@@ -45,11 +46,17 @@
 // limitedListeners are the node's listeners for its HTTP servers, within the limits of connections.
 type limitedListeners struct{ callers, upstreams, operators net.Listener }
 
+// limitBodies returns the limits of the bodies of callers.
+func (n *Node) limitBodies() gateway.Bodies {
+	n.metrics.Set("body_bytes", expvar.Func(func() any { return n.bodies.UsedFor(bodybuffer.Requests) }))
+	n.metrics.Set("detour_bytes", expvar.Func(func() any { return n.bodies.UsedFor(bodybuffer.Detours) }))
+	return gateway.Bodies{Budget: n.bodies, Cut: n.guard.CutBody}
+}
+
 // limitConnections makes the servers keep the limits of connections, and returns the listeners that they are to serve. Their heads
 // share one part of the node's memory. The node's own listeners stay: others read their addresses.
 func (n *Node) limitConnections(s *servers) limitedListeners {
-	shares := n.shares()
-	guard := connlimit.New(shares.HeadMemory, n.connectionCut)
+	shares, guard := n.shares(), n.guard
 	n.metrics.Set("connections_open", expvar.Func(func() any { return guard.Open() }))
 	n.metrics.Set("head_bytes", expvar.Func(func() any { return guard.HeadBytes() }))
 	return limitedListeners{
--- a/internal/node/detours.go
+++ b/internal/node/detours.go
@@ -27,7 +27,7 @@
 	n.paths = detour.NewPaths(n.dial, client.Dial, n.noteCutOff)
 	n.helper = &detour.Server{Secret: n.cfg.Secret, Paths: n.paths, Serves: n.mayHelp, Failed: func(err error) {
 		n.log.WithError(err).Warn("detour not accepted")
-	}, MaxPending: n.shares().Pending, Cut: n.connectionCut}
+	}, MaxPending: n.shares().Pending, Cut: n.connectionCut, Memory: n.bodies}
 	if n.connect = n.paths.Dial; len(helpers) == 0 {
 		n.connect = n.dial
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,8 +15,10 @@
 	"github.com/agateslip/agateslip/contract"
 	"github.com/agateslip/agateslip/control"
 	"github.com/agateslip/agateslip/currency"
+	"github.com/agateslip/agateslip/internal/bodybuffer"
 	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/config"
+	"github.com/agateslip/agateslip/internal/connlimit"
 	"github.com/agateslip/agateslip/internal/detour"
 	"github.com/agateslip/agateslip/internal/gateway"
 	"github.com/agateslip/agateslip/internal/operator"
@@ -87,6 +89,8 @@
 	// detourListener is nil if the node does not help others.
 	detourListener net.Listener
 	cuts           *connectionCuts
+	guard          *connlimit.Guard
+	bodies         *bodybuffer.Budget
 
 	// nextVoter rotates the voters that anyVoter returns. Only the sync and follow
 	// parts use it.
@@ -118,6 +122,8 @@
 		dial:     gateway.Dial,
 	}
 	n.cuts = newConnectionCuts(n.metrics)
+	n.guard = connlimit.New(n.shares().HeadMemory, n.connectionCut)
+	n.bodies = bodybuffer.BudgetOf(n.cfg.MemoryMB)
 	for _, option := range options {
 		option(n)
 	}
@@ -150,6 +156,7 @@
 		&admitter{loop: n.loop},
 		&router{loop: n.loop},
 		&claims{group: n.group, owner: ledger.Owner{Node: n.cfg.Node, Boot: n.boot}},
+		n.limitBodies(),
 		n.log,
 		gateway.NewMetrics(n.metrics),
 		n.connect,
