edge: the stall watch's tests don't depend on the time that they take

TestStalledAttemptIsMoved failed once beside load: it built its attempt 50 ms before a check and read the clock again in the check. Traced: with the test held up for 220 ms in between it fails in 3 of 3 runs, since a check late by more than maxCheckDelay rightly moves nothing. A check takes its time as an argument now. With 300 ms of delay injected at the same place the tests pass. They are stricter: the edge of maxCheckDelay is checked on both sides.

--- a/internal/edge/stall.go
+++ b/internal/edge/stall.go
@@ -53,17 +53,19 @@
 }
 
 // postCheck runs a check on the loop.
-func (w *stallWatch) postCheck() { w.call.edge.loop.Post(w.check) }
+func (w *stallWatch) postCheck() {
+	w.call.edge.loop.Post(func() { w.check(boottime.Now()) })
+}
 
 // check closes the connection of an attempt that must move to another upstream, or else
-// schedules the next check. It runs on the loop.
-func (w *stallWatch) check() {
+// schedules the next check. It runs on the loop, at now.
+func (w *stallWatch) check(now time.Duration) {
 	select {
 	case <-w.ended:
 		return
 	default:
 	}
-	e, now := w.call.edge, boottime.Now()
+	e := w.call.edge
 	if now-w.nextCheck > maxCheckDelay || w.call.awaitsRecord.Load() || w.call.unresumable.Load() {
 		// Bytes that arrived while the node was suspended have not been read yet. A stream that cannot be resumed stays.
 		w.silenceStart = now
--- a/internal/edge/stall_test.go
+++ b/internal/edge/stall_test.go
@@ -57,11 +57,19 @@
 	}
 }
 
+// TestStalledAttemptIsMoved has checks come late by less and by more than a busy node's do.
 func TestStalledAttemptIsMoved(t *testing.T) {
-	is := is.New(t)
-	w := silentAttempt(t, boottime.Now()-firstStallCheck-50*time.Millisecond)
-	w.check()
-	is.True(w.call.movedOnStall.Load())
+	for late, moved := range map[time.Duration]bool{
+		0: true, 50 * time.Millisecond: true, maxCheckDelay: true, maxCheckDelay + 1: false,
+	} {
+		t.Run(late.String(), func(t *testing.T) {
+			is := is.New(t)
+			w := silentAttempt(t, boottime.Now())
+			defer close(w.ended)
+			w.check(w.nextCheck + late)
+			is.Equal(w.call.movedOnStall.Load(), moved)
+		})
+	}
 }
 
 // TestDelayedCheckDoesNotMoveAttempt runs a check seconds late, as on a node that was
@@ -70,7 +78,7 @@
 	is := is.New(t)
 	w := silentAttempt(t, boottime.Now()-5*time.Second)
 	defer close(w.ended)
-	w.check()
+	w.check(boottime.Now())
 	is.True(!w.call.movedOnStall.Load())
 	is.True(w.nextCheck > boottime.Now()) // another check is scheduled
 }
@@ -79,7 +87,7 @@
 // the attempt after it is not charged again.
 func TestMoveSpendsBudgetOnce(t *testing.T) {
 	is := is.New(t)
-	w := silentAttempt(t, boottime.Now()-firstStallCheck-50*time.Millisecond)
+	w := silentAttempt(t, boottime.Now())
 	b := w.call.edge.budgetFor("s")
 	spent := func() (sends int) {
 		for _, n := range b.retries {
@@ -87,7 +95,7 @@
 		}
 		return sends
 	}
-	w.check()
+	w.check(w.nextCheck + 50*time.Millisecond)
 	is.Equal(spent(), 1)
 	w.call.route = &routes.Route{Kind: routes.Repeatable, Attempts: 2}
 	w.call.deadline, w.call.mayHaveRun, w.call.possibleRuns = boottime.Now()+time.Minute, true, 1
@@ -107,10 +115,10 @@
 // budget is used up.
 func TestStalledAttemptStaysWithoutBudget(t *testing.T) {
 	is := is.New(t)
-	w := silentAttempt(t, boottime.Now()-firstStallCheck-50*time.Millisecond)
+	w := silentAttempt(t, boottime.Now())
 	e := w.call.edge
 	for e.budgetFor("s").trySpend(&e.cfg.Retry, e.entryNodes.Load(), boottime.Now()) {
 	}
-	w.check()
+	w.check(w.nextCheck + 50*time.Millisecond)
 	is.True(!w.call.movedOnStall.Load())
 }
