--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -18,6 +18,8 @@
 	queue     []*queuedCall
 	running   map[CallID]*runningCall
 	forecasts map[ModelKey]forecast
+	// another holds the forecasts of when another engine holds a model.
+	another map[ModelKey]forecast
 	// arrivals counts the calls for each model and adapter since the start, without
 	// repeats.
 	arrivals map[ModelKey]uint64
@@ -29,6 +31,11 @@
 	plannerCounted bool
 	// overloads holds the models whose engines have more calls than they can run; the keys have no adapter.
 	overloads map[ModelKey]overload
+	// memory is that of each engine of a service, in tokens; services without a limit are left out.
+	memory map[string]int
+	// fair is what is known of tenants that compete, and starts counts the calls that started lately.
+	fair   fairness
+	starts map[requirement]*recentStarts
 	// departed holds the requests of upstreams that were removed, by ID.
 	departed map[string]departed
 	// brittle holds what upstreams say of the rejections that they bear, by service, to this node or
@@ -74,11 +81,14 @@
 		byService: map[string][]*upstream{},
 		running:   map[CallID]*runningCall{},
 		forecasts: map[ModelKey]forecast{},
+		another:   map[ModelKey]forecast{},
 		arrivals:  map[ModelKey]uint64{},
 		departed:  map[string]departed{},
 		overloads: map[ModelKey]overload{},
 		slowness:  map[string]*slowness{},
 		prompts:   map[string]*promptMix{},
+		fair:      newFairness(),
+		starts:    map[requirement]*recentStarts{},
 
 		brittle: map[string]brittleness{}, observedBrittle: map[string]brittleness{},
 		granted: map[string]slotGrants{}, entryNodes: 1,
@@ -226,6 +236,8 @@
 	// calls of other nodes by the planner's count.
 	Calls  int `json:"calls"`
 	Others int `json:"others"`
+	// HeldTokens is what the calls of all nodes reserve of the upstream's memory.
+	HeldTokens int `json:"heldTokens,omitempty"`
 	// Failing is the recent share of calls that failed, 0 to 1.
 	Failing float64 `json:"failing"`
 	// PausedFor is how much longer the upstream is paused and gets no calls.
@@ -240,7 +252,7 @@
 	if u == nil {
 		return Health{}
 	}
-	return Health{Calls: u.ownRunning, Others: u.plannerCount, Failing: u.recentFailureRate(now), PausedFor: max(0, u.pausedUntil-now, u.request.pausedUntil-now), RateLimit: u.request.rateLimit}
+	return Health{Calls: u.ownRunning, Others: u.plannerCount, HeldTokens: d.heldTokens(u, now), Failing: u.recentFailureRate(now), PausedFor: max(0, u.pausedUntil-now, u.request.pausedUntil-now), RateLimit: u.request.rateLimit}
 }
 
 // Waiting returns the number of waiting calls.
@@ -275,9 +287,12 @@
 }
 
 // Running returns what calls for models that run take of engines, by upstream ID and by model
-// and adapter.
+// and adapter. ObservePlannerTokens assumes that the planner is told of it.
 func (d *Dispatcher) Running() map[string]map[ModelKey]Use {
 	count := map[string]map[ModelKey]Use{}
+	for _, u := range d.upstreams {
+		u.reportedTokens = EngineTokens{}
+	}
 	for _, r := range d.running {
 		if r.call.Model == "" {
 			continue
@@ -292,6 +307,10 @@
 		use.Unread += r.tokens.Unread
 		use.Held += r.tokens.Held
 		count[id][key] = use
+		if u := d.upstreams[id]; u != nil {
+			u.reportedTokens.Unread += r.tokens.Unread
+			u.reportedTokens.Held += r.tokens.Held
+		}
 	}
 	return count
 }
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -9,6 +9,8 @@
 //   - More calls than slots: calls wait in order of priority and then of the time at
 //     which their answer is due. Calls that cannot start in time are refused early
 //     instead of waiting until their deadline (wait.go).
+//   - One of several tenants calls many times as often as the others, or urgent calls alone exceed the room: tenants
+//     take turns by their weights, and none starves (fair.go).
 //   - Upstreams that differ in speed, or are cold, full, failing or gone: the load
 //     that upstreams report with their answers and the results of calls determine
 //     the choice (choose.go).
@@ -17,6 +19,8 @@
 //     over (spread.go).
 //   - Demand that moves to a model which few upstreams hold: while their calls exceed what they can
 //     run, those that are due soon are refused at once, the less urgent ones first (overload.go).
+//   - Prompts that differ several times in length: engines get only as many as their memory holds, whatever
+//     their free slots (memory.go).
 //   - Upstreams that share their machines with others, which slow them down for moments (pace.go).
 //   - Long prompts beside short ones, at engines that read them at different speeds: a call that is due soon goes
 //     where its first event is expected in time, and patient ones gather at a part of the engines (prefill.go).
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -30,6 +30,8 @@
 	PromptTokens, OutputTokens int
 	// Tenant is the name of the caller's tenant; empty if calls need no key.
 	Tenant string
+	// Weight is the tenant's part of the room against the other tenants of its priority; zero counts as 1.
+	Weight float64
 	// Affinity is a hash of the beginning of the prompt that the call shares with
 	// others, so that they run where it is cached; zero if there is none.
 	Affinity uint64
@@ -46,6 +48,8 @@
 	// Repeat is set when the call was sent before; it then does not count as another
 	// arrival.
 	Repeat bool
+	// waitedForMemory is set once an upstream could have taken the call but for its memory.
+	waitedForMemory bool
 }
 
 // Action is the kind of decision made on a call.
@@ -79,6 +83,10 @@
 	NoVersion Reason = "no upstream of the stream's software version"
 	// NoSlot means that no upstream will have a free slot in time.
 	NoSlot Reason = "no room in time"
+	// NoMemory means that upstreams have free slots, but none will have the memory in time.
+	NoMemory Reason = "no engine memory in time"
+	// TooLarge means that the prompt exceeds the memory of every upstream.
+	TooLarge Reason = "larger than engine memory"
 	// Overloaded means that the upstreams which hold the model have more calls than they can run in time.
 	Overloaded Reason = "model overloaded"
 )
