dispatch: calls go to engines that have memory for them

Engines have slots for 48 calls of the mean length and no memory for 48 of the longest; their queue takes even more. Memory that runs out costs the newest request of the least urgent: it is put back in the middle of its answer. Entry nodes knew the tokens at each engine since the last commit and decided by slots only.

A call reserves its prompt and half of its stated maximum, a sixteenth of the memory at most. Engines without room are full for it. The last sixteenth of the memory is for urgent calls, streams that go on and calls that have waited. Prompts that no engine can hold are refused at once. The leader's sum is now reduced by what this node reported, not by what it runs since. Without a capacity, stated tokens or recent counts nothing changes.

TestEnginesGetWhatTheirMemoryHolds fails without the limit. The replay in herd_test.go has gained prompts and memory; without them it is as before. No existing check was changed.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -73,6 +73,8 @@
 	// ownTokens are the tokens of this node's calls that run there, and othersTokens those of other nodes' by the
 	// planner's count.
 	ownTokens, othersTokens EngineTokens
+	// reportedTokens are those of this node's calls that the planner was last told of.
+	reportedTokens EngineTokens
 	// reportedSlots is the number of slots in the latest load report; zero without one.
 	reportedSlots int
 	// overloadedUntil is until when calls for a model of the upstream are refused for overload.
@@ -259,6 +261,8 @@
 	// allBusy means that upstreams are eligible, but all of them are full, paused, being
 	// probed or beyond their rate limit.
 	allBusy
+	// lacksMemory means that upstreams could take the call now, but for their memory.
+	lacksMemory
 	// noneOffersModel means that there are upstreams, but none is eligible: none offers
 	// the model, or the call must avoid those that do.
 	noneOffersModel
@@ -290,6 +294,9 @@
 		candidates = append(candidates, candidate{upstream: u, cost: d.cost(u, c, load, now)})
 		outcome = selected
 	}
+	if candidates = d.withMemory(candidates, c, now); outcome == selected && len(candidates) == 0 {
+		return nil, lacksMemory
+	}
 	if others := withoutRefusers(candidates, c); len(others) > 0 {
 		candidates = others
 	}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -29,6 +29,8 @@
 	plannerCounted bool
 	// overloads holds the models whose engines have more calls than they can run; the keys have no adapter.
 	overloads map[ModelKey]overload
+	// memory is that of each engine of a service, in tokens; services without a limit are left out.
+	memory map[string]int
 	// departed holds the requests of upstreams that were removed, by ID.
 	departed map[string]departed
 	// brittle holds what upstreams say of the rejections that they bear, by service, to this node or
@@ -226,6 +228,8 @@
 	// calls of other nodes by the planner's count.
 	Calls  int `json:"calls"`
 	Others int `json:"others"`
+	// HeldTokens is what the calls of all nodes reserve of the upstream's memory.
+	HeldTokens int `json:"heldTokens,omitempty"`
 	// Failing is the recent share of calls that failed, 0 to 1.
 	Failing float64 `json:"failing"`
 	// PausedFor is how much longer the upstream is paused and gets no calls.
@@ -240,7 +244,7 @@
 	if u == nil {
 		return Health{}
 	}
-	return Health{Calls: u.ownRunning, Others: u.plannerCount, Failing: u.recentFailureRate(now), PausedFor: max(0, u.pausedUntil-now, u.request.pausedUntil-now), RateLimit: u.request.rateLimit}
+	return Health{Calls: u.ownRunning, Others: u.plannerCount, HeldTokens: d.heldTokens(u, now), Failing: u.recentFailureRate(now), PausedFor: max(0, u.pausedUntil-now, u.request.pausedUntil-now), RateLimit: u.request.rateLimit}
 }
 
 // Waiting returns the number of waiting calls.
@@ -275,9 +279,12 @@
 }
 
 // Running returns what calls for models that run take of engines, by upstream ID and by model
-// and adapter.
+// and adapter. ObservePlannerTokens assumes that the planner is told of it.
 func (d *Dispatcher) Running() map[string]map[ModelKey]Use {
 	count := map[string]map[ModelKey]Use{}
+	for _, u := range d.upstreams {
+		u.reportedTokens = EngineTokens{}
+	}
 	for _, r := range d.running {
 		if r.call.Model == "" {
 			continue
@@ -292,6 +299,10 @@
 		use.Unread += r.tokens.Unread
 		use.Held += r.tokens.Held
 		count[id][key] = use
+		if u := d.upstreams[id]; u != nil {
+			u.reportedTokens.Unread += r.tokens.Unread
+			u.reportedTokens.Held += r.tokens.Held
+		}
 	}
 	return count
 }
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -17,6 +17,8 @@
 //     over (spread.go).
 //   - Demand that moves to a model which few upstreams hold: while their calls exceed what they can
 //     run, those that are due soon are refused at once, the less urgent ones first (overload.go).
+//   - Prompts that differ several times in length: engines get only as many as their memory holds, whatever
+//     their free slots (memory.go).
 //   - Upstreams that share their machines with others, which slow them down for moments (pace.go).
 //   - Long prompts beside short ones, at engines that read them at different speeds: a call that is due soon goes
 //     where its first event is expected in time, and patient ones gather at a part of the engines (prefill.go).
--- a/dispatch/herd_test.go
+++ b/dispatch/herd_test.go
@@ -31,6 +31,10 @@
 	room int
 	// queue, unless it is zero, is how many calls an engine lets wait for a slot, in place of engineQueue.
 	queue int
+	// memory, unless it is zero, is the memory of an engine in tokens; prompts then differ by four times and take more of
+	// it than slots. unbounded has nodes not know of it.
+	memory    int
+	unbounded bool
 	// leaderLostAt, unless it is zero, is when there is no leader any more, for leaderless.
 	leaderLostAt, leaderless time.Duration
 	// prompts, unless it is nil, describes calls with prompts; engines then let all calls run.
@@ -50,6 +54,9 @@
 	// late is the number of calls that waited in their engine beyond their target, and refused that of calls that
 	// the nodes refused.
 	late, refused int
+	// excess is the number of calls that an engine began beyond its memory. long and longStarted count the longest tenth
+	// of the calls, and those of them that were sent.
+	excess, long, longStarted int
 }
 
 // herdEvent is an event of the replay.
@@ -98,6 +105,9 @@
 	leader *ratelimit.Slots
 	asking map[int]bool
 	result herdResult
+	// held holds the tokens of the calls that run at each engine, and lengths those of each call.
+	held    map[string]int
+	lengths map[dispatch.CallID]int
 }
 
 // run replays the given time and returns the counts from the second second on.
@@ -107,6 +117,7 @@
 		present: map[string]int{}, waiting: map[string][]func(){}, rejections: map[string][]time.Duration{},
 		leader: ratelimit.NewSlots(-time.Minute), asking: map[int]bool{},
 		total: map[string]int{}, totalTokens: map[string]dispatch.EngineTokens{},
+		held: map[string]int{}, lengths: map[dispatch.CallID]int{},
 	}
 	var upstreams []fleet.Upstream
 	for i := range h.engines {
@@ -116,10 +127,16 @@
 	}
 	for i := range h.nodes {
 		r.nodes = append(r.nodes, newDispatcher(upstreams...))
+		if !h.unbounded {
+			r.nodes[i].SetMemory(map[string]int{"llm": h.memory}, 0)
+		}
 		r.nodes[i].SetEntryNodes(h.nodes, fmt.Sprint("n", i))
 		r.after(time.Duration(r.chance.Int64N(int64(watchInterval))), func() { r.watch(i) })
 		r.reported = append(r.reported, nil)
 		r.after(time.Duration(r.chance.Int64N(int64(h.reportInterval))), func() { r.report(i) })
+		if h.memory > 0 {
+			r.after(tickInterval, func() { r.tick(i) })
+		}
 	}
 	if h.leaderLostAt > 0 {
 		r.after(h.leaderLostAt, func() { r.leader = nil })
@@ -142,14 +159,16 @@
 func (r *herdRun) report(node int) {
 	for id, use := range r.reported[node] {
 		r.total[id] -= use.Calls
-		r.totalTokens[id] = dispatch.EngineTokens{Unread: r.totalTokens[id].Unread - use.Unread}
+		sum := r.totalTokens[id]
+		r.totalTokens[id] = dispatch.EngineTokens{Unread: sum.Unread - use.Unread, Held: sum.Held - use.Held}
 	}
 	r.reported[node] = map[string]dispatch.Use{}
 	for id, byModel := range r.nodes[node].Running() {
 		for _, use := range byModel { // there is one model
 			r.reported[node][id] = use
 			r.total[id] += use.Calls
-			r.totalTokens[id] = dispatch.EngineTokens{Unread: r.totalTokens[id].Unread + use.Unread}
+			sum := r.totalTokens[id]
+			r.totalTokens[id] = dispatch.EngineTokens{Unread: sum.Unread + use.Unread, Held: sum.Held + use.Held}
 		}
 	}
 	if r.leaderLostAt > 0 && r.now >= r.leaderLostAt && r.now < r.leaderLostAt+r.leaderless {
@@ -171,6 +190,17 @@
 	watchInterval = time.Second
 )
 
+// tickInterval is how often a node decides on the calls that wait for memory.
+const tickInterval = 20 * ms
+
+// tick has a node decide on the calls that wait.
+func (r *herdRun) tick(node int) {
+	if r.nodes[node].Waiting() > 0 {
+		r.start(node, r.nodes[node].Tick(r.now))
+	}
+	r.after(tickInterval, func() { r.tick(node) })
+}
+
 // watch tells a node what the leader knows of brittle services.
 func (r *herdRun) watch(node int) {
 	if r.leader != nil {
@@ -218,8 +248,15 @@
 	node := r.arrivals.IntN(r.herd.nodes)
 	r.lastID++
 	c := call(r.lastID, "m", 1, r.now)
-	if r.prompts != nil {
+	switch {
+	case r.prompts != nil:
 		r.prompts.describe(&c)
+	case r.memory > 0:
+		c.PromptTokens = shortPrompt + r.arrivals.IntN(longPrompt-shortPrompt)
+		r.lengths[c.ID] = c.PromptTokens
+		if r.isLong(c.ID) {
+			r.result.long++
+		}
 	}
 	r.submit(node, c)
 	r.after(time.Duration(r.arrivals.ExpFloat64()/r.callsPerSecond*float64(second)), r.arrive)
@@ -257,9 +294,18 @@
 	if count {
 		r.result.calls++
 	}
+	if r.isLong(c) {
+		r.result.longStarted++
+	}
 	arrived := r.now
 	run := func() {
 		r.present[id]++
+		if r.held[id] += r.lengths[c]; count && r.memory > 0 && r.held[id] > r.memory {
+			r.result.excess++
+		}
+		if length := r.lengths[c]; length > 0 {
+			r.after(time.Duration(length)*second/readPerSecond, func() { r.nodes[node].FirstEvent(c, r.now-arrived) })
+		}
 		if count && r.now-arrived > 500*ms {
 			r.result.late++
 		}
@@ -308,6 +354,17 @@
 	return engineQueue
 }
 
+// shortPrompt and longPrompt bound the lengths of prompts, in tokens, where engines have memory for a number of them.
+const shortPrompt, longPrompt = 1460, 4 * 1460
+
+// readPerSecond is the number of prompt tokens that an engine reads in a second.
+const readPerSecond = 25_000
+
+// isLong reports whether a call is among the longest tenth.
+func (r *herdRun) isLong(c dispatch.CallID) bool {
+	return r.lengths[c] >= longPrompt-(longPrompt-shortPrompt)/10
+}
+
 // isBrittle reports whether engines fall over if they reject too many calls.
 func (r *herdRun) isBrittle() bool { return r.brittle > 0 && r.now >= brittleNotice }
 
@@ -330,6 +387,7 @@
 // finish ends a call and starts the next one that waits at its engine.
 func (r *herdRun) finish(id string, node int, c dispatch.CallID) {
 	r.present[id]--
+	r.held[id] -= r.lengths[c]
 	if w := r.waiting[id]; len(w) > 0 {
 		r.waiting[id] = w[1:]
 		w[0]()
--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -98,6 +98,7 @@
 			candidates = append(candidates, candidate{upstream: u, cost: d.cost(u, c, load, now)})
 		}
 	}
+	candidates = d.withMemory(candidates, c, now)
 	return pick(candidates, uint64(c.ID), d.unseenCalls(candidates, now))
 }
 
--- a/dispatch/tokens.go
+++ b/dispatch/tokens.go
@@ -6,7 +6,7 @@
 type EngineTokens struct {
 	// Unread is the length of the prompts of calls whose answer has no event yet.
 	Unread int `json:"u,omitempty"`
-	// Held is what running calls take of the engine's memory once their answers are complete.
+	// Held is what running calls reserve of the engine's memory.
 	Held int `json:"h,omitempty"`
 }
 
@@ -20,9 +20,9 @@
 	EngineTokens
 }
 
-// tokens returns what a call takes of an engine that has not begun its answer.
-func (c *Call) tokens() EngineTokens {
-	return EngineTokens{Unread: c.unread(), Held: c.PromptTokens + c.OutputTokens}
+// tokens returns what a call takes of an engine that has the given memory and has not begun its answer.
+func (c *Call) tokens(memory int) EngineTokens {
+	return EngineTokens{Unread: c.unread(), Held: c.reserved(memory)}
 }
 
 // FirstEvent records that the first event of a running call's answer arrived, so long after the call was sent: the
@@ -36,7 +36,7 @@
 }
 
 // ObservePlannerTokens records the planner's counts of the tokens of the calls of all nodes, by engine ID. The arguments are
-// those of ObservePlannerCounts.
+// those of ObservePlannerCounts. The counts hold what Running returned last, whatever has started or ended since.
 func (d *Dispatcher) ObservePlannerTokens(tokens map[string]EngineTokens, whole bool) {
 	if whole {
 		for _, u := range d.upstreams {
@@ -45,7 +45,7 @@
 	}
 	for id, t := range tokens {
 		if u := d.upstreams[id]; u != nil {
-			u.othersTokens = t.minus(u.ownTokens)
+			u.othersTokens = t.minus(u.reportedTokens)
 		}
 	}
 }
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -79,6 +79,10 @@
 	NoVersion Reason = "no upstream of the stream's software version"
 	// NoSlot means that no upstream will have a free slot in time.
 	NoSlot Reason = "no room in time"
+	// NoMemory means that upstreams have free slots, but none will have the memory in time.
+	NoMemory Reason = "no engine memory in time"
+	// TooLarge means that the prompt exceeds the memory of every upstream.
+	TooLarge Reason = "larger than engine memory"
 	// Overloaded means that the upstreams which hold the model have more calls than they can run in time.
 	Overloaded Reason = "model overloaded"
 )
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -51,12 +51,14 @@
 		requirement
 		patient bool
 	}
-	failedSelections := map[choice]selection{}
+	failedSelections := map[choice]failedSelection{}
 	permits := d.newPermitQueue(now)
 	remaining := d.queue[:0]
 	for _, w := range d.queue {
 		key := choice{w.call.requirement(), w.call.isPatient(&d.limits)}
-		outcome, known := failedSelections[key]
+		failed, known := failedSelections[key]
+		outcome := failed.outcome
+		ceiling := d.memoryCeiling(&w.call, now)
 		var u *upstream
 		avoids := len(w.call.Avoid) > 0
 		if !w.tried && d.shed(&w.call, now) {
@@ -65,7 +67,7 @@
 			continue
 		}
 		w.tried = true
-		if !known || avoids {
+		if !known || avoids || outcome == lacksMemory && ceiling > failed.ceiling {
 			u, outcome = d.choose(&w.call, now)
 		}
 		if u != nil {
@@ -73,7 +75,7 @@
 			continue
 		}
 		if !avoids {
-			failedSelections[key] = outcome
+			failedSelections[key] = failedSelection{outcome, ceiling}
 		}
 		w.outcome = outcome
 		if v, refused := d.refusal(w, permits, now); refused {
@@ -91,8 +93,15 @@
 	return verdicts
 }
 
+// failedSelection is the outcome for a call for which no upstream was found, with its ceiling of memory: calls with a
+// higher one may find an upstream.
+type failedSelection struct {
+	outcome selection
+	ceiling int
+}
+
 func (d *Dispatcher) start(w *queuedCall, u *upstream, now time.Duration) Verdict {
-	tokens := w.call.tokens()
+	tokens := w.call.tokens(d.memory[w.call.Service])
 	r := &runningCall{call: w.call, upstream: u, tokens: tokens, limitSeq: u.request.rateLimit.Seq}
 	expected := d.expectedFirstEvent(u, &w.call, now)
 	d.expectFirstEvent(r, now)
@@ -121,8 +130,14 @@
 	c := &w.call
 	w.permitFrom = nil
 	v := Verdict{ID: c.ID, Action: Refuse, Reason: NoSlot, RetryAfter: d.limits.RetryAfter}
-	if w.outcome == noneKnown {
+	switch {
+	case d.exceedsMemory(c):
+		v.Reason, v.RetryAfter = TooLarge, tooLargeRetryAfter
+		return v, true
+	case w.outcome == noneKnown:
 		v.Reason = NoUpstream
+	case w.outcome == lacksMemory:
+		v.Reason = NoMemory
 	}
 	if c.Pinned && !d.hasVersion(c) {
 		v.Reason = NoVersion
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -143,6 +143,8 @@
 	brittle map[string]ratelimit.Brittle
 	// overloaded holds the models that this node last logged as overloaded.
 	overloaded map[dispatch.ModelKey]bool
+	// memoryShort holds the services that this node last logged as short of engine memory.
+	memoryShort map[string]bool
 	// unreportedLeaving holds the upstreams that said that they are leaving and of which
 	// the leader does not know it yet.
 	unreportedLeaving map[fleet.Incarnation]bool
@@ -197,6 +199,7 @@
 		unreportedLeaving: map[fleet.Incarnation]bool{},
 		proof:             currencyProof{bound: time.Duration(cfg.Revocation)},
 		overloaded:        map[dispatch.ModelKey]bool{},
+		memoryShort:       map[string]bool{},
 	}
 	e.ending, e.end = context.WithCancel(context.Background())
 	for _, change := range options {
@@ -328,6 +331,7 @@
 				e.loop.Post(func() {
 					e.dropUnlisted(boottime.Now())
 					e.reviewSuspicions(boottime.Now())
+					e.noteMemoryShortage()
 				})
 			}
 		}
@@ -353,6 +357,7 @@
 		var conf *routes.Configuration
 		if conf, err = e.decode(text); err == nil {
 			e.routing.Store(&routingConfig{version: c.Version, table: routes.NewTable(conf)})
+			e.applyEngineMemory(conf)
 			if current == nil {
 				close(e.configured)
 			}
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -138,6 +138,10 @@
 		return text + c.load(c.ended)
 	case "no room in time":
 		return text + "All upstreams that offer the model were full or paused."
+	case "no engine memory in time":
+		return text + "The engines that hold the model had free slots, but no memory for a call of this length beside those of all nodes."
+	case "larger than engine memory":
+		return text + "The prompt is longer than the memory that the configuration states for the engines of the service."
 	case "model overloaded":
 		return text + "The engines that hold the model had more calls of all nodes than they can run."
 	case "upstreams asked for a pause":
