dispatch: tenants of one priority take turns, and nobody starves

The queue of an entry node was sorted by priority and time. Calls far back in a long queue were refused only after half of their time.

Tenants take turns by start-time fair queueing within service and priority, weighted by their quotas' rates. A tenant or a priority that found room less than a third as often as all comes first, and is shed last, until it no longer does. While a model is overloaded, a tenant that asks for more than its part is shed first. A call that cannot start before it would be refused for having waited is refused when that is seen. Calls without a tenant, on services without a capacity in tokens, are ordered and refused as before.

Ruled out: aging by waiting time, which puts patient calls that wait by design before urgent ones.

No existing check was changed; internal/edge/memory.go is now room.go.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -31,6 +31,9 @@
 	overloads map[ModelKey]overload
 	// memory is that of each engine of a service, in tokens; services without a limit are left out.
 	memory map[string]int
+	// fair is what is known of tenants that compete, and starts counts the calls that started lately.
+	fair   fairness
+	starts map[requirement]*recentStarts
 	// departed holds the requests of upstreams that were removed, by ID.
 	departed map[string]departed
 	// brittle holds what upstreams say of the rejections that they bear, by service, to this node or
@@ -81,6 +84,8 @@
 		overloads: map[ModelKey]overload{},
 		slowness:  map[string]*slowness{},
 		prompts:   map[string]*promptMix{},
+		fair:      newFairness(),
+		starts:    map[requirement]*recentStarts{},
 
 		brittle: map[string]brittleness{}, observedBrittle: map[string]brittleness{},
 		granted: map[string]slotGrants{}, entryNodes: 1,
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -9,6 +9,8 @@
 //   - More calls than slots: calls wait in order of priority and then of the time at
 //     which their answer is due. Calls that cannot start in time are refused early
 //     instead of waiting until their deadline (wait.go).
+//   - One of several tenants calls many times as often as the others, or urgent calls alone exceed the room: tenants
+//     take turns by their weights, and none starves (fair.go).
 //   - Upstreams that differ in speed, or are cold, full, failing or gone: the load
 //     that upstreams report with their answers and the results of calls determine
 //     the choice (choose.go).
--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -52,7 +52,14 @@
 		return false
 	}
 	o, overloaded := d.observeOverload(ModelKey{Service: c.Service, Model: c.Model}, now)
-	return overloaded && o.use >= shedLimit(c)
+	if !overloaded {
+		return false
+	}
+	limit := shedLimit(c)
+	if d.starved(c, now) {
+		limit = max(limit, shedFrom+urgentReserve)
+	}
+	return o.use >= limit-d.excess(c, now)
 }
 
 // isPatient reports whether the answer to a call is due so late that the calls which run now can end before.
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -30,6 +30,8 @@
 	PromptTokens, OutputTokens int
 	// Tenant is the name of the caller's tenant; empty if calls need no key.
 	Tenant string
+	// Weight is the tenant's part of the room against the other tenants of its priority; zero counts as 1.
+	Weight float64
 	// Affinity is a hash of the beginning of the prompt that the call shares with
 	// others, so that they run where it is cached; zero if there is none.
 	Affinity uint64
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -145,6 +145,8 @@
 	overloaded map[dispatch.ModelKey]bool
 	// memoryShort holds the services that this node last logged as short of engine memory.
 	memoryShort map[string]bool
+	// starved holds the tenants of each service that this node last logged as starved.
+	starved map[string][]string
 	// unreportedLeaving holds the upstreams that said that they are leaving and of which
 	// the leader does not know it yet.
 	unreportedLeaving map[fleet.Incarnation]bool
@@ -332,6 +334,7 @@
 					e.dropUnlisted(boottime.Now())
 					e.reviewSuspicions(boottime.Now())
 					e.noteMemoryShortage()
+					e.noteStarved()
 				})
 			}
 		}
--- a/internal/edge/memory.go
+++ b/internal/edge/room.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"slices"
+
 	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/routes"
@@ -41,3 +43,20 @@
 		}
 	}
 }
+
+// noteStarved logs the tenants of each service that begin or end to be starved at this node. It runs on the loop.
+func (e *Edge) noteStarved() {
+	now := e.dispatcher.Starved(boottime.Now())
+	for service, tenants := range now {
+		if !slices.Equal(e.starved[service], tenants) {
+			e.metrics.Count("tenants starved")
+			e.log.Event("tenants starved", eventlog.Fields{"service": service, "tenants": tenants})
+		}
+	}
+	for service := range e.starved {
+		if len(now[service]) == 0 {
+			e.log.Event("tenants no longer starved", eventlog.Fields{"service": service})
+		}
+	}
+	e.starved = now
+}
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -241,7 +241,7 @@
 		Target:   c.arrived + c.route.Target,
 	}
 	if c.tenant != nil {
-		c.dispatchCall.Tenant = c.tenant.Name
+		c.dispatchCall.Tenant, c.dispatchCall.Weight = c.tenant.Name, c.routing.table.Weight(c.tenant)
 	}
 	if s := c.routing.table.Service(service); s != nil && s.Engine != nil {
 		c.dispatchCall.Model, c.dispatchCall.Adapter = c.caller.Model, c.caller.Adapter
--- a/routes/table.go
+++ b/routes/table.go
@@ -15,11 +15,13 @@
 	// byKey holds the tenants by the digests of their keys.
 	byKey map[KeyDigest]*Tenant
 	ranks priorityRanks
+	// weights holds the weights of tenants with a quota, by name.
+	weights map[string]float64
 }
 
 // NewTable returns the index of a configuration. Check must accept the configuration.
 func NewTable(c *Configuration) *Table {
-	t := &Table{conf: c, byHost: map[string]map[string]*Route{}, services: map[string]*Service{}, byKey: map[KeyDigest]*Tenant{}, ranks: newPriorityRanks(c)}
+	t := &Table{conf: c, byHost: map[string]map[string]*Route{}, services: map[string]*Service{}, byKey: map[KeyDigest]*Tenant{}, ranks: newPriorityRanks(c), weights: tenantWeights(c)}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
