dispatch, residency: callers of overloaded models are told when to come back

A call that was shed was told to come back after five seconds, whatever the overload was, while the leader had a load of the model under way that ends in one second from a disk or ten from the weight store. The leader's forecast does not help: it is zero for a model that an engine holds, and nodes ask for it only for calls that wait.

Nodes now name the models that are overloaded for them, and the leader says when the first load of one that is planned or under way ends. Without such a load the wait is the time in which the running calls beyond the caller's limit end; without the leader the time until the overload is forgotten. The histogram `retry after overload` shows it.

TestForecastOfAnotherHolder follows a load from the store.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -18,6 +18,8 @@
 	queue     []*queuedCall
 	running   map[CallID]*runningCall
 	forecasts map[ModelKey]forecast
+	// another holds the forecasts of when another engine holds a model.
+	another map[ModelKey]forecast
 	// arrivals counts the calls for each model and adapter since the start, without
 	// repeats.
 	arrivals map[ModelKey]uint64
@@ -79,6 +81,7 @@
 		byService: map[string][]*upstream{},
 		running:   map[CallID]*runningCall{},
 		forecasts: map[ModelKey]forecast{},
+		another:   map[ModelKey]forecast{},
 		arrivals:  map[ModelKey]uint64{},
 		departed:  map[string]departed{},
 		overloads: map[ModelKey]overload{},
--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -23,9 +23,8 @@
 	// them. At the nodes they would wait for a free slot that calls of other nodes take before them; the engine lets
 	// them wait in turn.
 	patientReserve = 0.5
-	// overloadTTL is how long a model counts as overloaded without new counts of the planner, and the wait asked of
-	// callers that are refused. The loss of a leader takes about as long, and so does it until a model for which
-	// demand has grown has more engines.
+	// overloadTTL is how long a model counts as overloaded without new counts of the planner. The loss of a leader takes
+	// about as long.
 	overloadTTL = 5 * time.Second
 )
 
@@ -37,7 +36,7 @@
 }
 
 // shed decides whether a call is refused at once because the engines that hold its model have more calls than they
-// can run.
+// can run, and when its caller should try again.
 //
 // It answers this load pattern: demand moves to a model that few engines hold, so that several times more calls
 // arrive than they finish. Sent there, nearly all of them are late or lost: engines read prompts instead of going on
@@ -47,19 +46,20 @@
 //
 // Calls that can wait for the running ones to end are not refused, nor are those that an engine may have begun.
 // Without recent counts of the planner the last share holds for overloadTTL.
-func (d *Dispatcher) shed(c *Call, now time.Duration) bool {
+func (d *Dispatcher) shed(c *Call, now time.Duration) (retryAfter time.Duration, refused bool) {
 	if c.Model == "" || c.Pinned || c.Repeat || c.isPatient(&d.limits) {
-		return false
+		return 0, false
 	}
 	o, overloaded := d.observeOverload(ModelKey{Service: c.Service, Model: c.Model}, now)
 	if !overloaded {
-		return false
+		return 0, false
 	}
 	limit := shedLimit(c)
 	if d.starved(c, now) {
 		limit = max(limit, shedFrom+urgentReserve)
 	}
-	return o.use >= limit-d.excess(c, now)
+	limit -= d.excess(c, now)
+	return d.overloadRetryAfter(c, limit, now), o.use >= limit
 }
 
 // isPatient reports whether the answer to a call is due so late that the calls which run now can end before.
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -68,12 +68,14 @@
 		ceiling := d.memoryCeiling(&w.call, now)
 		var u *upstream
 		avoids := len(w.call.Avoid) > 0
-		if !w.tried && d.shed(&w.call, now) {
-			d.countPassedOver(&w.call, now)
-			d.countShare(&w.call, false, now)
-			w.decided = true
-			verdicts = append(verdicts, Verdict{ID: w.call.ID, Action: Refuse, Reason: Overloaded, RetryAfter: overloadTTL})
-			continue
+		if !w.tried {
+			if retryAfter, refused := d.shed(&w.call, now); refused {
+				d.countPassedOver(&w.call, now)
+				d.countShare(&w.call, false, now)
+				w.decided = true
+				verdicts = append(verdicts, Verdict{ID: w.call.ID, Action: Refuse, Reason: Overloaded, RetryAfter: retryAfter})
+				continue
+			}
 		}
 		w.tried = true
 		if !known || avoids || outcome == lacksMemory && ceiling > failed.ceiling {
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -222,6 +222,11 @@
 				answer.Forecasts = append(answer.Forecasts, f)
 			}
 		}
+		for _, m := range r.Overloaded {
+			if in, ok := c.planner.ForecastAnother(m.Service, m.Model, now); ok {
+				answer.Forecasts = append(answer.Forecasts, nodelink.Forecast{Service: m.Service, Model: m.Model, In: in, Another: true})
+			}
+		}
 	})
 	if err == nil && !leading {
 		err = c.notLeaderError()
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -138,6 +138,9 @@
 			return
 		}
 		if verdict.Action == dispatch.Refuse {
+			if verdict.Reason == dispatch.Overloaded {
+				c.edge.metrics.Observe("retry after overload", verdict.RetryAfter)
+			}
 			c.giveUp(string(verdict.Reason), verdict.RetryAfter)
 			return
 		}
--- a/internal/edge/demand.go
+++ b/internal/edge/demand.go
@@ -75,7 +75,7 @@
 // empty reports whether the report says only that nothing waits or runs.
 func (r *demandReport) empty() bool {
 	return len(r.Report.Waiting)+len(r.Report.Arrivals)+len(r.Report.Running)+len(r.Report.Quality)+len(r.Report.Unreachable)+
-		len(r.Brittle)+len(r.SlotWants)+len(r.Leaving)+len(r.Losses)+len(r.Served)+len(r.Alive)+len(r.RateLimits)+len(r.PermitWants)+len(r.Trials) == 0
+		len(r.Brittle)+len(r.SlotWants)+len(r.Leaving)+len(r.Losses)+len(r.Served)+len(r.Alive)+len(r.RateLimits)+len(r.PermitWants)+len(r.Trials)+len(r.Overloaded) == 0
 }
 
 // urgent reports whether calls wait for a model or a permit, or whether the node wants or has slots that the
@@ -96,12 +96,16 @@
 	for upstream, limit := range e.dispatcher.UnlistedRateLimits() {
 		limits = append(limits, nodelink.RateLimit{Upstream: upstream, Limit: limit})
 	}
+	var overloaded []nodelink.ModelName
+	for k := range e.dispatcher.Overloads(now) {
+		overloaded = append(overloaded, nodelink.ModelName{Service: k.Service, Model: k.Model})
+	}
 	request := nodelink.DemandRequest{
 		Report: e.nodeReport(), Leaving: slices.Collect(maps.Keys(e.unreportedLeaving)),
 		RateLimits: limits, PermitWants: e.dispatcher.PermitWants(now),
 		Brittle: e.dispatcher.ObservedBrittle(now), SlotWants: e.dispatcher.SlotWants(now),
 		Losses: losses, Served: slices.Collect(maps.Keys(served)), Alive: e.aliveUpstreams(),
-		Trials: wantedTrials(waiters),
+		Trials: wantedTrials(waiters), Overloaded: overloaded,
 	}
 	return demandReport{DemandRequest: request, servedAt: served, lossesUntil: until, trialWaiters: waiters}
 }
@@ -177,7 +181,12 @@
 		e.deliver(e.dispatcher.GrantPermits(answer.Permits, askedAt, now))
 		e.deliver(e.dispatcher.GrantSlots(answer.Slots, askedAt, now))
 		for _, f := range answer.Forecasts {
-			e.dispatcher.Forecast(dispatch.ModelKey{Service: f.Service, Model: f.Model}, f.In, now)
+			key := dispatch.ModelKey{Service: f.Service, Model: f.Model}
+			if f.Another {
+				e.dispatcher.ForecastAnother(key, f.In, now)
+			} else {
+				e.dispatcher.Forecast(key, f.In, now)
+			}
 		}
 	})
 }
--- a/internal/nodelink/nodelink.go
+++ b/internal/nodelink/nodelink.go
@@ -154,6 +154,15 @@
 	Alive []fleet.Incarnation `json:"alive,omitempty"`
 	// Trials are signatures in quarantine of which a call waits to be sent on trial.
 	Trials []quarantine.Signature `json:"trials,omitempty"`
+	// Overloaded are the models for which the node refuses calls since their engines have more than they can run. Earlier
+	// builds leave them out.
+	Overloaded []ModelName `json:"overloaded,omitempty"`
+}
+
+// ModelName names a model of a service.
+type ModelName struct {
+	Service string `json:"s"`
+	Model   string `json:"m"`
 }
 
 // DemandAnswer has the forecasts for the models that calls wait for, and the leader's
@@ -219,6 +228,8 @@
 	Model   string `json:"m"`
 	// In is the time from the answer until the model can run.
 	In time.Duration `json:"in"`
+	// Another is set if the model is overloaded and In is the time until another engine holds it.
+	Another bool `json:"another,omitempty"`
 }
 
 // JoinRequest asks to add a control node to the group.
--- a/residency/residency_test.go
+++ b/residency/residency_test.go
@@ -284,6 +284,24 @@
 	is.True(newSimulation(t, 4, 8, false).holdersAfterBurst(8*second) >= 2) // a load from the store takes six seconds
 }
 
+// TestForecastOfAnotherHolder has one engine hold a busy model. There is no forecast of another holder before a load of it is
+// planned, then the time until that load ends, and none once it has.
+func TestForecastOfAnotherHolder(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(t, 4, 8, false)
+	s.run(second)
+	_, known := s.planner.ForecastAnother("llm", "m0", s.now)
+	is.True(!known)
+	is.Equal(s.holdersAfterBurst(3*second), 1)
+	in, known := s.planner.ForecastAnother("llm", "m0", s.now)
+	is.True(known)
+	is.True(in > 0 && in <= 6*second) // a load from the store takes six seconds
+	is.True(s.holdersAfterBurst(8*second) >= 2)
+	if in, known = s.planner.ForecastAnother("llm", "m0", s.now); known {
+		is.True(in > 0) // of a third one
+	}
+}
+
 // TestPlannerAvoidsCostlyStoreLoad has one model somewhat busy on the only engine
 // with a copy, while calls for rare models keep the engines loading. A second copy
 // would occupy an engine for six seconds, which costs more than it saves.
--- a/residency/store.go
+++ b/residency/store.go
@@ -94,6 +94,20 @@
 	return max(0, f.readyAt-now), f.known
 }
 
+// ForecastAnother returns the time until the first load of a model that is planned or in progress makes another engine
+// hold it. The second result is false if there is none.
+func (p *Planner) ForecastAnother(service, model string, now time.Duration) (in time.Duration, ok bool) {
+	for _, e := range p.byID {
+		if e.desc.Service != service || e.desc.Leaving || e.service == nil || e.job == nil || e.job.model != model || e.acceptsCalls(model) {
+			continue
+		}
+		if after, known := p.forecastEngine(e, model, 0, now); known && (!ok || after < in) {
+			in, ok = after, true
+		}
+	}
+	return in, ok
+}
+
 // forecast returns the earliest time at which an engine could run a call for a model.
 func (p *Planner) forecast(key modelKey, now time.Duration) forecast {
 	f := forecast{computedAt: now}
