dispatch: only calls that waited for memory draw with lower odds

A call that had waited for anything, such as a slot or its model, drew with a tenth of the odds of new calls: at an engine with half of its memory free it started at once in fewer than half of the tries. Only the competition for memory itself, in which a call draws again and again, is a reason for that.

--- a/dispatch/memory.go
+++ b/dispatch/memory.go
@@ -15,7 +15,7 @@
 	// maxAnswerShare bounds the share of an engine's memory that a call reserves for its answer, whatever its caller
 	// states.
 	maxAnswerShare = 1.0 / 16
-	// retryOdds reduces the odds of a call that has waited for new counts. It draws several times while it waits, where new
+	// retryOdds reduces the odds of a call that has waited for memory. It draws several times while it waits, where new
 	// calls draw once.
 	retryOdds = 0.1
 	// tooLargeRetryAfter is the wait asked of the callers of calls that exceed the memory of all engines. Only another
@@ -108,7 +108,7 @@
 	}
 	room := float64(ceiling - held + c.reserved(d.memory[c.Service]))
 	contested := d.unseenShare(now) * float64(u.othersTokens.Held)
-	if c.Arrived < d.plannerCountAt {
+	if c.waitedForMemory {
 		contested /= retryOdds
 	}
 	if held == 0 || c.Pinned || contested == 0 {
--- a/dispatch/memory_test.go
+++ b/dispatch/memory_test.go
@@ -129,3 +129,19 @@
 	is.Equal(held(2*second), 600) // no word of the leader: this node goes by its own calls
 	is.Equal(len(started(d.Tick(2*second))), 1)
 }
+
+// TestCallsThatWaitedForSlotsStartAtOnce has a call wait for a slot of an engine with half of its memory in use by other
+// nodes. It starts with the slot, whatever counts came meanwhile.
+func TestCallsThatWaitedForSlotsStartAtOnce(t *testing.T) {
+	for i := range 50 {
+		d := newDispatcher(engine("a", 1, "m"))
+		d.SetMemory(map[string]int{"llm": 1000}, 0)
+		d.Submit(memoryCall(i, 100, 0), 0)
+		d.Submit(memoryCall(100+i, 100, 0), 0)
+		d.ObservePlannerCounts(nil, true, 100*ms)
+		d.ObservePlannerTokens(map[string]dispatch.EngineTokens{"a": {Held: 500}}, true)
+		if len(started(d.Finish(dispatch.CallID(i), dispatch.Served, 120*ms))) != 1 {
+			t.Fatalf("call %d waits on", i)
+		}
+	}
+}
--- a/dispatch/types.go
+++ b/dispatch/types.go
@@ -48,6 +48,8 @@
 	// Repeat is set when the call was sent before; it then does not count as another
 	// arrival.
 	Repeat bool
+	// waitedForMemory is set once an upstream could have taken the call but for its memory.
+	waitedForMemory bool
 }
 
 // Action is the kind of decision made on a call.
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -89,6 +89,7 @@
 			failedSelections[key] = failedSelection{outcome, ceiling}
 		}
 		w.outcome = outcome
+		w.call.waitedForMemory = w.call.waitedForMemory || outcome == lacksMemory
 		v, refused := d.refusal(w, permits, now)
 		if !refused {
 			v, refused = d.refuseLate(w, ahead[key.requirement], now)
