--- a/dispatch/fair_test.go
+++ b/dispatch/fair_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -220,3 +221,21 @@
 	}
 	is.Equal(started(d.Finish(0, dispatch.Served, 0))[100], "a")
 }
+
+// TestNewNodeJudgesNobody refuses calls of a tenant at a node that has decided on few: nobody counts as starved, and no
+// limit is lowered. Absurd weights are bounded.
+func TestNewNodeJudgesNobody(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("a", 1, "m"))
+	for i := range 7 {
+		c := tenantCall(i, "t", 1)
+		c.Weight = math.NaN()
+		d.Submit(c, 0)
+		d.Withdraw(c.ID)
+	}
+	is.Equal(len(d.Starved(0)), 0)
+	huge, tiny := tenantCall(20, "huge", 1), tenantCall(21, "tiny", 1)
+	huge.Weight, tiny.Weight = math.Inf(1), 0
+	order := startOrder([]dispatch.Call{huge, tiny})
+	is.Equal(len(order), 2)
+}
--- a/dispatch/memory_test.go
+++ b/dispatch/memory_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/agateslip/agateslip/dispatch"
+	"github.com/agateslip/agateslip/fleet"
 )
 
 // longPrompts replays prompts of which 48 of the mean length take more than the memory of an engine with 48 slots,
@@ -145,3 +146,33 @@
 		}
 	}
 }
+
+// TestMemoryOfRestartedEngine starts an engine again while calls of this node run there. Its memory is free at once, and
+// what the leader still counts of this node's calls is not taken for that of others.
+func TestMemoryOfRestartedEngine(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("a", 8, "m"))
+	d.SetMemory(map[string]int{"llm": 1000}, 0)
+	d.Submit(memoryCall(1, 700, 0), 0)
+	again := engine("a", 8, "m")
+	again.Born = 2
+	d.Update([]fleet.Upstream{again}, 0)
+	d.Running()
+	d.ObservePlannerCounts(map[string]int{"a": 1}, true, 0)
+	d.ObservePlannerTokens(map[string]dispatch.EngineTokens{"a": {Held: 700}}, true)
+	is.Equal(d.Health("a", 0).HeldTokens, 0)
+	is.Equal(len(started(d.Submit(memoryCall(2, 700, 0), 0))), 1)
+	d.Finish(1, dispatch.Served, 0) // of the engine before
+	is.Equal(d.Health("a", 0).HeldTokens, 700)
+}
+
+// TestNodesThatReportNoTokens has the leader count calls of nodes that state no tokens, such as those of earlier
+// builds: calls are sent as far as slots are free.
+func TestNodesThatReportNoTokens(t *testing.T) {
+	is := is.New(t)
+	d := newDispatcher(engine("a", 8, "m"))
+	d.SetMemory(map[string]int{"llm": 1000}, 0)
+	d.ObservePlannerCounts(map[string]int{"a": 4}, true, 0)
+	d.ObservePlannerTokens(nil, true)
+	is.Equal(len(started(d.Submit(memoryCall(1, 900, 0), 0))), 1)
+}
