--- a/dispatch/herd_test.go
+++ b/dispatch/herd_test.go
@@ -155,24 +155,20 @@
 	heap.Push(&r.events, herdEvent{r.now + d, do})
 }
 
-// addTokens adds to the sums of an engine, or subtracts if sign is -1.
-func (r *herdRun) addTokens(id string, t dispatch.EngineTokens, sign int) {
-	sum := r.totalTokens[id]
-	r.totalTokens[id] = dispatch.EngineTokens{Unread: sum.Unread + sign*t.Unread, Held: sum.Held + sign*t.Held}
-}
-
 // report sends the running calls of a node to the planner, and its counts back.
 func (r *herdRun) report(node int) {
 	for id, use := range r.reported[node] {
 		r.total[id] -= use.Calls
-		r.addTokens(id, use.EngineTokens, -1)
+		sum := r.totalTokens[id]
+		r.totalTokens[id] = dispatch.EngineTokens{Unread: sum.Unread - use.Unread, Held: sum.Held - use.Held}
 	}
 	r.reported[node] = map[string]dispatch.Use{}
 	for id, byModel := range r.nodes[node].Running() {
 		for _, use := range byModel { // there is one model
 			r.reported[node][id] = use
 			r.total[id] += use.Calls
-			r.addTokens(id, use.EngineTokens, 1)
+			sum := r.totalTokens[id]
+			r.totalTokens[id] = dispatch.EngineTokens{Unread: sum.Unread + use.Unread, Held: sum.Held + use.Held}
 		}
 	}
 	if r.leaderLostAt > 0 && r.now >= r.leaderLostAt && r.now < r.leaderLostAt+r.leaderless {
