--- a/ratelimit/quota_test.go
+++ b/ratelimit/quota_test.go
@@ -298,8 +298,9 @@
 
 // changeOfLeader plays tenants that use a share of their quotas, by turns half as much again and half as much for a second. The
 // leader is lost for a while. It returns the calls that were refused although one bucket at one place would let them run, by
-// whether they arrived before, while or after there was no leader, and the number of those that arrived after.
-func changeOfLeader(t *testing.T, seed uint64, lost time.Duration, use float64, reserves bool) (before, during, after, calls int) {
+// whether they arrived before there was no leader or after, and the number of those that arrived after.
+func changeOfLeader(t *testing.T, seed uint64, lost time.Duration, use float64, reserves bool) (before, after, calls int) {
+	var during int
 	loads, bounds := unequalTenants(278)
 	s := newQuotaSim(seed, 72, 1.0/1000, bounds)
 	s.oldLeader = !reserves
@@ -331,7 +332,7 @@
 	slices.Sort(waits)
 	t.Logf("lost for %v at %.1f of the quotas, reserves %v: %d refused below quota before, %d meanwhile, %d of %d (%.2f %%) after; 9 in 10 then waited %v at most",
 		lost, use, reserves, before, during, after, len(waits), 100*float64(after)/float64(len(waits)), waits[len(waits)*9/10])
-	return before, during, after, len(waits)
+	return before, after, len(waits)
 }
 
 // TestChangeOfLeaderBelowQuota loses the leader. The reserve spares at least half of the calls below quota that a leader
@@ -341,8 +342,8 @@
 	var with, without, calm int
 	for _, lost := range []time.Duration{0, time.Second, 3 * time.Second} {
 		for _, use := range []float64{0.5, 0.7, 0.9} {
-			before, _, after, calls := changeOfLeader(t, 1, lost, use, true)
-			_, _, empty, _ := changeOfLeader(t, 1, lost, use, false)
+			before, after, calls := changeOfLeader(t, 1, lost, use, true)
+			_, empty, _ := changeOfLeader(t, 1, lost, use, false)
 			with, without, calm = with+after, without+empty, calm+before
 			if use == 0.5 {
 				is.Equal(before, 0)
@@ -504,6 +505,73 @@
 	})
 }
 
+// TestReserveAtItsCorners has a leader keep the reserve, and nodes want all that they can get from it and those that follow.
+func TestReserveAtItsCorners(t *testing.T) {
+	const began, soon = time.Hour, time.Hour + time.Minute
+	bound := BoundQuota(2700, 2700, testWindow, 0.1, 11000)
+	lower := BoundQuota(270, 270, testWindow, 0.1, 0)
+	kept := KeptReserve{Term: 1, Version: 1}
+	nodes := 0
+	// all returns what a node that has not been heard of gets, which wants as much as a call may cost.
+	all := func(q *Quotas, b QuotaBound, word KeptReserve, now time.Duration) float64 {
+		nodes++
+		need := Share{Tenant: "a", Need: b.Out, First: 1, Patience: time.Millisecond, Kept: word}
+		return q.Report(fmt.Sprint("node", nodes), ShareReport{Seq: 1, Shares: []Share{need}}, boundOnly(b), now).Grants[0].Amount
+	}
+	leader := func(term, version uint64, at time.Duration) *Quotas {
+		q := NewQuotas(term, at)
+		q.Succeed(term-1, version)
+		return q
+	}
+	keeps := func(t *testing.T) *Quotas {
+		q := leader(1, 1, began)
+		a := q.Report("n", ShareReport{Seq: 1, Shares: []Share{{Tenant: "a", Refused: 1}}}, boundOnly(bound), soon)
+		is.New(t).Equal(a.Kept, []string{"a"})
+		return q
+	}
+	t.Run("three leaders at once", func(t *testing.T) {
+		is := is.New(t)
+		sum := all(keeps(t), bound, KeptReserve{}, soon)
+		is.Equal(sum, bound.Out)
+		second := leader(2, 1, soon)
+		got := all(second, bound, kept, soon)
+		is.True(got > 0 && got >= min(bound.Reserve, bound.OutAll-bound.Out)-1)
+		sum += got
+		third := leader(3, 1, soon)
+		for now := soon; now < soon+ShareTTL; now += 50 * time.Millisecond {
+			sum += all(third, bound, kept, now)
+			is.True(sum <= bound.Capacity) // nothing of it is void yet
+		}
+	})
+	t.Run("word comes late", func(t *testing.T) {
+		is := is.New(t)
+		q := leader(2, 1, began)
+		got := all(q, bound, KeptReserve{}, soon)
+		is.Equal(got, bound.Out) // of a full bucket
+		q.Report(fmt.Sprint("node", nodes), ShareReport{Term: 2, Seq: 2, Shares: []Share{{Tenant: "a", Used: got}}}, boundOnly(bound), soon)
+		before := q.Overview(soon)[0].Level
+		got = all(q, bound, kept, soon)
+		is.True(got+q.Overview(soon)[0].Level <= before)
+	})
+	t.Run("other limits", func(t *testing.T) {
+		is := is.New(t)
+		q := leader(2, 2, soon)
+		all(q, lower, kept, soon)
+		is.Equal(q.Overview(soon)[0].Level, 0.0) // the last one may have cut its level
+		first := keeps(t)
+		all(first, lower, KeptReserve{}, soon)
+		first.Succeed(0, 2)
+		a := first.Report("n", ShareReport{Seq: 2, Shares: []Share{{Tenant: "a", Refused: 1}}}, boundOnly(bound), soon)
+		is.Equal(len(a.Kept), 0) // raised again, the bucket is not full
+	})
+	t.Run("another leader between", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(all(leader(3, 1, soon), bound, kept, soon), 0.0)
+		is.Equal(all(leader(2, 0, soon), bound, kept, soon), 0.0) // does not know
+		is.True(all(leader(2, 1, soon), bound, kept, soon) > 0)
+	})
+}
+
 // TestLeaderAccountsOncePerReport has reports arrive late, and a limit that falls below what a node holds.
 func TestLeaderAccountsOncePerReport(t *testing.T) {
 	is := is.New(t)
--- a/ratelimit/quotas.go
+++ b/ratelimit/quotas.go
@@ -418,6 +418,9 @@
 	Capacity float64 `json:"capacity"`
 	// PerSecond is the rate at which the bucket fills.
 	PerSecond float64 `json:"perSecond"`
+	// TookOver and KeepsReserve tell that the leader began with the reserve of the one before, and keeps it for the next one.
+	TookOver     bool `json:"tookOver,omitempty"`
+	KeepsReserve bool `json:"keepsReserve,omitempty"`
 	// Waiting is what calls that wait lack, and WaitingNodes the number of nodes where they wait.
 	Waiting      float64 `json:"waiting,omitempty"`
 	WaitingNodes int     `json:"waitingNodes,omitempty"`
@@ -430,7 +433,7 @@
 	var list []QuotaState
 	for _, tenant := range slices.Sorted(maps.Keys(q.buckets)) {
 		b := q.bucket(tenant, q.buckets[tenant].bound, now)
-		s := QuotaState{Tenant: tenant, Level: b.level, Held: b.charged, Capacity: b.bound.Capacity, PerSecond: b.bound.Rate, QuotaCounts: b.counts}
+		s := QuotaState{Tenant: tenant, Level: b.level, Held: b.charged, Capacity: b.bound.Capacity, PerSecond: b.bound.Rate, TookOver: b.claimed, KeepsReserve: b.keeps, QuotaCounts: b.counts}
 		for _, n := range b.waiting {
 			if now <= n.until {
 				s.Waiting += n.amount
