dispatch: calls that may wait too long aren't refused early; callers of overloaded models come back after five seconds

A node sees too few starts to tell when a waiting call gets a slot, and the time in which running calls end is no time at which there is room while others keep coming.

--- a/dispatch/comeback.go
+++ b/dispatch/comeback.go
@@ -11,15 +11,14 @@
 	d.another[k] = forecast{readyAt: now + in, expiresAt: now + d.limits.ForecastTTL}
 }
 
-// overloadRetryAfter returns the wait asked of the caller of a call that is refused since the share of slots in use has
-// reached its limit: until another engine holds the model, as forecast, or else until the running calls that exceed the
-// limit have ended. Once the planner's counts are too old, it is the time until the overload is forgotten.
-func (d *Dispatcher) overloadRetryAfter(c *Call, limit float64, now time.Duration) time.Duration {
+// overloadRetryAfter returns the wait asked of the caller of a call that is refused for overload: until another engine holds
+// the model, as forecast; without a forecast overloadTTL, or, once the planner's counts are too old, the time until the
+// overload is forgotten.
+func (d *Dispatcher) overloadRetryAfter(c *Call, now time.Duration) time.Duration {
 	key := ModelKey{Service: c.Service, Model: c.Model}
-	o := d.overloads[key]
-	wait := time.Duration((1 - limit/o.use) * float64(d.limits.LoadReportTTL))
+	wait := overloadTTL
 	if now-d.plannerCountAt >= d.limits.LoadReportTTL {
-		wait = o.at + overloadTTL - now
+		wait = d.overloads[key].at + overloadTTL - now
 	}
 	if f, ok := d.another[key]; ok && now < f.expiresAt {
 		wait = f.readyAt - now
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -33,9 +33,8 @@
 	overloads map[ModelKey]overload
 	// memory is that of each engine of a service, in tokens; services without a limit are left out.
 	memory map[string]int
-	// fair is what is known of tenants that compete, and starts counts the calls that started lately.
-	fair   fairness
-	starts map[requirement]*recentStarts
+	// fair is what is known of tenants that compete.
+	fair fairness
 	// departed holds the requests of upstreams that were removed, by ID.
 	departed map[string]departed
 	// brittle holds what upstreams say of the rejections that they bear, by service, to this node or
@@ -88,7 +87,6 @@
 		slowness:  map[string]*slowness{},
 		prompts:   map[string]*promptMix{},
 		fair:      newFairness(),
-		starts:    map[requirement]*recentStarts{},
 
 		brittle: map[string]brittleness{}, observedBrittle: map[string]brittleness{},
 		granted: map[string]slotGrants{}, entryNodes: 1,
--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -23,8 +23,8 @@
 	// them. At the nodes they would wait for a free slot that calls of other nodes take before them; the engine lets
 	// them wait in turn.
 	patientReserve = 0.5
-	// overloadTTL is how long a model counts as overloaded without new counts of the planner. The loss of a leader takes
-	// about as long.
+	// overloadTTL is how long a model counts as overloaded without new counts of the planner, and the wait asked of
+	// callers that are refused where no other engine is expected to hold it. The loss of a leader takes about as long.
 	overloadTTL = 5 * time.Second
 )
 
@@ -59,7 +59,7 @@
 		limit = max(limit, shedFrom+urgentReserve)
 	}
 	limit -= d.excess(c, now)
-	return d.overloadRetryAfter(c, limit, now), o.use >= limit
+	return d.overloadRetryAfter(c, now), o.use >= limit
 }
 
 // isPatient reports whether the answer to a call is due so late that the calls which run now can end before.
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
-	"math"
 	"slices"
 	"time"
 )
@@ -60,7 +58,6 @@
 	}
 	failedSelections := map[choice]failedSelection{}
 	permits := d.newPermitQueue(now)
-	ahead := map[requirement]int{}
 	for _, w := range d.ordered(now) {
 		key := choice{w.call.requirement(), w.call.isPatient(&d.limits)}
 		failed, known := failedSelections[key]
@@ -90,11 +87,7 @@
 		}
 		w.outcome = outcome
 		w.call.waitedForMemory = w.call.waitedForMemory || outcome == lacksMemory
-		v, refused := d.refusal(w, permits, now)
-		if !refused {
-			v, refused = d.refuseLate(w, ahead[key.requirement], now)
-		}
-		if refused {
+		if v, refused := d.refusal(w, permits, now); refused {
 			d.countPassedOver(&w.call, now)
 			if v.Reason == NoSlot || v.Reason == NoMemory {
 				d.countShare(&w.call, false, now)
@@ -106,7 +99,6 @@
 		if w.permitFrom != nil {
 			permits.ahead[w.permitFrom]++
 		}
-		ahead[key.requirement]++
 	}
 	d.queue = slices.DeleteFunc(d.queue, func(w *queuedCall) bool { return w.decided })
 	return verdicts
@@ -123,7 +115,6 @@
 	w.decided = true
 	d.countTurn(&w.call)
 	d.countShare(&w.call, true, now)
-	d.countStart(&w.call, now)
 	tokens := w.call.tokens(d.memory[w.call.Service])
 	r := &runningCall{call: w.call, upstream: u, tokens: tokens, limitSeq: u.request.rateLimit.Seq}
 	expected := d.expectedFirstEvent(u, &w.call, now)
@@ -192,82 +183,7 @@
 		// No other node has more upstreams of its version.
 		return v, now > c.LatestStart
 	}
-	return v, now > d.lastWait(c)
-}
-
-const (
-	// startsWindow is the time constant in which starts are counted.
-	startsWindow = 5 * time.Second
-	// maxQueueRetryAfter bounds the wait asked of the callers of calls that would wait for too long behind others.
-	maxQueueRetryAfter = 5 * time.Second
-	// maxExpectedWait is the longest wait that is reckoned with.
-	maxExpectedWait = time.Hour
-)
-
-// recentStarts counts starts, decayed with time.
-type recentStarts struct {
-	count float64
-	at    time.Duration
-}
-
-func (s *recentStarts) decayed(now time.Duration) float64 {
-	if s == nil {
-		return 0
-	}
-	return s.count * math.Exp(-float64(now-s.at)/float64(startsWindow))
-}
-
-// expectsRoom reports whether the calls before this one tell when it starts: it needs only a free slot or memory.
-func (d *Dispatcher) expectsRoom(w *queuedCall) bool {
-	c := &w.call
-	limited := c.Tenant != "" || d.memory[c.Service] > 0
-	return limited && c.Model != "" && !c.Pinned && len(c.Avoid) == 0 && w.permitFrom == nil && (w.outcome == allBusy || w.outcome == lacksMemory)
-}
-
-func (d *Dispatcher) countStart(c *Call, now time.Duration) {
-	if c.Model == "" {
-		return
-	}
-	key := c.requirement()
-	s := d.starts[key]
-	if s == nil {
-		maps.DeleteFunc(d.starts, func(_ requirement, s *recentStarts) bool { return now-s.at > 4*startsWindow })
-		s = &recentStarts{}
-		d.starts[key] = s
-	}
-	s.count, s.at = s.decayed(now)+1, now
-}
-
-// refuseLate returns the verdict that refuses a call because so many calls are ahead of it that it would be refused for
-// having waited, and reports whether it is due. They start as fast as calls did lately, or as fast as this node's part of the
-// engines' slots becomes free, whichever is faster.
-func (d *Dispatcher) refuseLate(w *queuedCall, ahead int, now time.Duration) (Verdict, bool) {
-	c := &w.call
-	if ahead == 0 || !d.expectsRoom(w) {
-		return Verdict{}, false
-	}
-	slots := 0
-	for _, u := range d.byService[c.Service] {
-		if d.eligible(u, c, now) {
-			slots += u.slotCount()
-		}
-	}
-	perSecond := max(d.starts[c.requirement()].decayed(now)/startsWindow.Seconds(),
-		float64(slots)/float64(d.entryNodes)/d.limits.LoadReportTTL.Seconds())
-	wait := time.Duration(min(float64(ahead)/perSecond, maxExpectedWait.Seconds()) * float64(time.Second))
-	if now+wait <= d.lastWait(c) {
-		return Verdict{}, false
-	}
-	reason := NoSlot
-	if w.outcome == lacksMemory {
-		reason = NoMemory
-	}
-	return Verdict{ID: c.ID, Action: Refuse, Reason: reason, RetryAfter: max(d.limits.RetryAfter, min(wait, maxQueueRetryAfter))}, true
-}
-
-// lastWait returns until when a call waits for room.
-func (d *Dispatcher) lastWait(c *Call) time.Duration {
-	return c.Arrived + time.Duration(float64(c.LatestStart-c.Arrived)*d.limits.NoForecastWaitFraction)
+	return v, now > c.Arrived+time.Duration(float64(c.LatestStart-c.Arrived)*d.limits.NoForecastWaitFraction)
 }
 
 // Demand returns the calls that wait for each model and adapter, whether no upstream
