metrics: a set can be published while metrics are read

The goroutines show a circle of locks: New held the lock of the published sets and waited for expvar's, to publish a name; a read of the metrics held expvar's and waited for the lock of the sets. A process publishes its set before it serves metrics, so that none hung in service; tests that start nodes in one process did.

No lock of ours is held while expvar is called now. TestSetIsPublishedWhileMetricsAreRead hangs without the change (failed after 10 s), and passes with it, three times under -race.

--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -34,31 +34,23 @@
 	s := &Set{vars: new(expvar.Map), counters: new(expvar.Map), histograms: map[string]*hdrhistogram.Histogram{}}
 	s.vars.Set("counts", s.counters)
 	s.vars.Set("latencyMillis", expvar.Func(s.latencySummaries))
-	published.Lock()
-	defer published.Unlock()
-	if published.sets[name] == nil {
+	if _, known := published.Swap(name, s); !known {
 		expvar.Publish(name, latestSet(name))
 	}
-	published.sets[name] = s
 	return s
 }
 
-// published holds the latest set of each name. expvar accepts a name only once, so it
-// gets a latestSet, which looks the set up whenever it is read.
-var published = struct {
-	sync.Mutex
-	sets map[string]*Set
-}{sets: map[string]*Set{}}
+// published holds the latest *Set of each name. expvar accepts a name only once, so it gets a latestSet, which looks the
+// set up whenever it is read. No lock is held meanwhile: expvar holds one of its own while it reads, and while it publishes.
+var published sync.Map
 
 // latestSet is the expvar variable of a name. It shows the latest set of that name.
 type latestSet string
 
 // String implements expvar.Var.
 func (name latestSet) String() string {
-	published.Lock()
-	s := published.sets[string(name)]
-	published.Unlock()
-	return s.vars.String()
+	s, _ := published.Load(string(name))
+	return s.(*Set).vars.String()
 }
 
 // Handler returns a handler that serves all metrics of the process as JSON.
