raft, replica: a member without a leader logs its consensus state, and slow flushes

Status now has the durable index and the latest refusal with its reason; a member that knows no leader logs them every two seconds, a failed read of the configuration logs them once, and flushes of a heartbeat or longer are logged at most once a second.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -12,6 +12,7 @@
 	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/internal/nodelink"
 	"github.com/agateslip/agateslip/internal/peer"
+	"github.com/agateslip/agateslip/internal/replica"
 	"github.com/agateslip/agateslip/routes"
 )
 
@@ -112,7 +113,9 @@
 	c.metrics.Observe("read", time.Since(start))
 	if err != nil {
 		c.metrics.Count("read: refused")
-		c.log.Event("configuration read failed", eventlog.Fields{"error": err.Error()})
+		fields := replica.StatusFields(c.raftReplica.Status())
+		fields["error"] = err.Error()
+		c.log.Event("configuration read failed", fields)
 		return nil, 0, errors.Mark(err, ErrUnavailable)
 	}
 	c.metrics.Count("read: served")
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -223,6 +223,7 @@
 	c.quotaGauges.register(c.metrics)
 	c.metrics.Gauge("term", func() int64 { return int64(c.raftReplica.Status().Term) })
 	c.metrics.Gauge("commitIndex", func() int64 { return int64(c.raftReplica.Status().Commit) })
+	c.metrics.Gauge("durableIndex", func() int64 { return int64(c.raftReplica.Status().Durable) })
 	c.metrics.Gauge("appliedIndex", func() int64 { return int64(c.raftReplica.Status().Applied) })
 	c.metrics.Gauge("voters", func() int64 { return int64(len(c.raftReplica.Status().Members.Voters)) })
 	c.metrics.Gauge("learners", func() int64 { return int64(len(c.raftReplica.Status().Members.Learners)) })
--- a/internal/replica/flush.go
+++ b/internal/replica/flush.go
@@ -25,6 +25,7 @@
 		r.failPending("leadership was lost")
 	}
 	r.publishStatus(status)
+	r.observer.observe(status, 0, r.now())
 	return r.snapshotAndCompact(status)
 }
 
@@ -47,9 +48,11 @@
 // processOutput makes an output durable before it sends its messages, applies its
 // committed entries and completes its reads.
 func (r *Replica) processOutput(out raft.Output) error {
+	start := r.now()
 	if err := r.cfg.Store.Save(out); err != nil {
 		return errors.Wrap(err, "save log")
 	}
+	r.observer.flushed(r.now()-start, r.now())
 	if n := len(out.Entries); n > 0 {
 		r.counters.entriesWritten.Add(uint64(n))
 		r.withCore(func(core *raft.Core, now raft.Instant) {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -55,6 +55,7 @@
 	// consecutiveRejects counts, per member, rejected appends that follow an
 	// acknowledged entry.
 	consecutiveRejects map[raft.MemberID]int
+	observer           observer
 }
 
 // New returns a replica that starts from its durable state, and restores the state
@@ -74,6 +75,7 @@
 		consecutiveRejects: map[raft.MemberID]int{},
 	}
 	r.clockOrigin = r.clock()
+	r.observer = observer{log: cfg.Log, slowFlush: cfg.Raft.Heartbeat, slowFlushLogged: -slowFlushLogInterval}
 	core, err := raft.New(cfg.Raft, cfg.Restored, r.now())
 	if err != nil {
 		return nil, errors.Wrap(err, "start raft core from durable state")
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -42,9 +42,11 @@
 	if err != nil {
 		return errors.Wrapf(err, "take snapshot at index %d", r.applied)
 	}
+	start := r.now()
 	if err := r.cfg.Store.Compact(s); err != nil {
 		return errors.Wrap(err, "save snapshot")
 	}
+	r.observer.flushed(r.now()-start, r.now())
 	r.snapshotIndex = s.Index
 	r.pendingCompaction = &s
 	r.feed.setSnapshot(s)
--- a/raft/core.go
+++ b/raft/core.go
@@ -37,6 +37,9 @@
 	// votes holds the members that granted a vote or pre-vote in the current campaign.
 	votes map[MemberID]bool
 
+	// refused is the latest vote or pre-vote that the member refused.
+	refused Refusal
+
 	// leaderState is nil unless the member is the leader.
 	leaderState *leaderState
 
@@ -171,6 +174,7 @@
 		}
 	case MsgVote:
 		if c.supportsLeader() && !m.Transfer {
+			c.recordRefusal(m, RefusedLeaderKnown)
 			return false
 		}
 	case MsgTimeoutNow:
@@ -189,8 +193,10 @@
 func (c *Core) rejectStaleTerm(m Message) {
 	switch m.Kind {
 	case MsgPreVote:
+		c.recordRefusal(m, RefusedStaleTerm)
 		c.send(Message{Kind: MsgPreVoteReply, To: m.From, Reject: true})
 	case MsgVote:
+		c.recordRefusal(m, RefusedStaleTerm)
 		c.send(Message{Kind: MsgVoteReply, To: m.From, Reject: true})
 	case MsgAppend, MsgSnapshot:
 		c.send(Message{Kind: MsgAppendReply, To: m.From, Reject: true})
@@ -291,7 +297,9 @@
 		Commit:    c.log.commit,
 		Applied:   c.log.applied,
 		LastIndex: c.log.lastIndex(),
+		Durable:   c.log.durable,
 		Members:   c.members.latest().clone(),
+		Refused:   c.refused,
 	}
 	if c.leaderState == nil {
 		return s
--- a/raft/election.go
+++ b/raft/election.go
@@ -78,14 +78,34 @@
 // sender that its own membership does not list as a voter, because that membership may be
 // the older one.
 func (c *Core) onPreVote(m Message) {
-	grant := m.Term > c.term && !c.supportsLeader() && !c.log.moreUpToDateThan(m.LogIndex, m.LogTerm)
-	reply := Message{Kind: MsgPreVoteReply, To: m.From, Reject: !grant}
-	if grant {
+	reply := Message{Kind: MsgPreVoteReply, To: m.From}
+	if reason := c.preVoteRefusal(m); reason != "" {
+		c.recordRefusal(m, reason)
+		reply.Reject = true
+	} else {
 		reply.Term = m.Term
 	}
 	c.send(reply)
 }
 
+// preVoteRefusal returns why the member refuses a pre-vote, or "" if it grants it.
+func (c *Core) preVoteRefusal(m Message) RefusalReason {
+	switch {
+	case m.Term <= c.term:
+		return RefusedStaleTerm
+	case c.supportsLeader():
+		return RefusedLeaderKnown
+	case c.log.moreUpToDateThan(m.LogIndex, m.LogTerm):
+		return RefusedOlderLog
+	}
+	return ""
+}
+
+// recordRefusal records that the vote or pre-vote which m asks for was refused.
+func (c *Core) recordRefusal(m Message, reason RefusalReason) {
+	c.refused = Refusal{Candidate: m.From, Term: m.Term, Reason: reason}
+}
+
 // onPreVoteReply starts the election once a majority has granted pre-votes.
 func (c *Core) onPreVoteReply(m Message) {
 	if c.role != PreCandidate || m.Reject || m.Term != c.term+1 {
@@ -99,16 +119,29 @@
 
 // onVote grants the vote of the current term to the first candidate that qualifies.
 func (c *Core) onVote(m Message) {
-	// A member that knows the leader of the term grants no new vote in that term. A
-	// transfer overrides its support for an earlier leader.
-	voteAvailable := c.vote == m.From || c.vote == 0 && c.leader == 0
-	boundToLeader := c.supportsLeader() && !m.Transfer
-	grant := voteAvailable && !boundToLeader && !c.log.moreUpToDateThan(m.LogIndex, m.LogTerm)
-	if grant {
+	reason := c.voteRefusal(m)
+	if reason == "" {
 		c.setHardState(c.term, m.From)
 		c.resetElectionTimer()
+	} else {
+		c.recordRefusal(m, reason)
+	}
+	c.send(Message{Kind: MsgVoteReply, To: m.From, Reject: reason != ""})
+}
+
+// voteRefusal returns why the member refuses a vote in the current term, or "" if it
+// grants it. A member that knows the leader of the term grants no new vote in that term. A
+// transfer overrides its support for an earlier leader.
+func (c *Core) voteRefusal(m Message) RefusalReason {
+	switch {
+	case c.vote != 0 && c.vote != m.From:
+		return RefusedVoteGiven
+	case c.vote == 0 && c.leader != 0, c.supportsLeader() && !m.Transfer:
+		return RefusedLeaderKnown
+	case c.log.moreUpToDateThan(m.LogIndex, m.LogTerm):
+		return RefusedOlderLog
 	}
-	c.send(Message{Kind: MsgVoteReply, To: m.From, Reject: !grant})
+	return ""
 }
 
 // onVoteReply makes this member the leader once a majority has voted for it.
--- a/raft/types.go
+++ b/raft/types.go
@@ -56,6 +56,21 @@
 	Leader
 )
 
+// String returns the name of the role.
+func (r Role) String() string {
+	switch r {
+	case Follower:
+		return "follower"
+	case PreCandidate:
+		return "pre-candidate"
+	case Candidate:
+		return "candidate"
+	case Leader:
+		return "leader"
+	}
+	return "unknown"
+}
+
 // Members is the membership of the group. Learners receive the log and do not vote.
 type Members struct {
 	Voters   []MemberID `json:"voters"`
@@ -213,6 +228,29 @@
 	Reads []ReadResult
 }
 
+// Refusal describes a vote or pre-vote that a member refused to a candidate.
+type Refusal struct {
+	Candidate MemberID `json:"candidate,omitempty"`
+	// Term is the term that the candidate asked for.
+	Term   uint64        `json:"term,omitempty"`
+	Reason RefusalReason `json:"reason,omitempty"`
+}
+
+// RefusalReason tells why a vote or pre-vote was refused.
+type RefusalReason string
+
+// Reasons for refusals.
+const (
+	// RefusedStaleTerm: the candidate's term is not newer than that of the member.
+	RefusedStaleTerm RefusalReason = "stale term"
+	// RefusedLeaderKnown: the member supports a leader.
+	RefusedLeaderKnown RefusalReason = "leader known"
+	// RefusedOlderLog: the candidate's log lacks entries of the member.
+	RefusedOlderLog RefusalReason = "older log"
+	// RefusedVoteGiven: the member has voted for another candidate in that term.
+	RefusedVoteGiven RefusalReason = "vote given"
+)
+
 // Status describes the state of a member at one moment.
 type Status struct {
 	ID        MemberID `json:"id"`
@@ -222,7 +260,11 @@
 	Commit    uint64   `json:"commit"`
 	Applied   uint64   `json:"applied"`
 	LastIndex uint64   `json:"lastIndex"`
-	Members   Members  `json:"members"`
+	// Durable is the index of the last entry that is durable on this member.
+	Durable uint64  `json:"durable"`
+	Members Members `json:"members"`
+	// Refused is the latest vote or pre-vote that this member refused; zero if none.
+	Refused Refusal `json:"refused"`
 	// Match is, on the leader, the highest durable index known for each member. It is nil
 	// on other members.
 	Match map[MemberID]uint64 `json:"match,omitempty"`
