raft, replica: members go on while they write

Operators saw a control group that named no leader for ten seconds while its machines were calm, so that reads of the configuration failed and entry nodes kept an older version. The goroutine that owns a replica waited for its disk: meanwhile it sent and answered no heartbeat, vote or read. Where flushes of a majority took a good part of the election timeout (500 ms), leaders stepped down, and an election, which needs flushes at the candidate, at the voters and again at the new leader, could not end before the next one began, with a new term for every disk to write. That this is what the operators met is inferred; their record shows only the first lines of each log.

State is now written by a goroutine of its own. The core tells apart which messages depend on state that is not durable: votes, requests for votes and acknowledged entries wait, as does any reply in a term that is not durable; heartbeats, their answers (naming durable entries only), appends of a leader, pre-votes, reads and committed entries do not. A granted pre-vote holds the voter still until the candidate can have written its own vote, members don't campaign while their term or vote is being written, and late votes count as long as their term lasts.

Two tests held the owner by means of the store, which no longer holds it. TestNewLeaderConfirmsOnlyWithEarlierEntries and TestAbandonedProposalIsNotAppended now hold it in the state machine, at the same point and with the same checks.

--- a/internal/replica/confirm_test.go
+++ b/internal/replica/confirm_test.go
@@ -15,21 +15,18 @@
 	"github.com/agateslip/agateslip/raft"
 )
 
-// blockingStore blocks the first Save of an output with committed entries. It closes
-// reached when it blocks and returns once release is closed.
-type blockingStore struct {
+// blockingMachine blocks before it applies the first entry. It closes reached when it
+// blocks and goes on once release is closed.
+type blockingMachine struct {
+	*registers
 	once             sync.Once
 	reached, release chan struct{}
 }
 
-func (s *blockingStore) Compact(raft.Snapshot) error { return nil }
-
-func (s *blockingStore) Save(out raft.Output) error {
-	if len(out.Committed) > 0 {
-		s.once.Do(func() { close(s.reached) })
-		<-s.release
-	}
-	return nil
+func (m *blockingMachine) Apply(e raft.Entry) any {
+	m.once.Do(func() { close(m.reached) })
+	<-m.release
+	return m.registers.Apply(e)
 }
 
 // discardTransport drops all messages.
@@ -43,7 +40,7 @@
 func TestNewLeaderConfirmsOnlyWithEarlierEntries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		machine := newRegisters()
+		machine := &blockingMachine{registers: newRegisters(), reached: make(chan struct{}), release: make(chan struct{})}
 		restored, err := replica.InitialState([]raft.MemberID{1}, machine)
 		is.NoErr(err)
 		const acceptedIndex = 2
@@ -51,22 +48,21 @@
 		restored.Entries = []raft.Entry{{Index: acceptedIndex, Term: 1, Data: []byte("{}")}}
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		store := &blockingStore{reached: make(chan struct{}), release: make(chan struct{})}
 		r, err := replica.New(replica.Config{
 			Raft: raft.Config{ID: 1, Heartbeat: 100 * time.Millisecond, ElectionTimeout: time.Second, Lease: 700 * time.Millisecond,
 				MaxBatchBytes: 1 << 20, MaxInflight: 64, Seed: 1},
-			Restored: restored, Store: store, Machine: machine, Transport: discardTransport{}, Log: log,
+			Restored: restored, Store: discardStore{}, Machine: machine, Transport: discardTransport{}, Log: log,
 		})
 		is.NoErr(err)
 		ctx, stop := context.WithCancel(context.Background())
 		ended := make(chan error)
 		go func() { ended <- r.Run(ctx) }()
-		<-store.reached
+		<-machine.reached
 		updateCtx, cancel := context.WithTimeout(ctx, time.Millisecond)
 		defer cancel()
 		u := r.Update(updateCtx, 1)
 		status, leads := r.CurrentStatus()
-		close(store.release)
+		close(machine.release)
 		stop()
 		is.NoErr(<-ended)
 		is.True(leads)
--- a/internal/replica/flush.go
+++ b/internal/replica/flush.go
@@ -8,35 +8,42 @@
 	"github.com/agateslip/agateslip/raft"
 )
 
-// flush processes the core's outputs until it has none left, then publishes the
-// status and writes a snapshot when one is due.
+// flush carries out the core's outputs. State is written in the background, one write at a
+// time; meanwhile messages that don't depend on it are sent, and committed entries are
+// applied. flush then publishes the status.
 func (r *Replica) flush() error {
 	for {
-		out, ok := r.takeOutput()
-		if !ok {
-			break
+		out := r.takeUnblocked()
+		if err := r.process(out); err != nil {
+			return err
 		}
-		if err := r.processOutput(out); err != nil {
+		if r.current != nil {
+			if len(out.Messages)+len(out.Committed)+len(out.Reads) == 0 {
+				break
+			}
+			continue
+		}
+		more, err := r.takeOutput()
+		if err != nil {
 			return err
 		}
+		if !more {
+			break
+		}
 	}
 	status := r.coreStatus()
 	if status.Role != raft.Leader {
 		r.failPending("leadership was lost")
 	}
 	r.publishStatus(status)
-	r.observer.observe(status, 0, r.now())
-	return r.snapshotAndCompact(status)
+	r.observer.observe(status, r.writingFor(), r.now())
+	return r.compactCore(status)
 }
 
-// takeOutput returns the core's next output; ok is false if there is none.
-func (r *Replica) takeOutput() (out raft.Output, ok bool) {
-	r.withCore(func(core *raft.Core, now raft.Instant) {
-		if ok = core.HasOutput(); ok {
-			out = core.Take(now)
-		}
-	})
-	return out, ok
+// takeUnblocked returns what the core asks for that needs no write.
+func (r *Replica) takeUnblocked() (out raft.Output) {
+	r.withCore(func(core *raft.Core, now raft.Instant) { out = core.TakeUnblocked(now, r.current != nil) })
+	return out
 }
 
 // coreStatus returns the core's current status.
@@ -45,20 +52,9 @@
 	return status
 }
 
-// processOutput makes an output durable before it sends its messages, applies its
-// committed entries and completes its reads.
-func (r *Replica) processOutput(out raft.Output) error {
-	start := r.now()
-	if err := r.cfg.Store.Save(out); err != nil {
-		return errors.Wrap(err, "save log")
-	}
-	r.observer.flushed(r.now()-start, r.now())
-	if n := len(out.Entries); n > 0 {
-		r.counters.entriesWritten.Add(uint64(n))
-		r.withCore(func(core *raft.Core, now raft.Instant) {
-			core.Persisted(out.Entries[n-1].Index, now)
-		})
-	}
+// process restores a received snapshot, sends messages, applies committed entries and completes
+// reads. The messages must not depend on state that is not durable.
+func (r *Replica) process(out raft.Output) error {
 	if len(out.Messages) > 0 {
 		r.cfg.Transport.Send(out.Messages)
 	}
@@ -88,7 +84,8 @@
 }
 
 // applyCommitted applies committed entries, adds them to the feed, and then
-// delivers the results to their proposers.
+// delivers the results to their proposers. They are durable on a majority of the
+// members, but not necessarily on this one.
 func (r *Replica) applyCommitted(entries []raft.Entry) {
 	if len(entries) == 0 {
 		return
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -56,6 +56,10 @@
 	// acknowledged entry.
 	consecutiveRejects map[raft.MemberID]int
 	observer           observer
+	// current is the write that is running; nil if there is none.
+	current *write
+	// written receives the results of the current write.
+	written chan writeResult
 }
 
 // New returns a replica that starts from its durable state, and restores the state
@@ -69,6 +73,7 @@
 		inbox:        make(chan []raft.Message, maxQueuedMessages),
 		ownerFuncs:   make(chan func()),
 		stopped:      make(chan struct{}),
+		written:      make(chan writeResult),
 		pending:      map[uint64]*proposal{},
 		readBarriers: map[uint64]chan raft.ReadResult{},
 
@@ -98,6 +103,7 @@
 // Run drives the replica until the context ends, and then returns nil. It returns
 // an error if the store or the state machine fails; the process must then stop.
 func (r *Replica) Run(ctx context.Context) error {
+	defer r.awaitWrite()
 	defer r.shutDown()
 	ticker := time.NewTicker(r.cfg.tickInterval())
 	defer ticker.Stop()
@@ -106,6 +112,10 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+		case result := <-r.written:
+			if err := r.onWritten(result); err != nil {
+				return err
+			}
 		case messages := <-r.inbox:
 			r.step(messages)
 		case p := <-r.proposals:
@@ -122,9 +132,9 @@
 }
 
 // drainQueues processes all queued messages and proposals, so that their entries
-// share the next write. It must run before the core's tick: after a slow write,
-// the queued replies show that the followers still hear the leader, and without
-// them the leader could step down.
+// share the next write. It must run before the core's tick: after a slow
+// application of entries, the queued replies show that the followers still hear
+// the leader, and without them the leader could step down.
 func (r *Replica) drainQueues() {
 	for range len(r.inbox) {
 		r.step(<-r.inbox)
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -228,18 +228,19 @@
 }
 
 // TestAbandonedProposalIsNotAppended cancels a proposal that is queued while the owner
-// goroutine waits for a slow sync. It must fail as not proposed and never be applied.
+// goroutine applies an entry. It must fail as not proposed and never be applied.
 func TestAbandonedProposalIsNotAppended(t *testing.T) {
 	runWithCluster(t, 10, func(is *is.I, c *cluster) {
 		leader := c.waitForLeader()
-		leader.fs.SetSyncDelay(lease / 2)
+		leader.machine.setDelay(lease / 2)
 		go c.put(leader, "a", 0, 1)
-		time.Sleep(networkDelay)
+		time.Sleep(2*networkDelay + 2*syncDelay) // the followers hold "a"
 		ctx, cancel := context.WithTimeout(context.Background(), lease/4)
 		defer cancel()
 		_, err := leader.Propose(ctx, encode(command{ID: "b", Key: "b", Value: 1}))
 		is.True(errors.Is(err, replica.ErrNotProposed))
-		leader.fs.SetSyncDelay(syncDelay)
+		time.Sleep(lease / 2) // "a" is applied
+		leader.machine.setDelay(0)
 		time.Sleep(electionTimeout)
 		is.Equal(c.waitForLeader().machine.get("a").Version, 1)
 		is.Equal(c.waitForLeader().machine.get("b").Version, 0)
--- a/internal/replica/snapshot.go
+++ b/internal/replica/snapshot.go
@@ -11,15 +11,9 @@
 // is slightly behind still gets entries; a member further behind gets the snapshot.
 const maxCompactionDelay = SnapshotInterval / 2
 
-// snapshotAndCompact writes a snapshot when SnapshotInterval entries were applied
-// since the last one. It drops the core's log up to the snapshot as soon as
+// compactCore drops the core's log up to the latest durable snapshot as soon as
 // mayCompact allows it.
-func (r *Replica) snapshotAndCompact(status raft.Status) error {
-	if r.applied >= r.snapshotIndex+SnapshotInterval {
-		if err := r.takeSnapshot(); err != nil {
-			return err
-		}
-	}
+func (r *Replica) compactCore(status raft.Status) error {
 	if r.pendingCompaction == nil || !r.mayCompact(status) {
 		return nil
 	}
@@ -30,27 +24,29 @@
 	return errors.Wrapf(err, "compact the log at index %d", s.Index)
 }
 
-// takeSnapshot makes a snapshot of the applied state durable, which also drops the
-// store's log before it, and schedules the compaction of the core's log.
-func (r *Replica) takeSnapshot() error {
+// takeSnapshot returns a snapshot of the applied state.
+func (r *Replica) takeSnapshot() (*raft.Snapshot, error) {
 	data, err := r.cfg.Machine.Snapshot()
 	if err != nil {
-		return errors.Wrapf(err, "take snapshot at index %d", r.applied)
+		return nil, errors.Wrapf(err, "take snapshot at index %d", r.applied)
 	}
 	var s raft.Snapshot
 	r.withCore(func(core *raft.Core, _ raft.Instant) { s, err = core.SnapshotAt(r.applied, data) })
 	if err != nil {
-		return errors.Wrapf(err, "take snapshot at index %d", r.applied)
+		return nil, errors.Wrapf(err, "take snapshot at index %d", r.applied)
 	}
-	start := r.now()
-	if err := r.cfg.Store.Compact(s); err != nil {
-		return errors.Wrap(err, "save snapshot")
+	return &s, nil
+}
+
+// onSnapshotWritten schedules the compaction of the core's log after the store has written a
+// snapshot and dropped its log before that. A snapshot that was received meanwhile replaces s.
+func (r *Replica) onSnapshotWritten(s raft.Snapshot) {
+	if s.Index <= r.snapshotIndex {
+		return
 	}
-	r.observer.flushed(r.now()-start, r.now())
 	r.snapshotIndex = s.Index
 	r.pendingCompaction = &s
 	r.feed.setSnapshot(s)
-	return nil
 }
 
 // mayCompact reports whether the core may drop the log that pendingCompaction
--- a/raft/core.go
+++ b/raft/core.go
@@ -34,8 +34,20 @@
 	lastLeaderContact Instant
 	// electionDeadline is when a member that is not the leader starts a campaign.
 	electionDeadline Instant
-	// votes holds the members that granted a vote or pre-vote in the current campaign.
-	votes map[MemberID]bool
+	// votes holds the members that voted for this member in the current term, and preVotes
+	// those that granted a pre-vote for the next one. votes is nil unless the member is or
+	// was a candidate in the current term: votes that arrive late count while it asks
+	// for pre-votes.
+	votes, preVotes map[MemberID]bool
+	// hold keeps the member from disturbing a candidate that it helps.
+	hold hold
+
+	// write is the state that is being written, and writeTime how long writes have taken
+	// lately.
+	write     pendingWrite
+	writeTime Instant
+	// acknowledged is the latest round that was acknowledged ahead of its entries.
+	acknowledged acknowledged
 
 	// refused is the latest vote or pre-vote that the member refused.
 	refused Refusal
@@ -120,7 +132,7 @@
 		return
 	}
 	c.resetElectionTimer()
-	if c.mayCampaign() {
+	if c.mayCampaign() && c.hardStateDurable() && !c.writeStalled() {
 		c.preCampaign()
 	}
 }
@@ -234,7 +246,7 @@
 	}
 	c.role = Follower
 	c.leader = leader
-	c.votes = nil
+	c.votes, c.preVotes = nil, nil
 	c.resetElectionTimer()
 }
 
@@ -263,6 +275,7 @@
 	if c.hardStateChanged {
 		out.Hard = &HardState{Term: c.term, Vote: c.vote}
 	}
+	c.startWrite(&out)
 	c.hardStateChanged = false
 	c.receivedSnapshot = nil
 	c.messages = nil
@@ -272,10 +285,12 @@
 	return out
 }
 
-// Persisted reports that the log of the last Output is durable up to index. A leader
-// counts its own copy of an entry towards the majority only after this call.
+// Persisted reports that the state in the last Output of Take is durable, and with it the log
+// up to index, which is zero if that Output had no entries. A leader counts its own copy of an
+// entry towards the majority only after this call.
 func (c *Core) Persisted(index uint64, now Instant) {
 	c.advanceTime(now)
+	c.finishWrite()
 	c.log.markDurable(index)
 	if c.role == Leader {
 		c.maybeCommit()
--- a/raft/election.go
+++ b/raft/election.go
@@ -3,8 +3,12 @@
 // resetElectionTimer draws a new election deadline between one and two ElectionTimeouts
 // from now.
 func (c *Core) resetElectionTimer() {
-	timeout := c.cfg.ElectionTimeout
-	c.electionDeadline = c.now + timeout + Instant(c.rng.Int64N(int64(timeout)))
+	c.electionDeadline = c.now + c.cfg.ElectionTimeout + c.drawTimeout()
+}
+
+// drawTimeout draws a time of up to one ElectionTimeout.
+func (c *Core) drawTimeout() Instant {
+	return Instant(c.rng.Int64N(int64(c.cfg.ElectionTimeout)))
 }
 
 // supportsLeader reports whether the member is the leader, or accepted a leader within
@@ -25,12 +29,12 @@
 func (c *Core) preCampaign() {
 	c.role = PreCandidate
 	c.leader = 0
-	c.votes = map[MemberID]bool{c.cfg.ID: true}
-	if c.hasMajorityVotes() {
+	c.preVotes = map[MemberID]bool{c.cfg.ID: true}
+	if c.hasMajority(c.preVotes) {
 		c.campaign(false)
 		return
 	}
-	c.requestVotes(Message{Kind: MsgPreVote, Term: c.term + 1})
+	c.requestVotes(Message{Kind: MsgPreVote, Term: c.term + 1, VoteDelay: c.expectedWriteTime()})
 }
 
 // campaign starts an election in the next term. With transfer set, members may grant
@@ -40,7 +44,7 @@
 	c.setHardState(c.term+1, c.cfg.ID)
 	c.role = Candidate
 	c.votes = map[MemberID]bool{c.cfg.ID: true}
-	if c.hasMajorityVotes() {
+	if c.hasMajority(c.votes) {
 		c.becomeLeader()
 		return
 	}
@@ -61,13 +65,12 @@
 	}
 }
 
-// hasMajorityVotes reports whether a majority of the voters granted their vote or
-// pre-vote.
-func (c *Core) hasMajorityVotes() bool {
+// hasMajority reports whether a majority of the voters is in grantedBy.
+func (c *Core) hasMajority(grantedBy map[MemberID]bool) bool {
 	voters := c.members.latest().Voters
 	granted := 0
 	for _, id := range voters {
-		if c.votes[id] {
+		if grantedBy[id] {
 			granted++
 		}
 	}
@@ -84,6 +87,7 @@
 		reply.Reject = true
 	} else {
 		reply.Term = m.Term
+		c.holdFor(m)
 	}
 	c.send(reply)
 }
@@ -97,10 +101,31 @@
 		return RefusedLeaderKnown
 	case c.log.moreUpToDateThan(m.LogIndex, m.LogTerm):
 		return RefusedOlderLog
+	case !c.hardStateDurable(), c.now < c.hold.until && c.hold.candidate != m.From:
+		return RefusedElectionPending
 	}
 	return ""
 }
 
+// hold is a member's restraint towards an election that it takes part in: until then it grants
+// no other member a pre-vote. It protects elections whose votes take long to write; no guarantee
+// depends on it, and it is forgotten on restart.
+type hold struct {
+	candidate MemberID
+	until     Instant
+}
+
+// holdFor holds still for a candidate that was granted a pre-vote, until it can ask for votes. A
+// candidate that asks again doesn't extend that time: it may be unable to receive the answers.
+func (c *Core) holdFor(m Message) {
+	if c.now < c.hold.until {
+		return
+	}
+	delay := min(max(m.VoteDelay, 0), maxVoteDelayTimeouts*c.cfg.ElectionTimeout)
+	c.hold = hold{candidate: m.From, until: c.now + c.cfg.ElectionTimeout + delay}
+	c.electionDeadline = max(c.electionDeadline, c.hold.until+c.drawTimeout())
+}
+
 // recordRefusal records that the vote or pre-vote which m asks for was refused.
 func (c *Core) recordRefusal(m Message, reason RefusalReason) {
 	c.refused = Refusal{Candidate: m.From, Term: m.Term, Reason: reason}
@@ -111,8 +136,8 @@
 	if c.role != PreCandidate || m.Reject || m.Term != c.term+1 {
 		return
 	}
-	c.votes[m.From] = true
-	if c.hasMajorityVotes() {
+	c.preVotes[m.From] = true
+	if c.hasMajority(c.preVotes) {
 		c.campaign(false)
 	}
 }
@@ -146,11 +171,11 @@
 
 // onVoteReply makes this member the leader once a majority has voted for it.
 func (c *Core) onVoteReply(m Message) {
-	if c.role != Candidate || m.Reject {
+	if c.votes == nil || m.Reject {
 		return
 	}
 	c.votes[m.From] = true
-	if c.hasMajorityVotes() {
+	if c.hasMajority(c.votes) {
 		c.becomeLeader()
 	}
 }
@@ -160,7 +185,7 @@
 func (c *Core) becomeLeader() {
 	c.role = Leader
 	c.leader = c.cfg.ID
-	c.votes = nil
+	c.votes, c.preVotes = nil, nil
 	c.leaderState = &leaderState{
 		noopIndex:        c.log.lastIndex() + 1,
 		uncommittedBytes: c.log.sizeBytes(c.log.commit+1, c.log.lastIndex()),
--- a/raft/network_test.go
+++ b/raft/network_test.go
@@ -73,6 +73,9 @@
 	// slowWriteShare is the probability that a write is unfinished, drawn anew at each
 	// step.
 	slowWriteShare float64
+	// background is set if members go on while they write: they send what doesn't depend on the
+	// write, and apply committed entries.
+	background bool
 	// messages and entryBytes count the messages sent and the bytes of their entries.
 	messages, entryBytes int
 	// onSend, if set, is called for each message sent.
@@ -158,6 +161,10 @@
 // drainOutput carries out what the member's Core asks for, until it has no more output or
 // a write is left unfinished.
 func (n *network) drainOutput(h *host) {
+	if n.background {
+		n.drainInBackground(h)
+		return
+	}
 	for !h.down && !h.frozen {
 		if h.writing == nil {
 			n.checkMember(h)
@@ -174,6 +181,26 @@
 	}
 }
 
+// drainInBackground carries out what the member's Core asks for as a replica does that writes in
+// the background: messages that Take returns with state wait until that is written.
+func (n *network) drainInBackground(h *host) {
+	for !h.down && !h.frozen {
+		n.checkMember(h)
+		out := h.core.TakeUnblocked(n.clock(h), h.writing != nil)
+		n.carryOut(h, &out)
+		if h.writing != nil || !h.core.HasOutput() {
+			return
+		}
+		out = h.core.Take(n.clock(h))
+		h.writing = &Output{Hard: out.Hard, Snapshot: out.Snapshot, Entries: out.Entries, Messages: out.Messages}
+		out.Messages = nil
+		n.carryOut(h, &out)
+		if n.rng.Float64() >= n.slowWriteShare {
+			n.finishWrite(h)
+		}
+	}
+}
+
 // finishWrite completes a write and carries out the rest of its Output.
 func (n *network) finishWrite(h *host) {
 	out := h.writing
@@ -181,6 +208,15 @@
 	h.persist(out)
 	last := h.disk.Snapshot.Index + uint64(len(h.disk.Entries))
 	h.core.Persisted(last, n.clock(h))
+	if n.background {
+		out.Snapshot = nil // restored when it was taken
+	}
+	n.carryOut(h, out)
+}
+
+// carryOut sends the messages of an Output, restores its snapshot, applies its entries and
+// checks its reads.
+func (n *network) carryOut(h *host, out *Output) {
 	for _, m := range out.Messages {
 		n.send(m)
 	}
--- a/raft/property_test.go
+++ b/raft/property_test.go
@@ -180,7 +180,8 @@
 		n.lossShare = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
 		n.duplicateShare = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "repeat")
 		n.maxDelay = rapid.SampledFrom([]Instant{0, 30 * time.Millisecond, 300 * time.Millisecond}).Draw(t, "delay")
-		n.slowWriteShare = rapid.SampledFrom([]float64{0, 0.3, 0.8}).Draw(t, "slow disk")
+		n.slowWriteShare = rapid.SampledFrom([]float64{0, 0.3, 0.8, 0.98}).Draw(t, "slow disk")
+		n.background = rapid.Bool().Draw(t, "background writes")
 		n.run(testElection * 3)
 		for i, a := range drawSchedule(t) {
 			n.act(a, i)
@@ -205,7 +206,8 @@
 		t.Run(name, func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
 				n := newNetwork(3, rapid.Uint64().Draw(t, "seed"))
-				n.slowWriteShare = rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "slow disk")
+				n.slowWriteShare = rapid.SampledFrom([]float64{0, 0.3, 0.9}).Draw(t, "slow disk")
+				n.background = rapid.Bool().Draw(t, "background writes")
 				n.run(testElection * 3)
 				for i, a := range drawActions(t, kinds, []int{1, 2, 3, 5, 9, 20, 50}) {
 					n.act(a, i)
--- a/raft/types.go
+++ b/raft/types.go
@@ -17,6 +17,10 @@
 // Snapshot or applies Committed, answers Reads, and calls Applied. Proposals made before
 // a Take share its sync and its messages.
 //
+// A caller whose writes may take long carries them out in the background: it calls TakeUnblocked
+// before Take and for as long as the write lasts, and sends, applies and answers what that
+// returns at once. Of the Output of Take it then sends only the messages after the write.
+//
 // Messages may be lost, duplicated, delayed and reordered, but writes may not. A member
 // whose write fails must stop. A member whose disk was lost, or restored from an older
 // copy, returns under a new [MemberID], as a learner.
@@ -159,6 +163,9 @@
 	// leader extends its lease from the time at which it sent that round.
 	Round    uint64    `json:"rd,omitempty"`
 	Snapshot *Snapshot `json:"sn,omitempty"`
+	// VoteDelay is, in a pre-vote request, how long the candidate expects to write its own vote
+	// before it can ask for votes.
+	VoteDelay Instant `json:"vd,omitempty"`
 	// Transfer marks the vote request of a leadership transfer, which a follower may
 	// grant although it still supports a leader.
 	Transfer bool `json:"tr,omitempty"`
@@ -249,6 +256,9 @@
 	RefusedOlderLog RefusalReason = "older log"
 	// RefusedVoteGiven: the member has voted for another candidate in that term.
 	RefusedVoteGiven RefusalReason = "vote given"
+	// RefusedElectionPending: the member helps another candidate, or its own term or vote is
+	// not durable yet.
+	RefusedElectionPending RefusalReason = "election pending"
 )
 
 // Status describes the state of a member at one moment.
