controller: a test of reads of the configuration with slow disks

Five control nodes whose syncs take 600 ms more accept a change, confirm reads, and confirm them again after a loss of power with two disks lost.

--- a/internal/controller/disk_test.go
+++ b/internal/controller/disk_test.go
@@ -13,11 +13,13 @@
 	"github.com/agateslip/agateslip/internal/storage"
 )
 
-// controlledDisk is the file system of the operating system with a switch that simulates
-// a full disk.
+// controlledDisk is the file system of the operating system with switches that simulate
+// a full disk and a slow one.
 type controlledDisk struct {
 	storage.OS
 	full atomic.Bool
+	// syncDelay is how much longer, in nanoseconds, each sync of a file takes.
+	syncDelay atomic.Int64
 }
 
 // Create implements storage.FS.
@@ -25,7 +27,8 @@
 	if d.full.Load() {
 		return nil, &os.PathError{Op: "open", Path: name, Err: syscall.ENOSPC}
 	}
-	return d.OS.Create(name)
+	f, err := d.OS.Create(name)
+	return slowFile{f, d}, err
 }
 
 // TestNodeWaitsWhileDiskIsFull restarts a member while its disk is full. The member must
