controller: a restarted leader keeps its connections to later voters

What callers saw: after all control nodes were restarted and two founders had lost their disks, nodes named no leader for seconds. Each leader lost its lead soon after its election.

Cause: while a leader is known, keepMembership keeps only the connections to the leader and to the members in the applied state. At its next check, up to 200 ms after its election, the leader closed the connections to these voters in both directions. Where they are needed for a majority and a flush takes longer than that, the election repeats.

Fix: the connections to keep include the members that the Raft group counts. Their addresses are known from the log at the start (addressBook), whether or not it is committed.

--- a/internal/controller/export_test.go
+++ b/internal/controller/export_test.go
@@ -98,3 +98,14 @@
 	previous, version = c.stateMachine.succession(status.Term)
 	return previous, status.Term, version
 }
+
+// LinksAsLeader returns the nodes that this node would connect to if it led.
+func (c *Controller) LinksAsLeader() []string {
+	status := c.raftReplica.Status()
+	status.Leader = c.member
+	var links []string
+	for _, p := range c.peerList(status) {
+		links = append(links, p.Name)
+	}
+	return links
+}
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -48,6 +49,17 @@
 	return link, ok
 }
 
+// linksOf returns the known link addresses of the members of the Raft group.
+func (b *addressBook) linksOf(m raft.Members) []string {
+	var links []string
+	for _, id := range slices.Concat(m.Voters, m.Learners) {
+		if link, ok := b.NodeOf(id); ok {
+			links = append(links, link)
+		}
+	}
+	return links
+}
+
 // fallbackLinks returns the learned addresses and the leader hint.
 func (b *addressBook) fallbackLinks() []string {
 	b.mu.Lock()
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -38,11 +38,11 @@
 	leaderHeardAt := boottime.Now()
 	var targets joinTargets
 	for {
-		if next := c.peerList(); !slices.Equal(peers, next) {
+		status := c.raftReplica.Status()
+		if next := c.peerList(status); !slices.Equal(peers, next) {
 			peers = next
 			c.mesh.SetPeers(peers)
 		}
-		status := c.raftReplica.Status()
 		if status.Leader != 0 {
 			leaderHeardAt = boottime.Now()
 		}
@@ -77,13 +77,14 @@
 }
 
 // peerList returns the other control nodes to connect to, as linksToKeep selects them.
-func (c *Controller) peerList() []peer.Peer {
-	var members []string
+func (c *Controller) peerList(status raft.Status) []peer.Peer {
+	members := c.addresses.linksOf(status.Members)
 	for _, m := range c.stateMachine.memberList() {
 		members = append(members, m.Link)
 	}
 	var peers []peer.Peer
-	for _, link := range linksToKeep(members, c.leader(), slices.Concat(c.seeds, c.addresses.fallbackLinks())) {
+	leader, _ := c.addresses.NodeOf(status.Leader)
+	for _, link := range linksToKeep(members, leader, slices.Concat(c.seeds, c.addresses.fallbackLinks())) {
 		if link != c.cfg.Listen.Links {
 			peers = append(peers, peer.Peer{Name: link, Addr: link})
 		}
@@ -91,11 +92,12 @@
 	return peers
 }
 
-// linksToKeep returns the link addresses to connect to, sorted: the members in the
-// applied state and the leader. The leader may not be among those members: a new member
-// applies the log from its beginning, and receives the rest only if it can answer the
-// leader. While the members or the leader are unknown, the other addresses are included,
-// since any of them may help.
+// linksToKeep returns the link addresses to connect to, sorted: the members and the leader.
+// The members are those of the Raft group and those in the applied state: a restarted leader
+// has not applied the entries that name its later voters, and needs these voters to commit
+// them. The leader may not be among the members: a new member applies the log from its
+// beginning, and receives the rest only if it can answer the leader. While the members or
+// the leader are unknown, the other addresses are included, since any of them may help.
 func linksToKeep(members []string, leader string, others []string) []string {
 	links := slices.Clone(members)
 	if leader != "" {
@@ -114,7 +116,7 @@
 	hint := c.addresses.hintedLeader()
 	target := c.leader()
 	if target == "" || target == c.cfg.Listen.Links {
-		target = targets.next(c.peerList(), hint, hint != "" && c.mesh.Reachable(hint))
+		target = targets.next(c.peerList(c.raftReplica.Status()), hint, hint != "" && c.mesh.Reachable(hint))
 	}
 	if target == "" {
 		return nil
