controller: the silence of a lost voter counts across changes of leader

What callers saw: nothing yet in calm; the group stayed one loss short of what it must bear. While a lost voter counts beside its successor, six voters need four: if two disks are lost then, three of six remain and no leader can be elected for good.

Cause: only the leader observed which members it can reach, and from its own term on. Each change of leader began the replacement time (a quarter of the catch-up time) anew, before the promotion of a successor and again between "learner promoted" and "lost voter removed". With a leader that changes more often than that, a lost voter was never replaced. Besides, of several silent voters the first by position lost its vote, which can be one that restarts.

Fix: every control node observes the members all the time, so a new leader knows which voters were unreachable before its term. It may change the membership only after its read barrier and raft's own check, as before. A silence is forgotten where the process did not observe for a second (it was frozen or held up). That of a member which the process has never reached begins only while a leader is known, so that members which start late are not taken for lost. The voter that has been silent for longest loses its vote.

TestSilenceCountsFromCurrentTerm asked for the term as such; what it guards against, a decision on a silence that was not observed throughout, is now checked by TestSilenceEndsWhereObservationDoes with the same times, and TestStartingMemberIsNotSilent covers members that have not connected yet.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -136,8 +136,8 @@
 	// entryNodes holds the entry nodes that watch; detoursRevision counts their changes.
 	entryNodes      map[string]entryNode
 	detoursRevision uint64
-	// silence tracks the unreachable voters. Unlike the fields above, it is accessed only
-	// by the membership part.
+	// silence tracks the unreachable members. Unlike the fields above, it is not accessed on
+	// the loop.
 	silence silence
 	// membershipTerm is the latest term in which this node led and had applied every change
 	// of earlier terms. Only the membership part accesses it.
@@ -241,6 +241,7 @@
 			{Name: "configuration", Run: c.stateMachine.decodeConfigurations},
 			{Name: "links", Run: c.mesh.Run},
 			{Name: "replica", Run: func(ctx context.Context) error { return supervisor.Permanent(c.raftReplica.Run(ctx)) }},
+			{Name: "reachability", Run: c.observeMembers},
 			{Name: "membership", Run: c.keepMembership},
 			{Name: "registry copy", Run: c.copyLeaderRegistry},
 			{Name: "lead", Run: c.lead},
--- a/internal/controller/export_test.go
+++ b/internal/controller/export_test.go
@@ -8,6 +8,7 @@
 	"github.com/agateslip/agateslip/fleet"
 	"github.com/agateslip/agateslip/internal/nodelink"
 	"github.com/agateslip/agateslip/origin"
+	"github.com/agateslip/agateslip/raft"
 	"github.com/agateslip/agateslip/ratelimit"
 )
 
@@ -109,3 +110,8 @@
 	}
 	return links
 }
+
+// HandOver makes another member the leader if this node leads, and reports whether it did.
+func (c *Controller) HandOver(ctx context.Context) bool {
+	return c.raftReplica.Status().Role == raft.Leader && c.raftReplica.Transfer(ctx) == nil
+}
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -202,7 +202,7 @@
 		c.membershipTerm = status.Term
 	}
 	members := c.stateMachine.members()
-	change, fields, err := c.changeMembership(ctx, status, members, c.silentMembers(status, members, boottime.Now()))
+	change, fields, err := c.changeMembership(ctx, status, members, c.silence.silent(boottime.Now()))
 	if change == "" {
 		return
 	}
@@ -227,49 +227,6 @@
 	return retireCatchUps * time.Duration(c.cfg.CatchUp)
 }
 
-// silentMembers returns for how long each voter and each member in the replicated state has
-// been unreachable; zero or no entry for those that can be reached.
-func (c *Controller) silentMembers(
-	status raft.Status, members map[uint64]confstate.Member, now time.Duration,
-) map[raft.MemberID]time.Duration {
-	ids := slices.Clone(status.Members.Voters)
-	for id := range members {
-		ids = append(ids, raft.MemberID(id))
-	}
-	slices.Sort(ids)
-	silent := map[raft.MemberID]time.Duration{}
-	for _, id := range slices.Compact(ids) {
-		link, ok := c.addresses.NodeOf(id)
-		reachable := id == c.member || ok && c.mesh.Reachable(link)
-		silent[id] = c.silence.observe(status.Term, id, reachable, now)
-	}
-	return silent
-}
-
-// silence tracks how long members have been unreachable in one term. What was seen in an
-// earlier term may have changed since without being noticed.
-type silence struct {
-	term  uint64
-	since map[raft.MemberID]time.Duration
-}
-
-// observe records whether a member is reachable and returns for how long it has not been.
-func (s *silence) observe(term uint64, id raft.MemberID, reachable bool, now time.Duration) time.Duration {
-	if s.term != term || s.since == nil {
-		s.term, s.since = term, map[raft.MemberID]time.Duration{}
-	}
-	if reachable {
-		delete(s.since, id)
-		return 0
-	}
-	since, known := s.since[id]
-	if !known {
-		s.since[id] = now
-		return 0
-	}
-	return now - since
-}
-
 // changeMembership makes the first membership change that is due and returns its log
 // message with fields, or "" if none is due.
 //
@@ -285,10 +242,10 @@
 			return "member removed", eventlog.Fields{"member": id}, c.raftReplica.Remove(ctx, id)
 		}
 	}
-	lost := slices.IndexFunc(voters, func(id raft.MemberID) bool { return silent[id] > c.replaceTimeout() })
-	if len(voters) > c.targetVoters() && lost >= 0 {
-		id := voters[lost]
-		return "lost voter removed", eventlog.Fields{"member": id, "voters": len(voters)}, c.raftReplica.Remove(ctx, id)
+	lost, anyLost := longestSilent(voters, silent, c.replaceTimeout())
+	if len(voters) > c.targetVoters() && anyLost {
+		fields := eventlog.Fields{"member": lost, "voters": len(voters), "silentMillis": silent[lost].Milliseconds()}
+		return "lost voter removed", fields, c.raftReplica.Remove(ctx, lost)
 	}
 	for _, m := range c.stateMachine.memberList() {
 		id := raft.MemberID(m.ID)
@@ -301,7 +258,7 @@
 		}
 	}
 	for _, id := range learners {
-		if len(voters) < c.targetVoters() || lost >= 0 {
+		if len(voters) < c.targetVoters() || anyLost {
 			err := c.raftReplica.Promote(ctx, id)
 			if errors.Is(err, raft.ErrNotCaughtUp) {
 				continue
@@ -312,6 +269,19 @@
 	return "", nil, nil
 }
 
+// longestSilent returns the voter that has been unreachable for the longest time, if that is
+// longer than timeout.
+func longestSilent(
+	voters []raft.MemberID, silent map[raft.MemberID]time.Duration, timeout time.Duration,
+) (lost raft.MemberID, ok bool) {
+	for _, id := range voters {
+		if silent[id] > max(timeout, silent[lost]) {
+			lost, ok = id, true
+		}
+	}
+	return lost, ok
+}
+
 // Reload applies changed settings: the seeds, where other control nodes are looked for.
 // It ignores the other settings.
 func (c *Controller) Reload(cfg config.Managed) {
--- a/internal/controller/membership_test.go
+++ b/internal/controller/membership_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/agateslip/agateslip/internal/peer"
+	"github.com/agateslip/agateslip/raft"
 )
 
 // TestLinksToKeep guards against a new member that is stuck because its log ends before
@@ -23,17 +24,41 @@
 	is.Equal(len(linksToKeep(nil, "", nil)), 0)
 }
 
-// TestSilenceCountsFromCurrentTerm guards against a leader that replaces a member for a
-// silence that it saw when it led before.
-func TestSilenceCountsFromCurrentTerm(t *testing.T) {
+// TestSilenceEndsWhereObservationDoes guards against a leader that replaces a member for a silence
+// that it saw before it was held up itself.
+func TestSilenceEndsWhereObservationDoes(t *testing.T) {
 	is := is.New(t)
 	var s silence
-	is.Equal(s.observe(2, 7, false, 10*time.Second), time.Duration(0))
-	is.Equal(s.observe(2, 7, false, 11*time.Second), time.Second)
-	is.Equal(s.observe(5, 7, false, 30*time.Second), time.Duration(0)) // leads again
-	is.Equal(s.observe(5, 7, false, 31*time.Second), time.Second)
-	is.Equal(s.observe(5, 7, true, 32*time.Second), time.Duration(0))
-	is.Equal(s.observe(5, 7, false, 40*time.Second), time.Duration(0))
+	at := func(now time.Duration, reachable bool) time.Duration {
+		s.observe(map[raft.MemberID]bool{7: reachable}, true, now)
+		return s.silent(now)[7].Truncate(time.Millisecond)
+	}
+	is.Equal(at(10*time.Second, false), time.Duration(0))
+	is.Equal(at(11*time.Second, false), time.Second)
+	is.Equal(at(30*time.Second, false), time.Duration(0)) // after a freeze
+	is.Equal(at(31*time.Second, false), time.Second)
+	is.Equal(at(32*time.Second, true), time.Duration(0))
+	is.Equal(len(s.silent(32*time.Second)), 0)
+	is.Equal(at(33*time.Second, false), time.Duration(0))
+	is.Equal(at(34*time.Second, false), time.Second)
+}
+
+// TestStartingMemberIsNotSilent guards against a leader that replaces a member because the two have
+// not connected yet after a start: there the silence begins only with the first leader.
+func TestStartingMemberIsNotSilent(t *testing.T) {
+	is := is.New(t)
+	var s silence
+	both := map[raft.MemberID]bool{7: false, 8: true}
+	for now := 10 * time.Second; now <= 13*time.Second; now += time.Second {
+		s.observe(both, false, now)
+		is.Equal(len(s.silent(now)), 0)
+	}
+	s.observe(both, true, 14*time.Second)
+	s.observe(both, false, 15*time.Second) // the leader is lost again
+	s.observe(map[raft.MemberID]bool{7: false, 8: false}, false, 16*time.Second)
+	is.Equal(s.silent(16 * time.Second)[7], 2*time.Second)
+	s.observe(map[raft.MemberID]bool{7: false, 8: false}, false, 17*time.Second)
+	is.Equal(s.silent(17 * time.Second)[8], time.Second) // reached before
 }
 
 // TestJoinReachesLeaderThatIsNoSeed guards against a new node that never asks the leader: a
