storage: tests of disks that are full for a while

faultfs: Fill bounds the size of all files, FailFrom refuses every change from an operation on, EndProcess ends a process without the loss of unsynced data.

--- a/internal/faultfs/faultfs.go
+++ b/internal/faultfs/faultfs.go
@@ -35,15 +35,25 @@
 	// opCount is the number of the next changing operation.
 	opCount   int
 	syncCount int
-	// faults holds the injected error of each operation number.
-	faults map[int]error
+	// faults holds the injected fault of each operation number.
+	faults map[int]fault
 	// fatalErr, if not nil, is the error of every changing operation.
 	fatalErr error
-	// crashCount is the number of crashes. Files and locks keep its value from when they
-	// were opened, which shows whether a crash came since.
+	// fullErr, if not nil, is the error of what would make the files larger than capacity
+	// in bytes, together.
+	fullErr  error
+	capacity int
+	// crashCount is the number of crashes and ends of the process. Files and locks keep its
+	// value from when they were opened, which shows whether one came since.
 	crashCount int
 }
 
+// fault is an injected error. If lasts is set, the operations after it fail too.
+type fault struct {
+	err   error
+	lasts bool
+}
+
 // inode holds the contents of one file. A crash keeps at least its first syncedBytes bytes.
 type inode struct {
 	data        []byte
@@ -56,7 +66,7 @@
 		files:        map[string]*inode{},
 		durableFiles: map[string]*inode{},
 		locks:        map[string]bool{},
-		faults:       map[int]error{},
+		faults:       map[int]fault{},
 	}
 }
 
@@ -65,12 +75,61 @@
 func (f *FS) FailAt(op int, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.faults[op] = err
+	f.faults[op] = fault{err: err}
+}
+
+// FailFrom makes the changing operation number op and all later ones return err, until
+// Free is called or the file system crashes.
+func (f *FS) FailFrom(op int, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults[op] = fault{err: err, lasts: true}
+}
+
+// Fill leaves room for that many more bytes, until Free is called; a crash does not end
+// it. A write of more writes what there is room for and returns err. Create of a new file
+// returns err if there is no room. Operations that need no room succeed, and removed,
+// replaced and truncated files leave theirs.
+func (f *FS) Fill(room int, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.capacity, f.fullErr = f.used()+room, err
+}
+
+// Room returns how many more bytes there is room for after Fill.
+func (f *FS) Room() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.capacity - f.used()
+}
+
+// used returns the size of all files. The caller holds mu.
+func (f *FS) used() (bytes int) {
+	for _, n := range f.files {
+		bytes += len(n.data)
+	}
+	return bytes
+}
+
+// Free ends Fill and FailFrom.
+func (f *FS) Free() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fullErr, f.fatalErr, f.faults = nil, nil, map[int]fault{}
+}
+
+// EndProcess releases the locks and makes the open files fail, as the end of a process
+// does. Unlike after a crash, unsynced changes stay visible.
+func (f *FS) EndProcess() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.locks = map[string]bool{}
+	f.crashCount++
 }
 
 // DieAt makes the changing operation number op and all later ones fail, as if the
 // process were killed at op.
-func (f *FS) DieAt(op int) { f.FailAt(op, errDied) }
+func (f *FS) DieAt(op int) { f.FailFrom(op, errDied) }
 
 // Die makes every later changing operation fail, as if the process were killed now.
 func (f *FS) Die() {
@@ -129,7 +188,7 @@
 	f.durableFiles = cloneNames(f.files)
 	f.unsyncedChanges = nil
 	f.locks = map[string]bool{}
-	f.faults = map[int]error{}
+	f.faults = map[int]fault{}
 	f.fatalErr = nil
 	f.crashCount++
 }
@@ -182,11 +241,11 @@
 	if f.fatalErr != nil {
 		return f.fatalErr
 	}
-	err := f.faults[op]
-	if errors.Is(err, errDied) {
-		f.fatalErr = err
+	injected := f.faults[op]
+	if injected.lasts {
+		f.fatalErr = injected.err
 	}
-	return err
+	return injected.err
 }
 
 // changeNames applies a change to the names that the process sees. The change becomes
@@ -230,6 +289,9 @@
 	if err := f.beginOp(); err != nil {
 		return nil, err
 	}
+	if _, exists := f.files[name]; !exists && f.fullErr != nil && f.used() >= f.capacity {
+		return nil, f.fullErr
+	}
 	n := &inode{}
 	f.changeNames(func(names map[string]*inode) { names[name] = n })
 	return &file{fs: f, inode: n, crashCount: f.crashCount}, nil
@@ -344,8 +406,15 @@
 		}
 		return half, err
 	}
-	f.inode.data = append(f.inode.data, p...)
-	return len(p), nil
+	fits := len(p)
+	if f.fs.fullErr != nil {
+		fits = max(0, min(fits, f.fs.capacity-f.fs.used()))
+	}
+	f.inode.data = append(f.inode.data, p[:fits]...)
+	if fits < len(p) {
+		return fits, f.fs.fullErr
+	}
+	return fits, nil
 }
 
 func (f *file) Sync() error {
