storage: leftovers of a failed write don't keep a log from opening

Where that happens to one node after another, no majority is left although all processes run.

On a disk with little room left, the leftovers take what the segment needs. The class: cleaning up comes after the step that needs what it would free.

Fix: a failed write removes its temporary file.

Measured: TestLogOpensWithoutRoomForLeftovers failed before with "no space left on device", with room for the last segment and nothing else (it stops at the first failure). It passes for each of 0 to 2999 bytes of room beside that segment.

--- a/internal/storage/files.go
+++ b/internal/storage/files.go
@@ -60,12 +60,20 @@
 	return errors.Wrapf(f.fs.SyncDir(f.dir), "sync %s", f.dir)
 }
 
-// writeTemp creates a file with the given data and syncs it.
+// writeTemp creates a file with the given data and syncs it. If that fails, it removes the
+// file, which could otherwise take the last room on the disk.
 func (f folder) writeTemp(temp string, data []byte) error {
 	file, err := f.fs.Create(temp)
 	if err != nil {
 		return err
 	}
+	if err := f.writeAndClose(file, data); err != nil {
+		return errors.CombineErrors(err, f.fs.Remove(temp))
+	}
+	return nil
+}
+
+func (f folder) writeAndClose(file File, data []byte) error {
 	if _, err := file.Write(data); err != nil {
 		file.Close()
 		return err
@@ -123,13 +131,25 @@
 // removeBelow deletes the files with the given prefix and a number lower than
 // firstKept, in ascending order.
 func (f folder) removeBelow(prefix string, firstKept uint64) error {
+	return f.removeNumbered(prefix, func(n uint64) bool { return n < firstKept })
+}
+
+// removeAbove deletes the files with the given prefix and a number higher than lastKept,
+// in ascending order.
+func (f folder) removeAbove(prefix string, lastKept uint64) error {
+	return f.removeNumbered(prefix, func(n uint64) bool { return n > lastKept })
+}
+
+// removeNumbered deletes the files with the given prefix whose number matches, in
+// ascending order.
+func (f folder) removeNumbered(prefix string, matches func(n uint64) bool) error {
 	numbers, err := f.listNumbers(prefix)
 	if err != nil {
 		return err
 	}
 	for _, n := range numbers {
-		if n >= firstKept {
-			break
+		if !matches(n) {
+			continue
 		}
 		name := fmt.Sprintf("%s%020d", prefix, n)
 		if err := f.fs.Remove(f.path(name)); err != nil {
--- a/internal/storage/full_test.go
+++ b/internal/storage/full_test.go
@@ -142,3 +142,30 @@
 		}
 	}
 }
+
+// TestLogOpensWithoutRoomForLeftovers fills the disk while a snapshot is written, and opens the log with room
+// only for its last segment beside the files that are in use. Files that the failed snapshot left must not take it.
+func TestLogOpensWithoutRoomForLeftovers(t *testing.T) {
+	is := is.New(t)
+	const snapshotBytes = 2000
+	for room := range snapshotBytes + 1000 {
+		fs := newLog(t)
+		s, got, err := storage.Open(options(fs))
+		is.NoErr(err)
+		names := segmentNames(fs)
+		free := len(readFile(t, fs, names[len(names)-1]))
+		last := got.Entries[len(got.Entries)-1]
+		fs.Fill(free+room, syscall.ENOSPC)
+		err = s.Compact(raft.Snapshot{Index: last.Index, Term: last.Term, Data: make([]byte, snapshotBytes)})
+		if err == nil {
+			is.True(free+room > snapshotBytes)
+			continue
+		}
+		is.True(errors.Is(err, syscall.ENOSPC))
+		_, again, err := restart(fs)
+		if err != nil {
+			t.Fatalf("room for %d bytes beside the last segment: %v", room, err)
+		}
+		is.True(equalState(got, again))
+	}
+}
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -173,10 +173,18 @@
 // resumeLog prepares the loaded log for appending. It rewrites the whole last
 // segment, without a torn end, instead of only syncing it: if a sync failed before
 // the restart, the kernel may have marked the unwritten pages as clean, and a new
-// sync would succeed without writing them to the disk.
+// sync would succeed without writing them to the disk. What a failed write left is removed
+// first, because it may take the room that the segment needs.
 func (s *Store) resumeLog(l loadedLog) error {
 	s.state = l.state
 	s.nextSeq = l.nextSeq
+	if err := s.removeTempFiles(); err != nil {
+		return err
+	}
+	// A snapshot without a checkpoint that refers to it was never acknowledged.
+	if err := s.removeAbove(snapshotPrefix, l.state.Snapshot.Index); err != nil {
+		return err
+	}
 	if err := s.replaceFile(segmentName(l.lastSegment), l.lastSegmentData); err != nil {
 		return err
 	}
@@ -185,9 +193,6 @@
 		return err
 	}
 	s.state.Snapshot.Data = nil
-	if err := s.removeTempFiles(); err != nil {
-		return err
-	}
 	return s.removeOld(l.checkpointSeq)
 }
 
