controller: a node whose quota is used up waits for room

What callers saw: a control node whose disk is full waits while it starts; one whose quota is used up (EDQUOT) ended and was started again until there was room. A supervisor that gives up after some starts leaves the node down for good, although it would have had room again.

Cause: waitForDisk knew one of the two errors with which a file system says that it has no room.

Fix: both count. Other errors, such as EIO, still end the process: waiting doesn't help where a disk is broken, and an operator sees a process that ends.

Measured: TestNodeWaitsForRoomWhateverItsDiskSays/disk_quota_exceeded failed before (the process ended at once), and passes; the case of a full disk passed before.

--- a/internal/controller/disk.go
+++ b/internal/controller/disk.go
@@ -65,16 +65,16 @@
 	return false
 }
 
-// diskFullRetryInterval is the pause between attempts to open the log while the disk is
-// full.
+// diskFullRetryInterval is the pause between attempts to open the log while the disk has no
+// room.
 const diskFullRetryInterval = 300 * time.Millisecond
 
-// waitForDisk opens or creates the log and retries while the disk is full. Exiting
-// instead would only cause the process to be restarted.
+// waitForDisk opens or creates the log and retries while the disk has no room. Exiting
+// instead would only cause the process to be restarted, which a supervisor may give up.
 func (c *Controller) waitForDisk(ctx context.Context) (raft.DurableState, error) {
 	for {
 		restored, err := c.openOrCreateLog()
-		if !errors.Is(err, syscall.ENOSPC) {
+		if !lacksRoom(err) {
 			return restored, err
 		}
 		c.log.Event("disk is full", eventlog.Fields{"folder": c.cfg.Data, "error": err.Error()})
@@ -86,6 +86,11 @@
 	}
 }
 
+// lacksRoom reports whether a write failed because the disk is full or a quota is used up.
+func lacksRoom(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
 // openOrCreateLog opens the log in the data folder, or creates one if there is none or it
 // is damaged. At the first start of the deployment a new log is that of a founder if this
 // node is a seed; otherwise it gets a new member ID. A node never reuses an ID whose
--- a/internal/controller/full_test.go
+++ b/internal/controller/full_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
 
 	"github.com/agateslip/agateslip/confstate"
 	"github.com/agateslip/agateslip/internal/controller"
@@ -299,3 +300,34 @@
 	}
 	return nil
 }
+
+// TestNodeWaitsForRoomWhateverItsDiskSays starts a node whose disk has no room, as the file system or a quota
+// reports it. The process must wait rather than end.
+func TestNodeWaitsForRoomWhateverItsDiskSays(t *testing.T) {
+	t.Parallel()
+	for k, cause := range []error{syscall.ENOSPC, syscall.EDQUOT} {
+		t.Run(cause.Error(), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			c := newCluster(t, 22440+10*k, 1)
+			n := &supervised{testNode: c.nodes[0]}
+			n.limited.fill(cause, 0)
+			ctx, stop := context.WithCancel(context.Background())
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				c.runProcess(ctx, n)
+			}()
+			select {
+			case <-ended:
+				t.Fatal("the process ended")
+			case <-time.After(time.Second):
+			}
+			is.True(n.running.Load() == nil)
+			n.limited.free()
+			c.waitFor("the node", func() bool { return n.running.Load() != nil })
+			stop()
+			<-ended
+		})
+	}
+}
