controller: a surplus voter loses its vote once all voters are back

What callers saw: nothing yet. A group that tolerates two losses kept six voters for as long as none of them was lost. Six need four, so the group decides less often than five would: cut into halves it doesn't decide at all, and a sixth voter that is gone counts until it is replaced.

Cause: a leader that misses a voter for a quarter of the catch-up time promotes a learner and removes the lost voter at a later check. If that voter comes back in between, as one does whose disk was full for seconds, it is no longer lost, and nothing else removed a voter.

Fix: where there are more voters than the target, all can be reached and nothing else is due, the leader takes the vote of another one. It stays a member and a learner.

Measured: TestSurplusVoterDoesNotStay failed before (six voters after 30 s) and passes in 3.6 s.

--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -307,9 +307,32 @@
 			return "learner promoted", eventlog.Fields{"member": id, "voters": len(voters) + 1}, err
 		}
 	}
+	if id, ok := c.surplusVoter(voters); ok {
+		return "surplus voter removed", eventlog.Fields{"member": id, "voters": len(voters)}, c.raftReplica.Remove(ctx, id)
+	}
 	return "", nil, nil
 }
 
+// surplusVoter returns the voter to remove if there are more than the target and all can be
+// reached: the one for which a learner was promoted has come back. It stays a member.
+func (c *Controller) surplusVoter(voters []raft.MemberID) (raft.MemberID, bool) {
+	if len(voters) <= c.targetVoters() {
+		return 0, false
+	}
+	surplus := raft.MemberID(0)
+	for _, id := range voters {
+		if id == c.member {
+			continue
+		}
+		link, ok := c.addresses.NodeOf(id)
+		if !ok || !c.mesh.Reachable(link) {
+			return 0, false
+		}
+		surplus = id
+	}
+	return surplus, surplus != 0
+}
+
 // Reload applies changed settings: the seeds, where other control nodes are looked for.
 // It ignores the other settings.
 func (c *Controller) Reload(cfg config.Managed) {
