controller: the test of slow disks has ports of its own

TestConfigurationIsReadWithSlowDisks listened on the addresses of another parallel test, so that one of them failed at its start ("address already in use") in a run of the whole package.

--- a/internal/controller/slowdisk_test.go
+++ b/internal/controller/slowdisk_test.go
@@ -30,7 +30,7 @@
 // loss of power with two disks lost.
 func TestConfigurationIsReadWithSlowDisks(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, 17790, 5)
+	c := newCluster(t, 18060, 5)
 	c.start(0, 1, 2, 3, 4)
 	c.waitForVoters(0)
 	c.accept(0, 1, "one")
