raft: a member holds still for candidates for a bounded time in each term

After the loss of a leader, callers saw no leader for up to 10 s where the change took 1 s before, and for longer than a minute in one case.

Cause: a member that grants a pre-vote refuses others for one to five election timeouts. A candidate that cannot win, because its log is too old for another voter or because it hears no answers, asked again at once when that time was over, and was held for again. Two such members keep the voters held at different times without end.

The time is now limited for each term that candidates ask for, whoever asks, and a candidate with a newer log than the held one is not refused. No guarantee depends on holds.

--- a/raft/election.go
+++ b/raft/election.go
@@ -101,7 +101,7 @@
 		return RefusedLeaderKnown
 	case c.log.moreUpToDateThan(m.LogIndex, m.LogTerm):
 		return RefusedOlderLog
-	case !c.hardStateDurable(), c.now < c.hold.until && c.hold.candidate != m.From:
+	case !c.hardStateDurable(), c.hold.forbids(&m, c.now):
 		return RefusedElectionPending
 	}
 	return ""
@@ -112,18 +112,43 @@
 // depends on it, and it is forgotten on restart.
 type hold struct {
 	candidate MemberID
-	until     Instant
+	// logIndex and logTerm are the position of the candidate's last entry.
+	logIndex, logTerm uint64
+	until             Instant
+	// term is the term in which the candidate wants to lead. Holds for candidates of one term
+	// end at limit.
+	term  uint64
+	limit Instant
 }
 
-// holdFor holds still for a candidate that was granted a pre-vote, until it can ask for votes. A
-// candidate that asks again doesn't extend that time: it may be unable to receive the answers.
+// forbids reports whether the member refuses the pre-vote that m asks for. A candidate whose log is
+// more up to date is not refused: the other one may need its vote, and can't have it.
+func (h *hold) forbids(m *Message, now Instant) bool {
+	better := m.LogTerm > h.logTerm || m.LogTerm == h.logTerm && m.LogIndex > h.logIndex
+	return now < h.until && h.candidate != m.From && !better
+}
+
+// holdFor holds still for a candidate that was granted a pre-vote, until it can ask for votes. The
+// time for which a member does so is limited for each term: a candidate that asks again may be
+// unable to win, or to receive the answers.
 func (c *Core) holdFor(m Message) {
-	if c.now < c.hold.until {
+	if c.now < c.hold.until && c.hold.candidate == m.From {
+		return
+	}
+	longest := (1 + maxVoteDelayTimeouts) * c.cfg.ElectionTimeout
+	limit := c.hold.limit
+	if m.Term > c.hold.term {
+		limit = c.now + longest
+	}
+	until := min(c.now+c.cfg.ElectionTimeout+max(m.VoteDelay, 0), limit)
+	if until <= c.now {
 		return
 	}
-	delay := min(max(m.VoteDelay, 0), maxVoteDelayTimeouts*c.cfg.ElectionTimeout)
-	c.hold = hold{candidate: m.From, until: c.now + c.cfg.ElectionTimeout + delay}
-	c.electionDeadline = max(c.electionDeadline, c.hold.until+c.drawTimeout())
+	c.hold = hold{
+		candidate: m.From, logIndex: m.LogIndex, logTerm: m.LogTerm, until: until,
+		term: max(m.Term, c.hold.term), limit: limit,
+	}
+	c.electionDeadline = max(c.electionDeadline, until+c.drawTimeout())
 }
 
 // recordRefusal records that the vote or pre-vote which m asks for was refused.
--- a/raft/write.go
+++ b/raft/write.go
@@ -144,7 +144,7 @@
 	}
 	c.resetElectionTimer()
 	if c.vote != 0 && c.leader == 0 {
-		c.hold = hold{candidate: c.vote, until: c.now + c.cfg.ElectionTimeout}
+		c.hold = hold{candidate: c.vote, until: c.now + c.cfg.ElectionTimeout, term: c.term}
 	}
 }
 
