controller: a test of a founder that has no room at the first start

A founder whose disk is full at the first start of a deployment waits; killed meanwhile, it starts again as a node that is no founder, while the others count a founder that never was.

--- a/internal/controller/full_test.go
+++ b/internal/controller/full_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -104,14 +105,18 @@
 	kill atomic.Pointer[context.CancelFunc]
 }
 
-// supervise starts nodes and starts them again until the test ends.
-func (c *cluster) supervise(count int) []*supervised {
+// supervise starts nodes and starts them again until the test ends. The disks of the nodes listed in full
+// have no room.
+func (c *cluster) supervise(count int, full ...int) []*supervised {
 	c.t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	nodes := make([]*supervised, count)
 	done := make(chan struct{})
 	for i := range nodes {
 		nodes[i] = &supervised{testNode: c.nodes[i]}
+		if slices.Contains(full, i) {
+			nodes[i].limited.fill(syscall.ENOSPC, 0)
+		}
 		go func() {
 			defer func() { done <- struct{}{} }()
 			for ctx.Err() == nil {
@@ -301,6 +306,19 @@
 	return nil
 }
 
+// TestFounderWithoutRoomDoesNotStayMissing starts a group while the disk of one founder is full. Its process is
+// killed before it can create its log, so that it starts again as a node which is not a founder.
+func TestFounderWithoutRoomDoesNotStayMissing(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 22490, wantVoters)
+	nodes := c.supervise(wantVoters, 0)
+	time.Sleep(time.Second)
+	(*nodes[0].kill.Load())()
+	time.Sleep(time.Second)
+	nodes[0].limited.free()
+	c.requireChange(nodes, 1)
+}
+
 // TestNodeWaitsForRoomWhateverItsDiskSays starts a node whose disk has no room, as the file system or a quota
 // reports it. The process must wait rather than end.
 func TestNodeWaitsForRoomWhateverItsDiskSays(t *testing.T) {
