--- a/test/integration/uncontrolled_test.go
+++ b/test/integration/uncontrolled_test.go
@@ -1,7 +1,6 @@
 package integration
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -212,6 +211,12 @@
 
 // startManaged starts a managed deployment with one stand-in upstream.
 func startManaged(t *testing.T) *managedNodes {
+	t.Helper()
+	return startManagedOf(t, crowdMemoryMB)
+}
+
+// startManagedOf is startManaged with processes of the given memory, in MiB.
+func startManagedOf(t *testing.T, memoryMB int) *managedNodes {
 	t.Helper()
 	is := is.New(t)
 	const port = 21970
@@ -224,7 +229,7 @@
 	start := func(role, settings string) *process {
 		file := filepath.Join(dir, role+".yaml")
 		settings += fmt.Sprintf("seeds: [%q]\nfirstStart: true\ndomain: d\nsecret: integration-shared-secret\nheartbeat: 1s\nstop: 5s\n"+
-			"retry: {ratio: 0.2, extra: 50, window: 10s}\nmemoryMB: %d\ndescriptors: %d\n", m.operators, crowdMemoryMB, crowdDescriptors)
+			"retry: {ratio: 0.2, extra: 50, window: 10s}\nmemoryMB: %d\ndescriptors: %d\n", m.operators, memoryMB, crowdDescriptors)
 		is.NoErr(os.WriteFile(file, []byte(settings), 0o600))
 		return startProcess(t, binaries.node, role, "--config", file)
 	}
@@ -244,12 +249,7 @@
 		w.WriteHeader(http.StatusOK)
 	}})
 	t.Cleanup(upstream.Close)
-	document := `{"Version":1,"Routes":[
-	{"Name":"plain","Host":"h.example","PathPrefix":"/plain/","Kind":"idempotent","TimeoutMs":30000,"LatencyTargetMs":300,"Service":"app","MaxAttempts":2},
-	{"Name":"hold","Host":"h.example","PathPrefix":"/hold/","Kind":"idempotent","TimeoutMs":30000,"LatencyTargetMs":300,"Service":"app","MaxAttempts":1}],
-	"Services":[{"Name":"app","MaxConns":1000}],
-	"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}`
-	eventually(t, "configuration", func() bool { return managed.Send("PUT", "http://"+m.operators+"/config", document) == 200 })
+	eventually(t, "configuration", func() bool { return managed.Send("PUT", "http://"+m.operators+"/config", managedDocument) == 200 })
 	eventually(t, "ready", func() bool { return managed.Send("GET", "http://"+m.ready+"/", "") == 200 })
 	eventually(t, "first request answered", func() bool { return get(m.callers, "/plain/1")() == nil })
 	return m
@@ -319,17 +319,7 @@
 
 // TestUncontrolledCallersOfNode has crowds connect to the listeners of a node of a fixed group.
 func TestUncontrolledCallersOfNode(t *testing.T) {
-	c := newCluster(t, clusterVoters, func(_, _ int, addr string) string { return addr })
-	for _, n := range c.nodes {
-		file, err := os.OpenFile(n.configFile, os.O_APPEND|os.O_WRONLY, 0)
-		is.New(t).NoErr(err)
-		_, err = fmt.Fprintf(file, "memoryMB: %d\ndescriptors: %d\n", crowdMemoryMB, crowdDescriptors)
-		is.New(t).NoErr(errors.Join(err, file.Close()))
-		n.start(t, "--init")
-	}
-	for _, n := range c.nodes {
-		c.waitReady(t, n)
-	}
+	c := startSmallCluster(t)
 	n := c.nodes[0]
 	ordinary := get(n.callerAddr, "/readyz")
 	t.Run("callers", func(t *testing.T) { meetAll(t, httpCrowds, n.process, n.callerAddr, ordinary) })
