platform: bodies at a control node share a budget

Operators, or anybody who reaches a control node's listener, could end its process: a crowd of large configurations took all of its memory. Each body was bounded (4 MiB, announcements 256 KiB), their sum was not.

bodybuffer.Intake reads whole bodies within a process's budget, as the calls of an entry node do: a body that finds no room waits a second in all, incomplete bodies that are silent or old are cut for it, and then it is refused with 503 and Retry-After, as not run. A control node now has the budget of its memory (a quarter) and reads all bodies through it.

--- a/internal/cli/connections.go
+++ b/internal/cli/connections.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"github.com/agateslip/agateslip/internal/bodybuffer"
 	"github.com/agateslip/agateslip/internal/config"
 	"github.com/agateslip/agateslip/internal/connlimit"
 	"github.com/agateslip/agateslip/internal/edge"
@@ -10,8 +11,9 @@
 
 // connections limits the connections to a managed process.
 type connections struct {
-	guard  *connlimit.Guard
-	shares connlimit.Shares
+	guard   *connlimit.Guard
+	shares  connlimit.Shares
+	metrics *metrics.Set
 }
 
 // newConnections returns the limits of a process, with metrics and a line in the log for each connection that is cut.
@@ -24,5 +26,12 @@
 	})
 	set.Gauge("open", guard.Open)
 	set.Gauge("headBytes", guard.HeadBytes)
-	return connections{guard: guard, shares: shares}
+	return connections{guard: guard, shares: shares, metrics: set}
+}
+
+// limitBodies returns the limits of the bodies that a control node reads. An entry node has a budget for all that its calls take.
+func (c connections) limitBodies(cfg *config.Managed) bodybuffer.Intake {
+	budget := bodybuffer.BudgetOf(cfg.MemoryMB)
+	c.metrics.Gauge("bodyBytes", budget.Used)
+	return bodybuffer.Intake{Budget: budget, Cut: c.guard.CutBody}
 }
--- a/internal/cli/managed.go
+++ b/internal/cli/managed.go
@@ -80,7 +80,7 @@
 		go reloadOnHangup(ctx, c.Config, log, node.Reload)
 		return node.Run(ctx, supervisor.Part{Name: "operators", Run: func(ctx context.Context) error {
 			limits := connlimit.ListenerOptions{Name: "operators", MaxOpen: conns.shares.Operators, MaxPerAddress: cfg.Connections.PerAddress}
-			return conns.serveHTTP(ctx, cfg.Listen.Operators, limits, platform.ControlHandler(node, log))
+			return conns.serveHTTP(ctx, cfg.Listen.Operators, limits, platform.ControlHandler(node, log, conns.limitBodies(&cfg)))
 		}})
 	})
 }
