node: bodies of operators and upstreams share the calls' budget

Operators' commands and contracts, and upstreams' announcements, were read by nodes of a fixed group with a limit for each and none for their sum: crowds of 200 took 102 to 185 MiB with commands, up to 69 with announcements and 147 to 1,119 with contracts, where memoryMB is 64.

All are read through bodybuffer.Intake now, with the budget that the calls of the node have, and take from it what their decoding needs. What finds no memory is answered with 503 and Retry-After, before it runs. A command has at most 64 KiB; it names a member or an upstream. The gateway reads through the same code.

--- a/internal/engine/announce.go
+++ b/internal/engine/announce.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/agateslip/agateslip/directory"
+	"github.com/agateslip/agateslip/internal/bodybuffer"
+	"github.com/agateslip/agateslip/internal/jsoncost"
 )
 
 // Size limits of the messages that a node accepts, in bytes.
@@ -98,18 +100,24 @@
 	CacheEvents(ctx context.Context, e CacheEvents) (CacheReply, error)
 }
 
-// Handler serves PathAnnounce and PathCacheEvents. If the sink returns an error, the
-// answer is 503, and the upstream tries another node.
-func Handler(sink Sink) http.Handler {
+// elementBytes is the memory that an element of a list of a decoded message takes at most,
+// with what growing lists leave behind.
+const elementBytes = 512
+
+// Handler serves PathAnnounce and PathCacheEvents. If the sink returns an error, or the
+// budget of bodies has no memory for a message and what is decoded from it, the answer is
+// 503, and the upstream tries another node.
+func Handler(sink Sink, bodies bodybuffer.Intake) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc(PathAnnounce, receive(MaxAnnouncement, checkAnnouncement, sink.Announce))
-	mux.HandleFunc(PathCacheEvents, receive(MaxCacheEvents, checkCacheEvents, sink.CacheEvents))
+	mux.HandleFunc(PathAnnounce, receive(bodies, MaxAnnouncement, checkAnnouncement, sink.Announce))
+	mux.HandleFunc(PathCacheEvents, receive(bodies, MaxCacheEvents, checkCacheEvents, sink.CacheEvents))
 	return mux
 }
 
 // receive returns a handler that decodes a message of at most limit bytes, checks it,
 // passes it to accept and sends the reply.
 func receive[M, R any](
+	bodies bodybuffer.Intake,
 	limit int64,
 	check func(*M) error,
 	accept func(context.Context, M) (R, error),
@@ -119,7 +127,14 @@
 			return
 		}
 		var message M
-		err := decodeStrict(r.Body, limit, &message)
+		body, held, err := bodies.Read(w, r, limit)
+		if err == nil {
+			defer held.Release()
+			err = reserveDecoded(held, body)
+		}
+		if err == nil {
+			err = decodeBody(body, &message)
+		}
 		if err == nil {
 			err = check(&message)
 		}
@@ -135,3 +150,12 @@
 		writeJSON(w, http.StatusOK, reply)
 	}
 }
+
+// reserveDecoded takes the memory that a message needs once it is decoded.
+func reserveDecoded(held *bodybuffer.Share, body []byte) error {
+	cost, err := jsoncost.Estimate(body, elementBytes)
+	if err != nil {
+		return err
+	}
+	return held.Reserve(cost)
+}
--- a/internal/engine/decode.go
+++ b/internal/engine/decode.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/agateslip/agateslip/internal/bodybuffer"
 )
 
 // FieldError reports that a field of a message breaks a rule.
@@ -28,6 +30,9 @@
 	return e.Field + " " + e.Rule
 }
 
+// bodyRetryAfter is the Retry-After of a message for which there is no memory, in seconds.
+const bodyRetryAfter = "1"
+
 // ErrTooLarge means that a message is longer than its limit.
 var ErrTooLarge = errors.New("message exceeds its size limit")
 
@@ -42,6 +47,11 @@
 	if int64(len(body)) > limit {
 		return ErrTooLarge
 	}
+	return decodeBody(body, into)
+}
+
+// decodeBody is decodeStrict for a message that was read.
+func decodeBody(body []byte, into any) error {
 	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(into); err != nil {
@@ -88,8 +98,13 @@
 
 // writeDecodeError answers a message that could not be decoded.
 func writeDecodeError(w http.ResponseWriter, err error) {
-	if errors.Is(err, ErrTooLarge) {
-		writeJSON(w, http.StatusRequestEntityTooLarge, errorReply{FieldError{Rule: err.Error()}})
+	switch {
+	case errors.Is(err, ErrTooLarge), errors.Is(err, bodybuffer.ErrTooLarge):
+		writeJSON(w, http.StatusRequestEntityTooLarge, errorReply{FieldError{Rule: ErrTooLarge.Error()}})
+		return
+	case errors.Is(err, bodybuffer.ErrNoMemory):
+		w.Header().Set("Retry-After", bodyRetryAfter)
+		writeJSON(w, http.StatusServiceUnavailable, errorReply{FieldError{Rule: "finds no memory"}})
 		return
 	}
 	var field *FieldError
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/agateslip/agateslip/directory"
+	"github.com/agateslip/agateslip/internal/bodybuffer"
 )
 
 // recordingSink records the messages that it receives.
@@ -47,7 +48,7 @@
 func TestAnnouncementReachesSink(t *testing.T) {
 	is := is.New(t)
 	s := &recordingSink{}
-	w := post(Handler(s), PathAnnounce, validAnnouncement)
+	w := post(Handler(s, testBodies()), PathAnnounce, validAnnouncement)
 	is.Equal(w.Code, http.StatusOK)
 	is.Equal(w.Body.String(), `{"ttl":2000,"nextAfter":500}`)
 	is.Equal(len(s.announced), 1)
@@ -76,7 +77,7 @@
 			is := is.New(t)
 			s := &recordingSink{}
 			body := strings.Replace(validAnnouncement, c.old, c.new, 1)
-			w := post(Handler(s), PathAnnounce, body)
+			w := post(Handler(s, testBodies()), PathAnnounce, body)
 			is.Equal(w.Code, http.StatusBadRequest)
 			is.True(strings.HasPrefix(w.Body.String(), `{"error":{"field":"`+c.field+`"`)) // field named
 			is.Equal(len(s.announced), 0)
@@ -86,7 +87,7 @@
 
 func TestOversizedAnnouncementIsRefused(t *testing.T) {
 	is := is.New(t)
-	w := post(Handler(&recordingSink{}), PathAnnounce, strings.Repeat(" ", MaxAnnouncement+1))
+	w := post(Handler(&recordingSink{}, testBodies()), PathAnnounce, strings.Repeat(" ", MaxAnnouncement+1))
 	is.Equal(w.Code, http.StatusRequestEntityTooLarge)
 }
 
@@ -212,3 +213,8 @@
 	long := strings.Repeat("c", (MaxPrefixBlocks+1)*PrefixBlock)
 	is.Equal(len(PrefixHashes([]byte(long))), MaxPrefixBlocks)
 }
+
+// testBodies returns the limits of the bodies of a node with 512 MiB.
+func testBodies() bodybuffer.Intake {
+	return bodybuffer.Intake{Budget: bodybuffer.BudgetOf(512)}
+}
--- a/internal/engine/odd_test.go
+++ b/internal/engine/odd_test.go
@@ -26,7 +26,7 @@
 			s := &recordingSink{}
 			body := strings.Replace(validAnnouncement, c.old, c.new, 1)
 			is.True(body != validAnnouncement)
-			is.Equal(post(Handler(s), PathAnnounce, body).Code, http.StatusBadRequest)
+			is.Equal(post(Handler(s, testBodies()), PathAnnounce, body).Code, http.StatusBadRequest)
 			is.Equal(len(s.announced), 0)
 		})
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -95,7 +95,7 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	bodies := Bodies{Budget: bodybuffer.NewBudget(2 * MaxBodyBytes), Cut: func(*http.Request) bool { return false }}
+	bodies := bodybuffer.Intake{Budget: bodybuffer.NewBudget(2 * MaxBodyBytes), Cut: func(*http.Request) bool { return false }}
 	g := New(f, f, f, f, bodies, log, NewMetrics(new(expvar.Map).Init()), Dial)
 	g.SetReady(true)
 	front := httptest.NewServer(g.Handler())
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -46,7 +46,7 @@
 	metrics   *Metrics
 	stopping  atomic.Bool
 	ready     atomic.Bool
-	bodies    Bodies
+	bodies    bodybuffer.Intake
 	// running is the number of requests and background tasks in progress.
 	running atomic.Int64
 	// closeCtx ends when the gateway is closed; cancelCloseCtx ends it.
@@ -56,17 +56,10 @@
 	recordTimeout time.Duration
 }
 
-// Bodies bounds the memory of the bodies of all requests in progress.
-type Bodies struct {
-	Budget *bodybuffer.Budget
-	// Cut closes the connection of an incomplete body that may make room for that of a request, and reports whether there was one.
-	Cut func(*http.Request) bool
-}
-
 // New returns a gateway that reports itself not ready until SetReady(true). dial connects to upstreams, as
 // Dial does.
 func New(
-	contracts Contracts, admitter Admitter, router Router, claims Claims, bodies Bodies,
+	contracts Contracts, admitter Admitter, router Router, claims Claims, bodies bodybuffer.Intake,
 	log logrus.FieldLogger, metrics *Metrics, dial upstreamconn.Dial,
 ) *Gateway {
 	closeCtx, cancelCloseCtx := context.WithCancel(context.Background())
@@ -223,30 +216,18 @@
 	if r.ContentLength > MaxBodyBytes {
 		return nil, nil, refuse(ReasonTooLarge, "the body is larger than %d bytes", MaxBodyBytes)
 	}
-	noMemory := refuse(ReasonNoMemory, "too many request bodies are held").withDefaultRetryAfter()
-	room := g.bodies.Budget.NewRoom(r.Context(), func() bool { return g.bodies.Cut(r) })
-	if !room.MakeFor(r.ContentLength) {
-		return nil, nil, noMemory
-	}
-	share := g.bodies.Budget.NewShare()
-	share.MakeRoom = room.Make
 	rc := http.NewResponseController(w)
 	// Setting a deadline fails only on the response recorder of tests, which has none.
 	_ = rc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := share.Read(http.MaxBytesReader(w, r.Body, MaxBodyBytes), r.ContentLength, MaxBodyBytes)
-	if err == nil {
-		_ = rc.SetReadDeadline(time.Time{})
-	}
-	if err != nil {
-		share.Release()
-		var tooLarge *http.MaxBytesError
-		switch {
-		case errors.As(err, &tooLarge), errors.Is(err, bodybuffer.ErrTooLarge):
-			return nil, nil, refuse(ReasonTooLarge, "the body is larger than %d bytes", MaxBodyBytes)
-		case errors.Is(err, bodybuffer.ErrNoMemory):
-			return nil, nil, noMemory
-		}
+	body, share, err := g.bodies.Read(w, r, MaxBodyBytes)
+	switch {
+	case errors.Is(err, bodybuffer.ErrTooLarge):
+		return nil, nil, refuse(ReasonTooLarge, "the body is larger than %d bytes", MaxBodyBytes)
+	case errors.Is(err, bodybuffer.ErrNoMemory):
+		return nil, nil, refuse(ReasonNoMemory, "too many request bodies are held").withDefaultRetryAfter()
+	case err != nil:
 		return nil, nil, refuse(ReasonBadRequest, "the body could not be read whole")
 	}
+	_ = rc.SetReadDeadline(time.Time{})
 	return body, share.Release, nil
 }
--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -46,11 +46,11 @@
 // limitedListeners are the node's listeners for its HTTP servers, within the limits of connections.
 type limitedListeners struct{ callers, upstreams, operators net.Listener }
 
-// limitBodies returns the limits of the bodies of callers.
-func (n *Node) limitBodies() gateway.Bodies {
+// limitBodies returns the limits of the bodies that the node reads.
+func (n *Node) limitBodies() bodybuffer.Intake {
 	n.metrics.Set("body_bytes", expvar.Func(func() any { return n.bodies.UsedFor(bodybuffer.Requests) }))
 	n.metrics.Set("detour_bytes", expvar.Func(func() any { return n.bodies.UsedFor(bodybuffer.Detours) }))
-	return gateway.Bodies{Budget: n.bodies, Cut: n.guard.CutBody}
+	return bodybuffer.Intake{Budget: n.bodies, Cut: n.guard.CutBody}
 }
 
 // limitConnections makes the servers keep the limits of connections, and returns the listeners that they are to serve. Their heads
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,6 +91,7 @@
 	cuts           *connectionCuts
 	guard          *connlimit.Guard
 	bodies         *bodybuffer.Budget
+	intake         bodybuffer.Intake
 
 	// nextVoter rotates the voters that anyVoter returns. Only the sync and follow
 	// parts use it.
@@ -124,6 +125,7 @@
 	n.cuts = newConnectionCuts(n.metrics)
 	n.guard = connlimit.New(n.shares().HeadMemory, n.connectionCut)
 	n.bodies = bodybuffer.BudgetOf(n.cfg.MemoryMB)
+	n.intake = n.limitBodies()
 	for _, option := range options {
 		option(n)
 	}
@@ -156,7 +158,7 @@
 		&admitter{loop: n.loop},
 		&router{loop: n.loop},
 		&claims{group: n.group, owner: ledger.Owner{Node: n.cfg.Node, Boot: n.boot}},
-		n.limitBodies(),
+		n.intake,
 		n.log,
 		gateway.NewMetrics(n.metrics),
 		n.connect,
@@ -343,7 +345,7 @@
 	s := servers{
 		callers:   n.gateway.Server(),
 		upstreams: n.upstreamServer(),
-		operators: operator.NewServer(&backend{node: n}, n.cfg.OperatorToken),
+		operators: operator.NewServer(&backend{node: n}, n.cfg.OperatorToken, n.intake),
 	}
 	s.listeners = n.limitConnections(&s)
 	return s
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -20,7 +20,7 @@
 // upstreamServer returns the HTTP server that receives upstreams' announcements and
 // cache events.
 func (n *Node) upstreamServer() *http.Server {
-	handler := engine.Handler(&announcements{loop: n.loop})
+	handler := engine.Handler(&announcements{loop: n.loop}, n.intake)
 	if n.cfg.UpstreamToken != "" {
 		handler = requireToken(n.cfg.UpstreamToken, handler)
 	}
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/agateslip/agateslip/contract"
+	"github.com/agateslip/agateslip/internal/bodybuffer"
 	"github.com/agateslip/agateslip/internal/gateway"
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
@@ -24,7 +25,7 @@
 	log.SetOutput(io.Discard)
 	n.log = log
 	n.cfg.Stop.BalancerLag = contract.Duration(time.Second)
-	n.gateway = gateway.New(&contracts{node: n}, nil, nil, nil, gateway.Bodies{}, n.log, gateway.NewMetrics(new(expvar.Map).Init()), gateway.Dial)
+	n.gateway = gateway.New(&contracts{node: n}, nil, nil, nil, bodybuffer.Intake{}, n.log, gateway.NewMetrics(new(expvar.Map).Init()), gateway.Dial)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	callers := n.gateway.Server()
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -1,11 +1,11 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"crypto/subtle"
 	"encoding/json"
 	"expvar"
-	"io"
 	"net/http"
 	"net/http/pprof"
 	"strconv"
@@ -14,14 +14,23 @@
 
 	"github.com/agateslip/agateslip/contract"
 	"github.com/agateslip/agateslip/control"
+	"github.com/agateslip/agateslip/internal/bodybuffer"
 	"github.com/agateslip/agateslip/internal/connlimit"
 	"github.com/agateslip/agateslip/internal/yamlcheck"
 	"github.com/cockroachdb/errors"
 )
 
 const (
-	// maxBodyBytes limits a request body. The largest body is a contract's YAML.
+	// maxBodyBytes limits a contract's YAML.
 	maxBodyBytes = 4 << 20
+	// maxCommandBytes limits the JSON of a command, which names a member or an upstream.
+	maxCommandBytes = 64 << 10
+	// decodedRatio is the memory of a contract while it is decoded, per byte of its YAML: its
+	// tokens, its syntax tree and its fields.
+	decodedRatio = 256
+	// bodyRetryAfter is the Retry-After of a request for whose body there is no memory, in
+	// seconds.
+	bodyRetryAfter = "1"
 	// maxAuditPage limits the audit entries in one answer.
 	maxAuditPage = 1000
 	// maxNameBytes limits a change id, a customer's name in a change, and the names in
@@ -46,12 +55,14 @@
 type server struct {
 	backend Backend
 	token   string
+	bodies  bodybuffer.Intake
 }
 
 // NewServer returns the HTTP server of the operator API, without an address. Every
-// path except /healthz requires token as the bearer token.
-func NewServer(b Backend, token string) *http.Server {
-	s := &server{backend: b, token: token}
+// path except /healthz requires token as the bearer token. Bodies, and what is decoded
+// from them, stay within the budget of bodies.
+func NewServer(b Backend, token string, bodies bodybuffer.Intake) *http.Server {
+	s := &server{backend: b, token: token, bodies: bodies}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.Handle("GET /debug/vars", s.requireToken(expvar.Handler().ServeHTTP))
@@ -172,9 +183,20 @@
 		s.rejectChange(w, r, "contract.apply", customer, err)
 		return
 	}
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	if err != nil {
-		s.rejectChange(w, r, "contract.apply", customer, errors.Newf("the contract is larger than %d bytes or broke off", maxBodyBytes))
+	data, held, err := s.bodies.Read(w, r, maxBodyBytes)
+	if err == nil {
+		defer held.Release()
+		err = held.Reserve(decodedRatio * int64(len(data)))
+	}
+	switch {
+	case errors.Is(err, bodybuffer.ErrNoMemory):
+		writeNoMemory(w)
+		return
+	case errors.Is(err, bodybuffer.ErrTooLarge):
+		s.rejectChange(w, r, "contract.apply", customer, errors.Newf("the contract is larger than %d bytes or than the node's memory allows", maxBodyBytes))
+		return
+	case err != nil:
+		s.rejectChange(w, r, "contract.apply", customer, errors.New("the contract broke off"))
 		return
 	}
 	c, err := contract.Decode("contract", data)
@@ -254,18 +276,28 @@
 }
 
 func (s *server) changeMembers(w http.ResponseWriter, r *http.Request) {
-	runCommand(w, r, s.backend.ChangeMembers)
+	runCommand(s, w, r, s.backend.ChangeMembers)
 }
 
 func (s *server) upstreamGone(w http.ResponseWriter, r *http.Request) {
-	runCommand(w, r, s.backend.UpstreamGone)
+	runCommand(s, w, r, s.backend.UpstreamGone)
 }
 
 // runCommand decodes the JSON body of a request and passes it to run. Unknown fields
 // are refused, so that a misspelled one is not ignored.
-func runCommand[T any](w http.ResponseWriter, r *http.Request, run func(context.Context, string, T) error) {
+func runCommand[T any](s *server, w http.ResponseWriter, r *http.Request, run func(context.Context, string, T) error) {
+	data, held, err := s.bodies.Read(w, r, maxCommandBytes)
+	switch {
+	case errors.Is(err, bodybuffer.ErrNoMemory):
+		writeNoMemory(w)
+		return
+	case err != nil:
+		writeError(w, http.StatusBadRequest, ErrorBody{Error: err.Error()})
+		return
+	}
+	defer held.Release()
 	var body T
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(&body); err != nil {
 		writeError(w, http.StatusBadRequest, ErrorBody{Error: err.Error()})
@@ -283,6 +315,12 @@
 	writeOK(w, s.backend.Status())
 }
 
+// writeNoMemory answers a request that has not run because other bodies take all memory.
+func writeNoMemory(w http.ResponseWriter) {
+	w.Header().Set("Retry-After", bodyRetryAfter)
+	writeError(w, http.StatusServiceUnavailable, ErrorBody{Error: bodybuffer.ErrNoMemory.Error()})
+}
+
 func writeOK(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	// A write error means that the client has disconnected, so there is nobody to tell.
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/agateslip/agateslip/contract"
 	"github.com/agateslip/agateslip/control"
+	"github.com/agateslip/agateslip/internal/bodybuffer"
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 )
@@ -80,7 +81,7 @@
 			req.Header.Set("Authorization", "Bearer "+c.token)
 			req.Header.Set(HeaderActor, long)
 			resp := httptest.NewRecorder()
-			NewServer(b, testToken).Handler.ServeHTTP(resp, req)
+			NewServer(b, testToken, bodybuffer.Intake{Budget: bodybuffer.BudgetOf(512)}).Handler.ServeHTTP(resp, req)
 			is.Equal(resp.Code, c.status)
 			is.Equal(b.changes, c.changes)
 			is.Equal(b.refusals, c.refusals)
--- a/internal/standin/announce_test.go
+++ b/internal/standin/announce_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/agateslip/agateslip/internal/bodybuffer"
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
@@ -52,7 +53,7 @@
 // serveNode starts an HTTP server for an entry node and returns its address.
 func serveNode(t *testing.T, n *fakeEntryNode) string {
 	t.Helper()
-	s := httptest.NewServer(engine.Handler(n))
+	s := httptest.NewServer(engine.Handler(n, bodybuffer.Intake{Budget: bodybuffer.BudgetOf(512)}))
 	t.Cleanup(s.Close)
 	return s.Listener.Addr().String()
 }
