cli: nodes of a fixed group have a soft memory limit

A node of a fixed group stayed above its memoryMB although its bodies kept their budget: buffers that were outgrown or refused counted until the collector ran, which it did only when the heap had doubled.

--- a/internal/cli/managed.go
+++ b/internal/cli/managed.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		return errors.Mark(err, errInput)
 	}
-	debug.SetMemoryLimit(int64(float64(cfg.MemoryMB<<20) * memoryLimitShare))
+	limitMemory(cfg.MemoryMB)
 	log := eventlog.New(out, eventlog.Fields{"node": cfg.Node, "role": role})
 	defer log.Close(logFlushTimeout)
 	log.Event("started", eventlog.Fields{
@@ -123,6 +123,12 @@
 	return err
 }
 
+// limitMemory sets the runtime's soft memory limit of a process with the given memory, in
+// MiB: bodies that were dropped count until the collector has run.
+func limitMemory(memoryMB int) {
+	debug.SetMemoryLimit(int64(float64(memoryMB<<20) * memoryLimitShare))
+}
+
 // reloadOnHangup reads the settings again on each SIGHUP and passes them to apply, until
 // ctx ends. Invalid settings are logged and ignored.
 func reloadOnHangup(ctx context.Context, path string, log *eventlog.Log, apply func(config.Managed)) {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -24,6 +24,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(cfg.MemoryMB)
 	if c.Init && cfg.Data != "" {
 		if _, err := node.InitVoter(cfg); err != nil {
 			return err
