yamlcheck: the work for an invalid document follows its size

A contract of 30 KB could take a node's memory or keep a processor for minutes: the parser's work grows with the square of the nesting on one line (30,000 open brackets: 1,408 MiB resident where memoryMB is 64), each problem parsed the document again for its line, and the message of a type error was formatted with the source before a short one was used.

Lists and mappings in brackets, and entries on one line, are nested at most 64 levels; the document is parsed once for all lines, at most 100 problems are listed, and the long message is not made.

--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -27,7 +27,7 @@
 	maxCommandBytes = 64 << 10
 	// decodedRatio is the memory of a contract while it is decoded, per byte of its YAML: its
 	// tokens, its syntax tree and its fields.
-	decodedRatio = 256
+	decodedRatio = 512
 	// bodyRetryAfter is the Retry-After of a request for whose body there is no memory, in
 	// seconds.
 	bodyRetryAfter = "1"
--- a/internal/yamlcheck/yamlcheck.go
+++ b/internal/yamlcheck/yamlcheck.go
@@ -17,6 +17,14 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+const (
+	// maxDepth bounds the nesting of lists and mappings on one line: the work of the parser grows with its square.
+	maxDepth = 64
+	// maxProblems bounds the problems of one document.
+	maxProblems = 100
 )
 
 // Problem is one violated rule in a document.
@@ -92,6 +100,9 @@
 // hold, it calls cross, unless that is nil, for the violations of rules that span several
 // fields. The error is a Problems.
 func Decode[T any](file string, data []byte, out *T, cross func(*T) []Fault) error {
+	if line, found := tooDeep(data); found {
+		return Problems{{File: file, Line: line, Field: "(document)", Rule: fmt.Sprintf("must be nested at most %d levels deep", maxDepth)}}
+	}
 	dec := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict())
 	if err := dec.Decode(out); err != nil {
 		return Problems{syntaxProblem(file, err)}
@@ -114,9 +125,14 @@
 	if len(faults) == 0 {
 		return nil
 	}
+	faults = faults[:min(len(faults), maxProblems)]
 	problems := make(Problems, len(faults))
+	parsed, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		parsed = nil // data need not be the text that v was read from
+	}
 	for i, f := range faults {
-		problems[i] = Problem{File: file, Line: lineOf(data, f.Field), Field: f.Field, Rule: f.Rule}
+		problems[i] = Problem{File: file, Line: lineOf(parsed, f.Field), Field: f.Field, Rule: f.Rule}
 	}
 	sort.SliceStable(problems, func(i, j int) bool { return problems[i].Line < problems[j].Line })
 	return problems
@@ -194,9 +210,10 @@
 		scalar.problem.File = file
 		return scalar.problem
 	}
-	p := Problem{File: file, Field: "(document)", Rule: firstLine(err.Error())}
+	p := Problem{File: file, Field: "(document)"}
 	var yamlErr yaml.Error
 	if !errors.As(err, &yamlErr) {
+		p.Rule = firstLine(err.Error())
 		return p
 	}
 	p.Rule = yamlErr.GetMessage()
@@ -222,13 +239,16 @@
 
 // lineOf returns the line of a field, or of its nearest parent that is present, or 1 if
 // there is none.
-func lineOf(data []byte, field string) int {
+func lineOf(parsed *ast.File, field string) int {
+	if parsed == nil {
+		return 1
+	}
 	for path := "$." + field; path != "$" && path != ""; path = parentPath(path) {
 		p, err := yaml.PathString(path)
 		if err != nil {
 			continue
 		}
-		node, err := p.ReadNode(bytes.NewReader(data))
+		node, err := p.FilterFile(parsed)
 		if err == nil && node != nil {
 			return node.GetToken().Position.Line
 		}
--- a/test/integration/bodies_test.go
+++ b/test/integration/bodies_test.go
@@ -192,6 +192,18 @@
 	return c
 }
 
+// awaitAnswer returns a caller that writes text and waits for the first byte of an answer.
+func awaitAnswer(text string) func(net.Conn) {
+	return func(conn net.Conn) {
+		if _, err := io.WriteString(conn, text); err == nil {
+			_, _ = conn.Read(make([]byte, 1)) // the node may close the connection
+		}
+	}
+}
+
+// contractHead is a contract without models.
+var contractHead = contractText("5s")[:strings.Index(contractText("5s"), "models:")]
+
 const nodeOperatorHead = " HTTP/1.1\r\nHost: h.example\r\nContent-Type: application/json\r\nAuthorization: Bearer " + operatorToken + "\r\n"
 
 // TestContractBodiesStayInMemory guards against bodies of contracts that take all memory of a node of a fixed group.
@@ -201,6 +213,21 @@
 	meetAll(t, bodyCrowds(target), n.process, n.operatorAddr, get(n.operatorAddr, "/healthz"))
 }
 
+// TestContractValuesStayInMemory guards against small texts of contracts that take all memory of a node of a fixed group.
+func TestContractValuesStayInMemory(t *testing.T) {
+	n := startSmallCluster(t).nodes[0]
+	target := bodyTarget{"PUT /v1/contracts/studio?change=c1&base=7" + nodeOperatorHead, 0}
+	var crowds []crowd
+	for name, text := range map[string]string{
+		"open lists":     strings.Repeat("[", 30_000),
+		"empty mappings": contractHead + "models: [" + strings.Repeat("{},", 10_000) + "{}]\n",
+		"other types":    "models: [" + strings.Repeat("[],", 10_000) + "[]]\n",
+	} {
+		crowds = append(crowds, crowd{name: name, size: bodyCrowdSize, send: awaitAnswer(target.announced(len(text)) + text)})
+	}
+	meetAll(t, crowds, n.process, n.operatorAddr, get(n.operatorAddr, "/healthz"))
+}
+
 // TestCommandBodiesStayInMemory guards against bodies of operators' commands that take all memory of a node of a fixed group.
 func TestCommandBodiesStayInMemory(t *testing.T) {
 	n := startSmallCluster(t).nodes[0]
