--- a/test/integration/bodies_test.go
+++ b/test/integration/bodies_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -251,22 +252,71 @@
 	meetAll(t, bodyCrowds(target), n.process, n.upstreamAddr, get(n.callerAddr, "/readyz"))
 }
 
-// TestLargeConfigurationIsAccepted sends a configuration just below the limit to a control node of the size of a real one.
-func TestLargeConfigurationIsAccepted(t *testing.T) {
-	is := is.New(t)
-	const memoryMB = 280
-	m := startManagedOf(t, memoryMB)
+// machineMemoryMB is the memory of a machine of a control node, in MiB.
+const machineMemoryMB = 280
+
+// largeDocument returns a valid configuration just below the limit.
+func largeDocument(version int) string {
 	var routes strings.Builder
 	for i := 0; routes.Len() < 3_900_000; i++ {
 		fmt.Fprintf(&routes, `{"Name":"r%d","Host":"h.example","PathPrefix":"/large/%d/","Kind":"idempotent","TimeoutMs":30000,"LatencyTargetMs":300,"Priority":1,`+
 			`"Service":"app","MaxAttempts":2,"Sticky":true,"Resumable":false,"GapTargetMs":300},`, i, i)
 	}
 	document := strings.Replace(managedDocument, `"Routes":[`, `"Routes":[`+routes.String(), 1)
-	document = strings.Replace(document, `"Version":1`, `"Version":2`, 1)
+	return strings.Replace(document, `"Version":1`, fmt.Sprintf(`"Version":%d`, version), 1)
+}
+
+// checkMachineMemory fails the test if a process has taken more memory than its machine has.
+func checkMachineMemory(t *testing.T, processes ...*process) {
+	t.Helper()
+	for _, p := range processes {
+		memory := peakMemoryMB(t, p)
+		t.Logf("%d MiB at most", memory)
+		if memory > machineMemoryMB {
+			t.Errorf("%d MiB were resident, at most %d may be", memory, machineMemoryMB)
+		}
+	}
+}
+
+// TestLargeConfigurationIsAccepted sends a configuration just below the limit to a control node of the size of a real one.
+func TestLargeConfigurationIsAccepted(t *testing.T) {
+	is := is.New(t)
+	m := startManagedOf(t, machineMemoryMB)
+	document := largeDocument(2)
 	is.NoErr(request(http.MethodPut, m.operators, "/config", document)())
 	is.NoErr(get(m.operators, "/config")())
 	is.Equal(managed.Send("PUT", "http://"+m.operators+"/config", document), 200) // sent again
-	if memory := peakMemoryMB(t, m.control); memory > memoryMB {
-		t.Errorf("%d MiB were resident, at most %d may be", memory, memoryMB)
+	checkMachineMemory(t, m.control)
+}
+
+// TestLargeConfigurationsInParallel sends as many configurations at once as operators do.
+func TestLargeConfigurationsInParallel(t *testing.T) {
+	const orders = 8
+	m := startManagedOf(t, machineMemoryMB)
+	var sending sync.WaitGroup
+	for i := range orders {
+		sending.Go(func() {
+			document := largeDocument(2 + i)
+			eventually(t, "acknowledgement", func() bool { return request(http.MethodPut, m.operators, "/config", document)() == nil })
+		})
+	}
+	sending.Wait()
+	is.New(t).NoErr(get(m.callers, "/plain/1")())
+	checkMachineMemory(t, m.control, m.entry)
+}
+
+// TestLargeConfigurationBesideCrowd sends a configuration, again where it is refused, while a crowd keeps incomplete ones open.
+func TestLargeConfigurationBesideCrowd(t *testing.T) {
+	m := startManagedOf(t, machineMemoryMB)
+	target := bodyTarget{"PUT /config HTTP/1.1\r\nHost: h.example\r\n", legalBytes}
+	document := largeDocument(2)
+	for _, c := range bodyCrowds(target) {
+		c.memoryMB = machineMemoryMB
+		t.Run(c.name, func(t *testing.T) {
+			c.meet(t, m.control, m.operators, func() error {
+				eventually(t, "acknowledgement", func() bool { return request(http.MethodPut, m.operators, "/config", document)() == nil })
+				return nil
+			})
+		})
 	}
 }
--- a/test/integration/uncontrolled_test.go
+++ b/test/integration/uncontrolled_test.go
@@ -1,6 +1,7 @@
 package integration
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -39,6 +40,8 @@
 	// leaves is set if the callers close their connections before the ordinary request is sent: what they
 	// sent is within the limits, so that a full process may refuse others.
 	leaves bool
+	// memoryMB bounds the resident memory of the process; crowdMemoryMB if zero.
+	memoryMB int
 }
 
 // writeAll returns a caller that writes text and then says nothing more.
@@ -151,8 +154,8 @@
 	if len(descriptors) > crowdDescriptors {
 		t.Errorf("%d descriptors are open, at most %d may be", len(descriptors), crowdDescriptors)
 	}
-	if memory > crowdMemoryMB {
-		t.Errorf("%d MiB were resident, at most %d may be", memory, crowdMemoryMB)
+	if limit := cmp.Or(c.memoryMB, crowdMemoryMB); memory > limit {
+		t.Errorf("%d MiB were resident, at most %d may be", memory, limit)
 	}
 }
 
