--- a/test/integration/bodies_test.go
+++ b/test/integration/bodies_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -157,6 +158,21 @@
 	}
 }
 
+// TestConflictingConfigurationsStayInMemory guards against sound configurations with the version in force and other content, which the
+// control nodes decide on together.
+func TestConflictingConfigurationsStayInMemory(t *testing.T) {
+	const size = 1_000_000
+	m := startManaged(t)
+	var next atomic.Int64
+	conflicting := crowd{name: "conflicting", size: bodyCrowdSize, send: func(conn net.Conn) {
+		random := make([]byte, size/2)
+		_, _ = rand.NewChaCha8([32]byte{byte(next.Add(1))}).Read(random)
+		document := strings.Replace(managedDocument, `"Version":1`, fmt.Sprintf(`"Version":1,"Note":"%x"`, random), 1)
+		awaitAnswer(bodyTarget{head: "PUT /config HTTP/1.1\r\nHost: h.example\r\n"}.announced(len(document)) + document)(conn)
+	}}
+	conflicting.meet(t, m.control, m.operators, operatorRequests(m))
+}
+
 // TestAnnouncementBodiesStayInMemory guards against bodies of announcements that take all memory of a control node.
 func TestAnnouncementBodiesStayInMemory(t *testing.T) {
 	m := startManaged(t)
