controller: documents that can't come into force stay out of the log

Anybody who can send configurations to a control node could fill its memory, and its disk, with sound ones that change nothing: with the version in force and other content, or with a lower version. Each went through the log with its document, some four copies of it on the way, and the log keeps entries until 256 more are applied.

Versions only grow, so a leader that has applied a version already knows what becomes of an equal or lower one. It still proposes an entry, which waits for its disks as before, but without the document. Nodes of earlier builds apply such an entry as they did: it changes nothing there either.

--- a/confstate/confstate.go
+++ b/confstate/confstate.go
@@ -81,6 +81,20 @@
 	Document []byte `json:"document"`
 }
 
+// Settles returns the result of a later command, and whether it is settled: while c, or one of a higher version, is in force, another
+// with its version or a lower one never comes into force. A nil c settles none.
+func (c *Configure) Settles(later Configure) (result Result, settled bool) {
+	switch {
+	case c == nil || later.Version > c.Version:
+		return 0, false
+	case later.Version < c.Version:
+		return Overtaken, true
+	case slices.Equal(later.Document, c.Document):
+		return Repeated, true
+	}
+	return Conflict, true
+}
+
 // Result is the result of a command.
 type Result uint8
 
@@ -165,14 +179,11 @@
 // configure puts the configuration in force if its version is higher than that in force, or
 // if none is in force.
 func (s *State) configure(c *Configure) Result {
-	switch {
-	case c.Version < s.Version:
-		return Overtaken
-	case c.Version == s.Version && s.Document != nil:
-		if slices.Equal(c.Document, s.Document) {
-			return Repeated
+	if s.Document != nil {
+		inForce := Configure{Version: s.Version, Document: s.Document}
+		if result, settled := inForce.Settles(*c); settled {
+			return result
 		}
-		return Conflict
 	}
 	s.Version, s.Document = c.Version, c.Document
 	return Accepted
--- a/confstate/confstate_test.go
+++ b/confstate/confstate_test.go
@@ -75,3 +75,28 @@
 	is.Equal(len(s.Evidence), 0)
 	is.Equal(s.Orderer, confstate.Orderer{})
 }
+
+// TestSettledConfigurationsNeedNoDocument compares results that are settled before a command is applied with those of applying it.
+func TestSettledConfigurationsNeedNoDocument(t *testing.T) {
+	is := is.New(t)
+	inForce := confstate.Configure{Version: 3, Document: []byte("a")}
+	for later, want := range map[*confstate.Configure]confstate.Result{
+		{Version: 2, Document: []byte("a")}: confstate.Overtaken,
+		{Version: 3, Document: []byte("a")}: confstate.Repeated,
+		{Version: 3, Document: []byte("b")}: confstate.Conflict,
+		{Version: 4, Document: []byte("a")}: confstate.Accepted,
+	} {
+		s := confstate.New()
+		is.Equal(s.Apply(1, confstate.Command{Configure: &inForce}), confstate.Accepted)
+		result, settled := inForce.Settles(*later)
+		is.Equal(settled, want != confstate.Accepted)
+		if settled {
+			is.Equal(result, want)
+			s.Apply(2, confstate.Command{Configure: &confstate.Configure{Version: later.Version}}) // as in the log
+			is.Equal(string(s.Document), "a")
+		}
+		is.Equal(s.Apply(3, confstate.Command{Configure: later}), want)
+	}
+	_, settled := (*confstate.Configure)(nil).Settles(inForce)
+	is.True(!settled)
+}
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -410,8 +410,13 @@
 	return result.(applyResult), nil
 }
 
-// configureAsLeader proposes a configuration and waits until it is durable.
+// configureAsLeader proposes a configuration and waits until it is durable. One that cannot come into force, because its version is
+// not higher than an applied one, leaves its document out of the log.
 func (c *Controller) configureAsLeader(ctx context.Context, r confstate.Configure) (confstate.Result, error) {
+	known, settled := c.stateMachine.active.Load().Settles(r)
+	if settled {
+		r.Document = nil
+	}
 	a, err := c.propose(ctx, confstate.Command{Configure: &r})
 	switch {
 	case errors.Is(err, replica.ErrOutcomeUnknown):
@@ -422,6 +427,9 @@
 	if err := c.waitDurable(ctx, a.index); err != nil {
 		return 0, err
 	}
+	if settled {
+		return known, nil
+	}
 	return a.result, nil
 }
 
