upstreamconn: a reset is not taken for the end of an answer

Callers got a 200 with a short body, framed as whole: from an upstream that answers without a length, does not read the whole body of the call and resets the connection. Closing a connection with unread bytes resets it, so that this is the usual end of an upstream that answers a large request early.

Cause: the kernel reports a reset to one system call on the connection, and an end of the connection to all after it. While a body is sent, a write waits beside the read. If the write gets the report, the read returns io.EOF, which is how an answer without a length ends. The write's error came to nothing: the call already had its answer. net/http's transport, which the gateway uses, behaves alike, and so did the copying in both directions of a node that helps with a detour.

TellResets wraps connections to upstreams: once a write has failed, Read returns an error in place of io.EOF. At io.EOF it ends a write that waits, and looks whether it failed, since one that is about to return may have the report. An upstream that ends its side without a reset while the body is sent is still whole (TestAnswerEndedWhileBodyIsSentIsWhole). One that ends its side and then resets may count as reset: nothing tells the order.

Ruled out: heads that are cut.

--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -220,7 +220,7 @@
 	}
 	s.add(conn, frames)
 	defer s.remove(conn)
-	join(conn, upstream.(*net.TCPConn), frames)
+	join(conn, upstream, frames)
 }
 
 // request is what another entry node asks for.
@@ -258,7 +258,7 @@
 // join copies the bytes of both directions until either side ends. Only an end of the upstream is passed on
 // as an end; closing the connection to the node after anything else resets it. frames is nil for a node that
 // reads none.
-func join(node, upstream *net.TCPConn, frames *frameWriter) {
+func join(node *net.TCPConn, upstream net.Conn, frames *frameWriter) {
 	requests := make(chan struct{})
 	go func() {
 		defer close(requests)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -105,7 +105,11 @@
 			Count:    3,
 		},
 	}
-	return dialer.DialContext(ctx, "tcp", addr)
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return upstreamconn.TellResets(conn), nil
 }
 
 // newTransport returns a transport to upstreams, to which dial connects. With disableKeepAlives each
--- a/internal/upstreamconn/cut_test.go
+++ b/internal/upstreamconn/cut_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -65,3 +66,35 @@
 		t.Errorf("%d of %d answers count as whole", whole, calls)
 	}
 }
+
+// TestAnswerEndedWhileBodyIsSentIsWhole guards against sound answers without a length that count as reset.
+func TestAnswerEndedWhileBodyIsSentIsWhole(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	answer := func(conn net.Conn) {
+		defer conn.Close()
+		_, _ = io.ReadFull(conn, make([]byte, 1000))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\n\r\nwhole")
+		_ = conn.(*net.TCPConn).CloseWrite()
+		time.Sleep(10 * time.Millisecond)
+		_, _ = io.Copy(io.Discard, conn)
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go answer(conn)
+		}
+	}()
+	for range 50 {
+		if body, err := post(t, listener.Addr().String(), largeBody); err != nil || body != "whole" {
+			t.Errorf("body %q, error %v", body, err)
+		}
+	}
+}
--- a/internal/upstreamconn/pool.go
+++ b/internal/upstreamconn/pool.go
@@ -81,11 +81,11 @@
 	forgotten bool
 }
 
-// Dial opens a TCP connection to an IP address and port.
+// Dial opens a TCP connection to an IP address and port. Its Read must not return io.EOF after a reset; see TellResets.
 type Dial func(ctx context.Context, addr string) (net.Conn, error)
 
-// NewDial returns a Dial that detects dead connections within 2.5 s. timeout bounds the setup of
-// a connection.
+// NewDial returns a Dial that detects dead connections within 2.5 s, and whose connections TellResets. timeout bounds the setup
+// of a connection.
 func NewDial(timeout time.Duration) Dial {
 	dialer := net.Dialer{
 		Timeout: timeout,
@@ -100,7 +100,13 @@
 			return errors.CombineErrors(controlErr, err)
 		},
 	}
-	return func(ctx context.Context, addr string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) }
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return nil, err
+		}
+		return TellResets(conn), nil
+	}
 }
 
 // NewPool returns an empty pool that opens connections with dial.
