edge: a stream without any event does not end with its connection

Callers got a 200 with an empty stream, framed as whole, from an upstream that ended after the head of its answer, before the first event: the kernel closes the connections of a process that ends in the usual way, which is how an answer without a length ends.

A new stream has at least one event. If it has none, and neither a length nor chunks say that this is all, the attempt counts as lost: the stream begins elsewhere if the route allows it, else it is visibly broken off. The rest of a stream that a caller takes up may be empty as before.

TestCutAnswerIsNotWhole relays every beginning of answers with a length, in chunks, after an interim answer and without a length, closed and reset, to calls of each kind. Before, the two cuts at the end of the head of a stream without a length counted as whole, and no other did. An end after a whole event cannot be told from that of the stream.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -222,6 +222,9 @@
 // endStream ends an attempt whose stream has no further event, for the given reason.
 func (c *call) endStream(u *fleet.Upstream, conn *upstreamconn.Conn, resp *http.Response, err error) (dispatch.Result, attemptOutcome) {
 	switch {
+	case errors.Is(err, io.EOF) && c.lacksEvents(resp):
+		conn.Close()
+		return c.endLost(u, errors.New("stream ended with its connection before its first event"))
 	case errors.Is(err, io.EOF):
 		conn.Release()
 		c.recordAnswered(u, resp.StatusCode)
@@ -233,6 +236,13 @@
 	return c.endLost(u, errors.Wrap(err, "read stream"))
 }
 
+// lacksEvents reports whether an answer that ended is no whole stream: it has no event, and neither a length nor chunks say that this
+// is all. The rest of a stream that the caller takes up may be empty.
+func (c *call) lacksEvents(resp *http.Response) bool {
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	return c.route.Kind == routes.Stream && c.events == 0 && !framed && !c.takesUpStream()
+}
+
 // relayEvent sends one complete event to the caller. It returns false if the caller has
 // left.
 func (c *call) relayEvent(event eventstream.Event) bool {
