--- a/internal/testutil/cutanswers.go
+++ b/internal/testutil/cutanswers.go
@@ -30,20 +30,20 @@
 // without a length. Each connection is closed and reset.
 func CutAnswers(lines string) []CutAnswer {
 	var cuts []CutAnswer
-	for name, a := range map[string]struct{ start, framing, body string }{
-		"length":  {"HTTP/1.1 200 OK\r\n", "Content-Length: 1200\r\n", strings.Repeat("x", 12)},
-		"chunks":  {"HTTP/1.1 200 OK\r\n", "Transfer-Encoding: chunked\r\nTrailer: T\r\n", "1b;e=1\r\nid: 1\ndata: abcdefghijklm\n\n\r\n0\r\nT: t\r\n\r\n"},
-		"interim": {"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n", "Content-Length: 3\r\n", "abc"},
-		"end":     {"HTTP/1.1 200 OK\r\n", "Connection: close\r\n", "id: 1\ndata: abc\n\n"},
-		"old end": {"HTTP/1.0 200 OK\r\n", "", "id: 1\ndata: abc\n\n"},
+	for _, a := range []struct{ name, start, framing, body string }{
+		{"length", "HTTP/1.1 200 OK\r\n", "Content-Length: 1200\r\n", strings.Repeat("x", 12)},
+		{"chunks", "HTTP/1.1 200 OK\r\n", "Transfer-Encoding: chunked\r\nTrailer: T\r\n", "1b;e=1\r\nid: 1\ndata: abcdefghijklm\n\n\r\n0\r\nT: t\r\n\r\n"},
+		{"interim", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n", "Content-Length: 3\r\n", "abc"},
+		{"end", "HTTP/1.1 200 OK\r\n", "Connection: close\r\n", "id: 1\ndata: abc\n\n"},
+		{"old end", "HTTP/1.0 200 OK\r\n", "", "id: 1\ndata: abc\n\n"},
 	} {
 		head := a.start + lines + a.framing + "\r\n"
 		text := head + a.body
 		for n := range text {
 			for _, reset := range []bool{false, true} {
 				cuts = append(cuts, CutAnswer{
-					Name: fmt.Sprintf("%s, %d bytes, reset %t", name, n, reset), Sent: text[:n], Reset: reset,
-					MayBeWhole: strings.HasSuffix(name, "end") && n >= len(head) && !reset,
+					Name: fmt.Sprintf("%s, %d bytes, reset %t", a.name, n, reset), Sent: text[:n], Reset: reset,
+					MayBeWhole: strings.HasSuffix(a.name, "end") && n >= len(head) && !reset,
 				})
 			}
 		}
