edge: a caller without chunks gets no stream of a plain service

Callers that speak HTTP/1.0 got a 200 with some of the events of a plain service, and a regular end, when the upstream broke off: without chunks or a length, an answer ends with its connection, however that ends. Routes of streams refuse such callers for that reason; a plain service may answer with events, too.

Such an answer is now read whole before the caller gets it, and has a length, as any other of a plain service. TestCallersWithoutChunksGetNoCutStream failed before (200 with two events of a cut answer) and passes.

--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -49,6 +49,9 @@
 	case !certain || success && !answer.Genuine:
 		conn.Close()
 		return c.endLost(u, errors.Newf("answer with status %d is not from the upstream", resp.StatusCode))
+	case !c.r.ProtoAtLeast(1, 1):
+		// Without chunks, events that break off would look complete.
+		return c.relayWhole(u, conn, resp)
 	case success && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStream) && (!c.streamStarted || resp.StatusCode == http.StatusOK):
 		return c.relayStream(u, conn, resp)
 	case c.streamStarted:
