gateway: an answer to HTTP/1.0 that ends early is reset

Callers that speak HTTP/1.0 got a large answer that its upstream broke off as a whole one with status 200: 40 KiB and 2 MiB of calls that run once, 2 MiB of others. Without chunks and a length, the answer ended with its connection, which the gateway closed as after a whole one. The connection is now reset.

TestCallersWithoutChunksCanTellCutAnswers failed in 6 of 6 cases before, with and without limited connections, and passes. Not covered: a node that is killed while it sends such an answer, since the kernel ends its connections in the usual way.

--- a/internal/gateway/cut_test.go
+++ b/internal/gateway/cut_test.go
@@ -1,11 +1,17 @@
 package gateway
 
 import (
+	"bufio"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 
+	"github.com/matryer/is"
+
+	"github.com/agateslip/agateslip/internal/connlimit"
 	"github.com/agateslip/agateslip/internal/testutil"
 )
 
@@ -78,3 +84,38 @@
 		t.Errorf("%d of %d answers count as whole", short, 2*calls)
 	}
 }
+
+// TestCallersWithoutChunksCanTellCutAnswers guards against large answers that break off, which callers that speak HTTP/1.0 take for whole
+// ones: their answers end with the connection.
+func TestCallersWithoutChunksCanTellCutAnswers(t *testing.T) {
+	for _, limited := range []bool{false, true} {
+		for _, path := range []string{"/services/s/pay", "/services/s/list", "/v1/chat/completions"} {
+			t.Run(fmt.Sprint(path, limited), func(t *testing.T) {
+				is := is.New(t)
+				g, _, _ := newGateway(t, func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set(headerAttempt, r.Header.Get(headerAttempt))
+					_, _ = io.WriteString(w, strings.Repeat("x", 2*maxBufferedAnswerBytes))
+					panic(http.ErrAbortHandler)
+				})
+				listener, err := net.Listen("tcp", "127.0.0.1:0")
+				is.NoErr(err)
+				if limited {
+					listener = connlimit.New(0, nil).Listen(listener, connlimit.ListenerOptions{Name: "callers"})
+				}
+				server := &http.Server{Handler: g.Handler()}
+				t.Cleanup(func() { server.Close() })
+				go func() { _ = server.Serve(listener) }()
+				conn, err := net.Dial("tcp", listener.Addr().String())
+				is.NoErr(err)
+				defer conn.Close()
+				_, err = fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+					path, testToken, len(streamBody), streamBody)
+				is.NoErr(err)
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				is.NoErr(err)
+				_, err = io.ReadAll(resp.Body)
+				is.True(err != nil || resp.StatusCode >= http.StatusBadRequest)
+			})
+		}
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -8,6 +8,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -192,6 +193,9 @@
 	if errors.Is(err, errAnswerAborted) {
 		g.metrics.Broken.Add(1)
 		g.log.WithField("request", requestID(r.Context())).WithError(err).Warn("answer ended early")
+		if !r.ProtoAtLeast(1, 1) {
+			resetCaller(w)
+		}
 		panic(http.ErrAbortHandler)
 	}
 	var refusal *Refusal
@@ -207,6 +211,22 @@
 	refusal.write(w)
 }
 
+// resetCaller resets the connection of a caller that speaks HTTP/1.0: without chunks, the usual end of a connection is that of the answer.
+func resetCaller(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // as on the response recorder of tests
+	}
+	defer conn.Close()
+	inner := conn
+	if limited, ok := conn.(*connlimit.Conn); ok {
+		inner = limited.Conn
+	}
+	if tcp, ok := inner.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // it fails only on a connection that has ended
+	}
+}
+
 // serveUnknownPath refuses a request that matches no route: for its method if the path
 // exists, otherwise for its path.
 func (g *Gateway) serveUnknownPath(_ http.ResponseWriter, r *http.Request, _ *contract.Contract) error {
