--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -94,6 +94,8 @@
 	// number of events.
 	lastEventID string
 	events      int
+	// hasData is set once an event with data was sent to the caller.
+	hasData bool
 }
 
 // attemptOutcome is how an attempt ended.
--- a/internal/edge/cut_test.go
+++ b/internal/edge/cut_test.go
@@ -44,7 +44,9 @@
 			defer stop()
 			go func() { _ = e.loop.Run(ctx) }()
 			addr, set := testutil.ServeCut(t, "Id")
-			cuts := append(testutil.CutAnswers(lines), testutil.UnreadBody(lines))
+			cuts := append(testutil.CutAnswers(lines), testutil.UnreadBody(lines), testutil.CutAnswer{
+				Name: "comment", Sent: "HTTP/1.1 200 OK\r\n" + lines + "\r\n: loading\n\n", MayBeWhole: true,
+			})
 			for _, cut := range cuts {
 				set(cut)
 				w := httptest.NewRecorder()
@@ -54,7 +56,7 @@
 				}
 				outcome, want := relayOnce(t, c, addr, cut.Unread), outcomeUnknown
 				if cut.MayBeWhole && kind != routes.Stream {
-					want = outcomeAnswered // the streams end before or within their first event
+					want = outcomeAnswered // the streams end before their first event with data
 				}
 				if outcome != want {
 					t.Errorf("%s: outcome %d", cut.Name, outcome)
--- a/internal/edge/relay.go
+++ b/internal/edge/relay.go
@@ -239,11 +239,11 @@
 	return c.endLost(u, errors.Wrap(err, "read stream"))
 }
 
-// lacksEvents reports whether an answer that ended is no whole stream: it has no event, and neither a length nor chunks say that this
-// is all. The rest of a stream that the caller takes up may be empty.
+// lacksEvents reports whether an answer that ended is no whole stream: it has no event with data, and neither a length nor chunks say
+// that this is all. The rest of a stream that the caller takes up may be empty.
 func (c *call) lacksEvents(resp *http.Response) bool {
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	return c.route.Kind == routes.Stream && c.events == 0 && !framed && !c.takesUpStream()
+	return c.route.Kind == routes.Stream && !c.hasData && !framed && !c.takesUpStream()
 }
 
 // relayEvent sends one complete event to the caller. It returns false if the caller has
@@ -260,6 +260,7 @@
 		c.lastEventID = string(event.ID)
 	}
 	if event.Data != nil {
+		c.hasData = true
 		c.unresumable.Store(c.route.Kind != routes.Stream || len(event.ID) == 0)
 	}
 	return true
