--- a/internal/controller/disk_test.go
+++ b/internal/controller/disk_test.go
@@ -14,10 +14,10 @@
 )
 
 // controlledDisk is the file system of the operating system with switches that simulate
-// a full disk and a slow one.
+// a full disk, a slow one and one that stalls.
 type controlledDisk struct {
 	storage.OS
-	full atomic.Bool
+	full, stalled atomic.Bool
 	// syncDelay is how much longer, in nanoseconds, each sync of a file takes.
 	syncDelay atomic.Int64
 }
--- a/internal/controller/slowdisk_test.go
+++ b/internal/controller/slowdisk_test.go
@@ -7,7 +7,7 @@
 	"github.com/agateslip/agateslip/internal/storage"
 )
 
-// slowFile is a file whose syncs take longer.
+// slowFile is a file whose syncs take longer, and wait while its disk stalls.
 type slowFile struct {
 	storage.File
 	disk *controlledDisk
@@ -16,6 +16,9 @@
 // Sync implements storage.File.
 func (f slowFile) Sync() error {
 	time.Sleep(time.Duration(f.disk.syncDelay.Load()))
+	for f.disk.stalled.Load() {
+		time.Sleep(time.Millisecond)
+	}
 	return f.File.Sync()
 }
 
