controller: calls follow the successor that a former leader names

What callers saw: calls through one control node were refused with "ask the leader: control.announce at n1: n3 (code 1)": the node that it took for the leader answered that it is not and named its successor, and was asked again.

Cause: a call used a named leader only if the node itself knew no leader or took itself for it. A node can know only a former leader until the next one's messages reach it: for up to an election timeout, of the 0.85 s that a call has, and longer as a member without a vote, which never gives up its leader. (On also while its disk stalled, TestNodeWithStalledDiskFollowsFormerLeader.)

Fix: a leader that the believed one names is asked next, unless this node has learned of another leader meanwhile. The decision is a function of its own, leaderToAsk, with a test: TestNamedLeaderIsAsked; on the rule before, leaderToAsk("a", "a", "self", "b") was "a". Remains: while the former leader is gone altogether, such a node has nobody to ask.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -131,11 +131,26 @@
 // retries after errors until ctx ends, except that it does not repeat a Configure call
 // whose outcome is unknown. The error is ErrUnavailable.
 func (c *Controller) callLeader(ctx context.Context, method string, request, answer any, local func() error) error {
+	believed := ""
 	return retryAtLeader(ctx, method, func(hint string) error {
-		return c.callLeaderOnce(ctx, hint, method, request, answer, local)
+		known := c.leader()
+		target := leaderToAsk(known, believed, c.cfg.Listen.Links, hint)
+		believed = known
+		return c.callLeaderOnce(ctx, target, method, request, answer, local)
 	})
 }
 
+// leaderToAsk returns the leader to call, or "". known is the leader as this node, self, knows
+// it now, believed as it knew it when it called the node that named hint; hint is "" if that
+// named none. A node that waits for its disk may know only a former leader for long, which
+// names its successor.
+func leaderToAsk(known, believed, self, hint string) string {
+	if hint != "" && (known == "" || known == self || known == believed) {
+		return hint
+	}
+	return known
+}
+
 // retryAtLeader is the loop of callLeader. attempt gets the leader that the attempt before it
 // named, or "".
 func retryAtLeader(ctx context.Context, method string, attempt func(hint string) error) error {
@@ -172,13 +187,8 @@
 	return errors.Is(err, peer.ErrOutcomeUnknown) || ok && code == nodelink.CodeUndecided
 }
 
-// callLeaderOnce makes one attempt of callLeader. hint is the leader that another node
-// named, or "". It is used if this node knows no leader or takes itself for the leader.
-func (c *Controller) callLeaderOnce(ctx context.Context, hint, method string, request, answer any, local func() error) error {
-	leader := c.leader()
-	if leader == "" || leader == c.cfg.Listen.Links && hint != "" {
-		leader = hint
-	}
+// callLeaderOnce makes one attempt of callLeader.
+func (c *Controller) callLeaderOnce(ctx context.Context, leader, method string, request, answer any, local func() error) error {
 	switch leader {
 	case "":
 		return errors.New("no leader is known")
--- a/internal/controller/api_test.go
+++ b/internal/controller/api_test.go
@@ -44,3 +44,15 @@
 	}))
 	is.Equal(attempts, 2)
 }
+
+// TestNamedLeaderIsAsked guards against a node that keeps calling a former leader which names another.
+func TestNamedLeaderIsAsked(t *testing.T) {
+	is := is.New(t)
+	is.Equal(leaderToAsk("", "", "self", ""), "")
+	is.Equal(leaderToAsk("", "", "self", "b"), "b")
+	is.Equal(leaderToAsk("a", "a", "self", ""), "a")
+	is.Equal(leaderToAsk("a", "a", "self", "b"), "b")    // named by the former leader
+	is.Equal(leaderToAsk("c", "a", "self", "b"), "c")    // learned meanwhile
+	is.Equal(leaderToAsk("self", "a", "self", "b"), "b") // may be a former leader itself
+	is.Equal(leaderToAsk("self", "self", "self", ""), "self")
+}
