controller: logs which voters a node cannot reach while it can name no leader

The line "no leader" of the replica tells term, role and log, but not two things that tell the hypotheses of docs/incidents/leaderless-control-group.md apart: which voters this node has no connection to (a voter too few, against elections that fail while all are reachable), and a leader whose member ID is known and its address is not. "leader not known" names both, after a second without a leader that can be named and then every 2 s; "leader known" ends it with the time that it took.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -139,6 +139,8 @@
 	// silence tracks the unreachable members. Unlike the fields above, it is not accessed on
 	// the loop.
 	silence silence
+	// leaderless decides when a missing leader is logged. Only observeMembers accesses it.
+	leaderless leaderlessWatch
 	// membershipTerm is the latest term in which this node led and had applied every change
 	// of earlier terms. Only the membership part accesses it.
 	membershipTerm uint64
--- a/internal/controller/reachability.go
+++ b/internal/controller/reachability.go
@@ -21,7 +21,9 @@
 	defer ticker.Stop()
 	for {
 		status := c.raftReplica.Status()
-		c.silence.observe(c.reachableMembers(status), status.Leader != 0, boottime.Now())
+		reachable, now := c.reachableMembers(status), boottime.Now()
+		c.silence.observe(reachable, status.Leader != 0, now)
+		c.reportMissingLeader(status, reachable, now)
 		select {
 		case <-ctx.Done():
 			return nil
