test/integration: unread bodies count toward a process's memory

What the system has received for a process and it has not read counts toward the memory of its machine (DEPLOY: "Bytes that have arrived but have not yet been read count"), and nothing bounds it.

--- a/test/integration/bodies_test.go
+++ b/test/integration/bodies_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -336,3 +337,66 @@
 		})
 	}
 }
+
+// unreadBytes returns what the system has received on the connections to the port of an address and no process has read.
+func unreadBytes(t *testing.T, addr string) (bytes int64) {
+	_, port, err := net.SplitHostPort(addr)
+	is.New(t).NoErr(err)
+	number, err := strconv.Atoi(port)
+	is.New(t).NoErr(err)
+	table, err := os.ReadFile("/proc/net/tcp")
+	is.New(t).NoErr(err)
+	for line := range strings.Lines(string(table)) {
+		fields := strings.Fields(line)
+		if !strings.HasSuffix(fields[1], fmt.Sprintf(":%04X", number)) {
+			continue
+		}
+		_, received, _ := strings.Cut(fields[4], ":")
+		n, err := strconv.ParseInt(received, 16, 64)
+		is.New(t).NoErr(err)
+		bytes += n
+	}
+	return bytes
+}
+
+// TestUnreadBodiesStayInMemory guards against bodies that a process does not read, and that the system keeps for it. They count toward the
+// memory of its machine.
+func TestUnreadBodiesStayInMemory(t *testing.T) {
+	const interval = 5 * time.Millisecond
+	m := startManagedOf(t, machineMemoryMB)
+	for _, target := range []struct {
+		name, addr, head string
+		process          *process
+		ordinary         func() error
+	}{
+		{"callers", m.callers, "POST /plain/1 HTTP/1.1\r\nHost: h.example\r\n", m.entry, get(m.callers, "/plain/1")},
+		{"operators", m.operators, "PUT /config HTTP/1.1\r\nHost: h.example\r\n", m.control, operatorRequests(m)},
+	} {
+		for _, c := range bodyCrowds(bodyTarget{target.head, legalBytes}) {
+			t.Run(target.name+"/"+c.name, func(t *testing.T) {
+				c.memoryMB = machineMemoryMB
+				done := make(chan struct{})
+				var most int64
+				var counting sync.WaitGroup
+				counting.Go(func() {
+					for {
+						most = max(most, unreadBytes(t, target.addr))
+						select {
+						case <-done:
+							return
+						case <-time.After(interval):
+						}
+					}
+				})
+				c.meet(t, target.process, target.addr, target.ordinary)
+				close(done)
+				counting.Wait()
+				unread, resident := int(most>>20), peakMemoryMB(t, target.process)
+				t.Logf("%d MiB unread", unread)
+				if unread+resident > machineMemoryMB {
+					t.Errorf("%d MiB were resident and %d unread, at most %d may be", resident, unread, machineMemoryMB)
+				}
+			})
+		}
+	}
+}
