connlimit: what the system receives unread is bounded

A process kept its own memory and still outgrew its machine's: while bodies wait for room, the system goes on receiving them, up to megabytes a connection, and counts that for the process. Listeners now set a receive buffer, which their connections inherit before they are accepted: an eighth of memoryMB divided by the connections that the listener takes, 16 KiB at least (3,072 connections of a control node: 48 MiB) and 128 KiB at most.

Where a system refuses the option, its own size stays.

--- a/internal/cli/managed.go
+++ b/internal/cli/managed.go
@@ -79,7 +79,10 @@
 		page.setSource(func(ctx context.Context) (any, error) { return node.Overview(ctx) })
 		go reloadOnHangup(ctx, c.Config, log, node.Reload)
 		return node.Run(ctx, supervisor.Part{Name: "operators", Run: func(ctx context.Context) error {
-			limits := connlimit.ListenerOptions{Name: "operators", MaxOpen: conns.shares.Operators, MaxPerAddress: cfg.Connections.PerAddress}
+			limits := connlimit.ListenerOptions{
+				Name: "operators", MaxOpen: conns.shares.Operators, MaxPerAddress: cfg.Connections.PerAddress,
+				ReadBuffer: conns.shares.ReadBuffer(conns.shares.Operators),
+			}
 			return conns.serveHTTP(ctx, cfg.Listen.Operators, limits, platform.ControlHandler(node, log, conns.limitBodies(&cfg)))
 		}})
 	})
@@ -108,7 +111,7 @@
 		mux.Handle("GET /metrics", metrics.Handler())
 		mux.Handle("GET "+overviewPath, page)
 		go func() {
-			limits := connlimit.ListenerOptions{Name: "metrics", MaxOpen: conns.shares.Side}
+			limits := connlimit.ListenerOptions{Name: "metrics", MaxOpen: conns.shares.Side, ReadBuffer: conns.shares.ReadBuffer(conns.shares.Side)}
 			if err := conns.serveHTTP(ctx, cfg.Listen.Metrics, limits, mux); err != nil {
 				log.Event("metrics not served", eventlog.Fields{"error": err.Error()})
 			}
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -95,6 +95,8 @@
 	MaxIncomplete int
 	// MaxPerAddress bounds the open connections of one IP address.
 	MaxPerAddress int
+	// ReadBuffer bounds what the system receives on a connection before it is read, in bytes.
+	ReadBuffer int
 	// Limits returns the limits in force; nil means the defaults.
 	Limits func() Limits
 }
@@ -157,6 +159,9 @@
 	if o.Limits == nil {
 		o.Limits = func() Limits { return Limits{} }
 	}
+	if o.ReadBuffer > 0 {
+		setReadBuffer(l, o.ReadBuffer)
+	}
 	wrapped := &listener{Listener: l, guard: g, opts: o, isHTTP: isHTTP, perAddress: map[string]int{}}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/connlimit/shares.go
+++ b/internal/connlimit/shares.go
@@ -9,6 +9,12 @@
 	// Bodies have a part of their own.
 	headShare = 8
 	connShare = 4
+	// unreadShare is the ratio of the process's memory to what the system may have received on the connections of a listener.
+	unreadShare = 8
+	// minReadBuffer and maxReadBuffer bound the part of a connection of that, in bytes. The least one lets a caller 6 ms away send
+	// some 2.5 MB a second.
+	minReadBuffer = 16 << 10
+	maxReadBuffer = 128 << 10
 	// callerShare is the ratio of the process's descriptors to those of callers: a call takes two, its caller's and its upstream's.
 	callerShare = 2
 	// operatorShare is the part of the descriptors of a control node that its operators and upstreams may take. Thousands of upstreams
@@ -37,6 +43,16 @@
 	Callers, Operators, Upstreams, Side int
 	// Pending bounds the connections of other nodes whose handshake is incomplete.
 	Pending int
+	// UnreadMemory is what the system may receive for a listener before it is read, in bytes; zero means no limit.
+	UnreadMemory int
+}
+
+// ReadBuffer returns how many bytes the system may receive on each of some connections before they are read; zero means no limit.
+func (s Shares) ReadBuffer(connections int) int {
+	if s.UnreadMemory == 0 || connections <= 0 {
+		return 0
+	}
+	return min(max(minReadBuffer, s.UnreadMemory/connections), maxReadBuffer)
 }
 
 // SharesOf divides the memory of a process, in MiB, and its descriptors. Memory that is zero bounds nothing; for descriptors, the
@@ -46,12 +62,13 @@
 		descriptors = systemDescriptors()
 	}
 	s := Shares{
-		HeadMemory: int64(memoryMB) << 20 / headShare,
-		Callers:    max(minSide, descriptors/callerShare),
-		Operators:  max(minSide, int(operatorShare*float64(descriptors))),
-		Upstreams:  max(minSide, descriptors/upstreamShare),
-		Side:       max(minSide, descriptors/sideShare),
-		Pending:    max(minSide, descriptors/pendingShare),
+		HeadMemory:   int64(memoryMB) << 20 / headShare,
+		UnreadMemory: memoryMB << 20 / unreadShare,
+		Callers:      max(minSide, descriptors/callerShare),
+		Operators:    max(minSide, int(operatorShare*float64(descriptors))),
+		Upstreams:    max(minSide, descriptors/upstreamShare),
+		Side:         max(minSide, descriptors/sideShare),
+		Pending:      max(minSide, descriptors/pendingShare),
 	}
 	if memoryMB > 0 {
 		inMemory := max(minSide, memoryMB<<20/connShare/connMemory)
--- a/internal/connlimit/unread.go
+++ b/internal/connlimit/unread.go
@@ -1,6 +1,7 @@
 package connlimit
 
 import (
+	"net"
 	"syscall"
 	"time"
 
@@ -43,6 +44,21 @@
 	}
 }
 
+// setReadBuffer bounds what the system receives on each connection of a listener before it is read. Connections inherit it, also those that
+// were not accepted yet.
+func setReadBuffer(l net.Listener, size int) {
+	s, ok := l.(syscall.Conn)
+	if !ok {
+		return
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return
+	}
+	// The system's own size stays if it refuses.
+	_ = raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size) })
+}
+
 // unreadBytes returns how many of the bytes that were written the other end has not acknowledged. It is not known of connections
 // that are closed or of another kind than TCP.
 func unreadBytes(conn any) (n int, known bool) {
--- a/internal/edge/connections.go
+++ b/internal/edge/connections.go
@@ -15,6 +15,7 @@
 func (e *Edge) callerListener() connlimit.ListenerOptions {
 	return connlimit.ListenerOptions{
 		Name: "callers", MaxOpen: e.shares.Callers, MaxPerAddress: e.cfg.Connections.PerAddress, Limits: e.callerLimits,
+		ReadBuffer: e.shares.ReadBuffer(e.shares.Callers),
 	}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -267,7 +267,7 @@
 			{Name: "detours", Run: e.serveDetours},
 			{Name: "ticker", Run: e.tick},
 			{Name: "readiness", Run: func(ctx context.Context) error {
-				ready := connlimit.ListenerOptions{Name: "ready", MaxOpen: e.shares.Side}
+				ready := connlimit.ListenerOptions{Name: "ready", MaxOpen: e.shares.Side, ReadBuffer: e.shares.ReadBuffer(e.shares.Side)}
 				return e.serve(ctx, e.cfg.Listen.Ready, ready, e.readiness(), 0)
 			}},
 			{Name: "callers", Run: e.serveCallers},
--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -61,13 +61,13 @@
 	n.metrics.Set("head_bytes", expvar.Func(func() any { return guard.HeadBytes() }))
 	return limitedListeners{
 		callers: guard.Protect(s.callers, n.callers, connlimit.ListenerOptions{
-			Name: "callers", MaxOpen: shares.Callers, MaxPerAddress: n.cfg.Connections.PerAddress, Limits: gateway.ConnLimits,
+			Name: "callers", MaxOpen: shares.Callers, ReadBuffer: shares.ReadBuffer(shares.Callers), MaxPerAddress: n.cfg.Connections.PerAddress, Limits: gateway.ConnLimits,
 		}),
 		upstreams: guard.Protect(s.upstreams, n.upstreams, connlimit.ListenerOptions{
-			Name: "upstreams", MaxOpen: shares.Upstreams, Limits: upstreamConnLimits,
+			Name: "upstreams", MaxOpen: shares.Upstreams, ReadBuffer: shares.ReadBuffer(shares.Upstreams), Limits: upstreamConnLimits,
 		}),
 		operators: guard.Protect(s.operators, n.operators, connlimit.ListenerOptions{
-			Name: "operators", MaxOpen: shares.Side, Limits: operator.ConnLimits,
+			Name: "operators", MaxOpen: shares.Side, ReadBuffer: shares.ReadBuffer(shares.Side), Limits: operator.ConnLimits,
 		}),
 	}
 }
