--- a/internal/jsoncost/jsoncost_test.go
+++ b/internal/jsoncost/jsoncost_test.go
@@ -34,7 +34,7 @@
 
 // TestEstimateCoversDecoding compares estimates with what decoding allocates.
 func TestEstimateCoversDecoding(t *testing.T) {
-	type element struct{ a, b, c, d string }
+	type element struct{ A, B, C, D string }
 	for _, value := range []string{`{}`, `null`, `[]`, `0`} {
 		document := []byte(`{"V":[` + strings.Repeat(value+",", 100_000) + value + `]}`)
 		cost, err := Estimate(document, 10*64)
