storage: a failed creation or opening closes its files

What callers saw: nothing yet. A control node tries to open or create its log each 0.3 s while the disk has no room. A creation that got as far as its first segment and then failed kept that file open; the next try removes it, but an open file keeps its room. So each try took more of the room that the node waits for, and one descriptor (4,096 in about 20 minutes).

Cause: Create and Open unlocked the folder after an error and left the segment for appending open.

Fix: after an error they close both, as Close does.

Measured: TestFailedOpenClosesItsFiles fails each operation of Create and Open in turn.

--- a/internal/faultfs/faultfs.go
+++ b/internal/faultfs/faultfs.go
@@ -32,6 +32,7 @@
 	durableFiles    map[string]*inode
 	unsyncedChanges []func(map[string]*inode)
 	locks           map[string]bool
+	openFiles       int
 	// opCount is the number of the next changing operation.
 	opCount   int
 	syncCount int
@@ -124,6 +125,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.locks = map[string]bool{}
+	f.openFiles = 0
 	f.crashCount++
 }
 
@@ -167,6 +169,13 @@
 	return f.syncCount
 }
 
+// OpenFiles returns the number of files that the process has not closed.
+func (f *FS) OpenFiles() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.openFiles
+}
+
 // Crash drops unsynced changes. If random is not nil, part of them survives: each name
 // change independently of the others, and of the unsynced data of each file a prefix, in
 // which a range may read as zeros. Files opened before the crash fail from then on. Locks
@@ -188,6 +197,7 @@
 	f.durableFiles = cloneNames(f.files)
 	f.unsyncedChanges = nil
 	f.locks = map[string]bool{}
+	f.openFiles = 0
 	f.faults = map[int]fault{}
 	f.fatalErr = nil
 	f.crashCount++
@@ -294,7 +304,13 @@
 	}
 	n := &inode{}
 	f.changeNames(func(names map[string]*inode) { names[name] = n })
-	return &file{fs: f, inode: n, crashCount: f.crashCount}, nil
+	return f.open(n), nil
+}
+
+// open returns an open file. The caller holds mu.
+func (f *FS) open(n *inode) *file {
+	f.openFiles++
+	return &file{fs: f, inode: n, crashCount: f.crashCount}
 }
 
 // Append implements storage.FS.
@@ -308,7 +324,7 @@
 	if !ok {
 		return nil, errors.Wrapf(fs.ErrNotExist, "%s", name)
 	}
-	return &file{fs: f, inode: n, crashCount: f.crashCount}, nil
+	return f.open(n), nil
 }
 
 // Rename implements storage.FS.
@@ -385,6 +401,7 @@
 	fs         *FS
 	inode      *inode
 	crashCount int
+	closed     bool
 }
 
 // beginOp counts a changing operation on an open file. It fails if the file system
@@ -429,7 +446,15 @@
 	return nil
 }
 
-func (f *file) Close() error { return nil }
+func (f *file) Close() error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	if !f.closed && f.crashCount == f.fs.crashCount {
+		f.fs.openFiles--
+	}
+	f.closed = true
+	return nil
+}
 
 func sortedNames(names map[string]*inode) []string {
 	sorted := make([]string, 0, len(names))
--- a/internal/storage/full_test.go
+++ b/internal/storage/full_test.go
@@ -169,3 +169,41 @@
 		is.True(equalState(got, again))
 	}
 }
+
+// TestFailedOpenClosesItsFiles fails each operation of Create and Open. A node tries again and again while its disk
+// has no room; files that it removes but keeps open would hold the room, and use up its descriptors.
+func TestFailedOpenClosesItsFiles(t *testing.T) {
+	attempts := map[string]func(fs *faultfs.FS) (*storage.Store, error){
+		"create": func(fs *faultfs.FS) (*storage.Store, error) { return storage.Create(options(fs), initialState()) },
+		"open": func(fs *faultfs.FS) (*storage.Store, error) {
+			s, _, err := storage.Open(options(fs))
+			return s, err
+		},
+	}
+	for name, attempt := range attempts {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			failures := 0
+			for op := 0; ; op++ {
+				fs := faultfs.New()
+				if name == "open" {
+					fs = newLog(t)
+					fs.Put(dir+"/wal-00000000000000000001", nil) // left by a compaction
+				}
+				fs.FailAt(fs.Ops()+op, syscall.ENOSPC)
+				s, err := attempt(fs)
+				if err == nil {
+					fs.Free()
+					is.NoErr(s.Close())
+					is.Equal(fs.OpenFiles(), 0)
+					break
+				}
+				failures++
+				if fs.OpenFiles() != 0 {
+					t.Fatalf("operation %d: %d files are open after %v", op, fs.OpenFiles(), err)
+				}
+			}
+			is.True(failures > 5)
+		})
+	}
+}
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -75,8 +75,7 @@
 		return nil, err
 	}
 	if err := s.create(opts.Identity, initial); err != nil {
-		s.lock.Close()
-		return nil, err
+		return nil, errors.CombineErrors(err, s.closeFiles())
 	}
 	return s, nil
 }
@@ -92,8 +91,7 @@
 	}
 	state, err := s.open(opts.Identity)
 	if err != nil {
-		s.lock.Close()
-		return nil, raft.DurableState{}, err
+		return nil, raft.DurableState{}, errors.CombineErrors(err, s.closeFiles())
 	}
 	return s, state, nil
 }
@@ -219,8 +217,13 @@
 		err = s.appendRecord(record{})
 	}
 	s.failed = errors.Mark(ErrClosed, ErrFailed)
+	return errors.CombineErrors(err, s.closeFiles())
+}
+
+// closeFiles closes the last segment and unlocks the folder.
+func (s *Store) closeFiles() error {
 	if s.tailSegment != nil {
 		s.tailSegment.Close()
 	}
-	return errors.CombineErrors(err, s.lock.Close())
+	return s.lock.Close()
 }
