--- a/internal/replica/slowdisk_test.go
+++ b/internal/replica/slowdisk_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/agateslip/agateslip/internal/replica"
 	"github.com/agateslip/agateslip/raft"
 )
 
@@ -142,3 +143,44 @@
 	}
 	return term
 }
+
+// TestInstallingMembersKeepTheLeader guards against a leader that steps down, because the members that it needs
+// are writing the snapshot that it sent to them.
+func TestInstallingMembersKeepTheLeader(t *testing.T) {
+	const (
+		entries  = 3 * replica.SnapshotInterval
+		observed = 20 * time.Second
+	)
+	for _, delay := range []time.Duration{300, 600, 900} {
+		delay *= time.Millisecond
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, 23, 1, 2, 3, 4, 5)
+				defer c.stopAll()
+				leader := c.waitForLeader()
+				term := c.highestTerm()
+				o := others(c, leader.id)
+				c.isolate(o[0], true)
+				c.isolate(o[1], true)
+				for i := range entries {
+					is.True(c.put(leader, "k", i, i+1).OK)
+				}
+				for _, id := range c.foundingIDs {
+					c.member(id).fs.SetSyncDelay(delay)
+				}
+				c.isolate(o[0], false)
+				c.isolate(o[1], false)
+				c.kill(o[2])
+				for start := time.Now(); time.Since(start) < observed; time.Sleep(heartbeat) {
+					ctx, cancel := context.WithTimeout(t.Context(), electionTimeout)
+					_, err := leader.ReadBarrier(ctx)
+					cancel()
+					is.NoErr(err)
+				}
+				is.Equal(c.highestTerm(), term)
+				is.Equal(c.member(o[0]).machine.get("k"), leader.machine.get("k"))
+			})
+		})
+	}
+}
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -137,6 +137,10 @@
 	p.lastReplyAt = c.now
 	p.answeredRound = max(p.answeredRound, min(m.Round, c.leaderState.latestRound))
 	c.confirmRounds()
+	if m.Installing {
+		p.snapshotSentAt = c.now // it has arrived and is not to be sent again
+		return
+	}
 	if m.Reject {
 		c.onRejected(p, m)
 		return
--- a/raft/types.go
+++ b/raft/types.go
@@ -163,6 +163,9 @@
 	// leader extends its lease from the time at which it sent that round.
 	Round    uint64    `json:"rd,omitempty"`
 	Snapshot *Snapshot `json:"sn,omitempty"`
+	// Installing marks the reply to an append by a member that is still writing a snapshot. The
+	// reply supports the leader and acknowledges no entries.
+	Installing bool `json:"in,omitempty"`
 	// VoteDelay is, in a pre-vote request, how long the candidate expects to write its own vote
 	// before it can ask for votes.
 	VoteDelay Instant `json:"vd,omitempty"`
--- a/raft/write.go
+++ b/raft/write.go
@@ -71,7 +71,7 @@
 	case MsgAppend, MsgSnapshot, MsgTimeoutNow:
 		return c.hardStateDurable()
 	case MsgAppendReply, MsgSnapshotReply:
-		return c.supportDurable() && (m.Reject || m.Hint <= c.log.durable)
+		return c.hardStateDurable() && !c.installing() && (m.Reject || m.Hint <= c.log.durable)
 	}
 	return false
 }
@@ -79,21 +79,18 @@
 // hardStateDurable reports whether the current term and vote are durable.
 func (c *Core) hardStateDurable() bool { return !c.hardStateChanged && !c.write.hard }
 
-// supportDurable reports whether the member may tell a leader that it supports it: its term
-// outlasts a restart, and with it the promise that New makes, and no snapshot that stands for
-// its log is still being written.
-func (c *Core) supportDurable() bool {
-	return c.hardStateDurable() && c.receivedSnapshot == nil && !c.write.snapshot
-}
+// installing reports whether a received snapshot, which stands for the log, is not durable yet.
+func (c *Core) installing() bool { return c.receivedSnapshot != nil || c.write.snapshot }
 
 // acknowledged identifies the latest heartbeat round that was acknowledged before the entries
 // that came with it, or before it, were durable.
 type acknowledged struct{ term, round uint64 }
 
 // mayAcknowledge reports whether m is the reply to a heartbeat round of the current term that has
-// not been acknowledged yet and that only has to wait for entries.
+// not been acknowledged yet and that only has to wait for entries or a snapshot. The member's term
+// outlasts a restart, and with it the promise that New makes.
 func (c *Core) mayAcknowledge(m *Message) bool {
-	return m.Kind == MsgAppendReply && !m.Reject && m.Term == c.term && c.supportDurable() &&
+	return m.Kind == MsgAppendReply && !m.Reject && m.Term == c.term && c.hardStateDurable() &&
 		(c.acknowledged.term != m.Term || c.acknowledged.round < m.Round)
 }
 
@@ -101,6 +98,9 @@
 func (c *Core) acknowledgement(m Message) Message {
 	c.acknowledged = acknowledged{m.Term, m.Round}
 	m.Hint = min(m.Hint, c.log.durable)
+	if c.installing() {
+		m.Hint, m.Installing = 0, true
+	}
 	return m
 }
 
