raft: voters whose disks have stopped don't count where the membership changes

A group of five with two stopped disks and one member away could decide nothing even after that member had come back.

Cause: since a member answers heartbeats while it writes, and a change of voters was allowed where a majority of the new voters answers. The leader removed the member that was away; two of the four voters left could write, three are needed, and the change can't be undone.

A member now marks its early replies once a write has taken an election timeout, and a leader leaves such members, and itself in that state, out of the majority that a change of voters needs.

--- a/internal/replica/slowdisk_test.go
+++ b/internal/replica/slowdisk_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/agateslip/agateslip/internal/replica"
@@ -184,3 +185,32 @@
 		})
 	}
 }
+
+// TestVoterIsNotRemovedWhereOnlyStalledDisksAreLeft guards against a group that locks itself up: it removes a voter that
+// is away, and the others that answer cannot write.
+func TestVoterIsNotRemovedWhereOnlyStalledDisksAreLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 24, 1, 2, 3, 4, 5)
+		defer c.stopAll()
+		leader := c.waitForLeader()
+		o := others(c, leader.id)
+		away, stalled := o[0], o[2:]
+		is.True(c.put(leader, "a", 0, 1).OK)
+		for _, id := range stalled {
+			c.member(id).fs.SetSyncDelay(time.Hour)
+		}
+		is.True(c.put(leader, "a", 1, 2).OK)
+		time.Sleep(4 * electionTimeout)
+		c.kill(away)
+		time.Sleep(4 * electionTimeout)
+		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+		defer cancel()
+		is.True(errors.Is(leader.Remove(ctx, away), raft.ErrUnsafeChange))
+		c.restart(away)
+		ctx, cancel = context.WithTimeout(t.Context(), 12*time.Second)
+		defer cancel()
+		_, err := c.waitForLeader().Propose(ctx, encode(command{ID: "x", Key: "a", Base: 2, Value: 3}))
+		is.NoErr(err)
+	})
+}
--- a/raft/members.go
+++ b/raft/members.go
@@ -178,11 +178,11 @@
 }
 
 // checkMajorityResponsive returns an error unless a majority of the voters of next
-// responds.
+// responds and can write.
 func (c *Core) checkMajorityResponsive(next *Members) error {
 	responding := 0
 	for _, id := range next.Voters {
-		if c.responsive(id) {
+		if c.responsive(id) && !c.stalled(id) {
 			responding++
 		}
 	}
--- a/raft/progress.go
+++ b/raft/progress.go
@@ -43,6 +43,8 @@
 	// lastReplyAt is when the last reply arrived, or else when the leader began to track
 	// the member.
 	lastReplyAt Instant
+	// stalled is set if the member's last reply said that its disk has stopped.
+	stalled bool
 	// snapshotIndex is the index of the last snapshot sent, snapshotSentAt is when it was
 	// sent, and snapshotRound is the heartbeat round at that time.
 	snapshotIndex  uint64
@@ -176,6 +178,15 @@
 	return p != nil && c.now-p.lastReplyAt < c.cfg.ElectionTimeout
 }
 
+// stalled reports whether a member that responds, or the leader itself, cannot write at the moment.
+func (c *Core) stalled(id MemberID) bool {
+	if id == c.cfg.ID {
+		return c.writeStalled()
+	}
+	p := c.leaderState.peer(id)
+	return p != nil && p.stalled
+}
+
 // quorumValue returns the highest value that a majority of the voters have reached, given
 // the value of this member and a function for those of its peers.
 func (c *Core) quorumValue(ownValue uint64, peerValue func(*progress) uint64) uint64 {
--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -134,7 +134,7 @@
 	if p == nil {
 		return
 	}
-	p.lastReplyAt = c.now
+	p.lastReplyAt, p.stalled = c.now, m.Stalled
 	p.answeredRound = max(p.answeredRound, min(m.Round, c.leaderState.latestRound))
 	c.confirmRounds()
 	if m.Installing {
--- a/raft/types.go
+++ b/raft/types.go
@@ -166,6 +166,9 @@
 	// Installing marks the reply to an append by a member that is still writing a snapshot. The
 	// reply supports the leader and acknowledges no entries.
 	Installing bool `json:"in,omitempty"`
+	// Stalled marks the reply to an append by a member whose current write has taken an election
+	// timeout: it hears the leader, but may not be able to hold entries.
+	Stalled bool `json:"sd,omitempty"`
 	// VoteDelay is, in a pre-vote request, how long the candidate expects to write its own vote
 	// before it can ask for votes.
 	VoteDelay Instant `json:"vd,omitempty"`
--- a/raft/write.go
+++ b/raft/write.go
@@ -97,7 +97,7 @@
 // acknowledgement returns the reply m, restricted to the entries that are durable.
 func (c *Core) acknowledgement(m Message) Message {
 	c.acknowledged = acknowledged{m.Term, m.Round}
-	m.Hint = min(m.Hint, c.log.durable)
+	m.Hint, m.Stalled = min(m.Hint, c.log.durable), c.writeStalled()
 	if c.installing() {
 		m.Hint, m.Installing = 0, true
 	}
