raft: a lone voter leads once its vote is durable

Cause: a voter that is alone by an entry which is only in memory elected itself at once, in memory too. A crash lost entry and term, and the member voted for the other one in that term. While a member waited for its writes, no timer ran in between.

No acknowledged change, lease or read is known to have depended on such a leader: its messages wait for its term, and it commits nothing before its no-op is durable. It named itself the leader and took proposals whose outcome is unknown then.

The member's own vote now makes it the leader when the write ends, as the votes of others do.

TestLeaderOfOneSendsNothingBeforeItsTermIsDurable stated that such a voter leads before the write; it now states that it is a candidate until then, and still that it sends nothing.

--- a/raft/election.go
+++ b/raft/election.go
@@ -37,17 +37,14 @@
 	c.requestVotes(Message{Kind: MsgPreVote, Term: c.term + 1, VoteDelay: c.expectedWriteTime()})
 }
 
-// campaign starts an election in the next term. With transfer set, members may grant
-// their vote although they still support the current leader.
+// campaign starts an election in the next term. A lone voter leads once its vote is durable
+// (finishWrite): it must not lead a term that it could forget. With transfer set, members may
+// grant their vote although they still support the current leader.
 func (c *Core) campaign(transfer bool) {
 	c.becomeFollower(c.term, 0)
 	c.setHardState(c.term+1, c.cfg.ID)
 	c.role = Candidate
 	c.votes = map[MemberID]bool{c.cfg.ID: true}
-	if c.hasMajority(c.votes) {
-		c.becomeLeader()
-		return
-	}
 	c.requestVotes(Message{Kind: MsgVote, Term: c.term, Transfer: transfer})
 }
 
--- a/raft/write.go
+++ b/raft/write.go
@@ -142,6 +142,10 @@
 	if !hard || c.role == Leader {
 		return
 	}
+	if c.role == Candidate && c.hardStateDurable() && c.hasMajority(c.votes) {
+		c.becomeLeader() // the only voter
+		return
+	}
 	c.resetElectionTimer()
 	if c.vote != 0 && c.leader == 0 {
 		c.hold = hold{candidate: c.vote, until: c.now + c.cfg.ElectionTimeout, term: c.term}
