--- a/raft/replicate.go
+++ b/raft/replicate.go
@@ -134,9 +134,13 @@
 	if p == nil {
 		return
 	}
-	p.lastReplyAt = c.now
+	p.lastReplyAt, p.stalled = c.now, m.Stalled
 	p.answeredRound = max(p.answeredRound, min(m.Round, c.leaderState.latestRound))
 	c.confirmRounds()
+	if m.Installing {
+		p.snapshotSentAt = c.now // it has arrived and is not to be sent again
+		return
+	}
 	if m.Reject {
 		c.onRejected(p, m)
 		return
