bodybuffer: a growing body takes both of its buffers from the budget

While a body's buffer grows, the old one and the new one are in use at once, but the budget counted only the new one: with many bodies that grow, half as much again was in use. Beside other work (load 20), TestConfigurationBodiesStayInMemory was seen once with 72 MiB in the crowd "trailers without end", where 64 are allowed. Both buffers are taken now, the old one is given back after the copy, and a buffer does not grow beyond the limit of its body.

--- a/internal/bodybuffer/bodybuffer.go
+++ b/internal/bodybuffer/bodybuffer.go
@@ -111,6 +111,13 @@
 	return true
 }
 
+// giveBack gives n bytes of a part back.
+func (s *Share) giveBack(p Part, n int64) {
+	s.budget.parts[p].Add(-n)
+	s.budget.used.Add(-n)
+	s.taken[p] -= n
+}
+
 // Release gives everything back.
 func (s *Share) Release() {
 	for p, n := range s.taken {
@@ -145,15 +152,18 @@
 	var out []byte
 	for {
 		if len(out) == cap(out) {
-			next := max(firstBytes, 2*int64(cap(out)))
+			next := min(max(firstBytes, 2*int64(cap(out))), max(firstBytes, limit+1)) // one more byte shows that it is too large
 			if size >= 0 {
 				next = min(next, size+1) // one more byte shows the end
 			}
 			next = max(next, int64(cap(out))+1)
-			if !s.takeRoom(part, next-int64(cap(out))) {
+			// Both buffers are in use while the body is copied.
+			if !s.takeRoom(part, next) {
 				return nil, ErrNoMemory
 			}
+			before := int64(cap(out))
 			out = append(make([]byte, 0, next), out...)
+			s.giveBack(part, before)
 		}
 		n, err := body.Read(out[len(out):cap(out)])
 		out = out[:len(out)+n]
