raft: a member that may not campaign forgets a silent leader

A learner, or a member whose disk is busy, went on to name a leader that had been gone for longer than the election timeout: only a campaign cleared it. The leader is now forgotten when the election timer expires, as it is with a campaign; the vote is not touched.

TestLearnerForgetsSilentLeader failed before.

--- a/raft/core.go
+++ b/raft/core.go
@@ -134,6 +134,8 @@
 	c.resetElectionTimer()
 	if c.mayCampaign() && c.hardStateDurable() && !c.writeStalled() {
 		c.preCampaign()
+	} else {
+		c.leader = 0
 	}
 }
 
--- a/raft/write_test.go
+++ b/raft/write_test.go
@@ -224,3 +224,14 @@
 		})
 	}
 }
+
+// TestLearnerForgetsSilentLeader guards against a member without a vote that names a leader which is long gone.
+func TestLearnerForgetsSilentLeader(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(t, DurableState{})
+	c.Step(snapshotMessage(9, Members{Voters: []MemberID{2}, Learners: []MemberID{1}}), 0)
+	takeAndPersist(c, 0)
+	is.Equal(c.Status().Leader, MemberID(2))
+	c.Tick(2 * testElection)
+	is.Equal(c.Status().Leader, MemberID(0))
+}
