--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -142,8 +142,8 @@
 
 // leaderToAsk returns the leader to call, or "". known is the leader as this node, self, knows
 // it now, believed as it knew it when it called the node that named hint; hint is "" if that
-// named none. A node that waits for its disk may know only a former leader for long, which
-// names its successor.
+// named none. Until the next leader's messages reach it, a node knows only the former one, which
+// may name its successor.
 func leaderToAsk(known, believed, self, hint string) string {
 	if hint != "" && (known == "" || known == self || known == believed) {
 		return hint
