raft: a member holds still no longer than its candidate needs

Cause: a granted pre-vote held a member still for an election timeout, whatever the candidate's disk needs, and put off the member's own timer. Members start one after another; the first ones ask before enough run, and the others waited for them in vain.

A hold now lasts a heartbeat longer than the candidate expects to write, and moves only a timer that would expire within it.

--- a/internal/replica/election_test.go
+++ b/internal/replica/election_test.go
@@ -87,3 +87,33 @@
 		})
 	}
 }
+
+// TestRestartedGroupSoonHasALeader guards against members that hold still for candidates which ask too early after a loss
+// of power: members start one after another, and three of five have to vote for one of them.
+func TestRestartedGroupSoonHasALeader(t *testing.T) {
+	const (
+		starts = 600 * time.Millisecond
+		limit  = 4 * electionTimeout
+	)
+	for seed := range uint64(150) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, seed, 1, 2, 3, 4, 5)
+			defer c.stopAll()
+			is.True(c.put(c.waitForLeader(), "a", 0, 1).OK)
+			for _, id := range c.foundingIDs {
+				c.kill(id)
+			}
+			left := []raft.MemberID{2, 3, 4}
+			for _, id := range left {
+				c.restart(id)
+				time.Sleep(time.Duration(c.random.Int64N(int64(starts) / 2)))
+			}
+			start := time.Now()
+			c.waitForLeader(left...)
+			if took := time.Since(start); took >= limit {
+				t.Errorf("seed %d: leader after %v", seed, took)
+			}
+		})
+	}
+}
--- a/raft/election.go
+++ b/raft/election.go
@@ -137,7 +137,7 @@
 	if m.Term > c.hold.term {
 		limit = c.now + longest
 	}
-	until := min(c.now+c.cfg.ElectionTimeout+max(m.VoteDelay, 0), limit)
+	until := min(c.now+c.cfg.Heartbeat+max(m.VoteDelay, 0), limit)
 	if until <= c.now {
 		return
 	}
@@ -145,7 +145,9 @@
 		candidate: m.From, logIndex: m.LogIndex, logTerm: m.LogTerm, until: until,
 		term: max(m.Term, c.hold.term), limit: limit,
 	}
-	c.electionDeadline = max(c.electionDeadline, until+c.drawTimeout())
+	if c.electionDeadline < until {
+		c.electionDeadline = until + c.drawTimeout()
+	}
 }
 
 // recordRefusal records that the vote or pre-vote which m asks for was refused.
