--- a/internal/upstreamconn/cut_test.go
+++ b/internal/upstreamconn/cut_test.go
@@ -38,7 +38,7 @@
 func TestCutAnswerIsNotWhole(t *testing.T) {
 	t.Parallel()
 	addr, set := testutil.ServeCut(t, "Id")
-	for _, cut := range testutil.CutAnswers("Id: ID\r\nServer-Stamp: s\r\n") {
+	for _, cut := range testutil.CutAnswers("Id: ID\r\nOrigin: s\r\n") {
 		set(cut)
 		if body, err := post(t, addr, []byte("body")); (err == nil) != cut.MayBeWhole {
 			t.Errorf("%s: body %q, error %v", cut.Name, body, err)
