controller: a node that is no member, and voters that do not reply, are logged and measured

Each failed request for membership had a line of its own, but none said for how long a node had tried or what each of the others had answered; at the leader nothing named the voters whose disk was lost, since the wiped node answers at the same address.

New lines: 'not a member' with what each node answered and the followed hint, 'voters do not reply' with those whose address answers as another member. New gauge spareVoters: how many more voters may be lost now.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -139,8 +139,9 @@
 	// silence tracks the unreachable members. Unlike the fields above, it is not accessed on
 	// the loop.
 	silence silence
-	// leaderless decides when a missing leader is logged. Only observeMembers accesses it.
-	leaderless leaderlessWatch
+	// leaderless and unresponsive decide when a missing leader and, on the leader, voters that do
+	// not reply are logged. Only observeMembers accesses them.
+	leaderless, unresponsive absenceWatch
 	// membershipTerm is the latest term in which this node led and had applied every change
 	// of earlier terms. Only the membership part accesses it.
 	membershipTerm uint64
@@ -228,6 +229,7 @@
 	c.metrics.Gauge("durableIndex", func() int64 { return int64(c.raftReplica.Status().Durable) })
 	c.metrics.Gauge("appliedIndex", func() int64 { return int64(c.raftReplica.Status().Applied) })
 	c.metrics.Gauge("voters", func() int64 { return int64(len(c.raftReplica.Status().Members.Voters)) })
+	c.metrics.Gauge("spareVoters", func() int64 { return int64(spareVoters(c.raftReplica.Status())) })
 	c.metrics.Gauge("learners", func() int64 { return int64(len(c.raftReplica.Status().Members.Learners)) })
 	c.metrics.Gauge("configurationVersion", func() int64 { return int64(c.stateMachine.version()) })
 }
--- a/internal/controller/leaderless.go
+++ b/internal/controller/leaderless.go
@@ -9,34 +9,34 @@
 )
 
 const (
-	// leaderlessReportAfter is how long a leader is unknown before that is logged, which is
+	// absenceReportAfter is how long something is missing before that is logged, which is
 	// longer than an election takes.
-	leaderlessReportAfter = 2 * raftElectionTimeout
-	// leaderlessReportInterval is the interval of log lines while no leader is known.
-	leaderlessReportInterval = 2 * time.Second
+	absenceReportAfter = 2 * raftElectionTimeout
+	// absenceReportInterval is the interval of log lines while it is missing.
+	absenceReportInterval = 2 * time.Second
 )
 
-// leaderlessWatch decides when a missing leader is logged. The zero value is a node that
-// starts.
-type leaderlessWatch struct {
-	// since is when the leader became unknown, and reportedAt when that was last logged; zero
-	// if a leader is known or nothing was logged.
+// absenceWatch decides when it is logged that a leader, a membership or voters are missing. The
+// zero value is a node that starts.
+type absenceWatch struct {
+	// since is when the absence began, and reportedAt when it was last logged; zero if there is
+	// none or nothing was logged.
 	since, reportedAt time.Duration
 }
 
-// observe records whether a leader is known. It returns for how long none has been, and
-// whether to log that, or its end.
-func (w *leaderlessWatch) observe(known bool, now time.Duration) (missing time.Duration, report bool) {
+// observe records whether what is watched is there. It returns for how long it has been missing,
+// and whether to log that, or its end.
+func (w *absenceWatch) observe(present bool, now time.Duration) (missing time.Duration, report bool) {
 	if w.since == 0 {
 		w.since = now
 	}
 	missing = now - w.since
-	if known {
+	if present {
 		report = w.reportedAt != 0
-		*w = leaderlessWatch{since: now}
+		*w = absenceWatch{since: now}
 		return missing, report
 	}
-	if missing < leaderlessReportAfter || w.reportedAt != 0 && now-w.reportedAt < leaderlessReportInterval {
+	if missing < absenceReportAfter || w.reportedAt != 0 && now-w.reportedAt < absenceReportInterval {
 		return missing, false
 	}
 	w.reportedAt = now
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -37,6 +37,7 @@
 	var peers []peer.Peer
 	leaderHeardAt := boottime.Now()
 	var targets joinTargets
+	attempts := joinAttempts{answers: map[string]string{}}
 	for {
 		status := c.raftReplica.Status()
 		if next := c.peerList(status); !slices.Equal(peers, next) {
@@ -50,10 +51,11 @@
 		case status.Role == raft.Leader:
 			c.adjustMembership(ctx, status)
 		case !c.isMember(status) || boottime.Now()-leaderHeardAt > leaderlessTimeout || c.registrationOutdated():
-			if err := c.join(ctx, &targets, c.neverJoined(status)); err != nil {
+			if err := c.join(ctx, &targets, &attempts, c.neverJoined(status)); err != nil {
 				return supervisor.Permanent(err)
 			}
 		}
+		c.reportJoinAttempts(&attempts, status, boottime.Now())
 		select {
 		case <-ctx.Done():
 			return nil
@@ -112,7 +114,7 @@
 
 // join asks the leader for membership or, while the leader is unknown, the node that
 // joinTargets selects.
-func (c *Controller) join(ctx context.Context, targets *joinTargets, fresh bool) error {
+func (c *Controller) join(ctx context.Context, targets *joinTargets, attempts *joinAttempts, fresh bool) error {
 	hint := c.addresses.hintedLeader()
 	target := c.leader()
 	if target == "" || target == c.cfg.Listen.Links {
@@ -122,6 +124,7 @@
 		return nil
 	}
 	answer, err := c.requestJoin(ctx, target, fresh)
+	attempts.record(target, err)
 	if err != nil {
 		named := leaderHintFrom(err)
 		c.addresses.setLeaderHint(nextHint(hint, target, named))
--- a/internal/controller/reachability.go
+++ b/internal/controller/reachability.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/agateslip/agateslip/internal/boottime"
+	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/raft"
 )
 
@@ -24,6 +25,7 @@
 		reachable, now := c.reachableMembers(status), boottime.Now()
 		c.silence.observe(reachable, status.Leader != 0, now)
 		c.reportMissingLeader(status, reachable, now)
+		c.reportUnresponsiveVoters(status, now)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -93,3 +95,34 @@
 	}
 	return silent
 }
+
+// spareVoters returns how many more voters may be lost while the group can still decide: the voters that
+// reply to this leader, less a majority. It is zero on other members.
+func spareVoters(status raft.Status) int {
+	if status.Role != raft.Leader {
+		return 0
+	}
+	voters := len(status.Members.Voters)
+	return voters - len(status.Unresponsive) - (voters/2 + 1)
+}
+
+// reportUnresponsiveVoters logs, now and then, the voters that do not reply to this leader. One whose address
+// answers has lost its log: the process there is another member.
+func (c *Controller) reportUnresponsiveVoters(status raft.Status, now time.Duration) {
+	leads := status.Role == raft.Leader
+	missing, report := c.unresponsive.observe(!leads || len(status.Unresponsive) == 0, now)
+	if !report || !leads {
+		return
+	}
+	var connected, unconnected []raft.MemberID
+	for _, id := range status.Unresponsive {
+		if link, ok := c.addresses.NodeOf(id); ok && c.mesh.Reachable(link) {
+			connected = append(connected, id)
+		} else {
+			unconnected = append(unconnected, id)
+		}
+	}
+	c.log.Event("voters do not reply", eventlog.Fields{
+		"connected": connected, "unconnected": unconnected, "missingMillis": missing.Milliseconds(), "spareVoters": spareVoters(status),
+	})
+}
--- a/raft/core.go
+++ b/raft/core.go
@@ -326,6 +326,11 @@
 	for _, p := range c.leaderState.peers {
 		s.Match[p.id] = p.match
 	}
+	for _, id := range s.Members.Voters {
+		if !c.responsive(id) {
+			s.Unresponsive = append(s.Unresponsive, id)
+		}
+	}
 	return s
 }
 
--- a/raft/leader_test.go
+++ b/raft/leader_test.go
@@ -440,3 +440,18 @@
 func hasMessageTo(out Output, to MemberID) bool {
 	return slices.ContainsFunc(out.Messages, func(m Message) bool { return m.To == to })
 }
+
+// TestUnresponsiveVotersAreListed checks that a leader lists the voters that have not replied within the
+// election timeout, and that no other member lists any.
+func TestUnresponsiveVotersAreListed(t *testing.T) {
+	is := is.New(t)
+	c := newTestCore(t, founding(3))
+	is.Equal(len(c.Status().Unresponsive), 0)
+	elected := elect(t, c)
+	takeAndPersist(c, elected)
+	is.Equal(len(c.Status().Unresponsive), 0)
+	acceptAppend(c, 2, 2, 1, elected+testElection-time.Millisecond)
+	c.Tick(elected + testElection)
+	is.Equal(c.Status().Unresponsive, []MemberID{3})
+	is.Equal(c.Status().Role, Leader)
+}
--- a/raft/types.go
+++ b/raft/types.go
@@ -284,4 +284,7 @@
 	// Match is, on the leader, the highest durable index known for each member. It is nil
 	// on other members.
 	Match map[MemberID]uint64 `json:"match,omitempty"`
+	// Unresponsive lists, on the leader, the voters that have not replied within the election
+	// timeout. It is nil on other members.
+	Unresponsive []MemberID `json:"unresponsive,omitempty"`
 }
