--- a/internal/controller/export_test.go
+++ b/internal/controller/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/agateslip/agateslip/confstate"
@@ -115,3 +116,10 @@
 func (c *Controller) HandOver(ctx context.Context) bool {
 	return c.raftReplica.Status().Role == raft.Leader && c.raftReplica.Transfer(ctx) == nil
 }
+
+// HasVoters reports whether this node leads a group of the given voters, which all reply.
+func (c *Controller) HasVoters(ids []raft.MemberID) bool {
+	status := c.raftReplica.Status()
+	voters := slices.Sorted(slices.Values(status.Members.Voters))
+	return status.Role == raft.Leader && len(status.Unresponsive) == 0 && slices.Equal(voters, slices.Sorted(slices.Values(ids)))
+}
--- /dev/null
+++ b/internal/controller/rejoin_test.go
@@ -0,0 +1,78 @@
+package controller_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/agateslip/agateslip/internal/storage"
+	"github.com/agateslip/agateslip/raft"
+)
+
+// leadFromOneOf makes one of the given nodes the leader and returns it.
+func (c *cluster) leadFromOneOf(nodes ...int) int {
+	c.t.Helper()
+	leader := -1
+	c.waitFor(fmt.Sprint("a leader among ", nodes), func() bool {
+		for _, i := range nodes {
+			if c.nodes[i].node.Leads() {
+				leader = i
+				return true
+			}
+		}
+		for _, n := range c.nodes {
+			if n.node != nil {
+				n.node.HandOver(c.t.Context())
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+// requireVoters fails the test unless the members on the given nodes are, within catchUpTime, the voters of
+// the group, and all of them reply to the leader.
+func (c *cluster) requireVoters(nodes ...int) {
+	c.t.Helper()
+	var ids []raft.MemberID
+	for _, i := range nodes {
+		id, err := storage.ReadIdentity(storage.OS{}, c.nodes[i].cfg.Data)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		ids = append(ids, id.Member)
+	}
+	for start := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+		for _, i := range nodes {
+			if c.nodes[i].node.HasVoters(ids) {
+				c.t.Log("voters after", time.Since(start))
+				return
+			}
+		}
+		if time.Since(start) > catchUpTime {
+			c.t.Fatalf("the members on nodes %v are not the voters after %v", nodes, catchUpTime)
+		}
+	}
+}
+
+// TestWipedSeedsRejoinLeaderThatIsNoSeed wipes two of the three seeds. Only the third one can name the leader.
+func TestWipedSeedsRejoinLeaderThatIsNoSeed(t *testing.T) {
+	t.Parallel()
+	for kept := range 3 {
+		t.Run(fmt.Sprint("seed ", kept, " kept"), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 18130+10*kept, 5)
+			c.start(0, 1, 2, 3, 4)
+			for i := range 5 {
+				c.waitForVoters(i)
+			}
+			wiped := []int{(kept + 1) % 3, (kept + 2) % 3}
+			c.kill(wiped...)
+			c.wipe(wiped[0])
+			c.wipe(wiped[1])
+			c.leadFromOneOf(3, 4)
+			c.start(wiped...)
+			c.requireVoters(0, 1, 2, 3, 4)
+		})
+	}
+}
