controller: a node keeps the connection to a leader that it was named until that has answered

Cause: a node without a log kept one name of a leader and dropped it when a request to that node failed, also one that was never sent because the connection was still being opened. The connection was then closed, too, since the list of peers is computed from the same value every 200 ms. The next name began anew. Where the leader is a seed, the connection exists anyway.

Now named leaders are a set. A node leaves it by its own answer or 5 s after it was last named; failing to reach it says nothing about it. Only connected nodes are asked, and a connection counts when it is open (Mesh.Connected), up to 400 ms before its first heartbeat is acknowledged.

TestJoinReachesLeaderThatIsNoSeed passed before though the fault was there, since it took a request to an unconnected node for one that arrived; it now plays connections that open a turn late and close with the list, over more kinds of wrong names.

--- a/internal/controller/export_test.go
+++ b/internal/controller/export_test.go
@@ -106,7 +106,7 @@
 	status := c.raftReplica.Status()
 	status.Leader = c.member
 	var links []string
-	for _, p := range c.peerList(status) {
+	for _, p := range c.peerList(status, nil) {
 		links = append(links, p.Name)
 	}
 	return links
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 
@@ -19,8 +20,6 @@
 
 	mu      sync.Mutex
 	learned map[raft.MemberID]string
-	// leaderHint is the link address of a leader whose member ID is not known yet.
-	leaderHint string
 }
 
 func newAddressBook(s *stateMachine, founders []confstate.Member) *addressBook {
@@ -60,33 +59,11 @@
 	return links
 }
 
-// fallbackLinks returns the learned addresses and the leader hint.
-func (b *addressBook) fallbackLinks() []string {
+// learnedLinks returns the learned addresses.
+func (b *addressBook) learnedLinks() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	links := make([]string, 0, len(b.learned)+1)
-	for _, link := range b.learned {
-		links = append(links, link)
-	}
-	if b.leaderHint != "" {
-		links = append(links, b.leaderHint)
-	}
-	return links
-}
-
-// hintedLeader returns the link address set by setLeaderHint.
-func (b *addressBook) hintedLeader() string {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.leaderHint
-}
-
-// setLeaderHint sets the link address of the leader as another node named it; "" clears
-// it.
-func (b *addressBook) setLeaderHint(link string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.leaderHint = link
+	return slices.Collect(maps.Values(b.learned))
 }
 
 // joinedMembers returns the members that the join commands in the given log entries add.
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -11,7 +11,6 @@
 	"github.com/agateslip/agateslip/internal/boottime"
 	"github.com/agateslip/agateslip/internal/config"
 	"github.com/agateslip/agateslip/internal/eventlog"
-	"github.com/agateslip/agateslip/internal/nodelink"
 	"github.com/agateslip/agateslip/internal/peer"
 	"github.com/agateslip/agateslip/internal/supervisor"
 	"github.com/agateslip/agateslip/raft"
@@ -20,8 +19,6 @@
 const (
 	// membershipInterval is the interval of membership checks.
 	membershipInterval = 200 * time.Millisecond
-	// joinTimeout bounds a join request.
-	joinTimeout = time.Second
 	// memberChangeTimeout bounds one membership change.
 	memberChangeTimeout = 2 * time.Second
 	// leaderlessTimeout is how long a member knows no leader before it asks other nodes
@@ -40,7 +37,7 @@
 	attempts := joinAttempts{answers: map[string]string{}}
 	for {
 		status := c.raftReplica.Status()
-		if next := c.peerList(status); !slices.Equal(peers, next) {
+		if next := c.peerList(status, targets.links(boottime.Now())); !slices.Equal(peers, next) {
 			peers = next
 			c.mesh.SetPeers(peers)
 		}
@@ -51,11 +48,11 @@
 		case status.Role == raft.Leader:
 			c.adjustMembership(ctx, status)
 		case !c.isMember(status) || boottime.Now()-leaderHeardAt > leaderlessTimeout || c.registrationOutdated():
-			if err := c.join(ctx, &targets, &attempts, c.neverJoined(status)); err != nil {
+			if err := c.join(ctx, &targets, &attempts, peers, c.neverJoined(status)); err != nil {
 				return supervisor.Permanent(err)
 			}
 		}
-		c.reportJoinAttempts(&attempts, status, boottime.Now())
+		c.reportJoinAttempts(&attempts, &targets, status, boottime.Now())
 		select {
 		case <-ctx.Done():
 			return nil
@@ -78,15 +75,16 @@
 	return c.stateMachine.members()[uint64(c.member)] != c.selfMember()
 }
 
-// peerList returns the other control nodes to connect to, as linksToKeep selects them.
-func (c *Controller) peerList(status raft.Status) []peer.Peer {
+// peerList returns the other control nodes to connect to, as linksToKeep selects them. named holds those that
+// were named as the leader.
+func (c *Controller) peerList(status raft.Status, named []string) []peer.Peer {
 	members := c.addresses.linksOf(status.Members)
 	for _, m := range c.stateMachine.memberList() {
 		members = append(members, m.Link)
 	}
 	var peers []peer.Peer
 	leader, _ := c.addresses.NodeOf(status.Leader)
-	for _, link := range linksToKeep(members, leader, slices.Concat(c.seeds, c.addresses.fallbackLinks())) {
+	for _, link := range linksToKeep(members, leader, slices.Concat(c.seeds, c.addresses.learnedLinks(), named)) {
 		if link != c.cfg.Listen.Links {
 			peers = append(peers, peer.Peer{Name: link, Addr: link})
 		}
@@ -112,81 +110,6 @@
 	return slices.Compact(links)
 }
 
-// join asks the leader for membership or, while the leader is unknown, the node that
-// joinTargets selects.
-func (c *Controller) join(ctx context.Context, targets *joinTargets, attempts *joinAttempts, fresh bool) error {
-	hint := c.addresses.hintedLeader()
-	target := c.leader()
-	if target == "" || target == c.cfg.Listen.Links {
-		target = targets.next(c.peerList(c.raftReplica.Status()), hint, hint != "" && c.mesh.Reachable(hint))
-	}
-	if target == "" {
-		return nil
-	}
-	answer, err := c.requestJoin(ctx, target, fresh)
-	attempts.record(target, err)
-	if err != nil {
-		named := leaderHintFrom(err)
-		c.addresses.setLeaderHint(nextHint(hint, target, named))
-		c.log.Event("join request failed", eventlog.Fields{"asked": target, "hint": named, "error": err.Error()})
-		return nil
-	}
-	c.addresses.add(answer.Members)
-	if answer.Retired {
-		c.log.Event("member was replaced", eventlog.Fields{"member": c.member})
-		return c.discard()
-	}
-	return nil
-}
-
-// nextHint returns the hinted leader after a node was asked and named a leader, or none. A node
-// that names none replaces the hint only if it is the hinted leader itself.
-func nextHint(hint, asked, named string) string {
-	if named == "" && asked != hint {
-		return hint
-	}
-	return named
-}
-
-// joinTargets selects the nodes to ask for membership while the leader is unknown.
-type joinTargets struct {
-	// last is the peer that was selected last in rotation.
-	last string
-}
-
-// next returns the hinted leader if it is reachable, and otherwise the peer after the last
-// one in the sorted list; "" if there is none. The list may change between calls.
-func (t *joinTargets) next(peers []peer.Peer, hint string, reachable bool) string {
-	if reachable {
-		return hint
-	}
-	if len(peers) == 0 {
-		return ""
-	}
-	next := slices.IndexFunc(peers, func(p peer.Peer) bool { return p.Name > t.last })
-	t.last = peers[max(0, next)].Name
-	return t.last
-}
-
-func (c *Controller) requestJoin(ctx context.Context, target string, fresh bool) (nodelink.JoinAnswer, error) {
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
-	defer cancel()
-	var answer nodelink.JoinAnswer
-	err := c.mesh.Call(ctx, target, nodelink.Join, nodelink.JoinRequest{Member: c.selfMember(), Fresh: fresh}, &answer)
-	return answer, err
-}
-
-// errReplaced ends the process, so that it restarts as a new member.
-var errReplaced = errors.New("another member has replaced this one")
-
-// discard clears the data folder, so that the next start joins as a new member.
-func (c *Controller) discard() error {
-	if err := clearFolder(c.cfg.Data); err != nil {
-		return err
-	}
-	return errReplaced
-}
-
 // targetVoters returns the number of voters that tolerates the configured number of lost
 // nodes.
 func (c *Controller) targetVoters() int { return 2*c.cfg.Losses + 1 }
--- a/internal/controller/membership_test.go
+++ b/internal/controller/membership_test.go
@@ -1,12 +1,13 @@
 package controller
 
 import (
-	"cmp"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/agateslip/agateslip/internal/nodelink"
 	"github.com/agateslip/agateslip/internal/peer"
 	"github.com/agateslip/agateslip/raft"
 )
@@ -61,33 +62,79 @@
 	is.Equal(s.silent(17 * time.Second)[8], time.Second) // reached before
 }
 
-// TestJoinReachesLeaderThatIsNoSeed guards against a new node that never asks the leader: a
-// seed is down, and the others name a leader that is connected one turn later.
+// joinRound is a node without a log that looks for the leader e. A connection opens in the turn after its peer
+// is listed, and closes with the list.
+type joinRound struct {
+	targets joinTargets
+	// open and opening are the connections. down holds the nodes that accept none.
+	open, opening []string
+	down          []string
+	// told is what each node answers: the leader that it names, or "" if it names none.
+	told map[string]string
+}
+
+// turn plays one turn and returns the node that was asked.
+func (r *joinRound) turn(now time.Duration) (asked string) {
+	links := slices.Concat([]string{"a", "b", "c"}, r.targets.links(now))
+	slices.Sort(links)
+	var peers []peer.Peer
+	listed := func(link string) bool { return slices.Contains(links, link) }
+	for _, link := range slices.Compact(links) {
+		peers = append(peers, peer.Peer{Name: link})
+	}
+	r.open = slices.DeleteFunc(r.open, func(link string) bool { return !listed(link) })
+	asked = r.targets.next(peers, func(link string) bool { return slices.Contains(r.open, link) })
+	if asked != "" {
+		r.targets.asked(asked, peer.Errorf(nodelink.CodeNotLeader, "%s", r.told[asked]))
+		r.targets.name(r.told[asked], now)
+	}
+	r.open = slices.Concat(r.open, r.opening)
+	r.opening = nil
+	for _, p := range peers {
+		if !slices.Contains(r.open, p.Name) && !slices.Contains(r.down, p.Name) {
+			r.opening = append(r.opening, p.Name)
+		}
+	}
+	return asked
+}
+
+// TestJoinReachesLeaderThatIsNoSeed guards against a node without a log that never asks the leader e: one seed
+// may be down, one names the leader, the others name nobody, a node d that is gone, or each other.
 func TestJoinReachesLeaderThatIsNoSeed(t *testing.T) {
-	const leader = "e"
-	for _, down := range []string{"a", "b", "c"} {
-		for _, stale := range []string{"", "d"} { // the leader that the first seed names
-			targets, hint, connected := joinTargets{}, "", ""
-			asked := ""
-			for turn := 0; turn < 12 && asked != leader; turn++ {
-				peers := []peer.Peer{{Name: "a"}, {Name: "b"}, {Name: "c"}}
-				if hint != "" {
-					peers = append(peers, peer.Peer{Name: hint})
+	seeds := []string{"a", "b", "c"}
+	for _, knowing := range seeds {
+		for _, down := range []string{"", "a", "b", "c"} {
+			for _, wrong := range []string{"", "a", "b", "c", "d"} {
+				if down == knowing {
+					continue
 				}
-				asked = targets.next(peers, hint, hint != "" && hint == connected)
-				connected = hint
-				switch asked {
-				case down, "d":
-					hint = nextHint(hint, asked, "")
-				case "a":
-					hint = nextHint(hint, asked, cmp.Or(stale, leader))
-				default:
-					hint = nextHint(hint, asked, leader)
+				r := joinRound{down: []string{down, "d"}, told: map[string]string{knowing: "e"}}
+				for _, s := range seeds {
+					if s != knowing && s != wrong {
+						r.told[s] = wrong
+					}
+				}
+				asked := ""
+				for turn := 0; turn < 12 && asked != "e"; turn++ {
+					asked = r.turn(time.Duration(turn) * membershipInterval)
+				}
+				if asked != "e" {
+					t.Errorf("%s knows the leader, %q is down, the others name %q: the leader was never asked", knowing, down, wrong)
 				}
-			}
-			if asked != leader {
-				t.Errorf("%s is down, stale leader %q: the leader was never asked", down, stale)
 			}
 		}
 	}
 }
+
+// TestNamedLeaderIsForgotten guards against a node that connects for good to every leader it was ever named.
+func TestNamedLeaderIsForgotten(t *testing.T) {
+	is := is.New(t)
+	var targets joinTargets
+	targets.name("gone", time.Second)
+	targets.asked("gone", peer.ErrOutcomeUnknown)
+	is.Equal(targets.links(time.Second+namedLeaderTTL), []string{"gone"}) // it has not answered
+	is.Equal(len(targets.links(time.Second+namedLeaderTTL+1)), 0)
+	targets.name("follower", 10*time.Second)
+	targets.asked("follower", peer.Errorf(nodelink.CodeNotLeader, ""))
+	is.Equal(len(targets.links(10*time.Second)), 0)
+}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -279,6 +279,13 @@
 	return d != nil && d.reachable()
 }
 
+// Connected reports whether there is an open connection to a peer, so that a request can be sent. Unlike
+// Reachable, it does not wait for the peer's first heartbeat.
+func (m *Mesh) Connected(to string) bool {
+	_, err := m.client(to)
+	return err == nil
+}
+
 // Stats returns the counters.
 func (m *Mesh) Stats() Stats { return m.counters.stats() }
 
