controller: a wiped node learns of the leader from what that sends to its predecessor

A node whose disk was lost knew only its seeds.

Cause: the leader's appends to the node's former member were dropped, and with them the one sign of who leads.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -142,6 +142,8 @@
 	// leaderless and unresponsive decide when a missing leader and, on the leader, voters that do
 	// not reply are logged. Only observeMembers accesses them.
 	leaderless, unresponsive absenceWatch
+	// leaderSeen passes the link address of a leader that takes this node for another member.
+	leaderSeen chan string
 	// membershipTerm is the latest term in which this node led and had applied every change
 	// of earlier terms. Only the membership part accesses it.
 	membershipTerm uint64
@@ -166,6 +168,7 @@
 		metrics:    metrics.New("control." + cfg.Node),
 		loop:       owner.New(),
 		entryNodes: map[string]entryNode{},
+		leaderSeen: make(chan string, 1),
 	}
 	for _, change := range options {
 		change(c)
@@ -209,7 +212,9 @@
 	if err != nil {
 		return nil, err
 	}
-	replica.HandleMessages(mux, c.addresses, c.raftReplica.Deliver)
+	replica.HandleMessages(mux, replica.Receiver{
+		Self: c.member, Directory: c.addresses, Deliver: c.raftReplica.Deliver, LeaderOfOther: c.noteLeader,
+	})
 	c.registerGauges()
 	return c, nil
 }
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -57,10 +57,21 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+		case link := <-c.leaderSeen:
+			targets.name(link, boottime.Now())
 		}
 	}
 }
 
+// noteLeader tells the membership part of a leader that takes this node for another member, as it does after
+// a disk was lost. Such a node may have no other way to find the leader: all seeds may have lost their logs.
+func (c *Controller) noteLeader(link string) {
+	select {
+	case c.leaderSeen <- link:
+	default:
+	}
+}
+
 // neverJoined reports whether this member has an empty log and so has never belonged to
 // the group.
 func (c *Controller) neverJoined(status raft.Status) bool { return status.LastIndex == 0 }
--- a/internal/controller/rejoin_test.go
+++ b/internal/controller/rejoin_test.go
@@ -1,6 +1,7 @@
 package controller_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -9,25 +10,24 @@
 	"github.com/agateslip/agateslip/raft"
 )
 
-// leadFromOneOf makes one of the given nodes the leader and returns it.
-func (c *cluster) leadFromOneOf(nodes ...int) int {
+// leadFromOneOf makes one of the given nodes the leader.
+func (c *cluster) leadFromOneOf(nodes ...int) {
 	c.t.Helper()
-	leader := -1
 	c.waitFor(fmt.Sprint("a leader among ", nodes), func() bool {
 		for _, i := range nodes {
 			if c.nodes[i].node.Leads() {
-				leader = i
 				return true
 			}
 		}
+		ctx, cancel := context.WithTimeout(c.t.Context(), time.Second)
+		defer cancel()
 		for _, n := range c.nodes {
 			if n.node != nil {
-				n.node.HandOver(c.t.Context())
+				n.node.HandOver(ctx)
 			}
 		}
 		return false
 	})
-	return leader
 }
 
 // requireVoters fails the test unless the members on the given nodes are, within catchUpTime, the voters of
@@ -76,3 +76,24 @@
 		})
 	}
 }
+
+// TestWipedSeedsRejoinThoughNoSeedKnowsLeader wipes two seeds after the third one is gone for good. No address
+// in their settings belongs to a node with a log.
+func TestWipedSeedsRejoinThoughNoSeedKnowsLeader(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 18160, 6)
+	c.nodes[5].cfg.FirstStart = false
+	c.start(0, 1, 2, 3, 4)
+	for i := range 5 {
+		c.waitForVoters(i)
+	}
+	c.kill(2)
+	c.start(5)
+	c.requireVoters(0, 1, 3, 4, 5)
+	c.kill(0, 1)
+	c.wipe(0)
+	c.wipe(1)
+	c.leadFromOneOf(3, 4, 5)
+	c.start(0, 1)
+	c.requireVoters(0, 1, 3, 4, 5)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -218,7 +218,7 @@
 	if err != nil {
 		return err
 	}
-	replica.HandleMessages(mux, n.members, rep.Deliver)
+	replica.HandleMessages(mux, replica.Receiver{Directory: n.members, Deliver: rep.Deliver})
 	n.group.replica = rep
 	return nil
 }
--- a/internal/replica/mesh_test.go
+++ b/internal/replica/mesh_test.go
@@ -67,7 +67,7 @@
 			Transport: replica.MeshTransport{Mesh: mesh, Directory: directory},
 		})
 		is.NoErr(err)
-		replica.HandleMessages(mux, directory, r.Deliver)
+		replica.HandleMessages(mux, replica.Receiver{Directory: directory, Deliver: r.Deliver})
 		g.replicas = append(g.replicas, r)
 		g.machines = append(g.machines, machine)
 		g.meshes = append(g.meshes, mesh)
@@ -133,15 +133,19 @@
 }
 
 // TestForgedSenderIsDropped sends messages from node b whose senders are a member of
-// another node and an unknown member. Only b's own member's message is delivered.
+// another node and an unknown member. Only b's own member's message is delivered. b counts as the
+// leader of another member only once it sends that member entries; a candidate sends votes.
 func TestForgedSenderIsDropped(t *testing.T) {
 	is := is.New(t)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	directory := nodeNames{1: "a", 2: "b", 3: "c"}
-	received := make(chan []raft.Message, 1)
+	directory := nodeNames{1: "a", 2: "b", 3: "c", 4: "a"}
+	received, leaders := make(chan []raft.Message, 1), make(chan string, 4)
 	mux := peer.NewMux()
-	replica.HandleMessages(mux, directory, func(ms []raft.Message) { received <- ms })
+	replica.HandleMessages(mux, replica.Receiver{
+		Self: 1, Directory: directory, Deliver: func(ms []raft.Message) { received <- ms },
+		LeaderOfOther: func(node string) { leaders <- node },
+	})
 	a, err := peer.New(peer.Options{Self: "a", Addr: "127.0.0.1:0", Secret: "s", Mux: mux, Log: log})
 	is.NoErr(err)
 	b, err := peer.New(peer.Options{Self: "b", Addr: "127.0.0.1:0", Secret: "s", Mux: peer.NewMux(), Log: log})
@@ -160,6 +164,12 @@
 	transport := replica.MeshTransport{Mesh: b, Directory: directory}
 	transport.Send([]raft.Message{{From: 3, To: 1}, {From: 2, To: 1}, {From: 9, To: 1}})
 	is.Equal(<-received, []raft.Message{{From: 2, To: 1}})
+	transport.Send([]raft.Message{{Kind: raft.MsgVote, From: 2, To: 4}, {Kind: raft.MsgAppend, From: 2, To: 1}})
+	<-received
+	<-received
+	is.Equal(len(leaders), 0)
+	transport.Send([]raft.Message{{Kind: raft.MsgAppend, From: 2, To: 4}})
+	is.Equal(<-leaders, "b")
 }
 
 // BenchmarkPropose measures proposals over TCP and files, sequential and with 64
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -46,20 +46,40 @@
 	}
 }
 
-// HandleMessages registers a handler on the mux that passes received raft messages
-// to deliver. It drops a message if, by the directory, its sender does not run on
-// the node that sent it.
-func HandleMessages(mux *peer.Mux, directory NodeDirectory, deliver func([]raft.Message)) {
+// Receiver takes the messages that a node receives.
+type Receiver struct {
+	// Self is the member on this node.
+	Self raft.MemberID
+	// Directory maps senders to their nodes.
+	Directory NodeDirectory
+	// Deliver takes the messages whose sender, by the directory, runs on the node that sent them. The
+	// others are dropped.
+	Deliver func([]raft.Message)
+	// LeaderOfOther, unless nil, is called with the name of a node that sends entries or heartbeats to
+	// another member at this node's address: it leads a group that counts a member whose log is not here.
+	// It must not block.
+	LeaderOfOther func(node string)
+}
+
+// HandleMessages registers a handler on the mux that passes received raft messages to a receiver.
+func HandleMessages(mux *peer.Mux, to Receiver) {
 	mux.Handle(methodMessages, func(_ context.Context, from string, params json.RawMessage) (any, error) {
 		var messages []raft.Message
 		if err := json.Unmarshal(params, &messages); err != nil {
 			return nil, err
 		}
+		if to.LeaderOfOther != nil && slices.ContainsFunc(messages, to.isFromLeaderOfOther) {
+			to.LeaderOfOther(from)
+		}
 		hasForgedSender := func(m raft.Message) bool {
-			node, ok := directory.NodeOf(m.From)
+			node, ok := to.Directory.NodeOf(m.From)
 			return !ok || node != from
 		}
-		deliver(slices.DeleteFunc(messages, hasForgedSender))
+		to.Deliver(slices.DeleteFunc(messages, hasForgedSender))
 		return nil, nil
 	})
 }
+
+func (r *Receiver) isFromLeaderOfOther(m raft.Message) bool {
+	return m.To != r.Self && (m.Kind == raft.MsgAppend || m.Kind == raft.MsgSnapshot)
+}
