replica: leadership is handed to a voter that replies

A leader that stops while voters are lost chose the one with the highest match index. A voter that was just lost often has it. The transfer then waits, proposals are refused for up to an election timeout, and the group elects only after the process has ended: changes and reads fail meanwhile.

TestLeadershipIsNotHandedToLostVoter fails without the change: voter 2 is chosen where only 3 replies.

--- a/internal/replica/errors.go
+++ b/internal/replica/errors.go
@@ -17,8 +17,8 @@
 	ErrNotProposed = errors.New("proposal was not made")
 	// ErrStopped means that the replica has stopped.
 	ErrStopped = errors.New("replica has stopped")
-	// ErrNoOtherVoter means that the group has no other voter to which leadership
-	// could be transferred.
+	// ErrNoOtherVoter means that no other voter replies, so that leadership cannot
+	// be transferred.
 	ErrNoOtherVoter = errors.New("no other voter can lead")
 )
 
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -116,7 +116,7 @@
 
 // Transfer transfers leadership to the other voter that holds the longest part of
 // the log and waits until this replica no longer leads. It does nothing if this
-// replica does not lead, and returns ErrNoOtherVoter if there is no other voter.
+// replica does not lead, and returns ErrNoOtherVoter if no other voter replies.
 func (r *Replica) Transfer(ctx context.Context) error {
 	var startErr error
 	err := r.runOnOwner(ctx, func() { startErr = r.startTransfer() })
@@ -161,11 +161,11 @@
 }
 
 // mostUpToDateVoter returns the voter other than this member with the highest
-// match index, or zero if there is no other voter.
+// match index of those that reply, or zero if no other voter replies.
 func mostUpToDateVoter(status raft.Status) raft.MemberID {
 	var best raft.MemberID
 	for _, id := range status.Members.Voters {
-		if id == status.ID {
+		if id == status.ID || slices.Contains(status.Unresponsive, id) {
 			continue
 		}
 		if best == 0 || status.Match[id] > status.Match[best] {
--- a/internal/replica/propose_test.go
+++ b/internal/replica/propose_test.go
@@ -34,3 +34,17 @@
 	r.releaseWaiters()
 	is.Equal(len(r.appliedWaiters), 1)
 }
+
+// TestLeadershipIsNotHandedToLostVoter guards against a leader that stops and waits for a voter which was lost
+// while both held the same log.
+func TestLeadershipIsNotHandedToLostVoter(t *testing.T) {
+	is := is.New(t)
+	status := raft.Status{
+		ID: 1, Members: raft.Members{Voters: []raft.MemberID{1, 2, 3}}, Match: map[raft.MemberID]uint64{1: 9, 2: 9, 3: 8},
+	}
+	is.Equal(mostUpToDateVoter(status), raft.MemberID(2))
+	status.Unresponsive = []raft.MemberID{2}
+	is.Equal(mostUpToDateVoter(status), raft.MemberID(3))
+	status.Unresponsive = []raft.MemberID{2, 3}
+	is.Equal(mostUpToDateVoter(status), raft.MemberID(0))
+}
