controller: a voter accepts messages from members that joined while it was down

Two wiped nodes that had rejoined and a voter that had been down meanwhile are a majority of five, but elected no leader when the other two were lost: operators' reads and changes failed until one of these two returned, and for good if their disks were lost.

Cause: a message counts as forged unless the directory knows that its sender runs on the node which sent it. Members that rejoined have new IDs, which the voter's log does not name, so it dropped their votes and entries. Only a leader's answer to a join request could name them, and there was no leader.

Now an unknown sender of a message to this member is learned: the handshake has proven that its node belongs to the deployment. Senders that the directory knows on another node are dropped as before. A member has to vote for candidates that its own membership lacks (Ongaro, section 4.1).

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -213,7 +213,7 @@
 		return nil, err
 	}
 	replica.HandleMessages(mux, replica.Receiver{
-		Self: c.member, Directory: c.addresses, Deliver: c.raftReplica.Deliver, LeaderOfOther: c.noteLeader,
+		Self: c.member, Directory: c.addresses, Deliver: c.raftReplica.Deliver, Learn: c.addresses.learn, LeaderOfOther: c.noteLeader,
 	})
 	c.registerGauges()
 	return c, nil
--- a/internal/controller/links.go
+++ b/internal/controller/links.go
@@ -37,6 +37,13 @@
 	}
 }
 
+// learn records the link address of a member that is not in the replicated state yet.
+func (b *addressBook) learn(id raft.MemberID, link string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.learned[id] = link
+}
+
 // NodeOf implements replica.Directory. Node names are link addresses.
 func (b *addressBook) NodeOf(id raft.MemberID) (string, bool) {
 	if m, ok := b.stateMachine.members()[uint64(id)]; ok {
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -55,6 +55,9 @@
 	// Deliver takes the messages whose sender, by the directory, runs on the node that sent them. The
 	// others are dropped.
 	Deliver func([]raft.Message)
+	// Learn, unless nil, adds the sender of a message to Self to the directory if it is unknown there. A
+	// member that was down has to vote for and follow members that joined meanwhile.
+	Learn func(id raft.MemberID, node string)
 	// LeaderOfOther, unless nil, is called with the name of a node that sends entries or heartbeats to
 	// another member at this node's address: it leads a group that counts a member whose log is not here.
 	// It must not block.
@@ -73,6 +76,10 @@
 		}
 		hasForgedSender := func(m raft.Message) bool {
 			node, ok := to.Directory.NodeOf(m.From)
+			if !ok && to.Learn != nil && m.To == to.Self {
+				to.Learn(m.From, from)
+				return false
+			}
 			return !ok || node != from
 		}
 		to.Deliver(slices.DeleteFunc(messages, hasForgedSender))
