controller: messages to a wiped node's predecessor no longer start a join request each

A wiped node that a leader still counts as its former member sent a join request for every message of that leader, one after the other, and the leader answers these beside its other work.

Cause: every such message ended the wait between two membership checks. Now only one that names a leader which was not named before does; the others wait for the tick.

--- a/internal/controller/join.go
+++ b/internal/controller/join.go
@@ -67,15 +67,18 @@
 	last string
 }
 
-// name records that another node named link as the leader; "" is ignored.
-func (t *joinTargets) name(link string, now time.Duration) {
+// name records that another node named link as the leader, and reports whether it was not among the named ones;
+// "" is ignored.
+func (t *joinTargets) name(link string, now time.Duration) (added bool) {
 	if link == "" {
-		return
+		return false
 	}
 	if t.named == nil {
 		t.named = map[string]time.Duration{}
 	}
+	_, known := t.named[link]
 	t.named[link], t.preferred = now, link
+	return !known
 }
 
 // asked records that a request to a node was sent and failed with err.
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -53,12 +53,25 @@
 			}
 		}
 		c.reportJoinAttempts(&attempts, &targets, status, boottime.Now())
+		if !c.awaitMembershipCheck(ctx, ticker.C, &targets) {
+			return nil
+		}
+	}
+}
+
+// awaitMembershipCheck waits for the next tick, or for a leader that was not named before: one that was sends
+// many messages between two ticks. It returns false when ctx ends.
+func (c *Controller) awaitMembershipCheck(ctx context.Context, tick <-chan time.Time, targets *joinTargets) bool {
+	for {
 		select {
 		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
+			return false
+		case <-tick:
+			return true
 		case link := <-c.leaderSeen:
-			targets.name(link, boottime.Now())
+			if targets.name(link, boottime.Now()) {
+				return true
+			}
 		}
 	}
 }
--- a/internal/controller/membership_test.go
+++ b/internal/controller/membership_test.go
@@ -1,8 +1,11 @@
 package controller
 
 import (
+	"context"
 	"slices"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -138,3 +141,25 @@
 	targets.asked("follower", peer.Errorf(nodelink.CodeNotLeader, ""))
 	is.Equal(len(targets.links(10*time.Second)), 0)
 }
+
+// TestMembershipChecksAreFewUnderManyMessages guards against a check, and with it a join request, for each message of
+// a leader that takes this node for another member.
+func TestMembershipChecksAreFewUnderManyMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &Controller{leaderSeen: make(chan string, 1)}
+		ticker := time.NewTicker(membershipInterval)
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second-1)
+		defer cancel()
+		var wg sync.WaitGroup
+		wg.Go(func() {
+			for ; ctx.Err() == nil; time.Sleep(time.Millisecond) {
+				c.noteLeader("e")
+			}
+		})
+		checks := 0
+		for targets := (joinTargets{}); c.awaitMembershipCheck(ctx, ticker.C, &targets); checks++ {
+		}
+		wg.Wait()
+		is.New(t).Equal(checks, 1+int((2*time.Second-1)/membershipInterval)) // the first message, and each tick
+	})
+}
