--- a/internal/faultfs/faultfs.go
+++ b/internal/faultfs/faultfs.go
@@ -56,9 +56,16 @@
 }
 
 // inode holds the contents of one file. A crash keeps at least its first syncedBytes bytes.
+// writeEnds are the sizes of the file after each write since its last sync.
 type inode struct {
 	data        []byte
 	syncedBytes int
+	writeEnds   []int
+}
+
+func (n *inode) write(p []byte) {
+	n.data = append(n.data, p...)
+	n.writeEnds = append(n.writeEnds, len(n.data))
 }
 
 // New returns an empty file system.
@@ -419,7 +426,7 @@
 	if err := f.beginOp(); err != nil {
 		half := len(p) / 2
 		if f.crashCount == f.fs.crashCount {
-			f.inode.data = append(f.inode.data, p[:half]...)
+			f.inode.write(p[:half])
 		}
 		return half, err
 	}
@@ -427,7 +434,7 @@
 	if f.fs.fullErr != nil {
 		fits = max(0, min(fits, f.fs.capacity-f.fs.used()))
 	}
-	f.inode.data = append(f.inode.data, p[:fits]...)
+	f.inode.write(p[:fits])
 	if fits < len(p) {
 		return fits, f.fs.fullErr
 	}
@@ -442,7 +449,7 @@
 		return err
 	}
 	f.fs.syncCount++
-	f.inode.syncedBytes = len(f.inode.data)
+	f.inode.syncedBytes, f.inode.writeEnds = len(f.inode.data), nil
 	return nil
 }
 
