controller: a log that is given up never opens again as an older one

What could happen: a member whose log is damaged, or that another one has replaced, clears its folder and joins again. If the power fails within this, it can open a part of the former log under the former ID, without votes and entries that it had acknowledged. Not seen outside the test.

Cause: clearFolder removed all files without a sync. Each removal may be kept or lost by itself: with the identity and the first segments kept and the later ones gone, the folder reads as a sound, shorter log.

Fix: storage.Discard makes the removal of the identity durable before it removes anything else; without its identity no log opens. The lock stays, and so do files that are not the log's.

--- a/internal/controller/disk.go
+++ b/internal/controller/disk.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"path/filepath"
 	"syscall"
 	"time"
 
@@ -93,8 +91,8 @@
 
 // openOrCreateLog opens the log in the data folder, or creates one if there is none or it
 // is damaged. At the first start of the deployment a new log is that of a founder if this
-// node is a seed; otherwise it gets a new member ID. A node never reuses an ID whose
-// votes may be lost.
+// node is a seed; otherwise, or after damage, it gets a new member ID. A node never reuses
+// an ID whose votes may be lost.
 func (c *Controller) openOrCreateLog() (raft.DurableState, error) {
 	restored, err := c.openLog()
 	var damaged *storage.DamagedError
@@ -102,14 +100,18 @@
 	case err == nil:
 		return restored, nil
 	case errors.Is(err, storage.ErrNotCreated):
+		return c.createLog(c.isFounder())
 	case errors.As(err, &damaged):
 		// The log may lack entries that the member acknowledged. A new member has
 		// acknowledged nothing beyond its log.
 		c.log.Event("log damaged", eventlog.Fields{"error": err.Error()})
+		if err := storage.Discard(c.files, c.cfg.Data); err != nil {
+			return raft.DurableState{}, err
+		}
+		return c.createLog(c.isFounder())
 	default:
 		return raft.DurableState{}, err
 	}
-	return c.createLog()
 }
 
 func (c *Controller) openLog() (raft.DurableState, error) {
@@ -128,13 +130,10 @@
 	return restored, nil
 }
 
-func (c *Controller) createLog() (raft.DurableState, error) {
-	if err := clearFolder(c.cfg.Data); err != nil {
-		return raft.DurableState{}, err
-	}
+func (c *Controller) createLog(founder bool) (raft.DurableState, error) {
 	restored := raft.DurableState{}
 	c.member = newMemberID()
-	if c.isFounder() {
+	if founder {
 		founders := foundingMembers(c.cfg, c.seeds)
 		c.stateMachine.setFounders(founders)
 		voters := make([]raft.MemberID, len(founders))
@@ -154,24 +153,6 @@
 		return raft.DurableState{}, errors.Wrap(err, "create log")
 	}
 	c.disk = disk
-	c.log.Event("log created", eventlog.Fields{"member": c.member, "founder": c.isFounder()})
+	c.log.Event("log created", eventlog.Fields{"member": c.member, "founder": founder})
 	return restored, nil
 }
-
-// clearFolder creates dir if necessary and removes everything in it: what an interrupted
-// creation or a damaged log left.
-func clearFolder(dir string) error {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return errors.Wrap(err, "create data folder")
-	}
-	entries, err := os.ReadDir(dir)
-	if err != nil {
-		return errors.Wrap(err, "read data folder")
-	}
-	for _, e := range entries {
-		if err := os.RemoveAll(filepath.Join(dir, e.Name())); err != nil {
-			return errors.Wrap(err, "clear data folder")
-		}
-	}
-	return nil
-}
--- a/internal/controller/join.go
+++ b/internal/controller/join.go
@@ -12,6 +12,7 @@
 	"github.com/agateslip/agateslip/internal/eventlog"
 	"github.com/agateslip/agateslip/internal/nodelink"
 	"github.com/agateslip/agateslip/internal/peer"
+	"github.com/agateslip/agateslip/internal/storage"
 	"github.com/agateslip/agateslip/raft"
 )
 
@@ -125,9 +126,9 @@
 // errReplaced ends the process, so that it restarts as a new member.
 var errReplaced = errors.New("another member has replaced this one")
 
-// discard clears the data folder, so that the next start joins as a new member.
+// discard removes the log, so that the next start joins as a new member.
 func (c *Controller) discard() error {
-	if err := clearFolder(c.cfg.Data); err != nil {
+	if err := storage.Discard(c.files, c.cfg.Data); err != nil {
 		return err
 	}
 	return errReplaced
--- a/internal/storage/crash_test.go
+++ b/internal/storage/crash_test.go
@@ -227,3 +227,36 @@
 	}
 	t.Logf("%d states", p.states)
 }
+
+// TestDiscardedLogIsNeverOpened damages a record of a log and discards the log, with a crash at each operation. No state that
+// this leaves may be opened: without its last segments, a damaged log reads as an older one.
+func TestDiscardedLogIsNeverOpened(t *testing.T) {
+	states := 0
+	for op, ended := 0, false; !ended; op++ {
+		fs := newLog(t)
+		names := segmentNames(fs)
+		data := readFile(t, fs, names[len(names)-1])
+		data[frameHeader] ^= 0x10
+		fs.Put(names[len(names)-1], data)
+		fs.DieAt(fs.Ops() + op)
+		ended = storage.Discard(fs, dir) == nil
+		if op == 0 {
+			continue // nothing was removed
+		}
+		for state := range fs.CrashStates() {
+			states++
+			_, found, err := storage.Open(options(state))
+			var damaged *storage.DamagedError
+			if !errors.Is(err, storage.ErrNotCreated) && !errors.As(err, &damaged) {
+				t.Fatalf("operation %d: opened %+v, %v", op, found, err)
+			}
+			if err := storage.Discard(state, dir); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := storage.Create(options(state), initialState()); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	t.Logf("%d states", states)
+}
--- a/internal/storage/files.go
+++ b/internal/storage/files.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -159,6 +160,31 @@
 	return nil
 }
 
+// removeState deletes all segments, snapshots and temporary files.
+func (f folder) removeState() error {
+	all := func(uint64) bool { return true }
+	if err := f.removeNumbered(segmentPrefix, all); err != nil {
+		return err
+	}
+	if err := f.removeNumbered(snapshotPrefix, all); err != nil {
+		return err
+	}
+	return f.removeTempFiles()
+}
+
+// discard removes the identity durably before anything else: beside it, a part of the log could read as an older state.
+func (f folder) discard() error {
+	err := f.fs.Remove(f.path(identityName))
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return errors.Wrap(err, "remove the identity")
+	}
+	f.syncs.add(1)
+	if err := f.fs.SyncDir(f.dir); err != nil {
+		return errors.Wrapf(err, "sync %s", f.dir)
+	}
+	return f.removeState()
+}
+
 // removeTempFiles deletes the temporary files left by interrupted writes.
 func (f folder) removeTempFiles() error {
 	names, err := f.fs.ReadDir(f.dir)
--- a/internal/storage/store.go
+++ b/internal/storage/store.go
@@ -96,6 +96,15 @@
 	return s, state, nil
 }
 
+// Discard removes a member's state from a folder, so that Open fails from then on. It may be called while the folder is
+// open, and again after it was interrupted. A nil files means OS.
+func Discard(files FS, dir string) error {
+	if files == nil {
+		files = OS{}
+	}
+	return folder{fs: files, dir: dir, syncs: &counter{}}.discard()
+}
+
 // lockFolder creates the folder if needed, locks it and returns a Store that has
 // loaded no state.
 func lockFolder(opts Options) (*Store, error) {
@@ -121,8 +130,8 @@
 }
 
 // create writes the identity with Complete unset, then the state, then the identity
-// with Complete set. An interrupted creation can therefore be repeated; segments
-// that it left behind are removed first.
+// with Complete set. An interrupted creation can therefore be repeated; what it left
+// behind is removed first.
 func (s *Store) create(id Identity, initial raft.DurableState) error {
 	_, exists, err := s.readIdentity()
 	if err != nil {
@@ -134,7 +143,7 @@
 	if err := s.replaceValue(identityName, identityRecord{Identity: id}); err != nil {
 		return err
 	}
-	if err := s.removeBelow(segmentPrefix, ^uint64(0)); err != nil {
+	if err := s.removeState(); err != nil {
 		return err
 	}
 	s.nextSeq = 1
