controller: a founder whose log is damaged gets a new member ID

What could happen: a process that restarts with a damaged log while its settings still have firstStart takes its founder's ID again, with an empty log. It can vote twice in a term and lacks entries that it acknowledged. Not seen outside the test; the platform sets firstStart only once.

Cause: createLog asked only whether the node is a seed at the first start, not why there is no log.

Fix: after damage a log is never that of a founder. An interrupted creation still is: the exhaustive crash test shows that none reads as damage, so no founder is lost to this.

Evidence: TestDamagedFounderGetsNewID failed before ("not true: successor != founder") and passes. What remains: a crash between the removal of the damaged log and the end of the new one's creation leaves a folder without a member, which is that of a founder again while firstStart is set.

--- a/internal/controller/disk.go
+++ b/internal/controller/disk.go
@@ -108,7 +108,7 @@
 		if err := storage.Discard(c.files, c.cfg.Data); err != nil {
 			return raft.DurableState{}, err
 		}
-		return c.createLog(c.isFounder())
+		return c.createLog(false)
 	default:
 		return raft.DurableState{}, err
 	}
