storage: a torn record of a large entry does not hold up the start

What could be seen: a node that lost power while it wrote a large entry starts late, and so answers and votes late.

Cause: to tell a torn write from damage, each offset after it is tried as a record. Where the four bytes there read as a length that fits, a checksum of as much as the rest of the segment was computed.

Fix: an offset whose payload does not begin as each record does, with a map whose first key is the sequence number, is no record. The tests of flipped bits still find each damaged record.

--- a/internal/storage/damage_test.go
+++ b/internal/storage/damage_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -107,6 +108,26 @@
 	}
 }
 
+// TestTornRecordIsScannedInTime tears a record of 4 MiB of small numbers, each of which reads as the length of a possible record.
+func TestTornRecordIsScannedInTime(t *testing.T) {
+	is := is.New(t)
+	fs := newLog(t)
+	s, _, err := storage.Open(options(fs))
+	is.NoErr(err)
+	numbers := make([]byte, 4<<20)
+	for i := 0; i < len(numbers); i += 4 {
+		binary.LittleEndian.PutUint32(numbers[i:], uint32(i/4))
+	}
+	is.NoErr(s.Save(raft.Output{Entries: []raft.Entry{{Index: lastEntry + 1, Term: 1, Data: numbers}}}))
+	names := segmentNames(fs)
+	data := readFile(t, fs, names[len(names)-1])
+	fs.Crash(nil)
+	fs.Put(names[len(names)-1], data[:len(data)-1])
+	start := time.Now()
+	is.Equal(reopenAndAppend(t, fs), uint64(lastEntry))
+	is.True(time.Since(start) < 2*time.Second)
+}
+
 // TestOpenRejectsDamagedRecord flips a bit in each record but the last: in the length,
 // the checksum, and the first and last byte of the payload. Open must not take such
 // damage for a torn write, which would lose the records after it.
--- a/internal/storage/scan.go
+++ b/internal/storage/scan.go
@@ -76,6 +76,9 @@
 // shows damage.
 func (s *segment) validRecordAfter(from int) bool {
 	for offset := from; offset+frameHeaderBytes < len(s.data); offset++ {
+		if !startsLikeRecord(s.data[offset+frameHeaderBytes:]) {
+			continue
+		}
 		payload, _, ok := unframe(s.data[offset:])
 		if !ok {
 			continue
@@ -88,6 +91,13 @@
 	return false
 }
 
+// startsLikeRecord reports whether payload starts with a CBOR map of less than 24 fields whose first key is that of
+// Seq, as each record does. It spares most checksums, of which each may cover the rest of the segment.
+func startsLikeRecord(payload []byte) bool {
+	const smallMap, smallMapMask, seqKey = 0xa0, 0xe0, 1
+	return len(payload) > 1 && payload[0]&smallMapMask == smallMap && payload[1] == seqKey
+}
+
 // damaged returns a DamagedError for the record after the intact ones.
 func (s *segment) damaged(reason string) error {
 	return &DamagedError{File: s.file, Offset: int64(s.intactBytes), Reason: reason}
