bodybuffer: bodies that wait for memory do not all wait for each other

Cause: a body keeps what it has while it waits for a larger buffer. With 64 bodies in chunks that grow together the budget is full of bodies that all wait; none is silent, as the node does not read, and none is a second old. For a whole second nothing happens; then all are refused at once, or cut, the ordinary one among them.

Fix: calls that wait may hold half of the memory. Calls that run do not take part.

--- a/internal/bodybuffer/bodybuffer.go
+++ b/internal/bodybuffer/bodybuffer.go
@@ -41,6 +41,7 @@
 	limit, reserve int64
 	used           atomic.Int64
 	parts          [partCount]atomic.Int64
+	stalls         stalls
 }
 
 const (
@@ -118,6 +119,14 @@
 	s.taken[p] -= n
 }
 
+// size returns how many bytes the share has taken.
+func (s *Share) size() (bytes int64) {
+	for _, part := range s.taken {
+		bytes += part
+	}
+	return bytes
+}
+
 // Release gives everything back.
 func (s *Share) Release() {
 	for p, n := range s.taken {
--- a/internal/bodybuffer/intake.go
+++ b/internal/bodybuffer/intake.go
@@ -21,12 +21,11 @@
 	if r.ContentLength > limit {
 		return nil, nil, ErrTooLarge
 	}
-	room := in.Budget.NewRoom(r.Context(), func() bool { return in.Cut != nil && in.Cut(r) })
+	share := in.Budget.NewShare()
+	room := share.NewRoom(r.Context(), func() bool { return in.Cut != nil && in.Cut(r) })
 	if !room.MakeFor(r.ContentLength) {
 		return nil, nil, ErrNoMemory
 	}
-	share := in.Budget.NewShare()
-	share.MakeRoom = room.Make
 	body, err := share.Read(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
 	if err == nil {
 		return body, share, nil
@@ -43,12 +42,8 @@
 // budget never has as much.
 func (s *Share) Reserve(n int64) error {
 	s.Begin()
-	taken := n
-	for _, part := range s.taken {
-		taken += part
-	}
 	switch {
-	case taken > s.budget.limit+s.budget.reserve:
+	case s.size()+n > s.budget.limit+s.budget.reserve:
 		return ErrTooLarge
 	case !s.takeRoom(Requests, n):
 		return ErrNoMemory
--- a/internal/bodybuffer/room.go
+++ b/internal/bodybuffer/room.go
@@ -18,32 +18,42 @@
 // safe for concurrent use.
 type Room struct {
 	ctx    context.Context
-	budget *Budget
+	share  *Share
 	cut    func() bool
 	waited time.Duration
+	// stalled is the call's wait, from its first one on.
+	stalled *stalledCall
 }
 
-// NewRoom returns the room of a call that ends with ctx. cut closes the connection of one other call whose body is incomplete and may
-// be cut, and reports whether there was one.
-func (b *Budget) NewRoom(ctx context.Context, cut func() bool) *Room {
-	return &Room{ctx: ctx, budget: b, cut: cut}
+// NewRoom returns the room of the call that has the share and ends with ctx, and makes it that of the share. cut closes the connection
+// of one other call whose body is incomplete and may be cut, and reports whether there was one.
+func (s *Share) NewRoom(ctx context.Context, cut func() bool) *Room {
+	r := &Room{ctx: ctx, share: s, cut: cut, stalled: s.budget.stalls.newCall()}
+	s.MakeRoom = r.Make
+	return r
 }
 
-// Make waits until some memory becomes free, and reports whether some did. All calls of Make together wait for roomTime.
+// Make waits until some memory becomes free, and reports whether some did. All calls of Make together wait for roomTime, or less if the
+// call is to make room for others.
 func (r *Room) Make() bool {
-	before := r.budget.Used()
+	budget := r.share.budget
+	if !r.share.running {
+		budget.stalls.begin(r.stalled, r.share.size(), budget.limit/stalledShare)
+		defer budget.stalls.end(r.stalled)
+	}
+	before := budget.Used()
 	for !r.cut() {
-		if r.waited >= roomTime || r.ctx.Err() != nil {
+		if r.waited >= roomTime || r.ctx.Err() != nil || r.stalled.givesWay.Load() {
 			return false
 		}
 		start := time.Now()
 		time.Sleep(roomInterval)
 		r.waited += time.Since(start)
-		if r.budget.Used() < before {
+		if budget.Used() < before {
 			return true
 		}
 	}
-	for start := time.Now(); r.budget.Used() >= before && time.Since(start) < releaseTime; {
+	for start := time.Now(); budget.Used() >= before && time.Since(start) < releaseTime; {
 		time.Sleep(time.Millisecond)
 	}
 	return true
@@ -51,7 +61,8 @@
 
 // MakeFor makes room for a body of the given size, or -1 if that is unknown. It reports whether the budget has it now.
 func (r *Room) MakeFor(size int64) bool {
-	for !r.budget.Fits(size) {
+	r.stalled.announced = size >= 0
+	for !r.share.budget.Fits(size) {
 		if !r.Make() {
 			return false
 		}
--- a/internal/bodybuffer/room_test.go
+++ b/internal/bodybuffer/room_test.go
@@ -29,15 +29,14 @@
 				if c.freeAfter > 0 {
 					time.AfterFunc(c.freeAfter, other.Release)
 				}
-				room := budget.NewRoom(t.Context(), func() bool {
+				share := budget.NewShare()
+				room := share.NewRoom(t.Context(), func() bool {
 					if c.cutAfter == 0 || time.Since(start) < c.cutAfter || budget.Used() < 900 {
 						return false
 					}
 					other.Release()
 					return true
 				})
-				share := budget.NewShare()
-				share.MakeRoom = room.Make
 				body, err := share.Read(strings.NewReader(strings.Repeat("x", 400)), 400, 500)
 				is.Equal(err == nil, c.fits)
 				if c.fits {
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -191,8 +191,7 @@
 		limit = defaultBodyLimit
 	}
 	c.boundBody()
-	room := c.edge.bodies.NewRoom(c.r.Context(), func() bool { return c.edge.guard.CutBody(c.r) })
-	c.held.MakeRoom = room.Make
+	room := c.held.NewRoom(c.r.Context(), func() bool { return c.edge.guard.CutBody(c.r) })
 	var body []byte
 	err := bodybuffer.ErrNoMemory
 	if c.r.ContentLength > limit || room.MakeFor(c.r.ContentLength) {
