connlimit: the time that a body waits for memory does not make it slow

What callers saw: an ordinary request was reset as soon as it had got the memory that it had waited for.

Cause: a body that has been incomplete for a second may be cut for others, as its caller is slow. The second began with the request, also while the node itself did not read the body for want of memory. In two of the traced failures the ordinary connection was cut as "no memory for bodies", 1000 and 1135 ms after it came.

Fix: CutBody knows whose body waits; that time does not count until the body is read on. Which body goes first is not changed: that of the silent caller, or else the oldest.

Evidence: TestBodyThatWaitedForMemoryIsNotSlow failed before (the body was cut) and passes.

--- a/internal/connlimit/body_test.go
+++ b/internal/connlimit/body_test.go
@@ -1,6 +1,7 @@
 package connlimit
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -81,6 +82,37 @@
 	})
 }
 
+// TestBodyThatWaitedForMemoryIsNotSlow has a body wait for memory for longer than a slow body may take, and then go on.
+func TestBodyThatWaitedForMemoryIsNotSlow(t *testing.T) {
+	serve(t, 0, ListenerOptions{}, func(f *fixture) {
+		part := strings.Repeat("x", minCutBytes)
+		waits := f.dial("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 40000\r\n\r\n" + part)
+		synctest.Wait()
+		f.guard.mu.Lock()
+		conn := f.guard.listeners[0].incomplete.front
+		f.guard.mu.Unlock()
+		own := (&http.Request{}).WithContext(context.WithValue(t.Context(), contextKey{}, conn))
+		for range 20 {
+			if f.guard.CutBody(own) {
+				t.Error("a body was cut for itself")
+			}
+			time.Sleep(slowBodyTime / 10)
+		}
+		waits.send("x")
+		synctest.Wait()
+		if f.guard.CutBody(&http.Request{}) {
+			t.Error("a body was cut that had waited for memory")
+		}
+		for range 20 {
+			time.Sleep(60 * time.Millisecond)
+			waits.send("x")
+		}
+		if !f.guard.CutBody(&http.Request{}) {
+			t.Error("a slow body was not cut")
+		}
+	})
+}
+
 // TestRefusalOfBodyCanBeRead refuses a body of which most was not read. The connection stays for a while: closing it at once would
 // reset it, which may lose the refusal.
 func TestRefusalOfBodyCanBeRead(t *testing.T) {
--- a/internal/connlimit/conn.go
+++ b/internal/connlimit/conn.go
@@ -68,6 +68,9 @@
 	bodyBytes atomic.Int64
 	// awaited is since when the server has waited for bytes of a body, as a Unix time in nanoseconds; zero while it does not.
 	awaited atomic.Int64
+	// heldBack is since when the server has not read the body because it has no memory for it, as a Unix time in nanoseconds; zero
+	// while it reads. heldBackBefore is how long it did not read the current body for this earlier, in nanoseconds.
+	heldBack, heldBackBefore atomic.Int64
 
 	// The fields below are protected by the guard's mu.
 	in         *connList
@@ -109,6 +112,28 @@
 	}
 }
 
+// holdBack tells that the server does not read the current body, if there is one, until resume.
+func (c *Conn) holdBack(now time.Time) {
+	if c.phase.Load() == phaseBody {
+		c.heldBack.CompareAndSwap(0, now.UnixNano())
+	}
+}
+
+func (c *Conn) resume() {
+	if since := c.heldBack.Swap(0); since != 0 {
+		c.heldBackBefore.Add(time.Now().UnixNano() - since)
+	}
+}
+
+// sendingTime returns how long the caller could send of its body. The caller of sendingTime holds the guard's mu.
+func (c *Conn) sendingTime(now time.Time) time.Duration {
+	until := now.UnixNano()
+	if since := c.heldBack.Load(); since != 0 {
+		until = since
+	}
+	return time.Duration(until - c.since.UnixNano() - c.heldBackBefore.Load())
+}
+
 // release gives back the memory of the head. The caller holds the guard's mu.
 func (c *Conn) release() {
 	c.listener.guard.heads -= c.held
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -293,19 +293,21 @@
 	silentTime = 100 * time.Millisecond
 	// minCutBytes is how much of a body must have been received for it to make room for others. Smaller ones free little.
 	minCutBytes = 8 << 10
-	// slowBodyTime is how long a body must have been incomplete to make room for others although its caller goes on sending.
+	// slowBodyTime is how long a caller must have been sending a body for it to make room for others although the caller goes on. The
+	// time for which the server did not read the body for want of memory does not count.
 	slowBodyTime = time.Second
 )
 
 // CutBody closes the connection of an incomplete body of which at least minCutBytes have been received: that whose caller has sent
-// nothing for longest, silentTime or more, or else the oldest one, if it is older than slowBodyTime and than the body of r. It reports
-// whether there was one.
+// nothing for longest, silentTime or more, or else the oldest one of those that were being sent for slowBodyTime, if it is older than
+// the body of r. It reports whether there was one. The body of r counts as waiting for memory until it is read on.
 func (g *Guard) CutBody(r *http.Request) bool {
 	own, _ := r.Context().Value(contextKey{}).(*Conn)
 	now := time.Now()
-	earliest, eldest := now.Add(-silentTime).UnixNano(), now.Add(-slowBodyTime)
+	earliest, eldest := now.Add(-silentTime).UnixNano(), now
 	g.mu.Lock()
-	if own != nil && own.since.Before(eldest) {
+	if own != nil {
+		own.holdBack(now)
 		eldest = own.since
 	}
 	var silent, oldest *Conn
@@ -317,7 +319,7 @@
 			if since := at.awaited.Load(); since != 0 && since <= earliest {
 				silent, earliest = at, since
 			}
-			if at.since.Before(eldest) {
+			if at.since.Before(eldest) && at.sendingTime(now) > slowBodyTime {
 				oldest, eldest = at, at.since
 			}
 		}
--- a/internal/connlimit/http.go
+++ b/internal/connlimit/http.go
@@ -76,6 +76,8 @@
 // beginBody bounds the time of a body. The connection counts as incomplete until the body was read.
 func (c *Conn) beginBody(r *http.Request) {
 	c.bodyBytes.Store(0)
+	c.heldBack.Store(0)
+	c.heldBackBefore.Store(0)
 	c.enter(phaseBody, &c.listener.incomplete)
 	// A deadline can't be set on a connection that is closed; reading the body then fails.
 	_ = c.Conn.SetReadDeadline(time.Now().Add(c.listener.opts.Limits().withDefaults().BodyTime))
@@ -90,6 +92,9 @@
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
+	if b.conn != nil {
+		b.conn.resume()
+	}
 	n, err := b.ReadCloser.Read(p)
 	if err != nil && b.conn != nil {
 		list := &b.conn.listener.running
