edge: an entry node stays connected to the control nodes it looks for the leader at

Callers' requests are refused, or served by an older configuration, for as long as an entry node does not find the leader.

Cause: the node had a connection to one control node at a time. A node named as the leader was given up, and the connection to it closed, when it had not opened within 500 ms: what is lost then is not an answer but a packet. Where connections open more slowly, the leader was never asked. Each control node that was gone or suspended cost 500 ms, also each time that a follower named it; two nodes that named each other, or one that led without being able to decide, kept the others from being asked.

Now leaderFinder, which has no clock and no I/O, selects the nodes to connect to: those that were named, and every 0.1 s one more member or seed. Nothing is closed before a node answers as the leader. Of the connected ones, the node named last is asked at once but only once a turn, and otherwise the one asked longest ago. "leader found" and "leader not found" tell how long a search takes.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -223,7 +223,7 @@
 	e.mesh, err = peer.New(peer.Options{
 		Self: cfg.Node, Addr: cfg.Listen.LinksBindAddr(), Secret: cfg.Secret, Mux: peer.NewMux(),
 		Log:        log.Logger().WithField("part", "links"),
-		Timing:     peer.Timing{Heartbeat: linkHeartbeat, SilenceTimeout: linkSilence, BackoffMax: linkBackoff},
+		Timing:     linkTiming,
 		MaxPending: e.shares.Pending,
 	})
 	if err != nil {
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,63 +29,14 @@
 	watchWait = time.Second
 	// watchTimeout bounds a watch request.
 	watchTimeout = watchWait + 700*time.Millisecond
-	// connectTimeout is how long a request that could not be sent to a control node is
-	// repeated before another node is tried.
-	connectTimeout = 500 * time.Millisecond
-	// retryPause is the pause before a control node is asked again.
-	retryPause = 25 * time.Millisecond
 	// unlistedGrace is how long an upstream stays in use after the leader stopped
 	// listing it. A new leader lists an upstream only after its next announcement; the
 	// time covers two announcements and the delivery of a message.
 	unlistedGrace = 3500 * time.Millisecond
 )
 
-// leaderFinder selects the control node to ask. It starts with the seeds and also tries
-// the members that the leader reports.
-type leaderFinder struct {
-	mu      sync.Mutex
-	seeds   []string
-	members []string
-	// target is the link address of the control node to ask; rotation counts the
-	// changes made without a hint.
-	target   string
-	rotation int
-}
-
-// newLeaderFinder returns a finder that starts with the first seed.
-func newLeaderFinder(seeds []string) *leaderFinder {
-	return &leaderFinder{seeds: seeds, target: seeds[0]}
-}
-
-// current returns the link address of the control node to ask.
-func (f *leaderFinder) current() string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.target
-}
-
-// next selects another control node: the one named by hint, or else the next of the
-// members and seeds in turn.
-func (f *leaderFinder) next(hint string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if hint != "" && hint != f.target {
-		f.target = hint
-		return
-	}
-	candidates := slices.Concat(f.members, f.seeds)
-	f.rotation++
-	f.target = candidates[f.rotation%len(candidates)]
-}
-
-// setMembers replaces the known members; an empty list is ignored.
-func (f *leaderFinder) setMembers(members []string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(members) > 0 {
-		f.members = members
-	}
-}
+// linkTiming is the timing of the connections to control nodes.
+var linkTiming = peer.Timing{Heartbeat: linkHeartbeat, SilenceTimeout: linkSilence, BackoffMax: linkBackoff}
 
 // followLeader watches the leader for changes of configuration, upstreams and members,
 // and applies them until ctx ends.
@@ -101,18 +50,23 @@
 	// is not prolonged by configurations that come meanwhile.
 	stateAt := boottime.Now()
 	for ctx.Err() == nil {
-		target := e.leader.current()
-		e.mesh.SetPeers([]peer.Peer{{Name: target, Addr: target}})
+		target := e.selectControlNode()
+		if target == "" {
+			pause.For(ctx, retryPause)
+			continue
+		}
 		askedAt := boottime.Now()
 		request.WaitMillis = max(0, e.watchHold()-(askedAt-stateAt)).Milliseconds()
 		answer, err := e.watchControlNode(ctx, target, request)
 		if err != nil {
 			if ctx.Err() == nil {
-				e.switchControlNode(ctx, target, err)
+				e.noteNoAnswer(target, err)
 			}
 			continue
 		}
-		e.leader.setMembers(answer.Members)
+		if missing, found := e.leader.answered(target, answer.Members, boottime.Now()); found {
+			e.log.Event("leader found", eventlog.Fields{"asked": target, "missingMillis": missing.Milliseconds()})
+		}
 		if answer.DetoursRevision != 0 {
 			e.detours.SetHelpers(answer.Detours)
 			request.DetoursRevision = answer.DetoursRevision
@@ -127,7 +81,7 @@
 		}
 		upstreams, err := answer.Upstreams.Decode()
 		if err != nil {
-			e.switchControlNode(ctx, target, err)
+			e.noteNoAnswer(target, err)
 			continue
 		}
 		// Do fails only when the node stops, which ends this loop.
@@ -164,27 +118,29 @@
 	return nil
 }
 
-// watchControlNode sends a watch request to a control node. It repeats a request that
-// could not be sent, because the connection may still be opening, for up to
-// connectTimeout.
+// selectControlNode connects to the control nodes that may lead and returns the one to ask now; "" if none can be.
+func (e *Edge) selectControlNode() string {
+	links, target := e.leader.next(boottime.Now(), e.mesh.Connected)
+	peers := make([]peer.Peer, len(links))
+	for i, link := range links {
+		peers[i] = peer.Peer{Name: link, Addr: link}
+	}
+	e.mesh.SetPeers(peers)
+	if r, due := e.leader.report(boottime.Now(), e.mesh.Connected); due {
+		e.log.Event("leader not found", eventlog.Fields{
+			"missingMillis": r.missing.Milliseconds(), "connected": r.connected, "connecting": r.connecting, "named": r.named,
+		})
+	}
+	return target
+}
+
+// watchControlNode sends a watch request to a control node.
 func (e *Edge) watchControlNode(ctx context.Context, target string, r nodelink.WatchRequest) (nodelink.WatchAnswer, error) {
 	// The leader sends nothing else to a node that lacks the configuration in force.
 	r.Version = e.unreadable
 	if v := e.routing.Load(); v != nil {
 		r.Version = max(r.Version, v.version)
 	}
-	start := time.Now()
-	for {
-		answer, err := e.watchOnce(ctx, target, r)
-		if !errors.Is(err, peer.ErrNotSent) || time.Since(start) > connectTimeout || ctx.Err() != nil {
-			return answer, err
-		}
-		pause.For(ctx, retryPause)
-	}
-}
-
-// watchOnce sends one watch request.
-func (e *Edge) watchOnce(ctx context.Context, target string, r nodelink.WatchRequest) (nodelink.WatchAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	var answer nodelink.WatchAnswer
@@ -192,24 +148,18 @@
 	return answer, err
 }
 
-// switchControlNode selects the node to ask after target failed: the leader that target
-// named, or else the next one. It stays with target if that names itself or is a leader
-// that cannot decide.
-func (e *Edge) switchControlNode(ctx context.Context, target string, cause error) {
-	hint := ""
+// noteNoAnswer logs that target did not answer as the leader, and has the next node selected accordingly.
+func (e *Edge) noteNoAnswer(target string, cause error) {
+	var answer leaderAnswer
 	var remote *peer.RemoteError
-	if errors.As(cause, &remote) && remote.Code == nodelink.CodeNotLeader {
-		hint = remote.Message
-	}
-	e.log.Event("control node does not answer", eventlog.Fields{"asked": target, "hint": hint, "error": cause.Error()})
-	if hint == target || remote != nil && remote.Code == nodelink.CodeUnavailable {
-		pause.For(ctx, retryPause)
-		return
-	}
-	e.leader.next(hint)
-	if hint == "" {
-		pause.For(ctx, retryPause)
+	if errors.As(cause, &remote) {
+		answer.cannotDecide = remote.Code == nodelink.CodeUnavailable
+		if answer.follows = remote.Code == nodelink.CodeNotLeader; answer.follows {
+			answer.named = remote.Message
+		}
 	}
+	e.log.Event("control node does not answer", eventlog.Fields{"asked": target, "hint": answer.named, "error": cause.Error()})
+	e.leader.failed(target, answer, boottime.Now())
 }
 
 // applyBrittle applies the leader's word on the services whose upstreams are brittle. It runs on the loop.
@@ -330,7 +280,5 @@
 		e.log.Event("seeds not taken", eventlog.Fields{"error": err.Error()})
 		return
 	}
-	e.leader.mu.Lock()
-	defer e.leader.mu.Unlock()
-	e.leader.seeds = seeds
+	e.leader.setSeeds(seeds)
 }
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -149,20 +150,23 @@
 	case "prompt crashes engines":
 		return text + "Engines crashed on calls that have a part of their prompts in common with this one."
 	case "no configuration yet", "no upstream":
-		return text + fmt.Sprintf("%d lines before it tell of control nodes that did not answer %s.", c.count("control node does not answer"), last.Node)
+		return text + fmt.Sprintf("%d lines before it tell of control nodes that did not answer %s.", c.count(withoutLeader...), last.Node)
 	case "configuration not proved current":
 		return text + fmt.Sprintf("%s could not show that the caller's key was still valid: %d lines before it tell of control nodes that did not answer.",
-			last.Node, c.count("control node does not answer"))
+			last.Node, c.count(withoutLeader...))
 	default:
 		return strings.TrimSpace(text)
 	}
 }
 
 // count returns the number of context lines of a kind.
-func (c *call) count(kind string) int {
+// withoutLeader holds the kinds of line that an entry node writes while it does not reach the leader.
+var withoutLeader = []string{"control node does not answer", "leader not found"}
+
+func (c *call) count(kinds ...string) int {
 	n := 0
 	for i := range c.context {
-		if c.context[i].Kind == kind {
+		if slices.Contains(kinds, c.context[i].Kind) {
 			n++
 		}
 	}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -111,7 +111,7 @@
 	"leading": true, "no longer leading": true, "sending orders": true, "order lease passed": true,
 	"upstream changed": true, "upstream left": true, "upstream fell silent": true, "upstream is leaving": true,
 	"upstream not confirmed": true, "upstream wants no calls": true,
-	"control node does not answer": true, "configuration in force": true,
+	"control node does not answer": true, "leader not found": true, "leader found": true, "configuration in force": true,
 	"configuration not proved current": true, "configuration proved current": true,
 	"lost": true, "not sent": true,
 }
@@ -192,7 +192,8 @@
 		return true
 	case "busiest models":
 		return c.busiest(line) != nil
-	case "control node does not answer", "configuration in force", "configuration not proved current", "configuration proved current":
+	case "control node does not answer", "leader not found", "leader found", "configuration in force",
+		"configuration not proved current", "configuration proved current":
 		return c.nodes[line.Node]
 	case "upstream changed", "upstream not confirmed", "upstream wants no calls":
 		return c.upstreams[line.text("upstream")] && c.nodes[line.Node]
