controller: a forwarded call keeps the named leader until a request has reached it

A control node that forwards a call asks the leader that it knows, and the one that this names. If the request to the named one was not sent, its name was given up. If the node had meanwhile forgotten the former leader, as it does when an election begins, every further attempt ended with "no leader is known", and the caller waited for the whole timeout. Now the name is kept until a request has reached that node; while it can't be reached, a leader that this node knows itself is asked again, since it may name another.

TestNamedLeaderIsKeptUntilAsked failed before: asked [a b ""] instead of [a b b]. The calls of leaderToAsk in TestNamedLeaderIsAsked take the new type; what they require is unchanged, and two cases were added.

--- a/internal/controller/api.go
+++ b/internal/controller/api.go
@@ -132,41 +132,48 @@
 // whose outcome is unknown. The error is ErrUnavailable.
 func (c *Controller) callLeader(ctx context.Context, method string, request, answer any, local func() error) error {
 	believed := ""
-	return retryAtLeader(ctx, method, func(hint string) error {
+	return retryAtLeader(ctx, method, func(named namedLeader) error {
 		known := c.leader()
-		target := leaderToAsk(known, believed, c.cfg.Listen.Links, hint)
+		target := leaderToAsk(known, believed, c.cfg.Listen.Links, named)
 		believed = known
 		return c.callLeaderOnce(ctx, target, method, request, answer, local)
 	})
 }
 
+// namedLeader is the leader that a called node named.
+type namedLeader struct {
+	// link is its link address; "" if none was named.
+	link string
+	// unreached is set if the latest request was not sent.
+	unreached bool
+}
+
 // leaderToAsk returns the leader to call, or "". known is the leader as this node, self, knows
-// it now, believed as it knew it when it called the node that named hint; hint is "" if that
-// named none. Until the next leader's messages reach it, a node knows only the former one, which
-// may name its successor.
-func leaderToAsk(known, believed, self, hint string) string {
-	if hint != "" && (known == "" || known == self || known == believed) {
-		return hint
+// it now, believed as it knew it when it called the node that named another. Until the next
+// leader's messages reach it, a node knows only the former one, which may name its successor. If
+// that cannot be reached, the one that this node knows is asked again.
+func leaderToAsk(known, believed, self string, named namedLeader) string {
+	if named.link != "" && (known == "" || (known == self || known == believed) && !named.unreached) {
+		return named.link
 	}
 	return known
 }
 
-// retryAtLeader is the loop of callLeader. attempt gets the leader that the attempt before it
-// named, or "".
-func retryAtLeader(ctx context.Context, method string, attempt func(hint string) error) error {
-	hint := ""
+// retryAtLeader is the loop of callLeader. attempt gets the leader that was named last, until a
+// request has reached it.
+func retryAtLeader(ctx context.Context, method string, attempt func(named namedLeader) error) error {
+	var named namedLeader
 	for {
-		err := attempt(hint)
+		err := attempt(named)
 		if err == nil {
 			return nil
 		}
-		hint = ""
 		if mayHaveChanged(method, err) {
 			// The operator sends the change again.
 			return errors.Mark(err, ErrUnavailable)
 		}
-		if code, ok := peer.CodeOf(err); ok && code == nodelink.CodeNotLeader {
-			hint = leaderHintFrom(err)
+		if named.unreached = errors.Is(err, peer.ErrNotSent); !named.unreached {
+			named.link = leaderHintFrom(err)
 		}
 		select {
 		case <-time.After(leaderRetryInterval):
--- a/internal/controller/api_test.go
+++ b/internal/controller/api_test.go
@@ -28,7 +28,7 @@
 	defer cancel()
 	for _, unknown := range []error{undecided, unanswered} {
 		attempts := 0
-		err := retryAtLeader(ctx, nodelink.Configure, func(string) error {
+		err := retryAtLeader(ctx, nodelink.Configure, func(namedLeader) error {
 			attempts++
 			return unknown
 		})
@@ -36,7 +36,7 @@
 		is.Equal(attempts, 1)
 	}
 	attempts := 0
-	is.NoErr(retryAtLeader(ctx, nodelink.Configure, func(string) error {
+	is.NoErr(retryAtLeader(ctx, nodelink.Configure, func(namedLeader) error {
 		if attempts++; attempts == 1 {
 			return peer.Errorf(nodelink.CodeNotLeader, "a:1")
 		}
@@ -45,14 +45,36 @@
 	is.Equal(attempts, 2)
 }
 
+// TestNamedLeaderIsKeptUntilAsked has a request to a named leader fail on its way.
+func TestNamedLeaderIsKeptUntilAsked(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*leaderRetryInterval)
+	defer cancel()
+	known, asked := "a", []string{}
+	is.NoErr(retryAtLeader(ctx, nodelink.Announce, func(n namedLeader) error {
+		asked = append(asked, leaderToAsk(known, "a", "self", n))
+		known = "" // forgotten since an election began
+		switch len(asked) {
+		case 1:
+			return peer.Errorf(nodelink.CodeNotLeader, "b")
+		case 2:
+			return errors.Mark(errors.New("no connection"), peer.ErrNotSent)
+		}
+		return nil
+	}))
+	is.Equal(asked, []string{"a", "b", "b"})
+}
+
 // TestNamedLeaderIsAsked guards against a node that keeps calling a former leader which names another.
 func TestNamedLeaderIsAsked(t *testing.T) {
 	is := is.New(t)
-	is.Equal(leaderToAsk("", "", "self", ""), "")
-	is.Equal(leaderToAsk("", "", "self", "b"), "b")
-	is.Equal(leaderToAsk("a", "a", "self", ""), "a")
-	is.Equal(leaderToAsk("a", "a", "self", "b"), "b")    // named by the former leader
-	is.Equal(leaderToAsk("c", "a", "self", "b"), "c")    // learned meanwhile
-	is.Equal(leaderToAsk("self", "a", "self", "b"), "b") // may be a former leader itself
-	is.Equal(leaderToAsk("self", "self", "self", ""), "self")
+	is.Equal(leaderToAsk("", "", "self", namedLeader{}), "")
+	is.Equal(leaderToAsk("", "", "self", namedLeader{link: "b"}), "b")
+	is.Equal(leaderToAsk("a", "a", "self", namedLeader{}), "a")
+	is.Equal(leaderToAsk("a", "a", "self", namedLeader{link: "b"}), "b")    // named by the former leader
+	is.Equal(leaderToAsk("c", "a", "self", namedLeader{link: "b"}), "c")    // learned meanwhile
+	is.Equal(leaderToAsk("self", "a", "self", namedLeader{link: "b"}), "b") // may be a former leader itself
+	is.Equal(leaderToAsk("self", "self", "self", namedLeader{}), "self")
+	is.Equal(leaderToAsk("a", "a", "self", namedLeader{link: "gone", unreached: true}), "a") // may name another by now
+	is.Equal(leaderToAsk("", "a", "self", namedLeader{link: "b", unreached: true}), "b")
 }
