controller: due membership changes follow each other without waiting for a check

Seen: after both wiped voters had joined, an idle group took 0.8 s or more until it had five voters with a log again: two removals, two learners and two promotions, one per membership check of 200 ms.

Cause: keepMembership made at most one change per tick, and learned of a join, of its leadership and of a learner that had caught up only at a tick.

Now a change that was made is followed by the next check at once, a join and a change of role or leader wake the check, and a learner that is to be promoted is looked at every 20 ms. After an error the next try waits for the interval as before, so a refused change does not loop.

--- a/internal/controller/cluster_test.go
+++ b/internal/controller/cluster_test.go
@@ -36,6 +36,8 @@
 	decode controller.Decoder
 	// applyDelay is how much longer each log entry takes to apply on nodes started next.
 	applyDelay time.Duration
+	// membershipInterval, if not zero, is the interval of membership checks of nodes started next.
+	membershipInterval time.Duration
 }
 
 type testNode struct {
@@ -105,6 +107,9 @@
 			c.t.Fatal(err)
 		}
 		node.SlowApplication(c.applyDelay)
+		if c.membershipInterval > 0 {
+			node.SetMembershipInterval(c.membershipInterval)
+		}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -142,6 +142,10 @@
 	// leaderless and unresponsive decide when a missing leader and, on the leader, voters that do
 	// not reply are logged. Only observeMembers accesses them.
 	leaderless, unresponsive absenceWatch
+	// membershipInterval is the interval of membership checks while nothing changes.
+	membershipInterval time.Duration
+	// memberJoined wakes the membership part of the leader once a member has joined.
+	memberJoined chan struct{}
 	// membershipTerm is the latest term in which this node led and had applied every change
 	// of earlier terms. Only the membership part accesses it.
 	membershipTerm uint64
@@ -165,7 +169,8 @@
 		cfg: cfg, log: log, orders: orders, seeds: seeds, files: storage.OS{},
 		metrics:    metrics.New("control." + cfg.Node),
 		loop:       owner.New(),
-		entryNodes: map[string]entryNode{},
+		entryNodes: map[string]entryNode{}, memberJoined: make(chan struct{}, 1),
+		membershipInterval: membershipInterval,
 	}
 	for _, change := range options {
 		change(c)
--- a/internal/controller/export_test.go
+++ b/internal/controller/export_test.go
@@ -23,6 +23,9 @@
 	}
 }
 
+// SetMembershipInterval sets the interval of membership checks. It must be called before Run.
+func (c *Controller) SetMembershipInterval(d time.Duration) { c.membershipInterval = d }
+
 // RecordStream records a stream that begins, as for an entry node.
 func (c *Controller) RecordStream(ctx context.Context, software string, k origin.Key) error {
 	_, err := c.serveRecordStreams(ctx, "front", nodelink.RecordStreamsRequest{Begun: origin.Add(nil, software, k)})
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -19,6 +19,8 @@
 const (
 	// membershipInterval is the interval of membership checks.
 	membershipInterval = 200 * time.Millisecond
+	// catchUpInterval is the interval of checks while a learner that is to be promoted catches up.
+	catchUpInterval = 20 * time.Millisecond
 	// memberChangeTimeout bounds one membership change.
 	memberChangeTimeout = 2 * time.Second
 	// leaderlessTimeout is how long a member knows no leader before it asks other nodes
@@ -29,14 +31,14 @@
 // keepMembership keeps the connections to the other control nodes. It joins the group if
 // this node is not a member, and adjusts the membership if it is the leader.
 func (c *Controller) keepMembership(ctx context.Context) error {
-	ticker := time.NewTicker(membershipInterval)
-	defer ticker.Stop()
 	var peers []peer.Peer
 	leaderHeardAt := boottime.Now()
 	var targets joinTargets
 	attempts := joinAttempts{answers: map[string]string{}}
 	for {
-		status := c.raftReplica.Status()
+		_, leaderChanged := c.raftReplica.WatchStatus()
+		status, _ := c.raftReplica.CurrentStatus()
+		pause := c.membershipInterval
 		if next := c.peerList(status, targets.links(boottime.Now())); !slices.Equal(peers, next) {
 			peers = next
 			c.mesh.SetPeers(peers)
@@ -46,7 +48,7 @@
 		}
 		switch {
 		case status.Role == raft.Leader:
-			c.adjustMembership(ctx, status)
+			pause = c.adjustMembership(ctx, status)
 		case !c.isMember(status) || boottime.Now()-leaderHeardAt > leaderlessTimeout || c.registrationOutdated():
 			if err := c.join(ctx, &targets, &attempts, peers, c.neverJoined(status)); err != nil {
 				return supervisor.Permanent(err)
@@ -56,7 +58,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-leaderChanged:
+		case <-c.memberJoined:
+		case <-time.After(pause):
 		}
 	}
 }
@@ -116,26 +120,33 @@
 
 // adjustMembership attempts at most one change towards the target membership and logs it.
 // It attempts none before this leader has applied the members that its predecessors
-// accepted: they would count as removed.
-func (c *Controller) adjustMembership(ctx context.Context, status raft.Status) {
+// accepted: they would count as removed. It returns the pause before the next attempt; there is
+// none after a change that was made, since the next one may be due.
+func (c *Controller) adjustMembership(ctx context.Context, status raft.Status) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, memberChangeTimeout)
 	defer cancel()
 	if c.membershipTerm != status.Term {
 		if _, err := c.raftReplica.ReadBarrier(ctx); err != nil {
 			c.log.Event("membership left unchanged", eventlog.Fields{"term": status.Term, "error": err.Error()})
-			return
+			return c.membershipInterval
 		}
 		c.membershipTerm = status.Term
 	}
 	members := c.stateMachine.members()
 	change, fields, err := c.changeMembership(ctx, status, members, c.silence.silent(boottime.Now()))
-	if change == "" {
-		return
-	}
-	if err != nil {
+	switch {
+	case errors.Is(err, raft.ErrNotCaughtUp):
+		return catchUpInterval
+	case change == "":
+		return c.membershipInterval
+	case err != nil:
 		fields["error"] = err.Error()
 	}
 	c.log.Event(change, fields)
+	if err != nil {
+		return c.membershipInterval
+	}
+	return 0
 }
 
 // replaceTimeout returns how long a voter must be unreachable before another member
@@ -154,7 +165,8 @@
 }
 
 // changeMembership makes the first membership change that is due and returns its log
-// message with fields, or "" if none is due.
+// message with fields, or "" if none is due. The error matches raft.ErrNotCaughtUp if all that is due is
+// to promote a learner that is catching up.
 //
 // A member deletes its log once it is retired, so a voter first loses its vote.
 func (c *Controller) changeMembership(
@@ -183,10 +195,12 @@
 			return "learner added", eventlog.Fields{"member": id, "node": m.Node}, c.raftReplica.AddLearner(ctx, id)
 		}
 	}
+	var catchingUp error
 	for _, id := range learners {
-		if len(voters) < c.targetVoters() || anyLost {
+		if silent[id] == 0 && (len(voters) < c.targetVoters() || anyLost) {
 			err := c.raftReplica.Promote(ctx, id)
 			if errors.Is(err, raft.ErrNotCaughtUp) {
+				catchingUp = err
 				continue
 			}
 			return "learner promoted", eventlog.Fields{"member": id, "voters": len(voters) + 1}, err
@@ -195,7 +209,7 @@
 	if id, ok := c.surplusVoter(voters); ok {
 		return "surplus voter removed", eventlog.Fields{"member": id, "voters": len(voters)}, c.raftReplica.Remove(ctx, id)
 	}
-	return "", nil, nil
+	return "", nil, catchingUp
 }
 
 // longestSilent returns the voter that has been unreachable for the longest time, if that is
--- a/internal/controller/rejoin_test.go
+++ b/internal/controller/rejoin_test.go
@@ -76,3 +76,23 @@
 		})
 	}
 }
+
+// TestWipedVotersAreReplacedWithoutChecks wipes two of five voters where each membership check of the leader comes
+// too late. Every change has to follow from the event before it: a join, a change, a learner that has caught up.
+func TestWipedVotersAreReplacedWithoutChecks(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 18160, 5)
+	c.membershipInterval = 2 * catchUpTime
+	c.start(0, 1, 2)
+	c.membershipInterval = 0
+	c.start(3, 4)
+	for i := range 5 {
+		c.waitForVoters(i)
+	}
+	c.leadFromOneOf(0, 1, 2)
+	c.kill(3, 4)
+	c.wipe(3)
+	c.wipe(4)
+	c.start(3, 4)
+	c.requireVoters(0, 1, 2, 3, 4)
+}
--- a/internal/controller/serve.go
+++ b/internal/controller/serve.go
@@ -393,6 +393,10 @@
 			return nil, c.peerError(err)
 		}
 		c.log.Event("member joined", eventlog.Fields{"member": r.Member.ID, "node": r.Member.Node, "link": r.Member.Link})
+		select {
+		case c.memberJoined <- struct{}{}:
+		default:
+		}
 	}
 	return nodelink.JoinAnswer{Members: c.stateMachine.memberList()}, nil
 }
