controller: a voter that does not reply is lost even if its address answers

Seen: while a process at the address of a wiped voter answers on its connections but never joins, that voter counts for good, although a member without a vote is there to replace it. One more loss that is allowed is then one too many.

Cause: silence is measured by connections between nodes. After the loss of a disk the connection is that of the process, and the member of the log is gone; only the consensus core knows, since no reply comes.

The leader now counts a voter as unreachable also while its core lists it as unresponsive, so that replaceTimeout applies to it. A surplus voter is removed only once all voters have replied in this term: by its address the lost one would count as back, and the member that replaced it would lose its vote.

--- a/internal/controller/lostvoter_test.go
+++ b/internal/controller/lostvoter_test.go
@@ -46,3 +46,26 @@
 	}
 	t.Log("replaced after", time.Since(lost), "changes of leader", handedOver)
 }
+
+// TestVoterWithoutLogIsReplacedThoughConnected replaces a voter by a process at its address that answers on its
+// connections and never joins. A member without a vote is there to replace it.
+func TestVoterWithoutLogIsReplacedThoughConnected(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 18170, wantVoters+1)
+	c.nodes[5].cfg.FirstStart = false
+	c.start(0, 1, 2, 3, 4)
+	for i := range 5 {
+		c.waitForVoters(i)
+	}
+	c.start(5)
+	leader := c.leadFromOneOf(0, 1, 2, 3, 4)
+	c.waitFor("the learner", func() bool {
+		voters, learners := c.nodes[leader].node.Members()
+		return voters == wantVoters && learners == 1
+	})
+	wiped := (leader + 1) % 5
+	c.kill(wiped)
+	link := c.nodes[wiped].cfg.Listen.Links
+	c.connectAs(link, link)
+	c.requireVoters(slices.DeleteFunc([]int{0, 1, 2, 3, 4, 5}, func(i int) bool { return i == wiped })...)
+}
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -206,7 +206,7 @@
 			return "learner promoted", eventlog.Fields{"member": id, "voters": len(voters) + 1}, err
 		}
 	}
-	if id, ok := c.surplusVoter(voters); ok {
+	if id, ok := c.surplusVoter(status); ok {
 		return "surplus voter removed", eventlog.Fields{"member": id, "voters": len(voters)}, c.raftReplica.Remove(ctx, id)
 	}
 	return "", nil, catchingUp
@@ -225,9 +225,10 @@
 	return lost, ok
 }
 
-// surplusVoter returns the voter to remove if there are more than the target and all can be
-// reached: the one for which a learner was promoted has come back. It stays a member.
-func (c *Controller) surplusVoter(voters []raft.MemberID) (raft.MemberID, bool) {
+// surplusVoter returns the voter to remove if there are more than the target and all have replied
+// to this leader: the one for which a learner was promoted has come back. It stays a member.
+func (c *Controller) surplusVoter(status raft.Status) (raft.MemberID, bool) {
+	voters := status.Members.Voters
 	if len(voters) <= c.targetVoters() {
 		return 0, false
 	}
@@ -236,8 +237,7 @@
 		if id == c.member {
 			continue
 		}
-		link, ok := c.addresses.NodeOf(id)
-		if !ok || !c.mesh.Reachable(link) {
+		if status.Match[id] == 0 || slices.Contains(status.Unresponsive, id) {
 			return 0, false
 		}
 		surplus = id
--- a/internal/controller/reachability.go
+++ b/internal/controller/reachability.go
@@ -35,7 +35,8 @@
 }
 
 // reachableMembers returns, for each member of the Raft group and each member in the
-// replicated state, whether this node can reach it.
+// replicated state, whether this node can reach it. The leader does not reach a voter that does not
+// reply, though the voter's address may answer: after the loss of a disk, the process there is another member.
 func (c *Controller) reachableMembers(status raft.Status) map[raft.MemberID]bool {
 	ids := slices.Concat(status.Members.Voters, status.Members.Learners)
 	for id := range c.stateMachine.members() {
@@ -44,7 +45,7 @@
 	reachable := make(map[raft.MemberID]bool, len(ids))
 	for _, id := range ids {
 		link, ok := c.addresses.NodeOf(id)
-		reachable[id] = id == c.member || ok && c.mesh.Reachable(link)
+		reachable[id] = id == c.member || ok && c.mesh.Reachable(link) && !slices.Contains(status.Unresponsive, id)
 	}
 	return reachable
 }
--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -172,10 +172,17 @@
 
 // connect returns connections to all nodes, as another node has them.
 func (c *cluster) connect() *peer.Mesh {
+	c.t.Helper()
+	return c.connectAs("requester", "127.0.0.1:0")
+}
+
+// connectAs is connect for a node of the given name that listens at addr. It answers heartbeats and no
+// messages.
+func (c *cluster) connectAs(self, addr string) *peer.Mesh {
 	c.t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	options := peer.Options{Self: "requester", Addr: "127.0.0.1:0", Secret: c.nodes[0].cfg.Secret, Mux: peer.NewMux(), Log: logger}
+	options := peer.Options{Self: self, Addr: addr, Secret: c.nodes[0].cfg.Secret, Mux: peer.NewMux(), Log: logger}
 	for _, n := range c.nodes {
 		options.Peers = append(options.Peers, peer.Peer{Name: n.cfg.Listen.Links, Addr: n.cfg.Listen.Links})
 	}
