controller: a learner with a slow disk is promoted although entries keep coming

Seen: a wiped voter whose disk takes 600 ms longer for each sync stays without a vote for as long as the configuration changes every 0.1 s: four voters after 19 s, of which three are needed.

Cause: CatchUpMargin was zero, so that the learner had to hold the commit index at the moment of a check. Its writes cover what had come when they began, so it is always a few entries behind.

The margin is now raftMaxInflight entries. That is safe: the promotion itself needs a majority of the voters with it, and a change is acknowledged once it is on one disk more than may be lost, a lagging voter not counted. The core refuses a learner that holds nothing, which a margin would let pass in a short log.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -36,6 +36,9 @@
 	// number of unacknowledged messages per member.
 	raftMaxBatchBytes = 1 << 20
 	raftMaxInflight   = 16
+	// raftCatchUpMargin is how many entries behind a learner may be promoted. While entries come faster than its
+	// disk takes them it is always some behind, as a voter with such a disk would be.
+	raftCatchUpMargin = raftMaxInflight
 	// linkHeartbeat and linkSilenceTimeout detect a dead connection between nodes within
 	// two seconds.
 	linkHeartbeat      = 400 * time.Millisecond
@@ -204,7 +207,8 @@
 	c.raftReplica, err = replica.New(replica.Config{
 		Raft: raft.Config{
 			ID: c.member, Heartbeat: raftHeartbeat, ElectionTimeout: raftElectionTimeout, Lease: raftLease,
-			MaxBatchBytes: raftMaxBatchBytes, MaxInflight: raftMaxInflight, Seed: uint64(c.member),
+			MaxBatchBytes: raftMaxBatchBytes, MaxInflight: raftMaxInflight,
+			CatchUpMargin: raftCatchUpMargin, Seed: uint64(c.member),
 		},
 		Restored: restored, Store: c.disk, Machine: c.stateMachine,
 		Transport: replica.MeshTransport{Mesh: c.mesh, Directory: c.addresses},
--- a/internal/controller/rejoin_test.go
+++ b/internal/controller/rejoin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -96,3 +97,36 @@
 	c.start(3, 4)
 	c.requireVoters(0, 1, 2, 3, 4)
 }
+
+// TestWipedVoterWithSlowDiskIsPromotedUnderChanges wipes a voter whose disk is slow from then on, while the
+// configuration changes faster than that disk can write.
+func TestWipedVoterWithSlowDiskIsPromotedUnderChanges(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 18230, 5)
+	c.start(0, 1, 2, 3, 4)
+	for i := range 5 {
+		c.waitForVoters(i)
+	}
+	leader := c.leadFromOneOf(0, 1, 2, 3, 4)
+	wiped := (leader + 1) % 5
+	c.kill(wiped)
+	c.wipe(wiped)
+	leading := c.nodes[leader].node
+	var changes sync.WaitGroup
+	stop := make(chan struct{})
+	changes.Go(func() {
+		for version := uint64(1); ; version++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(100 * time.Millisecond):
+				changes.Go(func() { _, _ = leading.Configure(t.Context(), version, fmt.Append(nil, version)) })
+			}
+		}
+	})
+	defer changes.Wait()
+	defer close(stop)
+	c.start(wiped)
+	c.nodes[wiped].disk.syncDelay.Store(int64(600 * time.Millisecond))
+	c.requireVoters(0, 1, 2, 3, 4)
+}
--- a/raft/leader_test.go
+++ b/raft/leader_test.go
@@ -243,6 +243,26 @@
 	}
 }
 
+// TestEmptyLearnerIsNotPromoted guards against a voter without a log where the whole log is shorter than
+// CatchUpMargin.
+func TestEmptyLearnerIsNotPromoted(t *testing.T) {
+	is := is.New(t)
+	from := founding(3)
+	from.Snapshot.Members.Learners = []MemberID{4}
+	c := newTestCore(t, from)
+	c.cfg.CatchUpMargin = 16
+	now := elect(t, c)
+	takeAndPersist(c, now)
+	acceptAppend(c, 2, 2, 1, now)
+	acceptAppend(c, 4, 0, 1, now)
+	next := Members{Voters: []MemberID{1, 2, 3, 4}}
+	_, _, err := c.ProposeMembers(next, now)
+	is.True(errors.Is(err, ErrNotCaughtUp))
+	acceptAppend(c, 4, 1, 1, now)
+	_, _, err = c.ProposeMembers(next, now)
+	is.NoErr(err)
+}
+
 // commitMembers proposes a membership on the leader until it is committed.
 func (n *network) commitMembers(next Members) {
 	for i := 0; ; i++ {
--- a/raft/members.go
+++ b/raft/members.go
@@ -169,11 +169,11 @@
 	return nil
 }
 
-// checkPromotion returns an error unless the learner responds, lags behind the commit
-// index by at most CatchUpMargin, and leaves a responsive majority when promoted.
+// checkPromotion returns an error unless the learner responds, holds a part of the log, lags behind the
+// commit index by at most CatchUpMargin, and leaves a responsive majority when promoted.
 func (c *Core) checkPromotion(next *Members, id MemberID) error {
 	p := c.leaderState.peer(id)
-	if p == nil || !c.responsive(id) || p.match+c.cfg.CatchUpMargin < c.log.commit {
+	if p == nil || !c.responsive(id) || p.match == 0 || p.match+c.cfg.CatchUpMargin < c.log.commit {
 		return errors.Wrapf(ErrNotCaughtUp, "learner %d", id)
 	}
 	return c.checkMajorityResponsive(next)
