--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -149,6 +149,8 @@
 	membershipInterval time.Duration
 	// memberJoined wakes the membership part of the leader once a member has joined.
 	memberJoined chan struct{}
+	// leaderSeen passes the link address of a leader that takes this node for another member.
+	leaderSeen chan string
 	// membershipTerm is the latest term in which this node led and had applied every change
 	// of earlier terms. Only the membership part accesses it.
 	membershipTerm uint64
@@ -172,7 +174,9 @@
 		cfg: cfg, log: log, orders: orders, seeds: seeds, files: storage.OS{},
 		metrics:    metrics.New("control." + cfg.Node),
 		loop:       owner.New(),
-		entryNodes: map[string]entryNode{}, memberJoined: make(chan struct{}, 1),
+		entryNodes: map[string]entryNode{},
+		leaderSeen: make(chan string, 1), memberJoined: make(chan struct{}, 1),
+
 		membershipInterval: membershipInterval,
 	}
 	for _, change := range options {
@@ -218,7 +222,9 @@
 	if err != nil {
 		return nil, err
 	}
-	replica.HandleMessages(mux, c.addresses, c.raftReplica.Deliver)
+	replica.HandleMessages(mux, replica.Receiver{
+		Self: c.member, Directory: c.addresses, Deliver: c.raftReplica.Deliver, Learn: c.addresses.learn, LeaderOfOther: c.noteLeader,
+	})
 	c.registerGauges()
 	return c, nil
 }
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -55,16 +55,44 @@
 			}
 		}
 		c.reportJoinAttempts(&attempts, &targets, status, boottime.Now())
+		if !c.awaitMembershipCheck(ctx, time.After(pause), leaderChanged, &targets) {
+			return nil
+		}
+	}
+}
+
+// awaitMembershipCheck waits for the next tick, another leader, a member that joined at this leader, or a leader
+// that was not named before: one that was sends many messages between two ticks. It returns false when ctx ends.
+func (c *Controller) awaitMembershipCheck(
+	ctx context.Context, tick <-chan time.Time, leaderChanged <-chan struct{}, targets *joinTargets,
+) bool {
+	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return false
+		case <-tick:
+			return true
 		case <-leaderChanged:
+			return true
 		case <-c.memberJoined:
-		case <-time.After(pause):
+			return true
+		case link := <-c.leaderSeen:
+			if targets.name(link, boottime.Now()) {
+				return true
+			}
 		}
 	}
 }
 
+// noteLeader tells the membership part of a leader that takes this node for another member, as it does after
+// a disk was lost. Such a node may have no other way to find the leader: all seeds may have lost their logs.
+func (c *Controller) noteLeader(link string) {
+	select {
+	case c.leaderSeen <- link:
+	default:
+	}
+}
+
 // neverJoined reports whether this member has an empty log and so has never belonged to
 // the group.
 func (c *Controller) neverJoined(status raft.Status) bool { return status.LastIndex == 0 }
