--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -36,6 +36,9 @@
 	// number of unacknowledged messages per member.
 	raftMaxBatchBytes = 1 << 20
 	raftMaxInflight   = 16
+	// raftCatchUpMargin is how many entries behind a learner may be promoted. While entries come faster than its
+	// disk takes them it is always some behind, as a voter with such a disk would be.
+	raftCatchUpMargin = raftMaxInflight
 	// linkHeartbeat and linkSilenceTimeout detect a dead connection between nodes within
 	// two seconds.
 	linkHeartbeat      = 400 * time.Millisecond
@@ -142,6 +145,10 @@
 	// leaderless and unresponsive decide when a missing leader and, on the leader, voters that do
 	// not reply are logged. Only observeMembers accesses them.
 	leaderless, unresponsive absenceWatch
+	// membershipInterval is the interval of membership checks while nothing changes.
+	membershipInterval time.Duration
+	// memberJoined wakes the membership part of the leader once a member has joined.
+	memberJoined chan struct{}
 	// leaderSeen passes the link address of a leader that takes this node for another member.
 	leaderSeen chan string
 	// membershipTerm is the latest term in which this node led and had applied every change
@@ -168,7 +175,9 @@
 		metrics:    metrics.New("control." + cfg.Node),
 		loop:       owner.New(),
 		entryNodes: map[string]entryNode{},
-		leaderSeen: make(chan string, 1),
+		leaderSeen: make(chan string, 1), memberJoined: make(chan struct{}, 1),
+
+		membershipInterval: membershipInterval,
 	}
 	for _, change := range options {
 		change(c)
@@ -202,7 +211,8 @@
 	c.raftReplica, err = replica.New(replica.Config{
 		Raft: raft.Config{
 			ID: c.member, Heartbeat: raftHeartbeat, ElectionTimeout: raftElectionTimeout, Lease: raftLease,
-			MaxBatchBytes: raftMaxBatchBytes, MaxInflight: raftMaxInflight, Seed: uint64(c.member),
+			MaxBatchBytes: raftMaxBatchBytes, MaxInflight: raftMaxInflight,
+			CatchUpMargin: raftCatchUpMargin, Seed: uint64(c.member),
 		},
 		Restored: restored, Store: c.disk, Machine: c.stateMachine,
 		Transport: replica.MeshTransport{Mesh: c.mesh, Directory: c.addresses},
--- a/internal/controller/rejoin_test.go
+++ b/internal/controller/rejoin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -10,12 +11,13 @@
 	"github.com/agateslip/agateslip/raft"
 )
 
-// leadFromOneOf makes one of the given nodes the leader.
-func (c *cluster) leadFromOneOf(nodes ...int) {
+// leadFromOneOf makes one of the given nodes the leader and returns it.
+func (c *cluster) leadFromOneOf(nodes ...int) (leader int) {
 	c.t.Helper()
 	c.waitFor(fmt.Sprint("a leader among ", nodes), func() bool {
 		for _, i := range nodes {
 			if c.nodes[i].node.Leads() {
+				leader = i
 				return true
 			}
 		}
@@ -28,6 +30,7 @@
 		}
 		return false
 	})
+	return leader
 }
 
 // requireVoters fails the test unless the members on the given nodes are, within catchUpTime, the voters of
@@ -97,3 +100,56 @@
 	c.start(0, 1)
 	c.requireVoters(0, 1, 3, 4, 5)
 }
+
+// TestWipedVotersAreReplacedWithoutChecks wipes two of five voters where each membership check of the leader comes
+// too late. Every change has to follow from the event before it: a join, a change, a learner that has caught up.
+func TestWipedVotersAreReplacedWithoutChecks(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 18240, 5)
+	c.membershipInterval = 2 * catchUpTime
+	c.start(0, 1, 2)
+	c.membershipInterval = 0
+	c.start(3, 4)
+	for i := range 5 {
+		c.waitForVoters(i)
+	}
+	c.leadFromOneOf(0, 1, 2)
+	c.kill(3, 4)
+	c.wipe(3)
+	c.wipe(4)
+	c.start(3, 4)
+	c.requireVoters(0, 1, 2, 3, 4)
+}
+
+// TestWipedVoterWithSlowDiskIsPromotedUnderChanges wipes a voter whose disk is slow from then on, while the
+// configuration changes faster than that disk can write.
+func TestWipedVoterWithSlowDiskIsPromotedUnderChanges(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 18230, 5)
+	c.start(0, 1, 2, 3, 4)
+	for i := range 5 {
+		c.waitForVoters(i)
+	}
+	leader := c.leadFromOneOf(0, 1, 2, 3, 4)
+	wiped := (leader + 1) % 5
+	c.kill(wiped)
+	c.wipe(wiped)
+	leading := c.nodes[leader].node
+	var changes sync.WaitGroup
+	stop := make(chan struct{})
+	changes.Go(func() {
+		for version := uint64(1); ; version++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(100 * time.Millisecond):
+				changes.Go(func() { _, _ = leading.Configure(t.Context(), version, fmt.Append(nil, version)) })
+			}
+		}
+	})
+	defer changes.Wait()
+	defer close(stop)
+	c.start(wiped)
+	c.nodes[wiped].disk.syncDelay.Store(int64(600 * time.Millisecond))
+	c.requireVoters(0, 1, 2, 3, 4)
+}
