--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -19,6 +19,8 @@
 const (
 	// membershipInterval is the interval of membership checks.
 	membershipInterval = 200 * time.Millisecond
+	// catchUpInterval is the interval of checks while a learner that is to be promoted catches up.
+	catchUpInterval = 20 * time.Millisecond
 	// memberChangeTimeout bounds one membership change.
 	memberChangeTimeout = 2 * time.Second
 	// leaderlessTimeout is how long a member knows no leader before it asks other nodes
@@ -29,14 +31,14 @@
 // keepMembership keeps the connections to the other control nodes. It joins the group if
 // this node is not a member, and adjusts the membership if it is the leader.
 func (c *Controller) keepMembership(ctx context.Context) error {
-	ticker := time.NewTicker(membershipInterval)
-	defer ticker.Stop()
 	var peers []peer.Peer
 	leaderHeardAt := boottime.Now()
 	var targets joinTargets
 	attempts := joinAttempts{answers: map[string]string{}}
 	for {
-		status := c.raftReplica.Status()
+		_, leaderChanged := c.raftReplica.WatchStatus()
+		status, _ := c.raftReplica.CurrentStatus()
+		pause := c.membershipInterval
 		if next := c.peerList(status, targets.links(boottime.Now())); !slices.Equal(peers, next) {
 			peers = next
 			c.mesh.SetPeers(peers)
@@ -46,19 +48,38 @@
 		}
 		switch {
 		case status.Role == raft.Leader:
-			c.adjustMembership(ctx, status)
+			pause = c.adjustMembership(ctx, status)
 		case !c.isMember(status) || boottime.Now()-leaderHeardAt > leaderlessTimeout || c.registrationOutdated():
 			if err := c.join(ctx, &targets, &attempts, peers, c.neverJoined(status)); err != nil {
 				return supervisor.Permanent(err)
 			}
 		}
 		c.reportJoinAttempts(&attempts, &targets, status, boottime.Now())
+		if !c.awaitMembershipCheck(ctx, time.After(pause), leaderChanged, &targets) {
+			return nil
+		}
+	}
+}
+
+// awaitMembershipCheck waits for the next tick, another leader, a member that joined at this leader, or a leader
+// that was not named before: one that was sends many messages between two ticks. It returns false when ctx ends.
+func (c *Controller) awaitMembershipCheck(
+	ctx context.Context, tick <-chan time.Time, leaderChanged <-chan struct{}, targets *joinTargets,
+) bool {
+	for {
 		select {
 		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
+			return false
+		case <-tick:
+			return true
+		case <-leaderChanged:
+			return true
+		case <-c.memberJoined:
+			return true
 		case link := <-c.leaderSeen:
-			targets.name(link, boottime.Now())
+			if targets.name(link, boottime.Now()) {
+				return true
+			}
 		}
 	}
 }
@@ -127,26 +148,33 @@
 
 // adjustMembership attempts at most one change towards the target membership and logs it.
 // It attempts none before this leader has applied the members that its predecessors
-// accepted: they would count as removed.
-func (c *Controller) adjustMembership(ctx context.Context, status raft.Status) {
+// accepted: they would count as removed. It returns the pause before the next attempt; there is
+// none after a change that was made, since the next one may be due.
+func (c *Controller) adjustMembership(ctx context.Context, status raft.Status) time.Duration {
 	ctx, cancel := context.WithTimeout(ctx, memberChangeTimeout)
 	defer cancel()
 	if c.membershipTerm != status.Term {
 		if _, err := c.raftReplica.ReadBarrier(ctx); err != nil {
 			c.log.Event("membership left unchanged", eventlog.Fields{"term": status.Term, "error": err.Error()})
-			return
+			return c.membershipInterval
 		}
 		c.membershipTerm = status.Term
 	}
 	members := c.stateMachine.members()
-	change, fields, err := c.changeMembership(ctx, status, members, c.silence.silent(boottime.Now()))
-	if change == "" {
-		return
+	changes, err := c.changeMembership(ctx, status, members, c.silence.silent(boottime.Now()))
+	for _, change := range changes {
+		if err != nil {
+			change.fields["error"] = err.Error()
+		}
+		c.log.Event(change.message, change.fields)
 	}
-	if err != nil {
-		fields["error"] = err.Error()
+	switch {
+	case errors.Is(err, raft.ErrNotCaughtUp):
+		return catchUpInterval
+	case len(changes) == 0 || err != nil:
+		return c.membershipInterval
 	}
-	c.log.Event(change, fields)
+	return 0
 }
 
 // replaceTimeout returns how long a voter must be unreachable before another member
@@ -164,49 +192,82 @@
 	return retireCatchUps * time.Duration(c.cfg.CatchUp)
 }
 
-// changeMembership makes the first membership change that is due and returns its log
-// message with fields, or "" if none is due.
+// membershipChange is the log message of a membership change.
+type membershipChange struct {
+	message string
+	fields  eventlog.Fields
+}
+
+// changeMembership makes the first membership change that is due and returns what it changed, or nothing if
+// none is due. The error matches raft.ErrNotCaughtUp if all that is due is to promote a learner that is
+// catching up.
 //
 // A member deletes its log once it is retired, so a voter first loses its vote.
 func (c *Controller) changeMembership(
 	ctx context.Context, status raft.Status, members map[uint64]confstate.Member, silent map[raft.MemberID]time.Duration,
-) (change string, fields eventlog.Fields, err error) {
+) ([]membershipChange, error) {
 	voters, learners := status.Members.Voters, status.Members.Learners
-	for _, id := range slices.Concat(voters, learners) {
-		if _, ok := members[uint64(id)]; !ok {
-			// The member was retired, or its disk is gone and its node joined under a new
-			// ID. It has to leave the Raft group too.
-			return "member removed", eventlog.Fields{"member": id}, c.raftReplica.Remove(ctx, id)
-		}
-	}
-	lost, anyLost := longestSilent(voters, silent, c.replaceTimeout())
-	if len(voters) > c.targetVoters() && anyLost {
-		fields := eventlog.Fields{"member": lost, "voters": len(voters), "silentMillis": silent[lost].Milliseconds()}
-		return "lost voter removed", fields, c.raftReplica.Remove(ctx, lost)
+	_, anyLost := longestSilent(voters, silent, c.replaceTimeout())
+	removed, added, changes := c.dueExchange(status.Members, members, silent)
+	if len(changes) > 0 {
+		return changes, c.raftReplica.Exchange(ctx, removed, added)
 	}
 	for _, m := range c.stateMachine.memberList() {
 		id := raft.MemberID(m.ID)
 		if !slices.Contains(voters, id) && silent[id] > c.retireTimeout() {
 			_, err := c.propose(ctx, confstate.Command{Retire: &m.ID})
-			return "member retired", eventlog.Fields{"member": id, "node": m.Node}, err
-		}
-		if !slices.Contains(voters, id) && !slices.Contains(learners, id) && silent[id] == 0 {
-			return "learner added", eventlog.Fields{"member": id, "node": m.Node}, c.raftReplica.AddLearner(ctx, id)
+			return []membershipChange{{"member retired", eventlog.Fields{"member": id, "node": m.Node}}}, err
 		}
 	}
+	var catchingUp error
 	for _, id := range learners {
-		if len(voters) < c.targetVoters() || anyLost {
+		if silent[id] == 0 && (len(voters) < c.targetVoters() || anyLost) {
 			err := c.raftReplica.Promote(ctx, id)
 			if errors.Is(err, raft.ErrNotCaughtUp) {
+				catchingUp = err
 				continue
 			}
-			return "learner promoted", eventlog.Fields{"member": id, "voters": len(voters) + 1}, err
+			return []membershipChange{{"learner promoted", eventlog.Fields{"member": id, "voters": len(voters) + 1}}}, err
 		}
 	}
-	if id, ok := c.surplusVoter(voters); ok {
-		return "surplus voter removed", eventlog.Fields{"member": id, "voters": len(voters)}, c.raftReplica.Remove(ctx, id)
+	if id, ok := c.surplusVoter(status); ok {
+		change := membershipChange{"surplus voter removed", eventlog.Fields{"member": id, "voters": len(voters)}}
+		return []membershipChange{change}, c.raftReplica.Remove(ctx, id)
+	}
+	return nil, catchingUp
+}
+
+// dueExchange returns the members to remove from the Raft group and those to add to it in one step. Removed are
+// the members that are in the group only: they were retired, or their disks are gone and their nodes joined
+// under new IDs. If there are none, a lost voter is removed if there are more voters than the target. At most one
+// voter is removed at a time.
+func (c *Controller) dueExchange(
+	group raft.Members, members map[uint64]confstate.Member, silent map[raft.MemberID]time.Duration,
+) (removed, added []raft.MemberID, changes []membershipChange) {
+	voterRemoved := false
+	for _, id := range slices.Concat(group.Voters, group.Learners) {
+		votes := slices.Contains(group.Voters, id)
+		if _, ok := members[uint64(id)]; ok || votes && voterRemoved {
+			continue
+		}
+		voterRemoved = voterRemoved || votes
+		removed = append(removed, id)
+		changes = append(changes, membershipChange{"member removed", eventlog.Fields{"member": id}})
+	}
+	lost, anyLost := longestSilent(group.Voters, silent, c.replaceTimeout())
+	if len(removed) == 0 && len(group.Voters) > c.targetVoters() && anyLost {
+		removed = append(removed, lost)
+		fields := eventlog.Fields{"member": lost, "voters": len(group.Voters), "silentMillis": silent[lost].Milliseconds()}
+		changes = append(changes, membershipChange{"lost voter removed", fields})
+	}
+	for _, m := range c.stateMachine.memberList() {
+		id := raft.MemberID(m.ID)
+		if !slices.Contains(group.Voters, id) && !slices.Contains(group.Learners, id) && silent[id] == 0 {
+			added = append(added, id)
+			changes = append(changes, membershipChange{"learner added", eventlog.Fields{"member": id, "node": m.Node}})
+		}
 	}
-	return "", nil, nil
+	return removed, added, changes
 }
 
 // longestSilent returns the voter that has been unreachable for the longest time, if that is
@@ -222,9 +283,10 @@
 	return lost, ok
 }
 
-// surplusVoter returns the voter to remove if there are more than the target and all can be
-// reached: the one for which a learner was promoted has come back. It stays a member.
-func (c *Controller) surplusVoter(voters []raft.MemberID) (raft.MemberID, bool) {
+// surplusVoter returns the voter to remove if there are more than the target and all have replied
+// to this leader: the one for which a learner was promoted has come back. It stays a member.
+func (c *Controller) surplusVoter(status raft.Status) (raft.MemberID, bool) {
+	voters := status.Members.Voters
 	if len(voters) <= c.targetVoters() {
 		return 0, false
 	}
@@ -233,8 +295,7 @@
 		if id == c.member {
 			continue
 		}
-		link, ok := c.addresses.NodeOf(id)
-		if !ok || !c.mesh.Reachable(link) {
+		if status.Match[id] == 0 || slices.Contains(status.Unresponsive, id) {
 			return 0, false
 		}
 		surplus = id
