--- a/internal/controller/membership_test.go
+++ b/internal/controller/membership_test.go
@@ -66,6 +66,17 @@
 	is.Equal(s.silent(17 * time.Second)[8], time.Second) // reached before
 }
 
+// TestSuccessorIsNotSilent guards against a member that is taken for gone since its predecessor at the same address was.
+func TestSuccessorIsNotSilent(t *testing.T) {
+	is := is.New(t)
+	var s silence
+	s.observe(map[raft.MemberID]bool{7: false}, true, 10*time.Second)
+	s.observe(map[raft.MemberID]bool{7: false, 8: true}, true, 11*time.Second)
+	is.Equal(s.silent(11 * time.Second)[7], time.Second)
+	s.observe(map[raft.MemberID]bool{8: false}, true, 12*time.Second)
+	is.Equal(s.silent(12*time.Second), map[raft.MemberID]time.Duration{8: 1})
+}
+
 // joinRound is a node without a log that looks for the leader e. A connection opens in the turn after its peer
 // is listed, and closes with the list.
 type joinRound struct {
--- a/internal/controller/rejoin_test.go
+++ b/internal/controller/rejoin_test.go
@@ -153,3 +153,25 @@
 	c.nodes[wiped].disk.syncDelay.Store(int64(600 * time.Millisecond))
 	c.requireVoters(0, 1, 2, 3, 4)
 }
+
+// TestDiskLostAgainBeforeItIsReplaced wipes a voter, and its successor some time after that has started: before it
+// joins, while it catches up, and once it votes.
+func TestDiskLostAgainBeforeItIsReplaced(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 18250, 5)
+	c.start(0, 1, 2, 3, 4)
+	for i := range 5 {
+		c.waitForVoters(i)
+	}
+	lost := (c.leadFromOneOf(0, 1, 2, 3, 4) + 1) % 5
+	for wait := time.Duration(0); wait < 400*time.Millisecond; wait += 50 * time.Millisecond {
+		for range 2 {
+			time.Sleep(wait)
+			c.kill(lost)
+			c.wipe(lost)
+			c.start(lost)
+		}
+		c.requireVoters(0, 1, 2, 3, 4)
+		c.waitForVoters((lost + 1) % 5)
+	}
+}
