--- a/internal/controller/membership_test.go
+++ b/internal/controller/membership_test.go
@@ -108,7 +108,7 @@
 }
 
 // TestJoinReachesLeaderThatIsNoSeed guards against a node without a log that never asks the leader e: one seed
-// may be down, one names the leader, the others name nobody, a node d that is gone, or each other.
+// may be down, one names the leader, the others name nobody, a node d that is gone, or a seed that names nobody.
 func TestJoinReachesLeaderThatIsNoSeed(t *testing.T) {
 	seeds := []string{"a", "b", "c"}
 	for _, knowing := range seeds {
