controller: nodes that name each other as the leader don't keep a node from asking the others

A node without a log that is told of two former leaders by each other asked these two in turn for as long as they did so, though a third node knew the leader. Real nodes forget a silent leader within about a second, so that no lasting case was seen; the choice was wrong all the same.

Cause: a node that was named was asked next, each time. Now it is asked again only after a peer that was not selected for its name, and of these the one that was asked longest ago comes first.

TestNodesThatNameEachOtherDoNotHideLeader failed before (not asked in 12 turns) and passes; TestJoinReachesLeaderThatIsNoSeed passes unchanged.

--- a/internal/controller/join.go
+++ b/internal/controller/join.go
@@ -64,8 +64,10 @@
 	named map[string]time.Duration
 	// preferred is the node that was named last, until it has been asked.
 	preferred string
-	// last is the peer that was selected last in rotation.
-	last string
+	// turn counts the requests, and askedAt holds the turn of the latest one to each peer. rotatedAt is the
+	// turn of the latest one to a peer that was not selected for its name.
+	turn, rotatedAt int
+	askedAt         map[string]int
 }
 
 // name records that another node named link as the leader, and reports whether it was not among the named ones;
@@ -98,24 +100,35 @@
 	return slices.Collect(maps.Keys(t.named))
 }
 
-// next returns the node that was named last if it is connected, and otherwise the connected peer after
-// the last one in the sorted list; "" if there is none. The list may change between calls.
+// next returns the connected peer to ask: the node that was named last, or else the one that was asked longest
+// ago; "" if none is connected. Two nodes that name each other do not keep the others from being asked: a named
+// one is asked again only after a peer that is not selected for its name.
 func (t *joinTargets) next(peers []peer.Peer, connected func(link string) bool) string {
-	if t.preferred != "" && connected(t.preferred) {
-		return t.preferred
-	}
-	var candidates []string
+	selected, named := "", false
 	for _, p := range peers {
-		if connected(p.Name) {
-			candidates = append(candidates, p.Name)
+		switch {
+		case !connected(p.Name):
+		case p.Name == t.preferred && (t.askedAt[p.Name] == 0 || t.askedAt[p.Name] < t.rotatedAt):
+			selected, named = p.Name, true
+		case selected == "" || !named && t.askedAt[p.Name] < t.askedAt[selected]:
+			selected = p.Name
 		}
 	}
-	if len(candidates) == 0 {
+	if selected == "" {
 		return ""
 	}
-	next := slices.IndexFunc(candidates, func(link string) bool { return link > t.last })
-	t.last = candidates[max(0, next)]
-	return t.last
+	t.turn++
+	if !named {
+		t.rotatedAt = t.turn
+	}
+	if t.askedAt == nil {
+		t.askedAt = map[string]int{}
+	}
+	maps.DeleteFunc(t.askedAt, func(link string, _ int) bool {
+		return !slices.ContainsFunc(peers, func(p peer.Peer) bool { return p.Name == link })
+	})
+	t.askedAt[selected] = t.turn
+	return selected
 }
 
 func (c *Controller) requestJoin(ctx context.Context, target string, fresh bool) (nodelink.JoinAnswer, error) {
--- a/internal/controller/membership_test.go
+++ b/internal/controller/membership_test.go
@@ -148,6 +148,18 @@
 	}
 }
 
+// TestNodesThatNameEachOtherDoNotHideLeader guards against a node that asks only two former leaders in turn, since each of
+// them names the other.
+func TestNodesThatNameEachOtherDoNotHideLeader(t *testing.T) {
+	r := joinRound{told: map[string]string{"a": "b", "b": "a", "c": "e"}}
+	for turn := range 12 {
+		if r.turn(time.Duration(turn)*membershipInterval) == "e" {
+			return
+		}
+	}
+	t.Error("the leader was never asked")
+}
+
 // TestNamedLeaderIsForgotten guards against a node that connects for good to every leader it was ever named.
 func TestNamedLeaderIsForgotten(t *testing.T) {
 	is := is.New(t)
