bodybuffer: dropped buffers are collected before others take their memory

What was seen: 70 MiB resident in a process of 64 MiB beside a crowd of whole bodies (TestCallerBodiesStayInMemory/whole), since bodies that wait no longer all wait for each other: more calls are served, each of which leaves up to twice its body.

Cause: the budget counts what is in use. What is given back is taken again at once, while its buffers are still garbage; the runtime's limit is soft, and its collector goes on while others allocate.

Fix: once a quarter of the budget has been dropped, the next call that takes 64 KiB or more collects it first. It has taken its memory from the budget by then, so that what others give back meanwhile is not used earlier. Smaller bodies never wait for it.

TestDroppedBodiesAreCollected fails without the collection.

--- a/internal/bodybuffer/bodybuffer.go
+++ b/internal/bodybuffer/bodybuffer.go
@@ -8,6 +8,8 @@
 
 import (
 	"io"
+	"runtime"
+	"sync"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -42,6 +44,9 @@
 	used           atomic.Int64
 	parts          [partCount]atomic.Int64
 	stalls         stalls
+	// dropped is what was given back since the last collection, in bytes.
+	dropped    atomic.Int64
+	collecting sync.Mutex
 }
 
 const (
@@ -50,6 +55,10 @@
 	memoryShare = 4
 	// reserveShare is the ratio of a process's memory to the reserve for calls that run.
 	reserveShare = 16
+	// droppedShare is the ratio of a budget to the dropped buffers that are collected before others take memory.
+	droppedShare = 4
+	// collectBytes is the size from which on a buffer waits for dropped ones to be collected.
+	collectBytes = 64 << 10
 )
 
 // BudgetOf returns the budget of a process with the given memory, in MiB.
@@ -102,6 +111,21 @@
 	return true
 }
 
+// collect frees the dropped buffers if they are large together. The runtime's collector goes on while others allocate, and is
+// late on a busy machine: calls must not take memory again before it is free.
+func (b *Budget) collect() {
+	most := b.limit / droppedShare
+	if b.dropped.Load() <= most {
+		return
+	}
+	b.collecting.Lock()
+	defer b.collecting.Unlock()
+	if dropped := b.dropped.Load(); dropped > most {
+		runtime.GC()
+		b.dropped.Add(-dropped)
+	}
+}
+
 // takeRoom is Take that makes room. It reports whether there is any.
 func (s *Share) takeRoom(p Part, n int64) bool {
 	for !s.Take(p, n) {
@@ -109,6 +133,9 @@
 			return false
 		}
 	}
+	if n >= collectBytes {
+		s.budget.collect()
+	}
 	return true
 }
 
@@ -116,6 +143,7 @@
 func (s *Share) giveBack(p Part, n int64) {
 	s.budget.parts[p].Add(-n)
 	s.budget.used.Add(-n)
+	s.budget.dropped.Add(n)
 	s.taken[p] -= n
 }
 
@@ -132,6 +160,7 @@
 	for p, n := range s.taken {
 		s.budget.parts[p].Add(-n)
 		s.budget.used.Add(-n)
+		s.budget.dropped.Add(n)
 	}
 	s.taken = [partCount]int64{}
 }
--- a/internal/bodybuffer/bodybuffer_test.go
+++ b/internal/bodybuffer/bodybuffer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -91,3 +92,27 @@
 	}
 	is.Equal(b.Used()+b.UsedFor(Requests)+b.UsedFor(Events)+b.UsedFor(Detours), int64(0))
 }
+
+// TestDroppedBodiesAreCollected reads as many bodies one after the other as the budget would hold together. Before the next large one takes
+// memory, the dropped ones must be collected.
+func TestDroppedBodiesAreCollected(t *testing.T) {
+	is := is.New(t)
+	const limit = 8 << 20
+	for _, c := range []struct {
+		size     int
+		collects bool
+	}{{1 << 20, true}, {8 << 10, false}} {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		b := NewBudget(limit)
+		for range limit / c.size {
+			share := b.NewShare()
+			_, err := share.Read(bytes.NewReader(make([]byte, c.size)), int64(c.size), limit)
+			is.NoErr(err)
+			share.Release()
+			is.True(!c.collects || b.dropped.Load() < limit)
+		}
+		runtime.ReadMemStats(&after)
+		is.Equal(after.NumForcedGC > before.NumForcedGC, c.collects)
+	}
+}
