node: only an answer changes what a node without a vote knows of the leader

Cause: a report to the leader that failed on its way, or timed out, made the node forget the leader, also if the next voter asked could not name one. Claims, reads and proposals then failed with "no leader is known" until a later report, 0.5 s each, got an answer that named it. An answer of the leader itself, given to a node that asked it as any voter, was not taken as naming it.

Now the hint is replaced by another node's answer or by that of the leader, and a node whose leader is unreachable or left a report unanswered asks the voters in turn, so that a hint at a node that is gone traps nobody.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,7 +96,9 @@
 	// nextVoter rotates the voters that anyVoter returns. Only the sync and follow
 	// parts use it.
 	nextVoter int
-	drainOnce sync.Once
+	// syncFailed is set while the latest report has no answer. Only the sync part uses it.
+	syncFailed bool
+	drainOnce  sync.Once
 	// draining is closed when a planned stop begins.
 	draining chan struct{}
 }
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -56,8 +56,8 @@
 		return false
 	}
 	reply, err := n.sendSync(ctx, req)
+	n.syncFailed = err != nil
 	if err != nil || !reply.Leads {
-		n.group.setLeaderHint(reply.Leader)
 		n.loop.post(ctx, func() { n.loop.restoreArrivals(req.Demand) })
 		return false
 	}
@@ -69,17 +69,26 @@
 	return true
 }
 
-// sendSync sends a report to the leader, or to any voter if the leader is unknown.
+// sendSync sends a report to the leader, or to any voter if the leader is unknown, unreachable or did not answer
+// the report before. Only an answer changes what is known of the leader.
 func (n *Node) sendSync(ctx context.Context, req syncRequest) (syncReply, error) {
 	leader := n.group.leader()
 	if leader == n.cfg.Node {
 		return n.answerSync(ctx, req)
 	}
-	if leader == "" {
-		leader = n.anyVoter()
+	asked := leader
+	if leader == "" || n.syncFailed || !n.mesh.Reachable(leader) {
+		asked = n.anyVoter()
 	}
 	var reply syncReply
-	err := n.mesh.Call(ctx, leader, methodSync, req, &reply)
+	err := n.mesh.Call(ctx, asked, methodSync, req, &reply)
+	switch {
+	case err != nil:
+	case reply.Leads:
+		n.group.setLeaderHint(asked)
+	case reply.Leader != "" || asked == leader:
+		n.group.setLeaderHint(reply.Leader)
+	}
 	return reply, err
 }
 
