node: the turn of the voters is safe for the two parts that use it

On a node without a data folder, the parts that follow the log and that report to the leader both advance the turn of the voters, without synchronization. It is atomic now. TestVotersAreSelectedFromSeveralParts reported a data race before (go test -race).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/agateslip/agateslip/contract"
@@ -93,9 +94,8 @@
 	bodies         *bodybuffer.Budget
 	intake         bodybuffer.Intake
 
-	// nextVoter rotates the voters that anyVoter returns. Only the sync and follow
-	// parts use it.
-	nextVoter int
+	// nextVoter rotates the voters that anyVoter returns.
+	nextVoter atomic.Uint64
 	// syncFailed is set while the latest report has no answer. Only the sync part uses it.
 	syncFailed bool
 	drainOnce  sync.Once
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -99,8 +99,7 @@
 	if len(voters) == 0 {
 		return ""
 	}
-	n.nextVoter++
-	return voters[n.nextVoter%len(voters)]
+	return voters[n.nextVoter.Add(1)%uint64(len(voters))]
 }
 
 // voterNodes returns the nodes of the other voters whose node is known.
--- a/internal/node/sync_test.go
+++ b/internal/node/sync_test.go
@@ -50,3 +50,18 @@
 	go func() { _ = mesh.Run(t.Context()) }()
 	return mesh
 }
+
+// TestVotersAreSelectedFromSeveralParts guards, under the race detector, against a turn that two parts share.
+func TestVotersAreSelectedFromSeveralParts(t *testing.T) {
+	is := is.New(t)
+	n := newIdleNode()
+	n.cfg.Peers = []config.Peer{{Node: "a", Voter: 1}, {Node: "b", Voter: 2}}
+	n.members.set(1, "a")
+	n.members.set(2, "b")
+	selected := make(chan string)
+	for range 2 {
+		go func() { selected <- n.anyVoter() }()
+	}
+	first, second := <-selected, <-selected
+	is.True(first != second) // takes turns
+}
