peer: a lost opening packet delays a connection by a quarter of a second, not by one

Cause: the system sends the packets that open a TCP connection again after a second, which is also when the attempt ended; each loss cost a second and the backoff. The connection to the one node that leads was then opened too late for whoever looked for it.

An attempt without an outcome for 250 ms is joined by another one, up to the same limit of a second, and the first connection is used. The earlier attempts go on, so that slow links are not cut off; ones that are refused still end at once.

--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -69,8 +69,12 @@
 // they know the secret.
 func (d *dialer) dialPeer(ctx context.Context) (*link, error) {
 	timing := d.mesh.opts.Timing
-	netDialer := net.Dialer{Timeout: timing.DialTimeout}
-	conn, err := netDialer.DialContext(ctx, "tcp", d.peer.Addr)
+	var netDialer net.Dialer
+	connectCtx, cancel := context.WithTimeout(ctx, timing.DialTimeout)
+	defer cancel()
+	conn, err := connect(connectCtx, reconnectInterval, func(ctx context.Context) (net.Conn, error) {
+		return netDialer.DialContext(ctx, "tcp", d.peer.Addr)
+	})
 	if err != nil {
 		return nil, err
 	}
