controller: a learner need not answer a heartbeat before it is promoted

Cause: a member whose connection is new counts as silent until it has answered a heartbeat, which are 0.4 s apart, and a silent member was looked at again only at the next check. Whether it may vote is decided by its replies and its log.

A member is now left out only once it has been silent for replaceTimeout. TestTwoWipedVotersAreExchangedInTwoSteps has a member in this state and failed before.

--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -221,7 +221,7 @@
 	}
 	var catchingUp error
 	for _, id := range learners {
-		if silent[id] == 0 && (len(voters) < c.targetVoters() || anyLost) {
+		if silent[id] <= c.replaceTimeout() && (len(voters) < c.targetVoters() || anyLost) {
 			err := c.raftReplica.Promote(ctx, id)
 			if errors.Is(err, raft.ErrNotCaughtUp) {
 				catchingUp = err
@@ -240,7 +240,8 @@
 // dueExchange returns the members to remove from the Raft group and those to add to it in one step. Removed are
 // the members that are in the group only: they were retired, or their disks are gone and their nodes joined
 // under new IDs. If there are none, a lost voter is removed if there are more voters than the target. At most one
-// voter is removed at a time.
+// voter is removed at a time. A member that has just joined is added even if the connection to it is not
+// confirmed yet.
 func (c *Controller) dueExchange(
 	group raft.Members, members map[uint64]confstate.Member, silent map[raft.MemberID]time.Duration,
 ) (removed, added []raft.MemberID, changes []membershipChange) {
@@ -262,7 +263,7 @@
 	}
 	for _, m := range c.stateMachine.memberList() {
 		id := raft.MemberID(m.ID)
-		if !slices.Contains(group.Voters, id) && !slices.Contains(group.Learners, id) && silent[id] == 0 {
+		if !slices.Contains(group.Voters, id) && !slices.Contains(group.Learners, id) && silent[id] <= c.replaceTimeout() {
 			added = append(added, id)
 			changes = append(changes, membershipChange{"learner added", eventlog.Fields{"member": id, "node": m.Node}})
 		}
--- a/internal/controller/membership_test.go
+++ b/internal/controller/membership_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/agateslip/agateslip/confstate"
+	"github.com/agateslip/agateslip/contract"
 	"github.com/agateslip/agateslip/internal/nodelink"
 	"github.com/agateslip/agateslip/internal/peer"
 	"github.com/agateslip/agateslip/raft"
@@ -189,7 +190,9 @@
 		joined = append(joined, members[id])
 	}
 	c.stateMachine.setFounders(joined)
-	removed, added, _ := c.dueExchange(raft.Members{Voters: []raft.MemberID{1, 2, 3, 4, 5}}, members, nil)
+	c.cfg.CatchUp = contract.Duration(4 * time.Second)
+	silent := map[raft.MemberID]time.Duration{6: 100 * time.Millisecond} // no heartbeat was answered yet
+	removed, added, _ := c.dueExchange(raft.Members{Voters: []raft.MemberID{1, 2, 3, 4, 5}}, members, silent)
 	is.Equal(removed, []raft.MemberID{4})
 	is.Equal(added, []raft.MemberID{6, 7})
 	removed, added, _ = c.dueExchange(raft.Members{Voters: []raft.MemberID{1, 2, 3, 5}, Learners: []raft.MemberID{6, 7}}, members, nil)
