controller: a term begins once the log of earlier leaders is applied

A request that crashes upstreams could reach more of them than allowed after a restart or a change of the leader: the evidence against it, which is kept in the log for that, was lost.

Cause: a leader may act once its lease is valid, which is up to a few ms before it has applied the entries of its predecessors. It also told entry nodes of the quarantine before it knew the latest one. Now the term begins with the first applied entry of its own.

TestEvidenceIsNotLostBeforeItIsApplied, with 50 ms more for each entry, fails before (no trial within 30 s) and passes.

--- a/internal/controller/lead.go
+++ b/internal/controller/lead.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// tick begins or ends a term of leadership as the Raft status demands. While this node
-// leads, it expires silent upstreams and plans.
+// tick begins or ends a term of leadership as the Raft status demands. A term begins once the log of
+// earlier leaders is applied. While this node leads, it expires silent upstreams and plans.
 func (c *Controller) tick(ctx context.Context, now time.Duration) {
 	status, leads := c.raftReplica.CurrentStatus()
 	if !leads {
@@ -60,6 +60,13 @@
 		return
 	}
 	if c.term != status.Term {
+		if !c.stateMachine.hasAppliedTerm(status.Term) {
+			// What earlier leaders put in the log, such as evidence, is not known yet.
+			if c.term != 0 {
+				c.stepDown(status)
+			}
+			return
+		}
 		c.beginTerm(status.Term, now)
 	}
 	if c.fence == 0 && !c.claimPending {
--- a/internal/controller/restart_test.go
+++ b/internal/controller/restart_test.go
@@ -274,7 +274,20 @@
 // quarantine, the only one, survive likewise.
 func TestEvidenceSurvivesRestart(t *testing.T) {
 	t.Parallel()
-	c := newCluster(t, 17990, 5)
+	requireEvidenceSurvives(t, 17990, 0)
+}
+
+// TestEvidenceIsNotLostBeforeItIsApplied does the same where the next leader leads before it has applied the evidence.
+func TestEvidenceIsNotLostBeforeItIsApplied(t *testing.T) {
+	t.Parallel()
+	requireEvidenceSurvives(t, 18260, 50*time.Millisecond)
+}
+
+// requireEvidenceSurvives fails the test unless evidence survives a restart of all nodes, which then take applyDelay longer to
+// apply each entry of the log.
+func requireEvidenceSurvives(t *testing.T, port int, applyDelay time.Duration) {
+	t.Helper()
+	c := newCluster(t, port, 5)
 	c.start(0, 1, 2, 3, 4)
 	for i := range 5 {
 		c.waitForVoters(i)
@@ -302,6 +315,7 @@
 	restart := func() {
 		time.Sleep(500 * time.Millisecond) // until the evidence has been replicated
 		c.kill(0, 1, 2, 3, 4)
+		c.applyDelay = applyDelay
 		c.start(0, 1, 2, 3, 4)
 	}
 	report(nodelink.DemandRequest{Losses: []quarantine.Loss{loss(0), loss(1)}})
--- a/internal/controller/statemachine.go
+++ b/internal/controller/statemachine.go
@@ -193,11 +193,15 @@
 	return s.state.Version
 }
 
+// hasAppliedTerm reports whether an entry of the given term is applied, and so, at the leader of that term, every
+// entry of earlier ones.
+func (s *stateMachine) hasAppliedTerm(term uint64) bool { return s.appliedTerm.Load() == term }
+
 // versionThrough returns the version of the active configuration if an entry of the given term is applied, and
 // otherwise zero. At the leader of that term the version covers every change that was acknowledged before the call:
 // entries of earlier terms precede its own, and it acknowledges an entry once it has applied it.
 func (s *stateMachine) versionThrough(term uint64) uint64 {
-	if s.appliedTerm.Load() != term {
+	if !s.hasAppliedTerm(term) {
 		return 0
 	}
 	if active := s.active.Load(); active != nil {
