--- a/review/lab-2/lab.go
+++ b/review/lab-2/lab.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		free := true
-		for host := 1; host <= 12 && free; host++ {
+		for host := 1; host <= 14 && free; host++ {
 			for off := range 6 {
 				t, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:%d", host, port+off))
 				if err != nil {
