--- a/review/lab-2/budget.go
+++ b/review/lab-2/budget.go
@@ -34,6 +34,8 @@
 		at time.Duration
 		id string
 	}
+	// log writes to the record what a runner did with a request.
+	log := func(runner, id, what string) { l.note("%s %s %s", runner, what, id) }
 	var arrivals, sent []event
 	for i := range 3 {
 		r := l.newRunner(fmt.Sprint("i-", i), "app", nil, nil)
@@ -49,6 +51,7 @@
 			load := fmt.Sprintf("Request-Id: %s\r\nServer-Load: %d,%d,%d\r\n", id, running, waiting, slots)
 			if running+waiting >= slots+queue {
 				mu.Unlock()
+				log(r.id, id, "is full and rejects")
 				_, err := io.WriteString(c, answer(503, load+"Not-Executed: 1\r\n", ""))
 				return err == nil
 			}
@@ -60,12 +63,14 @@
 				mu.Lock()
 				waiting--
 				mu.Unlock()
+				log(r.id, id, "had no slot in time for")
 				_, err := io.WriteString(c, answer(503, load+"Not-Executed: 1\r\n", ""))
 				return err == nil
 			}
 			mu.Lock()
 			waiting, running = waiting-1, running+1
 			mu.Unlock()
+			log(r.id, id, "runs")
 			status := 200
 			select {
 			case <-time.After(work):
@@ -113,6 +118,7 @@
 				mu.Lock()
 				sent = append(sent, event{at: time.Since(l.start), id: id})
 				mu.Unlock()
+				l.note("%s sent to %s", id, e.name)
 				rep := call(e.addr(0), "GET", "/rep/x", map[string]string{"Request-Id": id, "Deadline-Ms": "15000"}, nil, 15*time.Second)
 				l.note("%s by %s: %d %v", id, e.name, rep.status, rep.err)
 				mu.Lock()
